--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration of the fleet: validated document, compiled form, questionnaire and difference."""
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/configuration/compiled.py
@@ -0,0 +1,140 @@
+"""Compiled configuration and host list: plain data classes used inside the routers."""
+
+import enum
+from dataclasses import dataclass, field
+
+
+class TargetKind(enum.StrEnum):
+    """What kind of back end a target class describes."""
+
+    ENGINE = "engine"
+    APPLICATION = "application"
+
+
+class DataCentreState(enum.StrEnum):
+    """Whether a data centre's targets may receive new work."""
+
+    IN_SERVICE = "in"
+    OUT_OF_SERVICE = "out"
+
+
+class HostState(enum.StrEnum):
+    """State of a host in the host list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class HostRole(enum.StrEnum):
+    """What runs on a listed host."""
+
+    ROUTER = "router"
+    TARGET = "target"
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One route of an application service; `path_prefix` is matched below `/apps/{service}`."""
+
+    method: str
+    path_prefix: str
+    idempotent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A model or an application service that callers ask for by name.
+
+    `routes` is empty for models, whose requests are idempotent.
+    """
+
+    name: str
+    kind: TargetKind
+    routes: tuple[Route, ...] = ()
+    default_cost: float = 100.0
+    """Cost of a request, in cost units, before any was measured."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetClass:
+    """Properties shared by the targets of one class. `slots` and `cold_slots` are concurrent requests."""
+
+    name: str
+    kind: TargetKind
+    services: tuple[str, ...]
+    slots: int
+    cold_slots: int
+    checks_fencing_number: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A team or partner with a share of the capacity.
+
+    `patience_seconds` maps a service to how long a request may wait before its answer starts; services that
+    are not listed use `default_patience_seconds`.
+    """
+
+    customer_id: str
+    share: float
+    key_hashes: tuple[str, ...]
+    services: frozenset[str]
+    queue_limit: int = 1000
+    default_patience_seconds: float = 60.0
+    patience_seconds: dict[str, float] = field(default_factory=dict)
+
+    def patience_for(self, service: str) -> float:
+        """Return how many seconds a request for `service` may wait."""
+        return self.patience_seconds.get(service, self.default_patience_seconds)
+
+
+@dataclass(frozen=True, slots=True)
+class ModelPlacement:
+    """Wanted model, adapter, version and role of an engine target."""
+
+    target_id: str
+    model: str
+    version: str
+    adapter: str | None = None
+    role: str = "mixed"
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One accepted version of the fleet's configuration. Greater `order` wins."""
+
+    version: int
+    digest: bytes
+    document: bytes
+    customers: dict[str, Customer]
+    services: dict[str, Service]
+    target_classes: dict[str, TargetClass]
+    data_centres: dict[str, DataCentreState]
+    placements: dict[str, ModelPlacement] = field(default_factory=dict)
+    weight_loads_per_minute: float = 6.0
+
+    @property
+    def order(self) -> tuple[int, bytes]:
+        """Return the key by which versions are ordered."""
+        return (self.version, self.digest)
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """An entry of the host list. `address` is `ip:port` of the peer socket (router) or of HTTP (target)."""
+
+    host_id: str
+    role: HostRole
+    data_centre: str
+    address: str
+    state: HostState = HostState.LIVE
+    target_class: str | None = None
+    admin_address: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HostList:
+    """The platform's lagging list of hosts."""
+
+    version: int
+    hosts: tuple[Host, ...]
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/actions.py
@@ -0,0 +1,137 @@
+"""Actions that the decision core returns for the process around it to carry out, in order."""
+
+import enum
+from dataclasses import dataclass
+
+from limpetusher.events import Event
+from limpetusher.wire.messages import PeerPayload
+
+
+class Ran(enum.StrEnum):
+    """What is known about whether a refused request ran at a target."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class RefusalCode(enum.StrEnum):
+    """Machine-readable reasons in error answers."""
+
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_KEY = "unknown_key"
+    UNKNOWN_SERVICE = "unknown_service"
+    REQUEST_TIMEOUT = "request_timeout"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    NO_CAPACITY = "no_capacity"
+    NOT_READY = "not_ready"
+    STOPPING = "stopping"
+    ANSWER_CUT = "answer_cut"
+    TARGET_FAILED = "target_failed"
+    KEY_IN_USE = "key_in_use"
+    KEY_REUSED = "key_reused"
+    NO_QUORUM = "no_quorum"
+    ALREADY_RUN = "already_run"
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Send the request to the target, unless the first byte can't be written before `send_before`.
+
+    `send_before` is a reading of the monotonic clock. When it has passed, the process answers with
+    `ResponseEnded(outcome=NOT_SENT)`.
+    """
+
+    request_id: str
+    attempt: int
+    target_id: str
+    address: str
+    send_before: float
+
+
+@dataclass(frozen=True, slots=True)
+class CancelDispatch:
+    """Cancel an attempt at its target and close the connection."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Answer the caller with an error, or end a stream that has begun with an error event."""
+
+    request_id: str
+    status: int
+    code: RefusalCode
+    message: str
+    ran: Ran
+    retry_after_seconds: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """Answer the caller with the recorded answer of an earlier attempt with the same idempotency key."""
+
+    request_id: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Send a message to another router; it may be lost."""
+
+    peer: str
+    address: str
+    payload: PeerPayload
+
+
+@dataclass(frozen=True, slots=True)
+class WatchConfiguration:
+    """Start or stop watching the configuration service."""
+
+    active: bool
+
+
+@dataclass(frozen=True, slots=True)
+class OrderTarget:
+    """Order an engine to load a model, adapter and version or to change its role."""
+
+    target_id: str
+    address: str
+    fencing_number: int
+    model: str
+    version: str
+    adapter: str | None
+    role: str
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """Write a numbered log event with its fields."""
+
+    event: Event
+    fields: dict[str, object]
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """All work is finished; the process may exit."""
+
+
+Action = (
+    Dispatch
+    | CancelDispatch
+    | Refuse
+    | Replay
+    | SendToPeer
+    | WatchConfiguration
+    | OrderTarget
+    | LogEvent
+    | Stopped
+)
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/request/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions whose state lives as long as a request."""
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/errors.py
@@ -0,0 +1,27 @@
+"""Exception tree. Each layer raises its own errors and translates those of the layer below."""
+
+
+class LimpetusherError(Exception):
+    """Base class of all errors raised by limpetusher."""
+
+
+class ConfigurationError(LimpetusherError):
+    """A configuration document or setting is invalid.
+
+    Parameters
+    ----------
+    problems
+        One line for each problem, naming the value and what is allowed.
+    """
+
+    def __init__(self, problems: list[str]):
+        self.problems = problems
+        super().__init__("; ".join(problems))
+
+
+class CodecError(LimpetusherError):
+    """A message from a peer is malformed, too large, unauthenticated or of an unknown version."""
+
+
+class PolicyError(LimpetusherError):
+    """The decision core was given a message that contradicts its state."""
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routers and their encoding."""
--- /dev/null
+++ b/packages/limpetusher-operator/src/limpetusher_operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operator tool of the limpetusher router fleet."""
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/__init__.py
@@ -0,0 +1,1 @@
+"""Router process: a circuits application around the decision core."""
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/__init__.py
@@ -0,0 +1,1 @@
+"""State that lives as long as a connection: callers, targets and peers."""
--- /dev/null
+++ b/packages/limpetusher-standins/src/limpetusher_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around the routers, and development tools that start them."""
