--- a/packages/limpetusher-core/src/limpetusher/configuration/compiled.py
+++ b/packages/limpetusher-core/src/limpetusher/configuration/compiled.py
@@ -67,6 +67,15 @@
     checks_fencing_number: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ApiKey:
+    """A customer's API key: `digest` is the hexadecimal SHA-256 of salt (hexadecimal) and secret."""
+
+    key_id: str
+    salt: str
+    digest: str
+
+
 @dataclass(frozen=True, slots=True)
 class Customer:
     """A team or partner with a share of the capacity.
@@ -77,7 +86,7 @@
 
     customer_id: str
     share: float
-    key_hashes: tuple[str, ...]
+    api_keys: tuple[ApiKey, ...]
     services: frozenset[str]
     queue_limit: int = 1000
     default_patience_seconds: float = 60.0
