--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/process/shares.py
@@ -0,0 +1,218 @@
+"""Slot carriers: leases lent to owners and leases held from carriers."""
+
+from dataclasses import dataclass
+
+from limpetusher.core.connection.peers import Peers
+from limpetusher.core.process.membership import Membership
+from limpetusher.core.settings import PolicySettings
+
+
+@dataclass(slots=True)
+class CarriedSlots:
+    """The slots of one target that this router carries: slots `s` with `s % count == index`.
+
+    `ready_at` is None while other carriers have not confirmed the host list.
+    """
+
+    index: int
+    count: int
+    ready_at: float | None
+    lent_to: str | None = None
+    lent_at: float = 0.0
+
+    def includes(self, other: "CarriedSlots") -> bool:
+        """Return whether all slots of `other` are among these, whatever the target's number of slots."""
+        return other.count % self.count == 0 and other.index % self.count == self.index
+
+
+@dataclass(slots=True)
+class Lease:
+    """A lease held from a carrier. `since` is when it became valid without interruption."""
+
+    since: float
+    until: float
+
+
+class Shares:
+    """Slot shares of this router as a carrier and as an owner.
+
+    A carrier whose slots have grown, or that has just started, lends them when all listed carriers of the
+    target have confirmed the same host list version and the takeover wait has passed since. Without the
+    confirmation, a carrier that sees a host list late would still lend the same slots.
+
+    Parameters
+    ----------
+    settings
+        Constants of the policy.
+    own_id
+        Host id of this router.
+    membership
+        Host list and ownership.
+    peers
+        Sequence numbers and reachability.
+    started_at
+        Monotonic time at which the process started.
+    """
+
+    def __init__(
+        self,
+        settings: PolicySettings,
+        own_id: str,
+        membership: Membership,
+        peers: Peers,
+        started_at: float,
+    ):
+        self.settings = settings
+        self.own_id = own_id
+        self.membership = membership
+        self.peers = peers
+        self.started_at = started_at
+        self.carried: dict[str, CarriedSlots] = {}
+        self.leases: dict[str, dict[str, Lease]] = {}
+        self.layouts: dict[str, tuple[str, ...]] = {}
+        self.confirmed: dict[str, float] = {}
+        self.version: int | None = None
+
+    def hosts_changed(self, now: float) -> None:
+        """Take over the carriers of a new host list: slots are lost at once and gained late."""
+        membership = self.membership
+        first = self.version is None
+        if membership.version != self.version:
+            self.version = membership.version
+            self.confirmed.clear()
+        carried: dict[str, CarriedSlots] = {}
+        layouts: dict[str, tuple[str, ...]] = {}
+        for host in membership.targets():
+            target_id = host.host_id
+            carriers = membership.carriers(target_id)
+            layouts[target_id] = carriers
+            if self.layouts.get(target_id) != carriers:
+                self.leases.pop(target_id, None)
+            if self.own_id in carriers:
+                ready_at = now if first and self.settings.fresh_fleet else None
+                slots = CarriedSlots(carriers.index(self.own_id), len(carriers), ready_at)
+                carried[target_id] = self.continued(self.carried.get(target_id), slots)
+        self.leases = {target_id: held for target_id, held in self.leases.items() if target_id in layouts}
+        self.carried = carried
+        self.layouts = layouts
+        self.confirm_ready(now)
+
+    def continued(self, old: CarriedSlots | None, new: CarriedSlots) -> CarriedSlots:
+        """Return `new` with what stays valid of `old`."""
+        if old is not None:
+            new.lent_to, new.lent_at = old.lent_to, old.lent_at
+            if old.ready_at is not None and old.includes(new):
+                new.ready_at = old.ready_at
+        return new
+
+    def peer_confirmed(self, peer: str, version: int, echo: int, now: float) -> None:
+        """Record the host list version of a heartbeat; one sent before this router started does not count."""
+        if (
+            version == self.version
+            and peer not in self.confirmed
+            and self.peers.sent_at(peer, echo) is not None
+        ):
+            self.confirmed[peer] = now
+            self.confirm_ready(now)
+
+    def confirm_ready(self, now: float) -> None:
+        """Start the takeover wait of slots whose other carriers have all confirmed the host list."""
+        for target_id, slots in self.carried.items():
+            if slots.ready_at is None and all(
+                carrier == self.own_id or carrier in self.confirmed for carrier in self.layouts[target_id]
+            ):
+                slots.ready_at = now + self.settings.takeover_wait_seconds
+
+    def lend(self, now: float) -> dict[str, tuple[str, ...]]:
+        """Lend the carried slots to the present owners and return the targets lent to each other router.
+
+        Slots of targets that this router owns itself are leased to itself.
+        """
+        lent: dict[str, list[str]] = {}
+        for target_id, slots in self.carried.items():
+            if slots.ready_at is None or now < slots.ready_at:
+                continue
+            owner = self.membership.owner(target_id, now)
+            if owner is None or not self.may_lend(slots, owner, now):
+                continue
+            slots.lent_to, slots.lent_at = owner, now
+            if owner == self.own_id:
+                self.extend(target_id, owner, now, now + self.settings.share_lease_seconds)
+            else:
+                lent.setdefault(owner, []).append(target_id)
+        return {owner: tuple(targets) for owner, targets in lent.items()}
+
+    def may_lend(self, slots: CarriedSlots, owner: str, now: float) -> bool:
+        """Return whether no other owner can still use the slots."""
+        if slots.lent_to is None or slots.lent_to == owner:
+            return True
+        return now > slots.lent_at + self.settings.takeover_wait_seconds
+
+    def accept(
+        self, lender: str, echo: int, targets: tuple[str, ...], now: float, *, host_list_version: int
+    ) -> None:
+        """Take the leases of a heartbeat, counted from when this router sent the echoed sequence number.
+
+        A lease is refused when the lender's host list may give it other slots than this router's does.
+        """
+        self.peer_confirmed(lender, host_list_version, echo, now)
+        sent_at = self.peers.sent_at(lender, echo)
+        if sent_at is None:
+            return
+        until = sent_at + self.settings.share_lease_seconds
+        for target_id in targets:
+            if lender in self.layouts.get(target_id, ()) and self.membership.same_carriers(
+                target_id, host_list_version
+            ):
+                self.extend(target_id, lender, now, until)
+
+    def extend(self, target_id: str, lender: str, now: float, until: float) -> None:
+        """Lengthen the lease of `lender`, or begin a new one when there is none that is valid."""
+        if until <= now:
+            return
+        held = self.leases.setdefault(target_id, {})
+        lease = held.get(lender)
+        if lease is None or lease.until <= now:
+            held[lender] = Lease(since=now, until=until)
+        else:
+            lease.until = max(lease.until, until)
+
+    def lenders(self, target_id: str, now: float) -> set[str]:
+        """Return the carriers whose lease is valid now."""
+        held = self.leases.get(target_id, {})
+        return {lender for lender, lease in held.items() if lease.until > now}
+
+    def lent_slots(self, target_id: str, limit: int, now: float, *, since: float | None = None) -> int:
+        """Return how many slots below `limit` are leased to this router now.
+
+        With `since`, only leases count that have been valid without interruption from then on.
+        """
+        held = self.leases.get(target_id)
+        if not held:
+            return 0
+        carriers = self.layouts[target_id]
+        count = 0
+        for slot in range(limit):
+            lease = held.get(carriers[slot % len(carriers)])
+            if lease is not None and lease.until > now and (since is None or lease.since <= since):
+                count += 1
+        return count
+
+    def silent_carriers(self, target_id: str, now: float) -> tuple[str, ...]:
+        """Return the other carriers that have been silent for `borrow_after_seconds`."""
+        silent = []
+        for carrier in self.layouts.get(target_id, ()):
+            if carrier == self.own_id:
+                continue
+            heard_at = self.peers.heard_at(carrier)
+            if (
+                now - (self.started_at if heard_at is None else heard_at)
+                >= self.settings.borrow_after_seconds
+            ):
+                silent.append(carrier)
+        return tuple(silent)
+
+    def has_majority(self, target_id: str, now: float) -> bool:
+        """Return whether leases of more than half of the target's carriers are valid now."""
+        carriers = self.layouts.get(target_id, ())
+        return 2 * len(self.lenders(target_id, now)) > len(carriers)
