Bound work outside the ledger and confirm host lists before slots are gained

The running count of a report hides work of an earlier owner as soon as the owner grants again, so the ledger keeps a bound of outside work per time since which the slots are leased. Holders list a grant to its issuer too, otherwise the issuer drops a grant that is in use.

--- a/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
@@ -1,4 +1,4 @@
-"""Work granted at each owned target: limits, grants, held requests and load reports."""
+"""Grants, held requests and load reports of the targets that this router may own."""
 
 from collections import deque
 from collections.abc import Iterable, Mapping
@@ -6,13 +6,15 @@
 
 from limpetusher.configuration.compiled import Host, TargetClass
 from limpetusher.core.inputs import LoadReported
+from limpetusher.core.process.limits import TargetLimit
+from limpetusher.core.process.outside import OutsideWork
 from limpetusher.core.process.shares import Shares
 from limpetusher.core.settings import PolicySettings
 from limpetusher.errors import PolicyError
 from limpetusher.wire.messages import HeldGrant
 
-PENDING_REPORTS = 8
-"""Load reports per target that later heartbeats may still explain."""
+REMEMBERED_RELEASES = 256
+"""Ends of grants per target that are compared with the time of a load report."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,8 +31,8 @@
     """A grant that is counted at its target.
 
     `charge` is None for a grant that another owner issued and charged. From `droppable_after` on, a heartbeat
-    of the holder that does not list the grant shows that it is not in use. `listed_at` is when the grant was
-    first listed by its holder.
+    of the holder that does not list the grant shows that it is not in use. `listed_at` is when the holder
+    first listed it.
     """
 
     grant_id: str
@@ -45,49 +47,31 @@
     progress: float = 0.0
 
 
-@dataclass(slots=True)
-class PendingReport:
-    """A running count, and the counted grants that were running when it was measured."""
-
-    measured_at: float
-    running: int
-    explained: set[str] = field(default_factory=set)
+@dataclass(frozen=True, slots=True)
+class LostGrant:
+    """A grant whose holder has been silent too long, and when it was freed."""
 
-    @property
-    def outside(self) -> int:
-        """Return the greatest possible work outside the ledger at the time of the measurement."""
-        return max(0, self.running - len(self.explained))
+    entry: GrantEntry
+    freed_at: float
 
 
 @dataclass(slots=True)
 class TargetState:
     """State of one target.
 
-    `outside` bounds the work outside the ledger that began before `outside_from`; such work can only end.
+    `changed_at` is the time of the last grant, release or other change of `entries`. `explained_from` is the
+    time of the first report since the last one that showed work outside the ledger.
     """
 
-    slots: int
-    cold_slots: int
-    limit: int
-    warm: bool = False
-    boot_id: str | None = None
-    failed_at: float | None = None
-    completed: int = 0
+    limit: TargetLimit
     entries: dict[str, GrantEntry] = field(default_factory=dict)
+    lost: dict[str, LostGrant] = field(default_factory=dict)
+    outside: OutsideWork = field(default_factory=OutsideWork)
     running: int = 0
     measured_at: float = float("-inf")
     changed_at: float = float("-inf")
-    released: deque[float] = field(default_factory=lambda: deque(maxlen=256))
-    outside: int = 0
-    outside_from: float = float("-inf")
-    reports: deque[PendingReport] = field(default_factory=lambda: deque(maxlen=PENDING_REPORTS))
-    explained_since: float | None = None
-
-    def turn_cold(self) -> None:
-        """Go back to the cold limit."""
-        self.warm = False
-        self.limit = min(self.cold_slots, self.slots)
-        self.completed = 0
+    ended: deque[float] = field(default_factory=lambda: deque(maxlen=REMEMBERED_RELEASES))
+    explained_from: float | None = None
 
 
 class Ledger:
@@ -113,20 +97,15 @@
                 continue
             state = self.targets.get(host.host_id)
             if state is None:
-                limit = min(target_class.cold_slots, target_class.slots)
-                state = TargetState(target_class.slots, target_class.cold_slots, limit)
-                if self.settings.fresh_fleet:
-                    state.outside_from = 0.0
-            elif (state.slots, state.cold_slots) != (target_class.slots, target_class.cold_slots):
-                full = state.warm and state.limit >= state.slots
-                state.slots, state.cold_slots = target_class.slots, target_class.cold_slots
-                state.limit = state.slots if full else min(state.limit, state.slots)
-                if not state.warm:
-                    state.turn_cold()
+                state = TargetState(TargetLimit.of_class(target_class))
+            else:
+                state.limit.configure(target_class)
             states[host.host_id] = state
         self.targets = states
         self.target_of_grant = {
-            grant_id: target_id for target_id, state in states.items() for grant_id in state.entries
+            grant_id: target_id
+            for target_id, state in states.items()
+            for grant_id in (*state.entries, *state.lost)
         }
 
     def state(self, target_id: str) -> TargetState:
@@ -144,11 +123,11 @@
 
     def limit(self, target_id: str) -> int:
         """Return how many requests the target can bear at once."""
-        return self.state(target_id).limit
+        return self.state(target_id).limit.present
 
     def is_warm(self, target_id: str) -> bool:
         """Return whether the target counts as warm; its limit may still be growing."""
-        return self.state(target_id).warm
+        return self.state(target_id).limit.warm
 
     def count(self, target_id: str) -> int:
         """Return how many grants are counted at the target."""
@@ -157,11 +136,40 @@
     def usable(self, target_id: str, shares: Shares, now: float) -> int:
         """Return how many more grants may be issued for the target now."""
         state = self.state(target_id)
-        lent = shares.lent_slots(target_id, state.limit, now)
+        limit = state.limit.present
         counted = len(state.entries)
-        if state.measured_at > state.changed_at:
-            counted = max(counted, state.running)
-        return max(0, min(state.limit, lent) - counted)
+        borrow = self.may_borrow(target_id, state, shares, now)
+        lent = shares.lent_slots(target_id, limit, now, borrow=borrow)
+        if lent <= counted:
+            return 0
+
+        def lent_since(since: float) -> int:
+            return shares.lent_slots(target_id, limit, now, since=since, borrow=borrow)
+
+        capacity = state.outside.capacity(limit, lent_since)
+        if capacity < lent:
+            known_since = shares.holders_known_since(target_id, now)
+            if known_since is not None:
+                state.outside.holders_known(known_since, self.still_lost(state, shares))
+                capacity = state.outside.capacity(limit, lent_since)
+        running = state.running if state.measured_at > state.changed_at else 0
+        return max(0, min(capacity - counted, limit - max(counted, running)))
+
+    def still_lost(self, state: TargetState, shares: Shares) -> int:
+        """Return how many lost grants may run when all listed routers have listed what they hold."""
+        routers = shares.membership.routers()
+        return sum(lost.entry.holder not in routers for lost in state.lost.values())
+
+    def may_borrow(self, target_id: str, state: TargetState, shares: Shares, now: float) -> bool:
+        """Return whether slots of silent carriers may be used: only at a warm target without outside work."""
+        wait = self.settings.borrow_after_seconds
+        return (
+            state.limit.warm
+            and state.explained_from is not None
+            and state.measured_at - state.explained_from >= wait
+            and now - state.measured_at < wait
+            and bool(shares.silent_carriers(target_id, now))
+        )
 
     def grant(
         self,
@@ -175,43 +183,39 @@
     ) -> GrantEntry:
         """Count a grant that is issued now; `usable` must have allowed it."""
         state = self.state(target_id)
-        entry = GrantEntry(
-            grant_id,
-            target_id,
-            holder,
-            customer,
-            service,
-            charge,
-            droppable_after=now + self.settings.grant_valid_seconds,
-            seen_at=now,
-        )
-        self.add(state, entry)
-        state.changed_at = now
+        droppable_after = now + self.settings.grant_valid_seconds
+        entry = GrantEntry(grant_id, target_id, holder, customer, service, charge, droppable_after, now)
+        self.add(state, entry, now)
         return entry
 
-    def add(self, state: TargetState, entry: GrantEntry) -> None:
+    def add(self, state: TargetState, entry: GrantEntry, now: float) -> None:
         """Count an entry."""
         state.entries[entry.grant_id] = entry
+        state.changed_at = now
         self.target_of_grant[entry.grant_id] = entry.target_id
 
-    def remove(self, grant_id: str, now: float) -> tuple[TargetState, GrantEntry] | None:
-        """Stop counting a grant and return its entry, None when it is not counted."""
+    def remove(self, grant_id: str, now: float) -> GrantEntry | None:
+        """Stop counting a grant and return its entry, None when it is not known."""
         target_id = self.target_of_grant.pop(grant_id, None)
         if target_id is None:
             return None
         state = self.targets[target_id]
+        lost = state.lost.pop(grant_id, None)
+        if lost is not None:
+            return lost.entry
         state.changed_at = now
-        state.released.append(now)
-        return state, state.entries.pop(grant_id)
+        state.ended.append(now)
+        return state.entries.pop(grant_id)
 
     def held(
         self, holder: str, entries: Iterable[HeldGrant], now: float, *, sent_after: float | None = None
     ) -> list[ChargeChange]:
         """Take the grants that a holder lists in a heartbeat.
 
-        Grants of earlier owners are adopted. `sent_after` is a time after which the heartbeat was certainly
-        sent (the send time of the sequence number it echoes); grants that it should list but does not are
-        dropped.
+        A holder lists a grant to the owner in its view and to the router that issued it. Grants of other
+        owners are adopted. `sent_after` is a time after which the heartbeat was certainly sent (the send time
+        of the sequence number it echoes); own grants that it should list but does not are dropped. Adopted
+        ones are not, because the holder may list them to another owner by now.
         """
         changes: list[ChargeChange] = []
         listed = set()
@@ -220,27 +224,37 @@
             if state is None:
                 continue
             listed.add(held.grant_id)
-            entry = state.entries.get(held.grant_id)
-            if entry is None:
-                entry = GrantEntry(
-                    held.grant_id, held.target_id, holder, held.customer, held.service, None, now, now
-                )
-                self.add(state, entry)
+            entry = state.entries.get(held.grant_id) or self.adopt(state, holder, held, now)
             changes += self.progressed(entry, held.progress_cost, now)
+            if sent_after is not None and entry.listed_at is not None:
+                state.outside.explain(entry.grant_id, entry.listed_at, sent_after)
         if sent_after is not None:
             for entry in self.entries_of(holder):
-                if entry.grant_id not in listed and sent_after > entry.droppable_after:
-                    changes += self.dropped(entry, now)
+                if (
+                    entry.charge is not None
+                    and entry.grant_id not in listed
+                    and sent_after > entry.droppable_after
+                ):
+                    changes += self.drop(entry, now)
         return changes
 
+    def adopt(self, state: TargetState, holder: str, held: HeldGrant, now: float) -> GrantEntry:
+        """Count a grant of an earlier owner, or again one whose holder was silent."""
+        lost = state.lost.pop(held.grant_id, None)
+        if lost is not None:
+            entry = lost.entry
+            entry.droppable_after = now
+        else:
+            entry = GrantEntry(
+                held.grant_id, held.target_id, holder, held.customer, held.service, None, now, now
+            )
+        self.add(state, entry, now)
+        return entry
+
     def entries_of(self, holder: str) -> list[GrantEntry]:
         """Return the counted grants of a holder."""
-        return [
-            entry
-            for state in self.targets.values()
-            for entry in state.entries.values()
-            if entry.holder == holder
-        ]
+        states = self.targets.values()
+        return [entry for state in states for entry in state.entries.values() if entry.holder == holder]
 
     def progressed(self, entry: GrantEntry, progress: float, now: float) -> list[ChargeChange]:
         """Record that a grant is in use; a charge below the progress is corrected."""
@@ -254,43 +268,32 @@
         entry.charge = entry.progress
         return [ChargeChange(entry.customer, entry.service, amount)]
 
-    def dropped(self, entry: GrantEntry, now: float) -> list[ChargeChange]:
-        """Stop counting a grant that its holder no longer lists."""
+    def drop(self, entry: GrantEntry, now: float) -> list[ChargeChange]:
+        """Stop counting a grant that its holder does not list; one that was never in use is not charged."""
         self.remove(entry.grant_id, now)
         if entry.charge is None or entry.listed_at is not None:
             return []
         return [ChargeChange(entry.customer, entry.service, -entry.charge)]
 
     def release(self, grant_id: str, cost: float | None, complete: bool, now: float) -> ChargeChange | None:
-        """End a grant and return the correction of its charge, None when the grant is not counted.
+        """End a grant and return the correction of its charge, None when the grant is not known.
 
         Without a known cost, the progress seen is charged.
         """
-        removed = self.remove(grant_id, now)
-        if removed is None:
+        entry = self.remove(grant_id, now)
+        if entry is None:
             return None
-        state, entry = removed
         if complete:
-            self.completed(state)
+            self.targets[entry.target_id].limit.request_completed()
         final = entry.progress if cost is None else cost
         amount = 0.0 if entry.charge is None else final - entry.charge
         return ChargeChange(entry.customer, entry.service, amount)
 
-    def completed(self, state: TargetState) -> None:
-        """Double the limit of a warm target when it has completed as many requests as the limit."""
-        if not state.warm or state.limit >= state.slots:
-            return
-        state.completed += 1
-        if state.completed >= state.limit:
-            state.limit = min(state.slots, 2 * max(1, state.limit))
-            state.completed = 0
-
     def returned(self, grant_id: str, target_failed: bool, now: float) -> ChargeChange | None:
         """End a grant that was not used; its charge is taken back."""
-        removed = self.remove(grant_id, now)
-        if removed is None:
+        entry = self.remove(grant_id, now)
+        if entry is None:
             return None
-        _, entry = removed
         if target_failed:
             self.connection_failed(entry.target_id, now)
         return ChargeChange(entry.customer, entry.service, -(entry.charge or 0.0))
@@ -302,29 +305,23 @@
         if measured_at < state.measured_at:
             return
         state.running, state.measured_at = report.running, measured_at
-        first = state.boot_id is None
-        rebooted = not first and report.boot_id != state.boot_id
-        state.boot_id = report.boot_id
-        if rebooted or not report.warm:
-            state.turn_cold()
-            if rebooted:
-                state.failed_at = measured_at
-        elif not state.warm and (state.failed_at is None or measured_at > state.failed_at):
-            state.warm = True
-            if first:
-                # A warm target that another owner used before bears at least what runs on it.
-                state.limit = max(state.limit, min(state.slots, report.running))
+        state.limit.reported(report, measured_at)
+        state.outside.reported(measured_at, report.running)
+        ended = sum(1 for time in state.ended if time >= measured_at)
+        if report.running > len(state.entries) + ended:
+            state.explained_from = None
+        elif state.explained_from is None:
+            state.explained_from = measured_at
 
     def connection_failed(self, target_id: str, now: float) -> None:
         """Count the target as cold until a report measured after now says that it is warm."""
-        state = self.state(target_id)
-        state.failed_at = now
-        state.turn_cold()
+        self.state(target_id).limit.connection_failed(now)
 
-    def expire(self, now: float) -> list[ChargeChange]:
-        """Free the grants of holders that have been silent too long.
+    def expire(self, now: float) -> None:
+        """Free the grants of holders that have been silent too long; their charges stay.
 
-        Their charges stay: the requests may have run.
+        As such requests may still run, they count as work outside the ledger until reports show less, or
+        until the longest time that a stopping router takes to finish.
         """
         for state in self.targets.values():
             silent = [
@@ -333,5 +330,11 @@
                 if now - entry.seen_at >= self.settings.held_timeout_seconds
             ]
             for entry in silent:
-                self.remove(entry.grant_id, now)
-        return []
+                state.lost[entry.grant_id] = LostGrant(state.entries.pop(entry.grant_id), now)
+            if silent:
+                state.outside.freed(len(silent))
+                state.changed_at = now
+            for grant_id, lost in list(state.lost.items()):
+                if now - lost.freed_at >= self.settings.stop_grace_seconds:
+                    del state.lost[grant_id]
+                    del self.target_of_grant[grant_id]
--- a/packages/limpetusher-core/src/limpetusher/core/process/shares.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/shares.py
@@ -33,6 +33,15 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class Contact:
+    """The last heartbeat of a peer: when the number it echoes was sent, and the sender's host list."""
+
+    sent_at: float
+    received_at: float
+    host_list_version: int
+
+
 class Shares:
     """Slot shares of this router as a carrier and as an owner.
 
@@ -71,6 +80,7 @@
         self.leases: dict[str, dict[str, Lease]] = {}
         self.layouts: dict[str, tuple[str, ...]] = {}
         self.confirmed: dict[str, float] = {}
+        self.contacts: dict[str, Contact] = {}
         self.version: int | None = None
 
     def hosts_changed(self, now: float) -> None:
@@ -159,6 +169,7 @@
         sent_at = self.peers.sent_at(lender, echo)
         if sent_at is None:
             return
+        self.contacts[lender] = Contact(sent_at, now, host_list_version)
         until = sent_at + self.settings.share_lease_seconds
         for target_id in targets:
             if lender in self.layouts.get(target_id, ()) and self.membership.same_carriers(
@@ -182,21 +193,28 @@
         held = self.leases.get(target_id, {})
         return {lender for lender, lease in held.items() if lease.until > now}
 
-    def lent_slots(self, target_id: str, limit: int, now: float, *, since: float | None = None) -> int:
+    def lent_slots(
+        self, target_id: str, limit: int, now: float, *, since: float | None = None, borrow: bool = False
+    ) -> int:
         """Return how many slots below `limit` are leased to this router now.
 
-        With `since`, only leases count that have been valid without interruption from then on.
+        With `since`, only leases count that have been valid without interruption from then on. With `borrow`,
+        the slots of silent carriers count too, and own slots that wait for the confirmation of others.
         """
-        held = self.leases.get(target_id)
-        if not held:
+        carriers = self.layouts.get(target_id, ())
+        usable = {
+            lender
+            for lender, lease in self.leases.get(target_id, {}).items()
+            if lease.until > now and (since is None or lease.since <= since)
+        }
+        if borrow:
+            usable.update(self.silent_carriers(target_id, now))
+            own = self.carried.get(target_id)
+            if own is not None and own.ready_at is None and own.lent_to is None:
+                usable.add(self.own_id)
+        if not usable:
             return 0
-        carriers = self.layouts[target_id]
-        count = 0
-        for slot in range(limit):
-            lease = held.get(carriers[slot % len(carriers)])
-            if lease is not None and lease.until > now and (since is None or lease.since <= since):
-                count += 1
-        return count
+        return sum(carriers[slot % len(carriers)] in usable for slot in range(limit))
 
     def silent_carriers(self, target_id: str, now: float) -> tuple[str, ...]:
         """Return the other carriers that have been silent for `borrow_after_seconds`."""
@@ -212,6 +230,31 @@
                 silent.append(carrier)
         return tuple(silent)
 
+    def holders_known_since(self, target_id: str, now: float) -> float | None:
+        """Return a time after which every listed router has reported the grants it holds for the target.
+
+        Holders report to the owner in their view. That all of them mean this router is certain when it is
+        the first carrier, all use the same host list, and all have heard this router within the timeout.
+        Otherwise the result is None.
+        """
+        if self.layouts.get(target_id, ())[:1] != (self.own_id,) or self.membership.is_leaving(self.own_id):
+            return None
+        timeout = self.settings.peer_timeout_seconds
+        since = now
+        for router in self.membership.routers():
+            if router == self.own_id:
+                continue
+            contact = self.contacts.get(router)
+            if (
+                contact is None
+                or contact.host_list_version != self.version
+                or now - contact.received_at > timeout
+                or contact.received_at - contact.sent_at > timeout
+            ):
+                return None
+            since = min(since, contact.sent_at)
+        return since
+
     def has_majority(self, target_id: str, now: float) -> bool:
         """Return whether leases of more than half of the target's carriers are valid now."""
         carriers = self.layouts.get(target_id, ())
