--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/configuration/references.py
@@ -0,0 +1,107 @@
+"""Checks of the values of a document against each other: unique names and cross-references."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from limpetusher.configuration.compiled import HostRole, TargetKind
+
+if TYPE_CHECKING:
+    from limpetusher.configuration.document import ConfigurationModel, HostListModel
+
+
+def document_problems(model: ConfigurationModel) -> list[str]:
+    """Return one line for each contradiction within a configuration document."""
+    return [
+        *_repeated("customers", "customer_id", (entry.customer_id for entry in model.customers)),
+        *_repeated("services", "name", (entry.name for entry in model.services)),
+        *_repeated("target_classes", "name", (entry.name for entry in model.target_classes)),
+        *_repeated("data_centres", "name", (entry.name for entry in model.data_centres)),
+        *_repeated("placements", "target_id", (entry.target_id for entry in model.placements)),
+        *_repeated("api_keys", "key_id", (key.key_id for entry in model.customers for key in entry.api_keys)),
+        *_customer_problems(model),
+        *_service_problems(model),
+        *_target_class_problems(model),
+        *_placement_problems(model),
+    ]
+
+
+def host_list_problems(model: HostListModel) -> list[str]:
+    """Return one line for each contradiction within a host list."""
+    problems = _repeated("hosts", "host_id", (entry.host_id for entry in model.hosts))
+    problems += _repeated("hosts", "address", (entry.address for entry in model.hosts))
+    for entry in model.hosts:
+        if entry.role is HostRole.TARGET and entry.target_class is None:
+            problems.append(f"host {entry.host_id}: a target needs target_class")
+        if entry.role is HostRole.ROUTER and entry.target_class is not None:
+            problems.append(f"host {entry.host_id}: target_class is allowed only for targets")
+        if entry.role is HostRole.TARGET and entry.admin_address is not None:
+            problems.append(f"host {entry.host_id}: admin_address is allowed only for routers")
+    return problems
+
+
+def _repeated(place: str, field: str, values: Iterable[str]) -> list[str]:
+    counts = Counter(values)
+    return [
+        f"{place}: {field} {value!r} occurs {count} times" for value, count in counts.items() if count > 1
+    ]
+
+
+def _allowed(names: Iterable[str]) -> str:
+    return "known are " + (", ".join(sorted(names)) or "none")
+
+
+def _customer_problems(model: ConfigurationModel) -> list[str]:
+    services = {entry.name for entry in model.services}
+    problems = []
+    for customer in model.customers:
+        place = f"customer {customer.customer_id}"
+        problems += [
+            f"{place}: unknown service {name!r}, {_allowed(services)}"
+            for name in customer.services
+            if name not in services
+        ]
+        problems += [
+            f"{place}: patience_seconds names {name!r}, which is not one of the customer's services"
+            for name in customer.patience_seconds
+            if name not in customer.services
+        ]
+    return problems
+
+
+def _service_problems(model: ConfigurationModel) -> list[str]:
+    problems = []
+    for service in model.services:
+        if service.kind is TargetKind.ENGINE and service.routes:
+            problems.append(f"service {service.name}: routes are allowed only for kind 'application'")
+        if service.kind is TargetKind.APPLICATION and not service.routes:
+            problems.append(f"service {service.name}: an application service needs at least one route")
+        routes = (f"{route.method} {route.path_prefix}" for route in service.routes)
+        problems += _repeated(f"service {service.name}", "route", routes)
+    return problems
+
+
+def _target_class_problems(model: ConfigurationModel) -> list[str]:
+    kinds = {entry.name: entry.kind for entry in model.services}
+    problems = []
+    for entry in model.target_classes:
+        place = f"target class {entry.name}"
+        if entry.cold_slots > entry.slots:
+            problems.append(f"{place}: cold_slots {entry.cold_slots} is above slots {entry.slots}")
+        for name in entry.services:
+            if name not in kinds:
+                problems.append(f"{place}: unknown service {name!r}, {_allowed(kinds)}")
+            elif kinds[name] is not entry.kind:
+                problems.append(f"{place}: kind is {entry.kind.value}, but {name!r} is {kinds[name].value}")
+    return problems
+
+
+def _placement_problems(model: ConfigurationModel) -> list[str]:
+    engines = {entry.name for entry in model.services if entry.kind is TargetKind.ENGINE}
+    return [
+        f"placement of {entry.target_id}: unknown model {entry.model!r}, {_allowed(engines)}"
+        for entry in model.placements
+        if entry.model not in engines
+    ]
--- a/packages/limpetusher-core/src/limpetusher/core/inputs.py
+++ b/packages/limpetusher-core/src/limpetusher/core/inputs.py
@@ -100,7 +100,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReported:
-    """A target's load report. `report_age_seconds` is how old the figures are at most."""
+    """A target's load report. `report_age_seconds` is how old the figures are at most.
+
+    `loaded_models` has entries `MODEL@VERSION`, with `+ADAPTER` at the end for an adapter. `role` is None
+    when the target does not report it.
+    """
 
     target_id: str
     running: int
@@ -109,6 +113,7 @@
     report_age_seconds: float
     highest_fencing_number: int = 0
     loaded_models: tuple[str, ...] = ()
+    role: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/limpetusher-core/src/limpetusher/errors.py
+++ b/packages/limpetusher-core/src/limpetusher/errors.py
@@ -20,7 +20,17 @@
 
 
 class CodecError(LimpetusherError):
-    """A message from a peer is malformed, too large, unauthenticated or of an unknown version."""
+    """A message from a peer is malformed, too large, unauthenticated or of an unknown version.
+
+    Parameters
+    ----------
+    reason
+        Short constant text, usable as a metric label.
+    """
+
+    def __init__(self, reason: str):
+        self.reason = reason
+        super().__init__(reason)
 
 
 class PolicyError(LimpetusherError):
