Add idempotency witnesses

A router that has started, or whose host list has changed, promises for a key only when majorities under the earlier state and the present one must overlap. The messages gain a round number, a request number and the sender's earlier host lists.

--- a/packages/limpetusher-core/src/limpetusher/core/process/orders.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/orders.py
@@ -10,6 +10,7 @@
 from limpetusher.core.actions import OrderTarget
 from limpetusher.core.inputs import LoadReported
 from limpetusher.core.settings import PolicySettings
+from limpetusher.errors import PolicyError
 
 if TYPE_CHECKING:
     from limpetusher.core.process.membership import Membership
@@ -94,7 +95,7 @@
             if not self._may_order(configuration, target_id, shares, membership, now):
                 continue
             report = reports.get(target_id)
-            if report is None or not self._is_due(placement, report, now):
+            if report is None or not self._is_due(placement, report, wall_milliseconds, now):
                 continue
             if self._takes_load(placement, report):
                 if self.load_allowance < 1.0:
@@ -117,18 +118,25 @@
         membership: Membership,
         now: float,
     ) -> bool:
-        if target_id not in membership.targets():
+        try:
+            host = membership.target(target_id)
+        except PolicyError:
             return False
-        host = membership.target(target_id)
         target_class = configuration.target_classes.get(host.target_class or "")
         if target_class is None or target_class.kind is not TargetKind.ENGINE:
             return False
         return host.state is HostState.LIVE and shares.has_majority(target_id, now)
 
-    def _is_due(self, placement: ModelPlacement, report: LoadReported, now: float) -> bool:
+    def _is_due(
+        self, placement: ModelPlacement, report: LoadReported, wall_milliseconds: int, now: float
+    ) -> bool:
         last = self.sent.get(placement.target_id)
         if last is None:
-            return not _is_met(placement, report, None)
+            # Fencing numbers follow the wall clock, so the highest one that the target has seen tells when
+            # another router, or this one before a restart, sent the last order.
+            since_last = (wall_milliseconds - report.highest_fencing_number) / 1000.0
+            rested = since_last >= self.settings.order_dwell_seconds
+            return rested and not _is_met(placement, report, None)
         waited = now - last.sent_at
         if last.placement != placement:
             return waited >= self.settings.order_dwell_seconds
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/request/holder.py
@@ -0,0 +1,315 @@
+"""The holder's side of idempotency keys: registers attempts, reports outcomes and keeps answers."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from limpetusher.core.actions import Ran
+from limpetusher.core.inputs import RequestArrived
+from limpetusher.core.request import refusals
+from limpetusher.core.request.key_records import ABANDONED, FINISHED, RUNNING, UNKNOWN
+from limpetusher.core.request.registration import RECORDED, Attempt, KeptAnswer, Phase
+from limpetusher.core.request.replays import KnownAttempt, Replays, best_known
+from limpetusher.core.request.witness_results import Admitted, Result, WitnessSend
+from limpetusher.core.settings import PolicySettings
+from limpetusher.wire.messages import AnswerCopy, AnswerRequest, KeyRecord, Registered
+
+MAXIMUM_ATTEMPTS = 100_000
+OUTCOME_REPEATS = 3
+OUTCOME_REPEAT_SECONDS = 0.5
+RENEWAL_RETRY_SECONDS = 2.0
+RUNNING_REPORTS_PER_WINDOW = 4
+STATE_AFTER = {Ran.YES: FINISHED, Ran.UNKNOWN: UNKNOWN, Ran.NO: ABANDONED}
+
+WitnessesOf = Callable[[bytes], tuple[str, ...]]
+
+
+class Holder:
+    """Attempts that began at this router.
+
+    Parameters
+    ----------
+    settings
+        Policy settings.
+    own_id
+        Host identifier of this router.
+    rng
+        Source of attempt identifiers.
+    """
+
+    def __init__(self, settings: PolicySettings, own_id: str, rng: random.Random):
+        self.settings = settings
+        self.own_id = own_id
+        self.rng = rng
+        self.by_request: dict[str, Attempt] = {}
+        self.by_attempt: dict[str, Attempt] = {}
+        self.by_key: dict[bytes, dict[str, Attempt]] = {}
+        self.replays = Replays(settings, own_id)
+        self.schedule: list[tuple[float, int, str]] = []
+        self.counter = itertools.count()
+
+    @property
+    def promise_seconds(self) -> float:
+        """Return for how long after its registration an attempt may be sent.
+
+        Records last for the whole window, so that an attempt that is sent late by a slow clock is still
+        recorded.
+        """
+        return self.settings.idempotency_window_seconds / 2
+
+    def begin(
+        self, request: RequestArrived, key: bytes, witnesses: tuple[str, ...], digest: bytes, now: float
+    ) -> list[Result]:
+        """Begin an attempt, unless this router already holds one for the key."""
+        held = [attempt for attempt in self.by_key.get(key, {}).values() if attempt.is_live]
+        if held:
+            known = [self._known(attempt) for attempt in held]
+            return self._answer_for(request, key, known, now)
+        if not witnesses or len(self.by_attempt) >= MAXIMUM_ATTEMPTS:
+            return [refusals.no_quorum(request.request_id)]
+        attempt_id = f"{self.own_id}:{self.rng.getrandbits(64):016x}"
+        attempt = Attempt(request, key, attempt_id, now)
+        self.by_request[request.request_id] = attempt
+        self.by_attempt[attempt_id] = attempt
+        self.by_key.setdefault(key, {})[attempt_id] = attempt
+        return self._start_round(attempt, witnesses, digest, now)
+
+    def registered(self, sender: str, answer: Registered, now: float) -> list[Result]:
+        """Take note of a witness's answer."""
+        results = self._correct_witness(sender, answer)
+        attempt = self.by_attempt.get(answer.attempt_id)
+        if attempt is None or attempt.phase in (Phase.SENT, Phase.ENDED):
+            return results
+        if now >= attempt.round_started_at + self.settings.register_timeout_seconds:
+            return results
+        attempt.note(sender, answer)
+        return results + self._evaluate(attempt, now)
+
+    def send_before(self, request_id: str) -> float | None:
+        """Return until when an admitted request may be sent, None if it is not admitted."""
+        attempt = self.by_request.get(request_id)
+        if attempt is None or attempt.phase not in (Phase.ADMITTED, Phase.SENT):
+            return None
+        return attempt.promised_from + self.promise_seconds
+
+    def sent(self, request_id: str, now: float) -> None:
+        """Note that an admitted request is being sent."""
+        attempt = self.by_request.get(request_id)
+        if attempt is not None and attempt.phase is Phase.ADMITTED:
+            attempt.phase = Phase.SENT
+            self._set_due(attempt, now + self._report_interval)
+
+    def not_sent(self, request_id: str, now: float) -> None:
+        """Note that no byte was sent, so that the request may wait for another target."""
+        attempt = self.by_request.get(request_id)
+        if attempt is not None and attempt.phase is Phase.SENT:
+            attempt.phase = Phase.ADMITTED
+            self._set_due(attempt, now)
+
+    def ended(self, request_id: str, ran: Ran, answer: KeptAnswer | None, now: float) -> list[Result]:
+        """Note how a request ended; it will not be sent again."""
+        attempt = self.by_request.get(request_id)
+        if attempt is None:
+            self.replays.cancel(request_id)
+            return []
+        return self._end(attempt, STATE_AFTER[ran], answer, now)
+
+    def hosts_changed(self, witnesses_of: WitnessesOf, digest: bytes, now: float) -> list[Result]:
+        """Register again, under the new host list, what has no majority yet."""
+        results: list[Result] = []
+        for attempt in list(self.by_request.values()):
+            if attempt.phase is Phase.REGISTERING:
+                results += self._start_round(attempt, witnesses_of(attempt.key), digest, now)
+        return results
+
+    def answer_requested(self, sender: str, request: AnswerRequest) -> list[Result]:
+        """Send a copy of a kept answer."""
+        attempt = self.by_attempt.get(request.attempt_id)
+        copy = AnswerCopy(request.key, request.attempt_id, available=False)
+        if attempt is not None and attempt.key == request.key and self.replays.has_body(attempt.answer):
+            answer = attempt.answer
+            copy = AnswerCopy(
+                request.key,
+                request.attempt_id,
+                available=True,
+                http_status=answer.http_status,
+                content_type=answer.content_type,
+                body=answer.body,
+            )
+        return [WitnessSend(sender, copy)]
+
+    def answer_copied(self, sender: str, copy: AnswerCopy) -> list[Result]:
+        """Answer the callers that wait for a copy."""
+        return self.replays.copied(sender, copy)
+
+    def records(self, peer: str, wanted: Callable[[bytes], bool], now: float) -> list[KeyRecord]:
+        """Return the own attempts that a synchronising witness needs, and tell it their outcome later."""
+        chosen = [
+            attempt
+            for key, attempts in self.by_key.items()
+            if wanted(key)
+            for attempt in attempts.values()
+            if attempt.phase is not Phase.REGISTERING
+        ]
+        for attempt in chosen:
+            attempt.told.add(peer)
+        return [attempt.record(self.own_id, now) for attempt in chosen]
+
+    def due(self, witnesses_of: WitnessesOf, digest: bytes, now: float) -> list[Result]:
+        """Repeat messages, renew registrations, and end what has timed out."""
+        results = self.replays.due(now)
+        while self.schedule and self.schedule[0][0] <= now:
+            due_at, _, attempt_id = heapq.heappop(self.schedule)
+            attempt = self.by_attempt.get(attempt_id)
+            if attempt is not None and attempt.due_at == due_at:
+                results += self._step(attempt, witnesses_of, digest, now)
+        return results
+
+    def next_due(self) -> float:
+        """Return when `due` has something to do, infinity if never."""
+        first = self.schedule[0][0] if self.schedule else float("inf")
+        return min(first, self.replays.next_due())
+
+    @property
+    def _report_interval(self) -> float:
+        return self.settings.idempotency_window_seconds / RUNNING_REPORTS_PER_WINDOW
+
+    def _step(self, attempt: Attempt, witnesses_of: WitnessesOf, digest: bytes, now: float) -> list[Result]:
+        match attempt.phase:
+            case Phase.REGISTERING:
+                return self._continue_round(attempt, now)
+            case Phase.ADMITTED:
+                return self._renew(attempt, witnesses_of(attempt.key), digest, now)
+            case Phase.SENT:
+                attempt.changed_at = now
+                attempt.told.update(witnesses_of(attempt.key))
+                self._set_due(attempt, now + self._report_interval)
+                return self._report(attempt)
+        if attempt.outcome_repeats > 0:
+            attempt.outcome_repeats -= 1
+            self._set_due(attempt, now + OUTCOME_REPEAT_SECONDS)
+            return self._report(attempt)
+        forget_at = attempt.changed_at + self.settings.idempotency_window_seconds
+        if now >= forget_at:
+            self._forget(attempt)
+        else:
+            self._set_due(attempt, forget_at)
+        return []
+
+    def _start_round(
+        self, attempt: Attempt, witnesses: tuple[str, ...], digest: bytes, now: float
+    ) -> list[Result]:
+        attempt.start_round(witnesses, digest, now)
+        if attempt.phase is Phase.REGISTERING:
+            self._set_due(attempt, now + self.settings.register_timeout_seconds / 2)
+        message = attempt.register_message()
+        return [WitnessSend(witness, message) for witness in witnesses]
+
+    def _continue_round(self, attempt: Attempt, now: float) -> list[Result]:
+        times_out_at = attempt.round_started_at + self.settings.register_timeout_seconds
+        if now >= times_out_at:
+            return self._fail(attempt, now)
+        self._set_due(attempt, times_out_at)
+        message = attempt.register_message()
+        return [WitnessSend(witness, message) for witness in attempt.silent]
+
+    def _renew(self, attempt: Attempt, witnesses: tuple[str, ...], digest: bytes, now: float) -> list[Result]:
+        ends_at = attempt.promised_from + self.promise_seconds
+        if now >= ends_at:
+            return self._fail(attempt, now)
+        renew_at = attempt.promised_from + self.promise_seconds / 2
+        if now < renew_at:
+            self._set_due(attempt, renew_at)
+            return []
+        self._set_due(attempt, min(ends_at, now + RENEWAL_RETRY_SECONDS))
+        return self._start_round(attempt, witnesses, digest, now)
+
+    def _evaluate(self, attempt: Attempt, now: float) -> list[Result]:
+        if attempt.phase is Phase.REGISTERING and attempt.has_failed:
+            return self._fail(attempt, now)
+        if attempt.another_ended:
+            return self._fail(attempt, now)
+        if not attempt.has_majority:
+            return []
+        attempt.promised_from = attempt.round_started_at
+        attempt.changed_at = now
+        self._set_due(attempt, attempt.promised_from + self.promise_seconds / 2)
+        if attempt.phase is not Phase.REGISTERING:
+            return []
+        attempt.phase = Phase.ADMITTED
+        send_before = attempt.promised_from + self.promise_seconds
+        return [Admitted(attempt.request.request_id, attempt.attempt_id, send_before)]
+
+    def _fail(self, attempt: Attempt, now: float) -> list[Result]:
+        known = [
+            KnownAttempt(
+                answer.existing_attempt,
+                answer.existing_holder,
+                answer.existing_digest,
+                answer.existing_state,
+                answer.existing_http_status,
+            )
+            for answer in attempt.existing.values()
+        ]
+        results = self._end(attempt, ABANDONED, None, now)
+        return results + self._answer_for(attempt.request, attempt.key, known, now)
+
+    def _end(self, attempt: Attempt, state: str, answer: KeptAnswer | None, now: float) -> list[Result]:
+        attempt.phase, attempt.state, attempt.changed_at = Phase.ENDED, state, now
+        attempt.answer = answer
+        if answer is not None:
+            self.replays.keep(answer)
+        self.by_request.pop(attempt.request.request_id, None)
+        attempt.outcome_repeats = OUTCOME_REPEATS
+        self._set_due(attempt, now + OUTCOME_REPEAT_SECONDS)
+        return self._report(attempt)
+
+    def _report(self, attempt: Attempt) -> list[Result]:
+        message = attempt.outcome_message()
+        return [WitnessSend(peer, message) for peer in sorted(attempt.told)]
+
+    def _answer_for(
+        self, request: RequestArrived, key: bytes, known: list[KnownAttempt], now: float
+    ) -> list[Result]:
+        best = best_known(known)
+        if best is None:
+            return [refusals.no_quorum(request.request_id)]
+        if best.body_digest and best.body_digest != request.body_digest:
+            return [refusals.key_reused(request.request_id)]
+        if best.state != FINISHED:
+            return [refusals.key_in_use(request.request_id)]
+        own = self.by_attempt.get(best.attempt_id)
+        return self.replays.replay(request.request_id, key, best, own.answer if own else None, now)
+
+    def _correct_witness(self, sender: str, answer: Registered) -> list[Result]:
+        # A witness that missed the message that an attempt was given up would refuse the key until its
+        # record expires.
+        names = (answer.attempt_id, answer.existing_attempt)
+        stale = [self.by_attempt[name] for name in names if name in self.by_attempt]
+        return [
+            WitnessSend(sender, attempt.outcome_message())
+            for attempt in stale
+            if attempt.state == ABANDONED and (answer.status == RECORDED or answer.existing_state == RUNNING)
+        ]
+
+    def _known(self, attempt: Attempt) -> KnownAttempt:
+        return KnownAttempt(
+            attempt.attempt_id,
+            self.own_id,
+            attempt.request.body_digest,
+            attempt.state,
+            attempt.http_status,
+        )
+
+    def _set_due(self, attempt: Attempt, due_at: float) -> None:
+        attempt.due_at = due_at
+        heapq.heappush(self.schedule, (due_at, next(self.counter), attempt.attempt_id))
+
+    def _forget(self, attempt: Attempt) -> None:
+        del self.by_attempt[attempt.attempt_id]
+        attempts = self.by_key[attempt.key]
+        del attempts[attempt.attempt_id]
+        if not attempts:
+            del self.by_key[attempt.key]
+        self.replays.forget(attempt.answer)
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/request/idempotency.py
@@ -0,0 +1,289 @@
+"""Idempotency keys: this router as a witness of other routers' attempts and as the holder of its own.
+
+`Witness` returns typed results; the decision core sends the messages and answers the callers.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from limpetusher.configuration.compiled import HostList
+from limpetusher.core.actions import Ran
+from limpetusher.core.inputs import RequestArrived
+from limpetusher.core.request.holder import Holder
+from limpetusher.core.request.key_records import KeyRecords, RecordsFullError
+from limpetusher.core.request.registration import EXISTING, NOT_READY, OTHER_HOSTS, RECORDED, KeptAnswer
+from limpetusher.core.request.witness_readiness import Readiness
+from limpetusher.core.request.witness_results import (
+    Admitted,
+    Rejected,
+    Replayed,
+    Result,
+    WitnessReady,
+    WitnessSend,
+)
+from limpetusher.core.request.witness_sets import RouterList
+from limpetusher.core.settings import PolicySettings
+from limpetusher.wire.messages import (
+    AnswerCopy,
+    AnswerRequest,
+    KeyOutcome,
+    KeyRecord,
+    KeySync,
+    KeySyncRequest,
+    PeerPayload,
+    Register,
+    Registered,
+)
+
+if TYPE_CHECKING:
+    from limpetusher.core.process.membership import Membership
+
+__all__ = [
+    "Admitted",
+    "Rejected",
+    "Replayed",
+    "Result",
+    "Witness",
+    "WitnessReady",
+    "WitnessSend",
+]
+
+RECORDS_PER_MESSAGE = 5000
+KEY_BYTES = 16
+
+
+def key_of(request: RequestArrived) -> bytes:
+    """Return the fleet-wide identifier of a customer's idempotency key.
+
+    Raises
+    ------
+    ValueError
+        If the request has no key.
+    """
+    if request.idempotency_key is None:
+        raise ValueError(f"request {request.request_id} has no idempotency key")
+    digest = hashlib.blake2b(digest_size=KEY_BYTES)
+    for part in (request.customer, request.idempotency_key):
+        encoded = part.encode()
+        digest.update(len(encoded).to_bytes(4, "big") + encoded)
+    return digest.digest()
+
+
+class Witness:
+    """Both sides of idempotency keys at one router.
+
+    `register` asks a majority of the key's witnesses to record an attempt; the answer is an `Admitted`,
+    `Rejected` or `Replayed`, now or later. An admitted request may be sent before `send_before`; `sent`,
+    `not_sent` and `finished` tell what became of it. A request that is admitted and then rejected must not
+    be sent any more.
+
+    Parameters
+    ----------
+    settings
+        Policy settings.
+    own_id
+        Host identifier of this router.
+    membership
+        Gives the rendezvous ranking.
+    rng
+        Source of attempt identifiers and request numbers.
+    started_at
+        Monotonic time of the start.
+    """
+
+    def __init__(
+        self,
+        settings: PolicySettings,
+        own_id: str,
+        membership: Membership,
+        rng: random.Random,
+        started_at: float,
+    ):
+        self.settings = settings
+        self.own_id = own_id
+        self.readiness = Readiness(settings, own_id, membership.rank, rng, started_at)
+        self.holder = Holder(settings, own_id, rng)
+        self.records = KeyRecords(settings.idempotency_window_seconds)
+        self.reported_ready = False
+
+    @property
+    def digest(self) -> bytes:
+        """Return the digest of the router list that registrations are computed from."""
+        return self.readiness.digest
+
+    def hosts_changed(self, host_list: HostList, now: float) -> list[Result]:
+        """Put a host list in force."""
+        router_list = RouterList.from_host_list(host_list)
+        if router_list.digest == self.digest:
+            return []
+        self.readiness.hosts_changed(router_list, now)
+        results = self.holder.hosts_changed(self.readiness.witnesses, self.digest, now)
+        return self._deliver(results, now) + self.due(now)
+
+    def register(self, request: RequestArrived, now: float) -> list[Result]:
+        """Begin an attempt for a request that has an idempotency key."""
+        key = key_of(request)
+        results = self.holder.begin(request, key, self.readiness.witnesses(key), self.digest, now)
+        return self._deliver(results, now)
+
+    def handle(self, sender: str, payload: PeerPayload, now: float) -> list[Result]:
+        """Handle a message about keys from another router."""
+        return self._deliver(self._handle(payload, sender, now), now) + self._readiness_change(now)
+
+    def send_before(self, request_id: str) -> float | None:
+        """Return until when an admitted request may be sent, None if it is not admitted."""
+        return self.holder.send_before(request_id)
+
+    def sent(self, request_id: str, now: float) -> None:
+        """Note that an admitted request is being sent to a target."""
+        self.holder.sent(request_id, now)
+
+    def not_sent(self, request_id: str, now: float) -> None:
+        """Note that no byte of the request was sent, and that it waits again."""
+        self.holder.not_sent(request_id, now)
+
+    def finished(
+        self,
+        request_id: str,
+        ran: Ran,
+        now: float,
+        *,
+        http_status: int = 0,
+        content_type: str = "",
+        body: bytes | None = None,
+    ) -> list[Result]:
+        """Note that a request ended and will not be sent again.
+
+        Parameters
+        ----------
+        request_id
+            A request that was given to `register`; others are ignored.
+        ran
+            `Ran.YES` with the whole answer, `Ran.NO` if no byte reached a target that could run it (also
+            when the caller went away while it waited), else `Ran.UNKNOWN`.
+        now
+            Monotonic time in seconds.
+        http_status, content_type, body
+            The answer, for replay; `body` is None if it is too long to keep.
+        """
+        answer = KeptAnswer(http_status, content_type, body) if ran is Ran.YES else None
+        return self._deliver(self.holder.ended(request_id, ran, answer, now), now)
+
+    def due(self, now: float) -> list[Result]:
+        """Do what has become due."""
+        self.records.expire(now)
+        results: list[Result] = [WitnessSend(peer, request) for peer, request in self.readiness.requests(now)]
+        results += self.holder.due(self.readiness.witnesses, self.digest, now)
+        return self._deliver(results, now) + self._readiness_change(now)
+
+    def next_due(self, now: float) -> float:
+        """Return when `due` should be called next, infinity if never."""
+        return min(self.holder.next_due(), self.readiness.next_due(now))
+
+    def _deliver(self, results: list[Result], now: float) -> list[Result]:
+        """Handle the messages to this router itself."""
+        delivered: list[Result] = []
+        for result in results:
+            if isinstance(result, WitnessSend) and result.peer == self.own_id:
+                delivered += self._deliver(self._handle(result.payload, self.own_id, now), now)
+            else:
+                delivered.append(result)
+        return delivered
+
+    def _readiness_change(self, now: float) -> list[Result]:
+        ready = self.readiness.is_settled(now)
+        changed, self.reported_ready = ready and not self.reported_ready, ready
+        return [WitnessReady()] if changed else []
+
+    @singledispatchmethod
+    def _handle(self, payload: object, sender: str, now: float) -> list[Result]:
+        return []
+
+    @_handle.register
+    def _(self, message: Register, sender: str, now: float) -> list[Result]:
+        return [WitnessSend(sender, self._record(message, sender, now))]
+
+    @_handle.register
+    def _(self, message: Registered, sender: str, now: float) -> list[Result]:
+        return self.holder.registered(sender, message, now)
+
+    @_handle.register
+    def _(self, message: KeyOutcome, sender: str, now: float) -> list[Result]:
+        self.records.outcome(message.key, message.attempt_id, sender, message.state, message.http_status, now)
+        return []
+
+    @_handle.register
+    def _(self, message: AnswerRequest, sender: str, now: float) -> list[Result]:
+        return self.holder.answer_requested(sender, message)
+
+    @_handle.register
+    def _(self, message: AnswerCopy, sender: str, now: float) -> list[Result]:
+        return self.holder.answer_copied(sender, message)
+
+    @_handle.register
+    def _(self, message: KeySyncRequest, sender: str, now: float) -> list[Result]:
+        same_list = message.host_list_digest == self.digest
+        records = self._records_for(sender, now) if same_list else []
+        intact, settled = self.readiness.intact, self.readiness.is_settled(now)
+        parts = max(1, -(-len(records) // RECORDS_PER_MESSAGE))
+        lists = self.readiness.earlier_lists(now, with_current=not same_list)
+        return [
+            WitnessSend(
+                sender,
+                KeySync(
+                    host_list_digest=self.digest,
+                    records=tuple(records[part * RECORDS_PER_MESSAGE : (part + 1) * RECORDS_PER_MESSAGE]),
+                    number=message.number,
+                    part=part,
+                    parts=parts,
+                    intact=intact,
+                    settled=settled,
+                    earlier_lists=lists if part == 0 else (),
+                ),
+            )
+            for part in range(parts)
+        ]
+
+    @_handle.register
+    def _(self, message: KeySync, sender: str, now: float) -> list[Result]:
+        taken = [self.records.merge(record, now) for record in message.records]
+        # An answer whose records do not all fit does not count.
+        if all(taken):
+            self.readiness.answered(sender, message, now)
+        return []
+
+    def _record(self, message: Register, sender: str, now: float) -> Registered:
+        if message.host_list_digest != self.digest:
+            return self._registered(message, OTHER_HOSTS)
+        if not self.readiness.is_ready(message.key, now):
+            return self._registered(message, NOT_READY)
+        try:
+            entry = self.records.register(message.key, message.attempt_id, sender, message.body_digest, now)
+        except RecordsFullError:
+            return self._registered(message, NOT_READY)
+        if entry is None:
+            return self._registered(message, RECORDED)
+        return Registered(
+            key=message.key,
+            attempt_id=message.attempt_id,
+            status=EXISTING,
+            existing_attempt=entry.attempt_id,
+            existing_state=entry.state,
+            existing_digest=entry.body_digest,
+            existing_holder=entry.holder,
+            existing_http_status=entry.http_status,
+            round=message.round,
+        )
+
+    def _registered(self, message: Register, status: str) -> Registered:
+        return Registered(message.key, message.attempt_id, status, round=message.round)
+
+    def _records_for(self, peer: str, now: float) -> list[KeyRecord]:
+        def wanted(key: bytes) -> bool:
+            return peer in self.readiness.witnesses(key)
+
+        return self.records.select(wanted, now) + self.holder.records(peer, wanted, now)
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/request/witness_results.py
@@ -0,0 +1,56 @@
+"""Typed results of `Witness`, which the decision core turns into actions."""
+
+from dataclasses import dataclass
+
+from limpetusher.core.actions import Ran, RefusalCode
+from limpetusher.wire.messages import PeerPayload
+
+
+@dataclass(frozen=True, slots=True)
+class WitnessSend:
+    """Send a message to another router; it may be lost."""
+
+    peer: str
+    payload: PeerPayload
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A majority has recorded the attempt. It may be sent while the monotonic clock is before `send_before`.
+
+    `Witness.send_before` returns the present limit, which moves on while the request waits.
+    """
+
+    request_id: str
+    attempt_id: str
+    send_before: float
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The request must not be sent; answer the caller with this error."""
+
+    request_id: str
+    status: int
+    code: RefusalCode
+    message: str
+    ran: Ran
+    retry_after_seconds: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Replayed:
+    """The request must not be sent; answer the caller with the answer of the earlier attempt."""
+
+    request_id: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class WitnessReady:
+    """The router may now act as a witness of every key."""
+
+
+Result = WitnessSend | Admitted | Rejected | Replayed | WitnessReady
--- a/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
+++ b/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
@@ -7,6 +7,7 @@
 
 from limpetusher.configuration.compiled import Configuration, DataCentreState, HostList, HostRole, HostState
 from limpetusher.core.settings import PolicySettings
+from limpetusher.errors import PolicyError
 from limpetusher.wire.messages import ConfigurationDocument, ConfigurationRequest
 
 if TYPE_CHECKING:
@@ -85,7 +86,7 @@
         return RolloutChange(adopted=True, previous=previous)
 
     def hosts(self, host_list: HostList, now: float) -> bool:
-        """Put a host list in force; return False for one that is not newer than the present one."""
+        """Put a host list in force, also in `membership`; return False for one that is not newer."""
         if host_list.version <= self.host_list_version:
             return False
         self.host_list = host_list
@@ -97,9 +98,12 @@
 
         That is so when it is not listed, when it is leaving, or when its data centre is out of service.
         """
-        if self.configuration is None or target_id not in self.membership.targets():
+        if self.configuration is None:
+            return True
+        try:
+            host = self.membership.target(target_id)
+        except PolicyError:
             return True
-        host = self.membership.target(target_id)
         state = self.configuration.data_centres.get(host.data_centre, DataCentreState.IN_SERVICE)
         return host.state is HostState.LEAVING or state is DataCentreState.OUT_OF_SERVICE
 
--- a/packages/limpetusher-core/src/limpetusher/wire/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/wire/messages.py
@@ -119,12 +119,17 @@
 
 
 class Register(Message, frozen=True, tag="kr"):
-    """Asks a witness to record an attempt for an idempotency key."""
+    """Asks a witness to record an attempt for an idempotency key.
+
+    `round` counts the times that the attempt was registered; a waiting request registers again before
+    its registration runs out.
+    """
 
     key: bytes
     attempt_id: str
     body_digest: bytes
     host_list_digest: bytes
+    round: int = 0
 
 
 class Registered(Message, frozen=True, tag="ka"):
@@ -142,10 +147,15 @@
     existing_digest: bytes = b""
     existing_holder: str = ""
     existing_http_status: int = 0
+    round: int = 0
 
 
 class KeyOutcome(Message, frozen=True, tag="ko"):
-    """The holder of a key reports the state of its attempt: `finished`, `unknown` or `abandoned`."""
+    """The holder of a key reports the state of its attempt.
+
+    `state` is one of `running` (repeated while the attempt runs, so that its records last), `finished`,
+    `unknown` and `abandoned`.
+    """
 
     key: bytes
     attempt_id: str
@@ -154,9 +164,13 @@
 
 
 class KeySyncRequest(Message, frozen=True, tag="sq"):
-    """A witness asks for the records of keys that it is a witness of, under the given host list."""
+    """A witness asks for the records of keys that it is a witness of, under the given host list.
+
+    `number` is echoed in the answer.
+    """
 
     host_list_digest: bytes
+    number: int = 0
 
 
 class KeyRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -171,11 +185,30 @@
     age_seconds: float
 
 
+class EarlierList(msgspec.Struct, frozen=True, array_like=True):
+    """Routers (identifier and data centre) of a host list in force `age_seconds` ago at the sender."""
+
+    digest: bytes
+    routers: tuple[tuple[str, str], ...]
+    age_seconds: float
+
+
 class KeySync(Message, frozen=True, tag="sy"):
-    """Records for a `KeySyncRequest`; `host_list_digest` is the one the sender uses."""
+    """Answer to a `KeySyncRequest`, in `parts` messages; `host_list_digest` is the one the sender uses.
+
+    `intact` tells that the sender has forgotten no record within the window. `settled` tells that it also
+    has the records of all earlier host lists. When the lists differ, there are no records, and
+    `earlier_lists` includes the list that the sender uses.
+    """
 
     host_list_digest: bytes
     records: tuple[KeyRecord, ...]
+    number: int = 0
+    part: int = 0
+    parts: int = 1
+    intact: bool = False
+    settled: bool = False
+    earlier_lists: tuple[EarlierList, ...] = ()
 
 
 class AnswerRequest(Message, frozen=True, tag="aq"):
