--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/process/routes.py
@@ -0,0 +1,89 @@
+"""Index of the targets that may serve each service, and of their present owners."""
+
+from dataclasses import dataclass, field
+
+from limpetusher.configuration.compiled import Configuration, TargetClass
+from limpetusher.core.process.membership import Membership
+from limpetusher.core.version.rollout import Rollout
+
+
+@dataclass(slots=True)
+class ServiceRoutes:
+    """Targets of one service that may receive new work, in total and by owner."""
+
+    targets: tuple[str, ...] = ()
+    members: frozenset[str] = frozenset()
+    owners: dict[str, tuple[str, ...]] = field(default_factory=dict)
+
+
+class Routes:
+    """Targets by service and owner, rebuilt only when configuration, hosts or reachability have changed.
+
+    Parameters
+    ----------
+    own_id
+        Host id of this router.
+    membership
+        Host list and ownership.
+    rollout
+        Configuration and drains.
+    """
+
+    def __init__(self, own_id: str, membership: Membership, rollout: Rollout):
+        self.own_id = own_id
+        self.membership = membership
+        self.rollout = rollout
+        self.services: dict[str, ServiceRoutes] = {}
+        self.owner_of: dict[str, str] = {}
+        self.owned: dict[str, tuple[str, ...]] = {}
+        """Services of each target that this router owns and that may receive new work."""
+
+    def rebuild(self, now: float) -> None:
+        """Build the index from the present configuration, host list and reachability."""
+        configuration = self.rollout.configuration
+        self.services, self.owner_of, self.owned = {}, {}, {}
+        if configuration is None:
+            return
+        targets: dict[str, list[str]] = {}
+        owners: dict[str, dict[str, list[str]]] = {}
+        for host in self.membership.targets():
+            target_id = host.host_id
+            owner = self.membership.owner(target_id, now)
+            if owner is not None:
+                self.owner_of[target_id] = owner
+            target_class = class_of(configuration, host.target_class)
+            if target_class is None or self.rollout.is_drained(target_id):
+                continue
+            if owner == self.own_id:
+                self.owned[target_id] = target_class.services
+            for service in target_class.services:
+                targets.setdefault(service, []).append(target_id)
+                if owner is not None:
+                    owners.setdefault(service, {}).setdefault(owner, []).append(target_id)
+        for service, target_ids in targets.items():
+            by_owner = {owner: tuple(ids) for owner, ids in owners.get(service, {}).items()}
+            self.services[service] = ServiceRoutes(tuple(target_ids), frozenset(target_ids), by_owner)
+
+    def targets(self, service: str) -> tuple[str, ...]:
+        """Return the targets that may receive new work for the service."""
+        routes = self.services.get(service)
+        return routes.targets if routes is not None else ()
+
+    def owners(self, service: str) -> dict[str, tuple[str, ...]]:
+        """Return the targets of the service by owner."""
+        routes = self.services.get(service)
+        return routes.owners if routes is not None else {}
+
+    def owned_for(self, service: str) -> tuple[str, ...]:
+        """Return the targets of the service that this router owns."""
+        return self.owners(service).get(self.own_id, ())
+
+    def serves(self, target_id: str, service: str) -> bool:
+        """Return whether the target may receive new work for the service."""
+        routes = self.services.get(service)
+        return routes is not None and target_id in routes.members
+
+
+def class_of(configuration: Configuration, name: str | None) -> TargetClass | None:
+    """Return the target class of that name, None when the configuration has none."""
+    return configuration.target_classes.get(name) if name is not None else None
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/request/record.py
@@ -0,0 +1,79 @@
+"""State of one caller's request from its arrival to its end."""
+
+import enum
+from dataclasses import dataclass, field
+
+from limpetusher.core.inputs import RequestArrived
+
+
+class RequestState(enum.Enum):
+    """Where a request is on its way."""
+
+    REGISTERING = "registering"
+    """Its idempotency key is being registered with witnesses."""
+    WAITING = "waiting"
+    """It waits in the queue for a grant."""
+    RUNNING = "running"
+    """It was handed to the process for dispatch and has not ended."""
+
+
+class Bucket(tuple):
+    """Customer and service: the unit in which waiting requests are queued and offered."""
+
+    __slots__ = ()
+
+    def __new__(cls, customer: str, service: str) -> "Bucket":
+        return super().__new__(cls, (customer, service))
+
+    @property
+    def customer(self) -> str:
+        """Return the customer's identifier."""
+        return self[0]
+
+    @property
+    def service(self) -> str:
+        """Return the name of the service."""
+        return self[1]
+
+
+@dataclass(frozen=True, slots=True)
+class UsedGrant:
+    """The grant under which a request runs. `owner` is the router that issued it."""
+
+    grant_id: str
+    target_id: str
+    owner: str
+    send_before: float
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """A caller's request and how far it has come. `attempt` counts the dispatches so far."""
+
+    request: RequestArrived
+    arrived_at: float
+    deadline: float
+    state: RequestState = RequestState.WAITING
+    preferred: tuple[str, ...] = ()
+    attempt: int = 0
+    sent_attempts: int = 0
+    offered_to: str | None = None
+    grant: UsedGrant | None = None
+    progress_cost: float = 0.0
+    output_started: bool = False
+    caller_gone: bool = False
+    answered: bool = False
+    bucket: Bucket = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.bucket = Bucket(self.request.customer, self.request.service)
+
+    @property
+    def request_id(self) -> str:
+        """Return the request's identifier."""
+        return self.request.request_id
+
+    @property
+    def witnessed(self) -> bool:
+        """Return whether the request's key is registered with witnesses before it is sent."""
+        return not self.request.idempotent and self.request.idempotency_key is not None
