--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/context.py
@@ -0,0 +1,75 @@
+"""What the parts of one decision core share: identity, settings, the present time and the list of actions."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from limpetusher.configuration.compiled import HostRole
+from limpetusher.core.actions import Action, LogEvent, SendToPeer
+from limpetusher.core.connection.peers import Peers
+from limpetusher.core.process.fairness import Fairness
+from limpetusher.core.process.ledger import ChargeChange, Ledger
+from limpetusher.core.process.membership import Membership
+from limpetusher.core.process.orders import Orders
+from limpetusher.core.process.shares import Shares
+from limpetusher.core.request.explanation import Explanations, Step
+from limpetusher.core.request.idempotency import Witness
+from limpetusher.core.request.retry import RetryBudgets
+from limpetusher.core.settings import PolicySettings
+from limpetusher.core.version.rollout import Rollout
+from limpetusher.events import Event
+from limpetusher.wire.messages import PeerPayload
+
+
+@dataclass(slots=True)
+class Context:
+    """Identity and parts of one decision core.
+
+    `actions` collects what the present input leads to. `dirty_targets` are owned targets that may have got a free
+    slot, `wanted_services` are services with new demand at this owner; both are dealt with at the end of an input.
+    """
+
+    settings: PolicySettings
+    own_id: str
+    data_centre: str
+    incarnation: int
+    rng: random.Random
+    peers: Peers
+    membership: Membership
+    shares: Shares
+    ledger: Ledger
+    fairness: Fairness
+    witness: Witness
+    rollout: Rollout
+    orders: Orders
+    retries: RetryBudgets
+    explanations: Explanations
+    now: float
+    stopping: bool = False
+    actions: list[Action] = field(default_factory=list)
+    dirty_targets: dict[str, None] = field(default_factory=dict)
+    wanted_services: dict[str, None] = field(default_factory=dict)
+
+    def send(self, peer: str, payload: PeerPayload) -> None:
+        """Send a message to a listed router; messages to others are dropped."""
+        host = self.membership.hosts.get(peer)
+        if host is not None and host.role is HostRole.ROUTER:
+            self.actions.append(SendToPeer(peer, host.address, payload))
+
+    def charge(self, changes: Iterable[ChargeChange]) -> None:
+        """Apply corrections of charges."""
+        for change in changes:
+            self.fairness.charge(change.customer, change.amount)
+
+    def log(self, event: Event, **fields: object) -> None:
+        """Write a log event."""
+        self.actions.append(LogEvent(event, fields))
+
+    def explain(self, request_id: str, step: Step, place: str = "", reason: str = "") -> None:
+        """Add a step to a request's explanation."""
+        self.explanations.add(request_id, self.now, step, place, reason)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether requests can be accepted."""
+        return self.rollout.configuration is not None and self.membership.version is not None and not self.stopping
--- a/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
@@ -1,6 +1,6 @@
 """What an owner knows about waiting requests: the demand of each router, indexed by service and customer."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from limpetusher.core.request.record import Bucket
@@ -119,12 +119,14 @@
         self.relist(line)
         return demand.number
 
-    def customers(self, services: Iterable[str]) -> list[str]:
-        """Return the customers that have open requests for any of the services, in a stable order."""
+    def customers(self, services: Collection[str]) -> Collection[str]:
+        """Return the customers that have open requests for any of the services."""
+        if len(services) == 1:
+            return self.open_lines.get(next(iter(services)), {}).keys()
         customers: dict[str, None] = {}
         for service in services:
             customers.update(dict.fromkeys(self.open_lines.get(service, ())))
-        return list(customers)
+        return customers
 
     def lines(self, customer: str, services: Iterable[str]) -> Iterator[DemandLine]:
         """Return the customer's lines with open requests for any of the services."""
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
@@ -0,0 +1,382 @@
+"""Requests of this router's callers from arrival to the end of the answer."""
+
+from limpetusher.core.actions import CancelDispatch, Dispatch, Ran, RefusalCode, Refuse
+from limpetusher.core.context import Context
+from limpetusher.core.inputs import Outcome, RequestArrived, ResponseEnded, ResponseProgress
+from limpetusher.core.process.dispatch import Dispatcher
+from limpetusher.core.process.offers import Offers
+from limpetusher.core.process.routes import Routes
+from limpetusher.core.request.admission import Admission, Refusal, deadline_passed, no_capacity_in_time, stopping
+from limpetusher.core.request.explanation import Step
+from limpetusher.core.request.keyed import KeyedRequests
+from limpetusher.core.request.prefixes import Prefixes
+from limpetusher.core.request.queue import RequestQueue
+from limpetusher.core.request.record import Bucket, RequestRecord, RequestState, UsedGrant
+from limpetusher.errors import PolicyError
+from limpetusher.events import Event
+from limpetusher.wire.messages import Grant, GrantReturned, HeldGrant, Release
+
+
+class Lifecycle:
+    """Takes each request through registration, waiting, dispatch, retries and its end.
+
+    Parameters
+    ----------
+    context
+        The router's parts.
+    queue
+        Waiting requests.
+    routes
+        Targets by service and owner.
+    offers
+        Demand sent to owners.
+    """
+
+    def __init__(self, context: Context, queue: RequestQueue, routes: Routes, offers: Offers):
+        self.context = context
+        self.queue = queue
+        self.routes = routes
+        self.offers = offers
+        self.admission = Admission(context, queue, routes)
+        self.prefixes = Prefixes()
+        self.keyed = KeyedRequests(context, self.admit_registered, self.refuse_registered, self.replayed)
+        self.records: dict[str, RequestRecord] = {}
+        self.running: dict[str, RequestRecord] = {}
+        self.dispatcher: Dispatcher | None = None
+        """Set by the decision core: takes back the grants that this router issued to itself."""
+
+    # Arrival and waiting
+
+    def arrived(self, request: RequestArrived) -> None:
+        """Take a new request."""
+        context = self.context
+        if request.request_id in self.records:
+            raise PolicyError(f"request {request.request_id!r} has arrived before")
+        context.explanations.begin(request, context.now)
+        record = RequestRecord(request, context.now, context.now + request.patience_seconds)
+        refusal = self.admission.check(request)
+        if refusal is not None:
+            self.refuse(record, refusal)
+            return
+        self.records[request.request_id] = record
+        if record.witnessed:
+            record.state = RequestState.REGISTERING
+            self.keyed.register(record)
+        else:
+            self.enqueue(record)
+
+    def enqueue(self, record: RequestRecord, *, first: bool = False) -> None:
+        """Let a request wait; `first` for one that has waited before."""
+        record.state = RequestState.WAITING
+        record.preferred = self.prefixes.preferred(
+            record.request.prefix, self.routes.targets(record.bucket.service)
+        )
+        self.queue.add(record, self.context.now, first=first)
+        self.context.explain(record.request_id, Step.QUEUED)
+        self.offers.offer(record)
+
+    def admit_registered(self, request_id: str) -> None:
+        """Let a request wait whose key has been registered with a majority of the witnesses."""
+        record = self.records.get(request_id)
+        if record is None or record.state is not RequestState.REGISTERING:
+            return
+        self.context.explain(request_id, Step.REGISTERED)
+        refusal = self.admission.check(record.request)
+        if refusal is not None and not self.context.stopping:
+            self.refuse(record, refusal)
+        else:
+            self.enqueue(record)
+
+    def refuse_registered(self, request_id: str, refusal: Refusal) -> None:
+        """Refuse a request because of what its witnesses answered."""
+        record = self.records.get(request_id)
+        if record is not None and record.state is RequestState.REGISTERING:
+            self.refuse(record, refusal)
+
+    def replayed(self, request_id: str) -> None:
+        """Forget a request that was answered with the recorded answer of an earlier attempt."""
+        self.records.pop(request_id, None)
+        self.context.explain(request_id, Step.REPLAYED)
+
+    def leave_queue(self, record: RequestRecord) -> None:
+        """Take a request out of the queue without serving it."""
+        if self.queue.remove(record.request_id) is not None:
+            self.offers.removed(record)
+
+    def expire(self) -> None:
+        """Refuse the requests whose deadline has come."""
+        now = self.context.now
+        for record in self.queue.expired(now):
+            self.offers.removed(record)
+            self.refuse(record, deadline_passed(self.queue.retry_after(record.bucket, now)))
+
+    def refuse_hopeless(self) -> None:
+        """Refuse the newest requests that can't be served before their deadline."""
+        now = self.context.now
+        for record in self.queue.hopeless(now):
+            self.offers.removed(record)
+            self.refuse(record, no_capacity_in_time(self.queue.retry_after(record.bucket, now)))
+
+    def refuse_unservable(self) -> None:
+        """Refuse waiting requests whose customer or service a new configuration no longer has."""
+        for record in list(self.queue.records.values()):
+            configuration = self.context.rollout.configuration
+            customer = configuration.customers.get(record.bucket.customer)
+            if customer is None or record.bucket.service not in customer.services:
+                self.leave_queue(record)
+                text = f"service {record.bucket.service!r} is no longer available to the customer"
+                self.refuse(record, Refusal(404, RefusalCode.UNKNOWN_SERVICE, text))
+
+    def refuse(self, record: RequestRecord, refusal: Refusal) -> None:
+        """Answer the caller with an error and forget the request."""
+        context = self.context
+        self.records.pop(record.request_id, None)
+        # An earlier attempt of a request that waited for a retry may have run.
+        ran = Ran.UNKNOWN if record.may_have_run and refusal.ran is Ran.NO else refusal.ran
+        self.keyed.refused(record, ran)
+        if record.caller_gone:
+            return
+        context.explain(record.request_id, Step.REFUSED, reason=f"{refusal.status} {refusal.code}")
+        context.actions.append(
+            Refuse(
+                record.request_id,
+                refusal.status,
+                refusal.code,
+                refusal.message,
+                ran,
+                refusal.retry_after_seconds,
+            )
+        )
+        context.log(
+            Event.REQUEST_REFUSED,
+            request_id=record.request_id,
+            customer=record.bucket.customer,
+            code=refusal.code.value,
+            ran=ran.value,
+        )
+
+    # Grants
+
+    def granted(self, owner: str, grant: Grant) -> None:
+        """Use a grant from another router, or return it."""
+        context = self.context
+        bucket = Bucket(grant.customer, grant.service)
+        sent_at = context.peers.sent_at(owner, grant.echo)
+        send_before = sent_at + grant.valid_seconds if sent_at is not None else context.now
+        used = UsedGrant(grant.grant_id, grant.target_id, owner, send_before)
+        if context.now >= send_before or not self.dispatch(bucket, used):
+            context.send(owner, GrantReturned(grant.grant_id, grant.target_id))
+        self.offers.granted_by(owner, bucket, grant.number)
+
+    def dispatch(self, bucket: Bucket, grant: UsedGrant) -> bool:
+        """Send a waiting request of the bucket under the grant; return whether there was one that may be sent."""
+        context, now = self.context, self.context.now
+        if not self.routes.serves(grant.target_id, bucket.service):
+            return False
+        record = self.queue.next_for(bucket, grant.target_id)
+        if record is None:
+            return False
+        send_before = min(grant.send_before, record.deadline, self.keyed.send_before(record))
+        if now >= send_before:
+            return False
+        self.queue.take(record.request_id, now)
+        self.offers.removed(record)
+        record.state = RequestState.RUNNING
+        record.grant = grant
+        record.attempt += 1
+        record.progress_cost = 0.0
+        self.running[record.request_id] = record
+        self.keyed.sending(record)
+        context.explain(record.request_id, Step.DISPATCHED, grant.target_id, f"granted by {grant.owner}")
+        address = context.membership.target(grant.target_id).address
+        context.actions.append(
+            Dispatch(record.request_id, record.attempt, grant.target_id, address, send_before)
+        )
+        return True
+
+    def held(self) -> list[tuple[str, HeldGrant]]:
+        """Return the grants in use, each with the routers that have to know of them.
+
+        These are the router that issued the grant and the present owner of the target, which takes it over.
+        """
+        held = []
+        for record in self.running.values():
+            grant = record.grant
+            customer, service = record.bucket
+            entry = HeldGrant(grant.grant_id, grant.target_id, customer, service, record.progress_cost)
+            held.extend((owner, entry) for owner in self.concerned(grant))
+        return held
+
+    def concerned(self, grant: UsedGrant) -> tuple[str, ...]:
+        """Return the routers that keep a grant in their ledgers."""
+        owner = self.routes.owner_of.get(grant.target_id, grant.owner)
+        return (grant.owner,) if owner == grant.owner else (grant.owner, owner)
+
+    # The answer
+
+    def attempt_of(self, request_id: str, attempt: int) -> RequestRecord | None:
+        """Return the running request, None when another attempt runs or none."""
+        record = self.running.get(request_id)
+        return record if record is not None and record.attempt == attempt else None
+
+    def started(self, request_id: str, attempt: int) -> None:
+        """Note that the caller has got the first byte."""
+        record = self.attempt_of(request_id, attempt)
+        if record is not None:
+            record.output_started = True
+            self.context.explain(request_id, Step.STARTED, record.grant.target_id)
+
+    def progressed(self, message: ResponseProgress) -> None:
+        """Note the cost of a stream so far."""
+        record = self.attempt_of(message.request_id, message.attempt)
+        if record is not None:
+            record.progress_cost = max(record.progress_cost, message.generated_cost)
+
+    def ended(self, message: ResponseEnded) -> None:
+        """Take the end of an attempt: release the slot, and answer, retry or finish."""
+        record = self.attempt_of(message.request_id, message.attempt)
+        if record is None:
+            return
+        del self.running[record.request_id]
+        context = self.context
+        context.explain(record.request_id, Step.ENDED, record.grant.target_id, message.outcome.value)
+        late = context.now >= record.grant.send_before
+        self.give_back(record, message, late=late)
+        if message.outcome is not Outcome.NOT_SENT:
+            record.sent_attempts += 1
+            record.may_have_run |= message.outcome is not Outcome.REJECTED_NOT_RUN
+        self.keyed.ended(record, message)
+        if message.outcome is Outcome.COMPLETE:
+            self.complete(record, message)
+        elif record.caller_gone or message.outcome is Outcome.CANCELLED:
+            self.records.pop(record.request_id, None)
+            self.keyed.refused(record, ran_after(record, message))
+        elif message.outcome is Outcome.NOT_SENT:
+            self.wait_again(record)
+        elif self.may_retry(record, message):
+            context.explain(record.request_id, Step.RETRIED)
+            context.log(Event.REQUEST_RETRIED, request_id=record.request_id, outcome=message.outcome.value)
+            self.wait_again(record)
+        else:
+            self.fail(record, message)
+
+    def complete(self, record: RequestRecord, message: ResponseEnded) -> None:
+        """Finish a request whose whole answer has arrived."""
+        context = self.context
+        del self.records[record.request_id]
+        context.retries.completed(record.bucket.customer)
+        self.prefixes.used(record.request.prefix, record.grant.target_id)
+        context.log(
+            Event.REQUEST_FINISHED,
+            request_id=record.request_id,
+            customer=record.bucket.customer,
+            target=record.grant.target_id,
+            seconds=context.now - record.arrived_at,
+        )
+
+    def give_back(self, record: RequestRecord, message: ResponseEnded, *, late: bool) -> None:
+        """Tell the owners that the request no longer runs."""
+        grant = record.grant
+        payload: GrantReturned | Release
+        if message.outcome is Outcome.NOT_SENT:
+            failed = not late and not record.caller_gone
+            payload = GrantReturned(grant.grant_id, grant.target_id, failed)
+        else:
+            complete = message.outcome is Outcome.COMPLETE
+            failed = message.outcome in (Outcome.CUT_BEFORE_OUTPUT, Outcome.CUT_AFTER_OUTPUT)
+            payload = Release(grant.grant_id, grant.target_id, message.cost, complete, failed)
+        for owner in self.concerned(grant):
+            if owner != self.context.own_id:
+                self.context.send(owner, payload)
+            elif isinstance(payload, GrantReturned):
+                self.dispatcher.returned(payload)
+            else:
+                self.dispatcher.released(payload)
+
+    def wait_again(self, record: RequestRecord) -> None:
+        """Put a request that did not run, or may run again, in front of the queue."""
+        now = self.context.now
+        record.grant = None
+        if now >= record.deadline:
+            self.refuse(record, deadline_passed(self.queue.retry_after(record.bucket, now)))
+        elif not self.routes.targets(record.bucket.service):
+            text = f"no target for service {record.bucket.service!r} is in service"
+            self.refuse(record, Refusal(503, RefusalCode.NO_CAPACITY, text, retry_after_seconds=1.0))
+        else:
+            self.enqueue(record, first=True)
+
+    def may_retry(self, record: RequestRecord, message: ResponseEnded) -> bool:
+        """Return whether an attempt that failed may be repeated, and pay for it."""
+        settings = self.context.settings
+        return (
+            record.request.idempotent
+            and message.outcome in (Outcome.REJECTED_NOT_RUN, Outcome.CUT_BEFORE_OUTPUT)
+            and not record.output_started
+            and record.sent_attempts < settings.maximum_attempts
+            and self.context.now < record.deadline
+            and self.context.retries.try_spend(record.bucket.customer)
+        )
+
+    def fail(self, record: RequestRecord, message: ResponseEnded) -> None:
+        """Answer the caller of a request whose last attempt failed."""
+        now = self.context.now
+        ran = ran_after(record, message)
+        if message.outcome is Outcome.REJECTED_NOT_RUN:
+            text = "the target did not accept the request"
+            retry_after = self.queue.retry_after(record.bucket, now)
+            refusal = Refusal(503, RefusalCode.NO_CAPACITY, text, ran, retry_after)
+        elif message.outcome is Outcome.CUT_BEFORE_OUTPUT:
+            text = "the connection to the target broke before the answer began"
+            refusal = Refusal(502, RefusalCode.TARGET_FAILED, text, ran)
+        else:
+            self.context.log(
+                Event.ANSWER_CUT, request_id=record.request_id, target=record.grant.target_id
+            )
+            text = "the connection to the target broke within the answer"
+            refusal = Refusal(502, RefusalCode.ANSWER_CUT, text, ran)
+        self.refuse(record, refusal)
+
+    def caller_gone(self, request_id: str) -> None:
+        """Drop a waiting request, or cancel a running one, whose caller has gone."""
+        record = self.records.get(request_id)
+        if record is None or record.caller_gone:
+            return
+        record.caller_gone = True
+        self.context.explain(request_id, Step.CALLER_GONE)
+        if record.state is RequestState.RUNNING:
+            self.context.actions.append(CancelDispatch(request_id, record.attempt))
+            return
+        self.leave_queue(record)
+        self.records.pop(request_id, None)
+        self.keyed.refused(record, Ran.NO)
+
+    # Stop
+
+    def stop_waiting(self) -> None:
+        """End everything that is left when the time for a stop is over."""
+        for record in list(self.records.values()):
+            if record.state is RequestState.RUNNING:
+                self.cut_off(record)
+            else:
+                self.leave_queue(record)
+                self.refuse(record, stopping())
+
+    def cut_off(self, record: RequestRecord) -> None:
+        """Cancel a running request and tell its caller."""
+        del self.running[record.request_id]
+        self.context.actions.append(CancelDispatch(record.request_id, record.attempt))
+        ended = ResponseEnded(record.request_id, record.attempt, Outcome.CANCELLED)
+        self.give_back(record, ended, late=False)
+        self.keyed.ended(record, ended)
+        ran = Ran.YES if record.output_started else Ran.UNKNOWN
+        self.refuse(record, Refusal(503, RefusalCode.STOPPING, "the router stopped", ran))
+
+
+def ran_after(record: RequestRecord, message: ResponseEnded) -> Ran:
+    """Return what is known about whether the request ran, after an attempt has ended."""
+    if message.outcome is Outcome.COMPLETE:
+        return Ran.YES
+    if record.output_started:
+        failed_status = message.status is not None and message.status >= 500
+        return Ran.UNKNOWN if failed_status else Ran.YES
+    return Ran.UNKNOWN if record.may_have_run else Ran.NO
--- a/packages/limpetusher-core/src/limpetusher/core/request/record.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/record.py
@@ -48,7 +48,11 @@
 
 @dataclass(slots=True)
 class RequestRecord:
-    """A caller's request and how far it has come. `attempt` counts the dispatches so far."""
+    """A caller's request and how far it has come.
+
+    `attempt` counts the dispatches so far, `sent_attempts` those of which a byte may have reached the target.
+    `may_have_run` stays set when a later attempt did not run.
+    """
 
     request: RequestArrived
     arrived_at: float
@@ -61,8 +65,8 @@
     grant: UsedGrant | None = None
     progress_cost: float = 0.0
     output_started: bool = False
+    may_have_run: bool = False
     caller_gone: bool = False
-    answered: bool = False
     bucket: Bucket = field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/limpetusher-core/src/limpetusher/wire/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/wire/messages.py
@@ -88,12 +88,16 @@
 
 
 class Release(Message, frozen=True, tag="rl"):
-    """The request under the grant ended. `cost` is its final cost, None when unknown."""
+    """The request under the grant ended. `cost` is its final cost, None when unknown.
+
+    `target_failed` tells that the connection to the target broke.
+    """
 
     grant_id: str
     target_id: str
     cost: float | None
     complete: bool
+    target_failed: bool = False
 
 
 class ViewRequest(Message, frozen=True, tag="vq"):
