--- a/packages/limpetusher-core/src/limpetusher/core/context.py
+++ b/packages/limpetusher-core/src/limpetusher/core/context.py
@@ -7,6 +7,7 @@
 from limpetusher.configuration.compiled import HostRole
 from limpetusher.core.actions import Action, LogEvent, SendToPeer
 from limpetusher.core.connection.peers import Peers
+from limpetusher.core.inputs import LoadReported
 from limpetusher.core.process.fairness import Fairness
 from limpetusher.core.process.ledger import ChargeChange, Ledger
 from limpetusher.core.process.membership import Membership
@@ -46,15 +47,20 @@
     explanations: Explanations
     now: float
     stopping: bool = False
+    reports: dict[str, LoadReported] = field(default_factory=dict)
     actions: list[Action] = field(default_factory=list)
     dirty_targets: dict[str, None] = field(default_factory=dict)
     wanted_services: dict[str, None] = field(default_factory=dict)
 
     def send(self, peer: str, payload: PeerPayload) -> None:
         """Send a message to a listed router; messages to others are dropped."""
-        host = self.membership.hosts.get(peer)
-        if host is not None and host.role is HostRole.ROUTER:
-            self.actions.append(SendToPeer(peer, host.address, payload))
+        if self.is_router(peer):
+            self.actions.append(SendToPeer(peer, self.membership.hosts[peer].address, payload))
+
+    def is_router(self, host_id: str) -> bool:
+        """Return whether a router with this identifier is listed."""
+        host = self.membership.hosts.get(host_id)
+        return host is not None and host.role is HostRole.ROUTER
 
     def charge(self, changes: Iterable[ChargeChange]) -> None:
         """Apply corrections of charges."""
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -0,0 +1,437 @@
+"""The decision core: maps messages with their time to actions, without sockets, threads or clocks."""
+
+import math
+import random
+from functools import singledispatchmethod
+
+from limpetusher.configuration.compiled import Configuration
+from limpetusher.configuration.document import load_configuration
+from limpetusher.core.actions import Action, Stopped
+from limpetusher.core.connection.peers import Peers
+from limpetusher.core.context import Context
+from limpetusher.core.inputs import (
+    CallerGone,
+    ConfigurationReceived,
+    HostListReceived,
+    Input,
+    LoadReported,
+    LoadReportFailed,
+    OrderAnswered,
+    PeerMessage,
+    RequestArrived,
+    ResponseEnded,
+    ResponseProgress,
+    ResponseStarted,
+    StopRequested,
+    TimerDue,
+)
+from limpetusher.core.process.backlog import Backlog
+from limpetusher.core.process.demand_book import DemandBook
+from limpetusher.core.process.dispatch import Dispatcher
+from limpetusher.core.process.exchange import Exchange
+from limpetusher.core.process.fairness import Fairness
+from limpetusher.core.process.ledger import Ledger
+from limpetusher.core.process.membership import Membership
+from limpetusher.core.process.offers import Offers
+from limpetusher.core.process.orders import Orders
+from limpetusher.core.process.routes import Routes
+from limpetusher.core.process.shares import Shares
+from limpetusher.core.request.explanation import Explanation, Explanations
+from limpetusher.core.request.idempotency import Witness
+from limpetusher.core.request.lifecycle import Lifecycle
+from limpetusher.core.request.queue import RequestQueue
+from limpetusher.core.request.retry import RetryBudgets
+from limpetusher.core.settings import PolicySettings
+from limpetusher.core.status import CoreStatus, CustomerStatus, TargetStatus
+from limpetusher.core.version.rollout import Rollout
+from limpetusher.errors import ConfigurationError, PolicyError
+from limpetusher.events import Event
+from limpetusher.wire.messages import (
+    AnswerCopy,
+    AnswerRequest,
+    ConfigurationDocument,
+    ConfigurationRequest,
+    Demand,
+    Grant,
+    GrantReturned,
+    Heartbeat,
+    KeyOutcome,
+    KeySync,
+    KeySyncRequest,
+    PeerPayload,
+    Register,
+    Registered,
+    Release,
+    View,
+    ViewRequest,
+)
+
+SEQUENCES_PER_INCARNATION = 1 << 16
+INCARNATION_RANGE = 1 << 32
+DROP_LOG_INTERVAL_SECONDS = 1.0
+WITNESS_RETRY_SECONDS = 0.01
+
+
+class DecisionCore:
+    """All decisions of one router.
+
+    Parameters
+    ----------
+    settings
+        Constants of the policy.
+    own_id, data_centre
+        This router's place in the host list.
+    incarnation
+        Random 64-bit number of this start of the process.
+    rng
+        Source of random numbers.
+    started_at
+        Monotonic time of the start.
+    wall_offset_seconds
+        Wall-clock time minus monotonic time at the start; only fencing numbers use it.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: PolicySettings,
+        own_id: str,
+        data_centre: str,
+        incarnation: int,
+        rng: random.Random,
+        started_at: float,
+        wall_offset_seconds: float = 0.0,
+    ):
+        first_sequence = incarnation % INCARNATION_RANGE * SEQUENCES_PER_INCARNATION
+        peers = Peers(settings, first_sequence=first_sequence)
+        membership = Membership(settings, own_id, peers)
+        self.context = Context(
+            settings=settings,
+            own_id=own_id,
+            data_centre=data_centre,
+            incarnation=incarnation,
+            rng=rng,
+            peers=peers,
+            membership=membership,
+            shares=Shares(settings, own_id, membership, peers, started_at),
+            ledger=Ledger(settings),
+            fairness=Fairness(settings, own_id=own_id, incarnation=incarnation),
+            witness=Witness(settings, own_id, membership, rng, started_at),
+            rollout=Rollout(settings, own_id, membership, peers),
+            orders=Orders(settings, own_id),
+            retries=RetryBudgets(settings),
+            explanations=Explanations(settings),
+            now=started_at,
+        )
+        self.queue = RequestQueue(settings)
+        self.routes = Routes(own_id, membership, self.context.rollout)
+        self.book = DemandBook(settings.grant_valid_seconds)
+        self.backlog = Backlog()
+        self.dispatcher = Dispatcher(self.context, self.routes, self.book, self.backlog)
+        self.offers = Offers(self.context, self.queue, self.routes, self.dispatcher)
+        self.lifecycle = Lifecycle(self.context, self.queue, self.routes, self.offers, self.dispatcher)
+        self.exchange = Exchange(
+            self.context,
+            queue=self.queue,
+            routes=self.routes,
+            backlog=self.backlog,
+            offers=self.offers,
+            dispatcher=self.dispatcher,
+            lifecycle=self.lifecycle,
+            started_at=started_at,
+            wall_offset_seconds=wall_offset_seconds,
+        )
+        self.stop_at = math.inf
+        self.stopped = False
+        self.dropped_messages = 0
+        self.drop_logged_at = -math.inf
+
+    # Entry points
+
+    def handle(self, message: Input, now: float) -> list[Action]:
+        """Handle one input at monotonic time `now` and return the actions to carry out, in order."""
+        context = self.context
+        context.now = max(now, context.now)
+        # What has expired while the process was paused is discarded before anything else is done.
+        self.run_due()
+        self.on_input(message)
+        self.settle()
+        actions, context.actions = context.actions, []
+        return actions
+
+    def next_wakeup(self) -> float:
+        """Return the monotonic time at which `TimerDue` has to be handled if nothing else happens before."""
+        now = self.context.now
+        witness = max(self.context.witness.next_due(now), now + WITNESS_RETRY_SECONDS)
+        return min(
+            self.exchange.next_tick,
+            self.queue.next_deadline(),
+            self.offers.next_due(),
+            self.dispatcher.next_due(),
+            witness,
+            self.stop_at,
+        )
+
+    def explain(self, request_id: str) -> Explanation | None:
+        """Return what was decided about a recent request, None when it is not kept."""
+        return self.context.explanations.get(request_id)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether requests are accepted."""
+        return self.context.ready
+
+    @property
+    def owned_targets(self) -> tuple[str, ...]:
+        """Return the targets whose load reports this router should read."""
+        own_id = self.context.own_id
+        return tuple(target for target, owner in self.routes.owner_of.items() if owner == own_id)
+
+    def status(self) -> CoreStatus:
+        """Return the present state."""
+        context = self.context
+        targets = tuple(
+            TargetStatus(
+                target_id,
+                context.ledger.limit(target_id),
+                context.ledger.count(target_id),
+                self.dispatcher.free_slots(target_id),
+                context.ledger.is_warm(target_id),
+                context.rollout.is_drained(target_id),
+            )
+            for target_id in self.owned_targets
+            if target_id in context.ledger.targets
+        )
+        configuration = context.rollout.configuration
+        customers = tuple(
+            CustomerStatus(
+                customer,
+                self.queue.customer_count(customer),
+                context.fairness.virtual_time(customer),
+                customer in context.fairness.backlogged,
+            )
+            for customer in (configuration.customers if configuration is not None else ())
+        )
+        return CoreStatus(
+            own_id=context.own_id,
+            data_centre=context.data_centre,
+            ready=context.ready,
+            stopping=context.stopping,
+            configuration_version=context.rollout.order[0],
+            host_list_version=context.rollout.host_list_version,
+            waiting=len(self.queue),
+            running=len(self.lifecycle.running),
+            reachable_peers=tuple(peer for peer, up in self.exchange.reachable.items() if up),
+            targets=targets,
+            customers=customers,
+            dropped_messages=self.dropped_messages,
+        )
+
+    # Steps of every input
+
+    def run_due(self) -> None:
+        """Do what has become due, expiry first."""
+        now = self.context.now
+        self.lifecycle.expire()
+        if self.context.witness.next_due(now) <= now:
+            self.lifecycle.keyed.due()
+        self.offers.spread_due()
+        self.dispatcher.unblock_due()
+        if now >= self.exchange.next_tick:
+            self.exchange.tick()
+        if now >= self.stop_at:
+            self.stop_at = math.inf
+            self.lifecycle.stop_waiting()
+
+    def settle(self) -> None:
+        """Use the free slots and send the demands that the input has led to."""
+        self.backlog.replace(self.context.own_id, self.queue.customers())
+        self.dispatcher.fill()
+        self.offers.flush()
+        if self.context.stopping and not self.lifecycle.records and not self.stopped:
+            self.stopped = True
+            self.offers.withdraw_all()
+            self.context.log(Event.ROUTER_STOPPED)
+            self.context.actions.append(Stopped())
+
+    # Inputs
+
+    @singledispatchmethod
+    def on_input(self, message: object) -> None:
+        """Handle one input."""
+        raise PolicyError(f"input of type {type(message).__name__} is not known")
+
+    @on_input.register
+    def _(self, message: TimerDue) -> None:
+        pass
+
+    @on_input.register
+    def _(self, message: RequestArrived) -> None:
+        self.lifecycle.arrived(message)
+
+    @on_input.register
+    def _(self, message: CallerGone) -> None:
+        self.lifecycle.caller_gone(message.request_id)
+
+    @on_input.register
+    def _(self, message: ResponseStarted) -> None:
+        self.lifecycle.started(message.request_id, message.attempt)
+
+    @on_input.register
+    def _(self, message: ResponseProgress) -> None:
+        self.lifecycle.progressed(message)
+
+    @on_input.register
+    def _(self, message: ResponseEnded) -> None:
+        self.lifecycle.ended(message)
+
+    @on_input.register
+    def _(self, message: ConfigurationReceived) -> None:
+        self.offer_configuration(message.configuration)
+
+    @on_input.register
+    def _(self, message: HostListReceived) -> None:
+        context = self.context
+        was_ready = context.ready
+        if not context.rollout.hosts(message.host_list, context.now):
+            return
+        context.shares.hosts_changed(context.now)
+        self.exchange.hosts_changed()
+        self.lifecycle.keyed.apply(context.witness.hosts_changed(message.host_list, context.now))
+        context.log(Event.HOST_LIST_IN_FORCE, version=message.host_list.version)
+        self.configuration_or_hosts_changed(was_ready=was_ready)
+
+    @on_input.register
+    def _(self, message: LoadReported) -> None:
+        self.dispatcher.load_reported(message)
+
+    @on_input.register
+    def _(self, message: LoadReportFailed) -> None:
+        self.dispatcher.connection_failed(message.target_id, block=False)
+
+    @on_input.register
+    def _(self, message: OrderAnswered) -> None:
+        self.context.orders.answered(message.target_id, message.fencing_number, message.accepted)
+        if not message.accepted:
+            self.context.log(Event.ORDER_REFUSED, target=message.target_id)
+
+    @on_input.register
+    def _(self, message: StopRequested) -> None:
+        context = self.context
+        if context.stopping:
+            return
+        context.stopping = True
+        self.stop_at = context.now + context.settings.stop_grace_seconds
+        context.log(Event.ROUTER_STOPPING, waiting=len(self.queue), running=len(self.lifecycle.running))
+        self.exchange.tick()
+
+    @on_input.register
+    def _(self, message: PeerMessage) -> None:
+        context = self.context
+        known = context.peers.incarnation(message.sender)
+        foreign = message.sender == context.own_id or not context.is_router(message.sender)
+        # The first heartbeat of a new incarnation makes it known; the other messages wait for it.
+        if foreign or (known not in (None, message.incarnation) and not isinstance(message.payload, Heartbeat)):
+            self.drop(message.sender, "unlisted sender" if foreign else "other incarnation")
+            return
+        self.on_payload(message.payload, message.sender, message.incarnation)
+
+    # Messages from peers
+
+    @singledispatchmethod
+    def on_payload(self, payload: object, sender: str, incarnation: int) -> None:
+        """Handle one message from a listed peer."""
+        raise PolicyError(f"peer message of type {type(payload).__name__} is not known")
+
+    @on_payload.register
+    def _(self, payload: Heartbeat, sender: str, incarnation: int) -> None:
+        self.exchange.heartbeat(sender, incarnation, payload)
+
+    @on_payload.register
+    def _(self, payload: Demand, sender: str, incarnation: int) -> None:
+        self.dispatcher.demand(sender, payload)
+
+    @on_payload.register
+    def _(self, payload: Grant, sender: str, incarnation: int) -> None:
+        self.lifecycle.granted(sender, payload)
+
+    @on_payload.register
+    def _(self, payload: GrantReturned, sender: str, incarnation: int) -> None:
+        self.dispatcher.returned(payload)
+
+    @on_payload.register
+    def _(self, payload: Release, sender: str, incarnation: int) -> None:
+        self.dispatcher.released(payload)
+
+    @on_payload.register
+    def _(self, payload: ViewRequest, sender: str, incarnation: int) -> None:
+        self.context.send(sender, self.context.fairness.view())
+
+    @on_payload.register
+    def _(self, payload: View, sender: str, incarnation: int) -> None:
+        self.exchange.view(payload)
+
+    @on_payload.register
+    def _(self, payload: ConfigurationRequest, sender: str, incarnation: int) -> None:
+        document = self.context.rollout.document()
+        if document is not None:
+            self.context.send(sender, document)
+
+    @on_payload.register
+    def _(self, payload: ConfigurationDocument, sender: str, incarnation: int) -> None:
+        try:
+            configuration = load_configuration(payload.document)
+        except ConfigurationError as error:
+            self.context.log(Event.CONFIGURATION_REFUSED, peer=sender, problems=str(error))
+            return
+        self.offer_configuration(configuration)
+
+    @on_payload.register(Register)
+    @on_payload.register(Registered)
+    @on_payload.register(KeyOutcome)
+    @on_payload.register(KeySyncRequest)
+    @on_payload.register(KeySync)
+    @on_payload.register(AnswerRequest)
+    @on_payload.register(AnswerCopy)
+    def _(self, payload: PeerPayload, sender: str, incarnation: int) -> None:
+        self.lifecycle.keyed.handle(sender, payload)
+
+    # Changes of configuration and host list
+
+    def offer_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force if it is newer than the present one."""
+        context = self.context
+        was_ready = context.ready
+        change = context.rollout.offer(configuration, context.now)
+        if not change.adopted:
+            if change.older:
+                context.log(Event.CONFIGURATION_OLDER_IGNORED, version=configuration.version)
+            return
+        context.fairness.set_shares(configuration.customers)
+        context.fairness.set_services(configuration.services)
+        context.retries.keep_customers(set(configuration.customers))
+        context.log(
+            Event.CONFIGURATION_IN_FORCE, version=configuration.version, digest=configuration.digest.hex()
+        )
+        self.configuration_or_hosts_changed(was_ready=was_ready)
+        self.lifecycle.refuse_unservable()
+
+    def configuration_or_hosts_changed(self, *, was_ready: bool) -> None:
+        """Bring everything up to date that depends on both, and tell the peers at once."""
+        context = self.context
+        configuration = context.rollout.configuration
+        if configuration is not None:
+            context.ledger.configure(context.membership.targets(), configuration.target_classes)
+        self.exchange.owners_changed()
+        self.exchange.tick()
+        if context.ready and not was_ready:
+            context.log(Event.ROUTER_READY)
+
+    def drop(self, sender: str, reason: str) -> None:
+        """Count a message that is not handled, and log at most one a second."""
+        self.dropped_messages += 1
+        if self.context.now >= self.drop_logged_at + DROP_LOG_INTERVAL_SECONDS:
+            self.drop_logged_at = self.context.now
+            self.context.log(
+                Event.PEER_MESSAGE_DROPPED, peer=sender, reason=reason, dropped=self.dropped_messages
+            )
--- a/packages/limpetusher-core/src/limpetusher/core/inputs.py
+++ b/packages/limpetusher-core/src/limpetusher/core/inputs.py
@@ -66,13 +66,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseEnded:
-    """An attempt ended. `cost` is its final cost (prompt and generation), None when unknown."""
+    """An attempt ended. `cost` is its final cost (prompt and generation), None when unknown.
+
+    For the whole answer to a request with an idempotency key, `body` is the answer if it is short enough to
+    be kept for replay.
+    """
 
     request_id: str
     attempt: int
     outcome: Outcome
     cost: float | None = None
     status: int | None = None
+    content_type: str = ""
+    body: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass
 
 from limpetusher.core.context import Context
+from limpetusher.core.inputs import LoadReported
 from limpetusher.core.process.backlog import Backlog
 from limpetusher.core.process.demand_book import DemandBook, DemandLine
 from limpetusher.core.process.routes import Routes
-from limpetusher.core.request.record import UsedGrant
+from limpetusher.core.request.record import Bucket, UsedGrant
 from limpetusher.events import Event
 from limpetusher.wire.messages import Demand, Grant, GrantReturned, Release
 
@@ -21,6 +22,7 @@
 
     until: float
     seconds: float
+    failed_at: float
 
 
 class Dispatcher:
@@ -36,23 +38,15 @@
         Demand of all routers.
     backlog
         Customers with waiting work anywhere.
-    use_grant
-        Called with a grant to this router itself: customer, service and grant. Returns whether it was used.
     """
 
-    def __init__(
-        self,
-        context: Context,
-        routes: Routes,
-        book: DemandBook,
-        backlog: Backlog,
-        use_grant: Callable[[DemandLine, UsedGrant], bool],
-    ):
+    def __init__(self, context: Context, routes: Routes, book: DemandBook, backlog: Backlog):
         self.context = context
         self.routes = routes
         self.book = book
         self.backlog = backlog
-        self.use_grant = use_grant
+        self.use_grant: Callable[[Bucket, UsedGrant], bool] = lambda bucket, grant: False
+        """Uses a grant that this router issued to itself, and returns whether it could; set by the life cycle."""
         self.blocks: dict[str, Block] = {}
         self.grants = 0
 
@@ -71,6 +65,8 @@
                 context.fairness.observe_cost(change.customer, change.service, message.cost)
         if message.target_failed:
             self.connection_failed(message.target_id)
+        elif message.complete:
+            self.blocks.pop(message.target_id, None)
         context.dirty_targets[message.target_id] = None
 
     def returned(self, message: GrantReturned) -> None:
@@ -83,7 +79,7 @@
             self.connection_failed(message.target_id)
         context.dirty_targets[message.target_id] = None
 
-    def connection_failed(self, target_id: str) -> None:
+    def connection_failed(self, target_id: str, *, block: bool = True) -> None:
         """Count a target as cold after a connection to it failed or broke."""
         context = self.context
         if target_id not in context.ledger.targets:
@@ -91,7 +87,26 @@
         if context.ledger.is_warm(target_id):
             context.log(Event.TARGET_COLD, target=target_id, reason="connection failed")
         context.ledger.connection_failed(target_id, context.now)
-        self.block(target_id)
+        if block:
+            self.block(target_id)
+
+    def load_reported(self, report: LoadReported) -> None:
+        """Take a target's load report."""
+        context, target_id = self.context, report.target_id
+        if target_id not in context.ledger.targets:
+            return
+        context.reports[target_id] = report
+        was_warm = context.ledger.is_warm(target_id)
+        context.ledger.load_reported(report, context.now)
+        is_warm = context.ledger.is_warm(target_id)
+        if was_warm and not is_warm:
+            context.log(Event.TARGET_COLD, target=target_id, reason="load report")
+        elif is_warm and not was_warm:
+            context.log(Event.TARGET_WARM, target=target_id)
+        block = self.blocks.get(target_id)
+        if block is not None and context.now - report.report_age_seconds > block.failed_at:
+            del self.blocks[target_id]
+        context.dirty_targets[target_id] = None
 
     def block(self, target_id: str) -> None:
         """Give no grants for a target for a while.
@@ -101,16 +116,13 @@
         now = self.context.now
         block = self.blocks.get(target_id)
         if block is None:
-            self.blocks[target_id] = Block(now + BLOCK_SECONDS, BLOCK_SECONDS)
-        elif now >= block.until:
+            self.blocks[target_id] = Block(now + BLOCK_SECONDS, BLOCK_SECONDS, now)
+            return
+        block.failed_at = now
+        if now >= block.until:
             block.seconds = min(2 * block.seconds, MAXIMUM_BLOCK_SECONDS)
             block.until = now + block.seconds
 
-    def unblock(self, target_id: str) -> None:
-        """Give grants for a target again after it has been heard from."""
-        if self.blocks.pop(target_id, None) is not None:
-            self.context.dirty_targets[target_id] = None
-
     def unblock_due(self) -> None:
         """Try blocked targets again whose pause is over."""
         for target_id, block in self.blocks.items():
@@ -205,7 +217,7 @@
         context.fairness.charge(customer, estimate)
         valid = context.settings.grant_valid_seconds
         if line.holder == context.own_id:
-            if self.use_grant(line, UsedGrant(grant_id, target_id, context.own_id, now + valid)):
+            if self.use_grant(line.bucket, UsedGrant(grant_id, target_id, context.own_id, now + valid)):
                 return True
             self.returned(GrantReturned(grant_id, target_id))
             return False
--- a/packages/limpetusher-core/src/limpetusher/core/process/offers.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/offers.py
@@ -9,7 +9,7 @@
 from collections import deque
 
 from limpetusher.core.context import Context
-from limpetusher.core.process.demand_book import DemandBook
+from limpetusher.core.process.dispatch import Dispatcher
 from limpetusher.core.process.routes import Routes
 from limpetusher.core.request.explanation import Step
 from limpetusher.core.request.queue import RequestQueue
@@ -33,15 +33,16 @@
         Waiting requests of this router's callers.
     routes
         Owners by service.
-    book
-        Demand at this router as an owner; the own requests are entered directly.
+    dispatcher
+        This router as an owner; the own requests are entered in its demand book directly.
     """
 
-    def __init__(self, context: Context, queue: RequestQueue, routes: Routes, book: DemandBook):
+    def __init__(self, context: Context, queue: RequestQueue, routes: Routes, dispatcher: Dispatcher):
         self.context = context
         self.queue = queue
         self.routes = routes
-        self.book = book
+        self.dispatcher = dispatcher
+        self.book = dispatcher.book
         self.narrow: dict[Bucket, dict[str, int]] = {}
         """Number of requests offered to one owner only, by bucket and owner."""
         self.told: dict[str, dict[Bucket, int]] = {}
@@ -102,7 +103,7 @@
     def free_of(self, owner: str, target_id: str) -> int:
         """Return the free slots of a target as far as this router knows."""
         if owner == self.context.own_id:
-            return self.context.ledger_free(target_id)
+            return self.dispatcher.free_slots(target_id)
         return self.free_slots.get(target_id, 0)
 
     def count_down(self, target_id: str) -> None:
@@ -230,6 +231,11 @@
         for owner in list(self.urgent):
             self.send(owner)
 
+    def withdraw_all(self) -> None:
+        """Withdraw all demand at once, because this router stops."""
+        for owner in list(self.told):
+            self.send(owner)
+
     def refresh(self) -> None:
         """Repeat the demand to all owners, because messages may be lost and counts have changed since."""
         now = self.context.now
--- a/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
@@ -30,20 +30,29 @@
         Targets by service and owner.
     offers
         Demand sent to owners.
+    dispatcher
+        This router as an owner.
     """
 
-    def __init__(self, context: Context, queue: RequestQueue, routes: Routes, offers: Offers):
+    def __init__(
+        self,
+        context: Context,
+        queue: RequestQueue,
+        routes: Routes,
+        offers: Offers,
+        dispatcher: Dispatcher,
+    ):
         self.context = context
         self.queue = queue
         self.routes = routes
         self.offers = offers
+        self.dispatcher = dispatcher
         self.admission = Admission(context, queue, routes)
         self.prefixes = Prefixes()
         self.keyed = KeyedRequests(context, self.admit_registered, self.refuse_registered, self.replayed)
         self.records: dict[str, RequestRecord] = {}
         self.running: dict[str, RequestRecord] = {}
-        self.dispatcher: Dispatcher | None = None
-        """Set by the decision core: takes back the grants that this router issued to itself."""
+        dispatcher.use_grant = self.dispatch
 
     # Arrival and waiting
 
@@ -88,9 +97,10 @@
             self.enqueue(record)
 
     def refuse_registered(self, request_id: str, refusal: Refusal) -> None:
-        """Refuse a request because of what its witnesses answered."""
+        """Refuse a request that has not been sent, because of what its witnesses answered."""
         record = self.records.get(request_id)
-        if record is not None and record.state is RequestState.REGISTERING:
+        if record is not None and record.state is not RequestState.RUNNING:
+            self.leave_queue(record)
             self.refuse(record, refusal)
 
     def replayed(self, request_id: str) -> None:
