--- a/packages/limpetusher-core/src/limpetusher/core/context.py
+++ b/packages/limpetusher-core/src/limpetusher/core/context.py
@@ -26,8 +26,9 @@
 class Context:
     """Identity and parts of one decision core.
 
-    `actions` collects what the present input leads to. `dirty_targets` are owned targets that may have got a free
-    slot, `wanted_services` are services with new demand at this owner; both are dealt with at the end of an input.
+    `actions` collects what the present input leads to. `dirty_targets` are owned targets that may have got a
+    free slot, `wanted_services` are services with new demand at this owner; both are dealt with at the end of
+    an input.
     """
 
     settings: PolicySettings
@@ -78,4 +79,8 @@
     @property
     def ready(self) -> bool:
         """Return whether requests can be accepted."""
-        return self.rollout.configuration is not None and self.membership.version is not None and not self.stopping
+        return (
+            self.rollout.configuration is not None
+            and self.membership.version is not None
+            and not self.stopping
+        )
--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -42,7 +42,7 @@
 from limpetusher.core.request.queue import RequestQueue
 from limpetusher.core.request.retry import RetryBudgets
 from limpetusher.core.settings import PolicySettings
-from limpetusher.core.status import CoreStatus, CustomerStatus, TargetStatus
+from limpetusher.core.status import CoreStatus, customer_statuses, target_statuses
 from limpetusher.core.version.rollout import Rollout
 from limpetusher.errors import ConfigurationError, PolicyError
 from limpetusher.events import Event
@@ -189,41 +189,18 @@
 
     def status(self) -> CoreStatus:
         """Return the present state."""
-        context = self.context
-        targets = tuple(
-            TargetStatus(
-                target_id,
-                context.ledger.limit(target_id),
-                context.ledger.count(target_id),
-                self.dispatcher.free_slots(target_id),
-                context.ledger.is_warm(target_id),
-                context.rollout.is_drained(target_id),
-            )
-            for target_id in self.owned_targets
-            if target_id in context.ledger.targets
-        )
-        configuration = context.rollout.configuration
-        customers = tuple(
-            CustomerStatus(
-                customer,
-                self.queue.customer_count(customer),
-                context.fairness.virtual_time(customer),
-                customer in context.fairness.backlogged,
-            )
-            for customer in (configuration.customers if configuration is not None else ())
-        )
         return CoreStatus(
-            own_id=context.own_id,
-            data_centre=context.data_centre,
-            ready=context.ready,
-            stopping=context.stopping,
-            configuration_version=context.rollout.order[0],
-            host_list_version=context.rollout.host_list_version,
+            own_id=self.context.own_id,
+            data_centre=self.context.data_centre,
+            ready=self.context.ready,
+            stopping=self.context.stopping,
+            configuration_version=self.context.rollout.order[0],
+            host_list_version=self.context.rollout.host_list_version,
             waiting=len(self.queue),
             running=len(self.lifecycle.running),
             reachable_peers=tuple(peer for peer, up in self.exchange.reachable.items() if up),
-            targets=targets,
-            customers=customers,
+            targets=target_statuses(self.context, self.dispatcher, self.owned_targets),
+            customers=customer_statuses(self.context, self.queue),
             dropped_messages=self.dropped_messages,
         )
 
@@ -331,7 +308,9 @@
         known = context.peers.incarnation(message.sender)
         foreign = message.sender == context.own_id or not context.is_router(message.sender)
         # The first heartbeat of a new incarnation makes it known; the other messages wait for it.
-        if foreign or (known not in (None, message.incarnation) and not isinstance(message.payload, Heartbeat)):
+        if foreign or (
+            known not in (None, message.incarnation) and not isinstance(message.payload, Heartbeat)
+        ):
             self.drop(message.sender, "unlisted sender" if foreign else "other incarnation")
             return
         self.on_payload(message.payload, message.sender, message.incarnation)
--- a/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
@@ -9,7 +9,10 @@
 
 @dataclass(slots=True)
 class DemandLine:
-    """Waiting requests of one bucket at one router. `in_flight` counts grants the router has not confirmed."""
+    """Waiting requests of one bucket at one router.
+
+    `in_flight` counts grants that the router has not confirmed.
+    """
 
     holder: str
     bucket: Bucket
--- a/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
@@ -46,7 +46,7 @@
         self.book = book
         self.backlog = backlog
         self.use_grant: Callable[[Bucket, UsedGrant], bool] = lambda bucket, grant: False
-        """Uses a grant that this router issued to itself, and returns whether it could; set by the life cycle."""
+        """Uses a grant to this router itself and returns whether it could; set by the life cycle."""
         self.blocks: dict[str, Block] = {}
         self.grants = 0
 
@@ -184,9 +184,7 @@
                     free[target_id] = slots
         return free
 
-    def choose(
-        self, customer: str, services: Iterable[str], free: dict[str, int]
-    ) -> tuple[DemandLine, str]:
+    def choose(self, customer: str, services: Iterable[str], free: dict[str, int]) -> tuple[DemandLine, str]:
         """Choose among a customer's waiting requests, and the target for it.
 
         A request that prefers a free target comes first, then one of the own data centre, then the oldest.
--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -195,7 +195,7 @@
         )
 
     def ask_for_state(self) -> None:
-        """Ask a reachable peer for virtual times after a start, and for a configuration while there is none."""
+        """Ask a peer for virtual times after a start, and for a configuration while there is none."""
         context, now = self.context, self.context.now
         nearest = self.nearest_peer()
         if nearest is None:
--- a/packages/limpetusher-core/src/limpetusher/core/process/offers.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/offers.py
@@ -1,8 +1,8 @@
 """Demand sent to owners: the first offer of a request, its spread, withdrawal and refresh.
 
-What each owner was told is kept by bucket. A demand is sent at once when an owner knows of no waiting request of
-a bucket that has one, a little later when all requests of a bucket are gone, and at intervals while requests wait.
-Changes of a count in between cause no message: an owner counts its own grants down by itself.
+What each owner was told is kept by bucket. A demand is sent at once when an owner knows of no waiting request
+of a bucket that has one, a little later when all requests of a bucket are gone, and at intervals while requests
+wait. Changes of a count in between cause no message: an owner counts its own grants down by itself.
 """
 
 import math
@@ -78,8 +78,8 @@
     def first_owner(self, record: RequestRecord, owners: dict[str, tuple[str, ...]]) -> str:
         """Choose the owner that hears of a request first.
 
-        The order is: a target with the request's prefix in its cache and a free slot, the own data centre, free
-        slots last heard of, this router itself, a random one.
+        The order is: a target with the request's prefix in its cache and a free slot, any free slot, the own
+        data centre, the number of free slots last heard of, this router itself, a random one.
         """
         membership = self.context.membership
         for target_id in record.preferred:
@@ -161,7 +161,7 @@
         return self.spread_count(bucket) + self.narrow.get(bucket, {}).get(owner, 0)
 
     def touch(self, bucket: Bucket, owner: str) -> None:
-        """Compare what the owner knows of the bucket with what it should know, and plan a message if needed."""
+        """Plan a message if what the owner knows of the bucket differs too much from what it should know."""
         count = self.count_for(owner, bucket)
         if owner == self.context.own_id:
             self.enter_own(bucket, count)
--- a/packages/limpetusher-core/src/limpetusher/core/request/keyed.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/keyed.py
@@ -21,7 +21,7 @@
 
 
 class KeyedRequests:
-    """Connects the requests of this router's callers to its witness part. Requests without a key pass through.
+    """Connects the requests of this router's callers to its witness part; those without a key pass through.
 
     Parameters
     ----------
--- a/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
@@ -6,7 +6,13 @@
 from limpetusher.core.process.dispatch import Dispatcher
 from limpetusher.core.process.offers import Offers
 from limpetusher.core.process.routes import Routes
-from limpetusher.core.request.admission import Admission, Refusal, deadline_passed, no_capacity_in_time, stopping
+from limpetusher.core.request.admission import (
+    Admission,
+    Refusal,
+    deadline_passed,
+    no_capacity_in_time,
+    stopping,
+)
 from limpetusher.core.request.explanation import Step
 from limpetusher.core.request.keyed import KeyedRequests
 from limpetusher.core.request.prefixes import Prefixes
@@ -179,7 +185,7 @@
         self.offers.granted_by(owner, bucket, grant.number)
 
     def dispatch(self, bucket: Bucket, grant: UsedGrant) -> bool:
-        """Send a waiting request of the bucket under the grant; return whether there was one that may be sent."""
+        """Send a waiting request of the bucket under the grant; return False when none may be sent."""
         context, now = self.context, self.context.now
         if not self.routes.serves(grant.target_id, bucket.service):
             return False
@@ -339,9 +345,7 @@
             text = "the connection to the target broke before the answer began"
             refusal = Refusal(502, RefusalCode.TARGET_FAILED, text, ran)
         else:
-            self.context.log(
-                Event.ANSWER_CUT, request_id=record.request_id, target=record.grant.target_id
-            )
+            self.context.log(Event.ANSWER_CUT, request_id=record.request_id, target=record.grant.target_id)
             text = "the connection to the target broke within the answer"
             refusal = Refusal(502, RefusalCode.ANSWER_CUT, text, ran)
         self.refuse(record, refusal)
--- a/packages/limpetusher-core/src/limpetusher/core/request/record.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/record.py
@@ -2,6 +2,7 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from limpetusher.core.inputs import RequestArrived
 
@@ -17,23 +18,11 @@
     """It was handed to the process for dispatch and has not ended."""
 
 
-class Bucket(tuple):
+class Bucket(NamedTuple):
     """Customer and service: the unit in which waiting requests are queued and offered."""
 
-    __slots__ = ()
-
-    def __new__(cls, customer: str, service: str) -> "Bucket":
-        return super().__new__(cls, (customer, service))
-
-    @property
-    def customer(self) -> str:
-        """Return the customer's identifier."""
-        return self[0]
-
-    @property
-    def service(self) -> str:
-        """Return the name of the service."""
-        return self[1]
+    customer: str
+    service: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/limpetusher-core/src/limpetusher/core/request/retry.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/retry.py
@@ -29,9 +29,9 @@
 class RetryBudgets:
     """Decides whether an idempotent request may be sent again.
 
-    Only complete answers earn tokens, `retry_ratio` each. Retries are therefore at most that part of the useful work
-    plus a bounded burst, and stop by themselves when the targets no longer complete requests. The fleet's budget needs
-    no messages: it is the sum of the routers' parts.
+    Only complete answers earn tokens, `retry_ratio` each. Retries are therefore at most that part of the
+    useful work plus a bounded burst, and stop by themselves when the targets no longer complete requests. The
+    fleet's budget needs no messages: it is the sum of the routers' parts.
     """
 
     def __init__(self, settings: PolicySettings):
--- a/packages/limpetusher-core/src/limpetusher/core/status.py
+++ b/packages/limpetusher-core/src/limpetusher/core/status.py
@@ -1,7 +1,12 @@
 """What a decision core tells about its state to the admin server and to tests."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from limpetusher.core.context import Context
+from limpetusher.core.process.dispatch import Dispatcher
+from limpetusher.core.request.queue import RequestQueue
+
 
 @dataclass(frozen=True, slots=True)
 class TargetStatus:
@@ -41,3 +46,35 @@
     targets: tuple[TargetStatus, ...]
     customers: tuple[CustomerStatus, ...]
     dropped_messages: int
+
+
+def target_statuses(
+    context: Context, dispatcher: Dispatcher, target_ids: Iterable[str]
+) -> tuple[TargetStatus, ...]:
+    """Return the state of owned targets."""
+    return tuple(
+        TargetStatus(
+            target_id,
+            context.ledger.limit(target_id),
+            context.ledger.count(target_id),
+            dispatcher.free_slots(target_id),
+            context.ledger.is_warm(target_id),
+            context.rollout.is_drained(target_id),
+        )
+        for target_id in target_ids
+        if target_id in context.ledger.targets
+    )
+
+
+def customer_statuses(context: Context, queue: RequestQueue) -> tuple[CustomerStatus, ...]:
+    """Return the state of the configured customers."""
+    configuration = context.rollout.configuration
+    return tuple(
+        CustomerStatus(
+            customer,
+            queue.customer_count(customer),
+            context.fairness.virtual_time(customer),
+            customer in context.fairness.backlogged,
+        )
+        for customer in (configuration.customers if configuration is not None else ())
+    )
--- /dev/null
+++ b/tests/core_harness.py
@@ -0,0 +1,217 @@
+"""In-memory fleet of decision cores with simulated time, network and targets, driven by a seeded event queue."""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from limpetusher.configuration.compiled import Configuration, HostList, HostRole
+from limpetusher.core.actions import Action, CancelDispatch, Dispatch, Refuse, Replay, SendToPeer, Stopped
+from limpetusher.core.decision import DecisionCore
+from limpetusher.core.inputs import (
+    ConfigurationReceived,
+    HostListReceived,
+    Input,
+    LoadReported,
+    Outcome,
+    PeerMessage,
+    RequestArrived,
+    ResponseEnded,
+    ResponseStarted,
+    TimerDue,
+)
+from limpetusher.core.settings import PolicySettings
+
+REPORT_INTERVAL_SECONDS = 0.25
+
+
+@dataclass
+class FakeTarget:
+    """A target that answers each request after `seconds` and counts what runs at once."""
+
+    seconds: float = 0.1
+    cost: float = 100.0
+    warm: bool = True
+    boot_id: str = "boot-1"
+    refuses_connections: bool = False
+    running: dict[tuple[str, int, str], float] = field(default_factory=dict)
+    most_running: int = 0
+    starts: list[tuple[float, str]] = field(default_factory=list)
+
+
+class Fleet:
+    """Several routers, their targets and the network between them.
+
+    `cut` holds the pairs of routers that cannot reach each other, `loss` is the part of peer messages that is
+    lost. `paused` routers keep their inputs until they are woken.
+    """
+
+    def __init__(self, hosts: HostList, configuration: Configuration, *, seed: int = 1, **settings: object):
+        self.hosts, self.configuration = hosts, configuration
+        self.settings = PolicySettings(**{"fresh_fleet": True, **settings})
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.order = itertools.count()
+        self.cores: dict[str, DecisionCore] = {}
+        self.targets = {h.host_id: FakeTarget() for h in hosts.hosts if h.role is HostRole.TARGET}
+        self.cut: set[frozenset[str]] = set()
+        self.loss = 0.0
+        self.delay = 0.001
+        self.paused: dict[str, list[Input]] = {}
+        self.stopped: set[str] = set()
+        self.answers: dict[str, tuple[float, object]] = {}
+        """When and how each caller was answered: an `Outcome`, a `Refuse` or a `Replay`."""
+        self.runs: Counter[str] = Counter()
+        self.messages: Counter[str] = Counter()
+        self.handled: Counter[str] = Counter()
+        for host in hosts.hosts:
+            if host.role is HostRole.ROUTER:
+                self.start(host.host_id)
+        self.at(0.0, self.report)
+
+    def at(self, delay: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (self.now + delay, next(self.order), event))
+
+    def run(self, seconds: float) -> None:
+        """Let simulated time pass."""
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            self.now, _, event = heapq.heappop(self.events)
+            event()
+        self.now = end
+
+    # Routers
+
+    def start(self, router: str) -> None:
+        """Start a router, or restart it without its state."""
+        place = next(host.data_centre for host in self.hosts.hosts if host.host_id == router)
+        core = DecisionCore(
+            settings=self.settings,
+            own_id=router,
+            data_centre=place,
+            incarnation=self.rng.getrandbits(64),
+            rng=random.Random(self.rng.random()),
+            started_at=self.now,
+        )
+        self.cores[router] = core
+        self.give(router, HostListReceived(self.hosts))
+        self.give(router, ConfigurationReceived(self.configuration))
+
+    def kill(self, router: str) -> None:
+        del self.cores[router]
+
+    def pause(self, router: str) -> None:
+        self.paused[router] = []
+
+    def wake(self, router: str) -> None:
+        for message in [TimerDue(), *self.paused.pop(router)]:
+            self.give(router, message)
+
+    def publish(self, message: Configuration | HostList) -> None:
+        """Give a new configuration or host list to all routers."""
+        if isinstance(message, HostList):
+            self.hosts = message
+        else:
+            self.configuration = message
+        wrapper = HostListReceived if isinstance(message, HostList) else ConfigurationReceived
+        for router in list(self.cores):
+            self.give(router, wrapper(message))
+
+    def request(self, router: str, request: RequestArrived) -> None:
+        self.give(router, request)
+
+    def give(self, router: str, message: Input) -> None:
+        """Let a router handle an input, carry out the actions and set its timer."""
+        if router in self.paused:
+            self.paused[router].append(message)
+            return
+        core = self.cores.get(router)
+        if core is None:
+            return
+        self.handled[router] += 1
+        for action in core.handle(message, self.now):
+            self.carry_out(router, action)
+        wakeup = core.next_wakeup()
+        assert wakeup > self.now, "the core asks to be woken at once, which is a busy loop"
+        self.at(wakeup - self.now, lambda: self.timer(router, core, wakeup))
+
+    def timer(self, router: str, core: DecisionCore, wakeup: float) -> None:
+        if self.cores.get(router) is core and router not in self.paused and core.next_wakeup() <= wakeup:
+            self.give(router, TimerDue())
+
+    def carry_out(self, router: str, action: Action) -> None:
+        match action:
+            case SendToPeer():
+                self.send(router, action)
+            case Dispatch():
+                self.dispatch(router, action)
+            case CancelDispatch():
+                target_ids = [t for t in self.targets if self.key(router, action) in self.targets[t].running]
+                for target_id in target_ids:
+                    self.finish(router, action, target_id, Outcome.CANCELLED)
+            case Refuse() | Replay():
+                self.answer(action.request_id, action)
+            case Stopped():
+                self.stopped.add(router)
+                self.kill(router)
+
+    def answer(self, request_id: str, how: object) -> None:
+        assert request_id not in self.answers, f"request {request_id} was answered twice"
+        self.answers[request_id] = (self.now, how)
+
+    def send(self, sender: str, action: SendToPeer) -> None:
+        self.messages[type(action.payload).__name__] += 1
+        if frozenset((sender, action.peer)) in self.cut or self.rng.random() < self.loss:
+            return
+        incarnation = self.cores[sender].context.incarnation
+        message = PeerMessage(sender, incarnation, action.payload)
+        self.at(self.delay, lambda: self.give(action.peer, message))
+
+    # Targets
+
+    @staticmethod
+    def key(router: str, action: Dispatch | CancelDispatch) -> tuple[str, int, str]:
+        return (action.request_id, action.attempt, router)
+
+    def dispatch(self, router: str, action: Dispatch) -> None:
+        target = self.targets[action.target_id]
+        if self.now >= action.send_before or target.refuses_connections:
+            ended = ResponseEnded(action.request_id, action.attempt, Outcome.NOT_SENT)
+            self.at(self.delay, lambda: self.give(router, ended))
+            return
+        target.running[self.key(router, action)] = self.now
+        target.most_running = max(target.most_running, len(target.running))
+        target.starts.append((self.now, action.request_id))
+        self.runs[action.request_id] += 1
+        self.at(target.seconds, lambda: self.finish(router, action, action.target_id, Outcome.COMPLETE))
+
+    def finish(
+        self, router: str, action: Dispatch | CancelDispatch, target_id: str, outcome: Outcome
+    ) -> None:
+        target = self.targets[target_id]
+        if target.running.pop(self.key(router, action), None) is None:
+            return
+        if router in self.cores and outcome is Outcome.COMPLETE:
+            self.give(router, ResponseStarted(action.request_id, action.attempt))
+            self.answer(action.request_id, outcome)
+        ended = ResponseEnded(action.request_id, action.attempt, outcome, target.cost, 200, "text", b"answer")
+        self.at(0.0, lambda: self.give(router, ended))
+
+    def break_connections(self, target_id: str) -> None:
+        """Let a target drop all its connections before it has answered."""
+        for request_id, attempt, router in list(self.targets[target_id].running):
+            action = CancelDispatch(request_id, attempt)
+            self.finish(router, action, target_id, Outcome.CUT_BEFORE_OUTPUT)
+
+    def report(self) -> None:
+        """Give every owner the load reports of its targets."""
+        self.at(REPORT_INTERVAL_SECONDS, self.report)
+        for router in list(self.cores):
+            core = self.cores[router]
+            for target_id in core.owned_targets:
+                target = self.targets[target_id]
+                running = len(target.running)
+                self.give(router, LoadReported(target_id, running, target.warm, target.boot_id, 0.0))
