--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -222,7 +222,9 @@
 
     def settle(self) -> None:
         """Use the free slots and send the demands that the input has led to."""
-        self.backlog.replace(self.context.own_id, self.queue.customers())
+        if self.queue.customers_changed:
+            self.queue.customers_changed = False
+            self.backlog.replace(self.context.own_id, self.queue.customers())
         self.dispatcher.fill()
         self.offers.flush()
         if self.context.stopping and not self.lifecycle.records and not self.stopped:
--- a/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
@@ -106,6 +106,10 @@
         line.waiting, line.oldest_at, line.preferred = waiting, oldest_at, preferred
         self.relist(line)
 
+    def holder_customers(self, holder: str) -> Iterator[str]:
+        """Return the customers in a router's demand."""
+        return (bucket.customer for bucket in self.holder(holder).lines)
+
     def drop(self, holder: str) -> None:
         """Forget the demand of a router that is unreachable or has restarted."""
         demand = self.holders.pop(holder, None)
--- a/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
@@ -52,8 +52,14 @@
 
     def demand(self, sender: str, message: Demand) -> None:
         """Take a router's demand."""
-        for service in self.book.replace(sender, message, self.context.now):
-            self.context.wanted_services[service] = None
+        services = self.book.replace(sender, message, self.context.now)
+        self.context.wanted_services.update(dict.fromkeys(services))
+        self.backlog.replace(demand_source(sender), self.book.holder_customers(sender))
+
+    def drop_demand(self, sender: str) -> None:
+        """Forget the demand of a router that is unreachable, unlisted or restarted."""
+        self.book.drop(sender)
+        self.backlog.drop(demand_source(sender))
 
     def released(self, message: Release) -> None:
         """Free the slot of a request that has ended."""
@@ -223,3 +229,8 @@
         echo = max(self.book.holder(line.holder).sequence, context.peers.echo_for(line.holder))
         context.send(line.holder, Grant(grant_id, number, target_id, service, customer, echo, valid))
         return True
+
+
+def demand_source(router: str) -> str:
+    """Return the name under which the customers in a router's demand are entered in the backlog."""
+    return f"demand of {router}"
--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -112,7 +112,7 @@
         context = self.context
         self.reachable[peer] = False
         self.unheard_since[peer] = context.now + context.settings.peer_forget_seconds
-        self.book.drop(peer)
+        self.dispatcher.drop_demand(peer)
         self.backlog.drop(peer)
         self.offers.forget(peer)
         context.log(Event.PEER_UNREACHABLE, peer=peer)
@@ -251,7 +251,7 @@
         if change.outdated:
             return
         if change.restarted:
-            self.book.drop(sender)
+            self.dispatcher.drop_demand(sender)
             self.offers.forget(sender)
             context.fairness.peer_restarted(sender)
         self.found(sender)
@@ -297,6 +297,6 @@
                 self.lost(peer)
                 del self.reachable[peer]
             self.unheard_since.pop(peer, None)
-            self.book.drop(peer)
+            self.dispatcher.drop_demand(peer)
             self.backlog.drop(peer)
             self.offers.forget(peer)
--- a/packages/limpetusher-core/src/limpetusher/core/process/offers.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/offers.py
@@ -1,8 +1,9 @@
 """Demand sent to owners: the first offer of a request, its spread, withdrawal and refresh.
 
-What each owner was told is kept by bucket. A demand is sent at once when an owner knows of no waiting request
-of a bucket that has one, a little later when all requests of a bucket are gone, and at intervals while requests
-wait. Changes of a count in between cause no message: an owner counts its own grants down by itself.
+What each owner was told is kept by bucket. A demand is sent at once when an owner knows of no waiting
+request of a bucket that has one, a little later when all requests of a bucket are gone, and at intervals
+while requests wait. Changes of a count in between cause no message: an owner counts its own grants down by
+itself.
 """
 
 import math
--- a/packages/limpetusher-core/src/limpetusher/core/request/queue.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/queue.py
@@ -95,6 +95,8 @@
         self.records: dict[str, RequestRecord] = {}
         self.buckets: dict[Bucket, BucketQueue] = {}
         self.customer_counts: dict[str, int] = {}
+        self.customers_changed = False
+        """Set when a customer begins or ceases to wait; reset by the reader."""
         self.deadlines: list[tuple[float, int, RequestRecord]] = []
         self.order = itertools.count()
 
@@ -127,6 +129,7 @@
         queue.add(record, first=first)
         self.records[record.request_id] = record
         self.customer_counts[bucket.customer] = self.customer_count(bucket.customer) + 1
+        self.customers_changed |= self.customer_counts[bucket.customer] == 1
         heapq.heappush(self.deadlines, (record.deadline, next(self.order), record))
 
     def next_for(self, bucket: Bucket, target_id: str) -> RequestRecord | None:
@@ -152,6 +155,7 @@
         self.customer_counts[bucket.customer] -= 1
         if not self.customer_counts[bucket.customer]:
             del self.customer_counts[bucket.customer]
+            self.customers_changed = True
         self.compact()
         return record
 
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -1,4 +1,4 @@
-"""In-memory fleet of decision cores with simulated time, network and targets, driven by a seeded event queue."""
+"""In-memory fleet of decision cores with simulated time, network and targets."""
 
 import heapq
 import itertools
