--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -0,0 +1,423 @@
+"""The caller port: one component that owns the listening socket and all callers' connections."""
+
+import errno
+import logging
+import math
+import socket
+import struct
+
+from circuits.core import BaseComponent, handler
+from circuits.core.pollers import EPoll
+from limpetusher.clock import Clock
+from limpetusher.core.actions import Ran, RefusalCode
+
+from limpetusher_router.connection.caller_connection import CallerConnection, CallerState
+from limpetusher_router.connection.framing import BodyReader, find_head, parse_request_head
+from limpetusher_router.errors import FramingError
+from limpetusher_router.events import (
+    CALLERS,
+    REQUESTS,
+    CallerBlocked,
+    CallerLost,
+    CallerUnblocked,
+    Due,
+    RequestReceived,
+)
+from limpetusher_router.process.deadlines import Deadlines
+from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.request.answers import error_body, error_headers, reason_phrase
+from limpetusher_router.request.identifiers import RequestIdentifiers
+from limpetusher_router.settings import RouterSettings, split_address
+
+ACCEPTS_PER_EVENT = 64
+ACCEPT_PAUSE_SECONDS = 0.1
+BACKLOG = 1024
+BODY_PROGRESS_BYTES = 1024
+LINGER_SECONDS = 2.0
+READ_BYTES = 65_536
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+BODYLESS_STATUSES = frozenset({204, 304})
+
+logger = logging.getLogger(__name__)
+
+
+class CallerServer(BaseComponent):
+    """Reads requests from callers and writes answers to them.
+
+    Requests of one connection are handed on one at a time. Bytes of later requests stay in the connection's
+    buffer, or in the socket once the buffer is full, and are read when the answer before them is finished.
+    """
+
+    channel = CALLERS
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        *,
+        clock: Clock,
+        deadlines: Deadlines,
+        poller: EPoll,
+        identifiers: RequestIdentifiers,
+        metrics: Metrics,
+    ):
+        super().__init__()
+        self.settings = settings
+        self.clock = clock
+        self.deadlines = deadlines
+        self.poller = poller
+        self.identifiers = identifiers
+        self.metrics = metrics
+        self.connections: dict[socket.socket, CallerConnection] = {}
+        self.in_progress: dict[str, CallerConnection] = {}
+        self.stopping = False
+        self.listener: socket.socket | None = socket.create_server(
+            split_address(settings.caller_address), backlog=BACKLOG
+        )
+        self.listener.setblocking(False)
+        poller.addReader(self, self.listener)
+
+    @handler("_read")
+    def on_readable(self, sock: socket.socket) -> None:
+        """Accept connections, or read from one."""
+        if sock is self.listener:
+            self.accept()
+            return
+        connection = self.connections.get(sock)
+        if connection is None:
+            return
+        try:
+            self.read(connection)
+        except FramingError as error:
+            self.refuse(connection, error.status, error.code, error.message)
+        except Exception:
+            logger.exception("reading from a caller failed")
+            self.drop(connection)
+
+    @handler("_write")
+    def on_writable(self, sock: socket.socket) -> None:
+        """Write what waits for a caller."""
+        connection = self.connections.get(sock)
+        if connection is not None:
+            self.flush(connection)
+
+    @handler("_disconnect", "_error")
+    def on_disconnect(self, sock: socket.socket, *_: object) -> None:
+        """Forget a connection that the poller reports as broken."""
+        connection = self.connections.get(sock)
+        if connection is not None:
+            self.drop(connection)
+
+    def accept(self) -> None:
+        """Accept waiting connections, some at a time so that others are served in between."""
+        for _ in range(ACCEPTS_PER_EVENT):
+            try:
+                sock, _address = self.listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                logger.warning("accepting a connection failed: %s", errno.errorcode.get(error.errno, error))
+                self.poller.removeReader(self.listener)
+                self.deadlines.schedule_in(ACCEPT_PAUSE_SECONDS, Due(), CALLERS)
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = CallerConnection(sock)
+            self.connections[sock] = connection
+            self.poller.addReader(self, sock)
+            if len(self.connections) > self.settings.max_caller_connections:
+                self.refuse(connection, 503, RefusalCode.NO_CAPACITY, "too many connections", retry_after=1.0)
+            else:
+                self.set_due(connection, self.settings.idle_timeout_seconds)
+
+    def read(self, connection: CallerConnection) -> None:
+        """Read from a connection and hand on a request that is complete."""
+        try:
+            data = connection.sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self.drop(connection)
+            return
+        if not data:
+            self.drop(connection)
+        elif connection.state is not CallerState.LINGER:
+            connection.buffer += data
+            self.parse(connection)
+            if len(connection.buffer) > self.settings.max_header_bytes and not connection.paused:
+                connection.paused = True
+                self.poller.removeReader(connection.sock)
+
+    def parse(self, connection: CallerConnection) -> None:
+        """Parse the buffered bytes up to the end of one request."""
+        if connection.state is CallerState.HEAD:
+            self.parse_head(connection)
+        if connection.state is CallerState.BODY:
+            self.parse_body(connection)
+
+    def parse_head(self, connection: CallerConnection) -> None:
+        """Parse a head once it is complete."""
+        buffer = connection.buffer
+        while buffer.startswith(b"\r\n"):
+            del buffer[:2]
+        if not buffer:
+            return
+        if not connection.head_started:
+            connection.head_started = True
+            self.set_due(connection, self.settings.header_timeout_seconds)
+        length = find_head(buffer, self.settings.max_header_bytes)
+        if length is None:
+            return
+        head = parse_request_head(bytes(buffer[:length]))
+        connection.request_id = self.identifiers.next()
+        connection.head = head
+        connection.body_reader = BodyReader(
+            length=None if head.chunked else head.content_length,
+            chunked=head.chunked,
+            limit=self.settings.max_body_bytes,
+        )
+        del buffer[:length]
+        connection.state = CallerState.BODY
+        self.set_due(connection, self.settings.idle_timeout_seconds)
+        if head.expects_continue and not connection.body_reader.complete and not buffer:
+            connection.add_output(CONTINUE)
+            self.flush(connection)
+
+    def parse_body(self, connection: CallerConnection) -> None:
+        """Collect the body and hand on the request once it is complete."""
+        body, rest = connection.body_reader.feed(bytes(connection.buffer))
+        connection.buffer[:] = rest
+        connection.body_parts.append(body)
+        connection.body_since_reset += len(body)
+        if connection.body_reader.complete:
+            connection.state = CallerState.ANSWER
+            connection.closing = not connection.head.keep_alive
+            self.set_due(connection, math.inf)
+            self.in_progress[connection.request_id] = connection
+            whole = b"".join(connection.body_parts)
+            connection.body_parts = []
+            self.fire(RequestReceived(connection.request_id, connection.head, whole), REQUESTS)
+        elif connection.body_since_reset >= BODY_PROGRESS_BYTES:
+            # A body must make some progress within the idle time, so that single bytes can't hold a connection.
+            connection.body_since_reset = 0
+            self.set_due(connection, self.settings.idle_timeout_seconds)
+
+    def refuse(
+        self,
+        connection: CallerConnection,
+        status: int,
+        code: str,
+        message: str,
+        *,
+        retry_after: float | None = None,
+    ) -> None:
+        """Answer bytes that are no acceptable request and close the connection."""
+        if connection.sock not in self.connections:
+            return
+        request_id = connection.request_id or self.identifiers.next()
+        body = error_body(code=code, message=message, request_id=request_id, ran=Ran.NO)
+        headers = {**error_headers(status=status, retry_after_seconds=retry_after), "x-request-id": request_id}
+        connection.closing = True
+        connection.buffer.clear()
+        self.write_head(connection, status, headers, len(body))
+        connection.add_output(body)
+        self.finish(connection)
+
+    def write_head(
+        self, connection: CallerConnection, status: int, headers: dict[str, str], length: int | None
+    ) -> None:
+        """Queue the head of an answer."""
+        old = connection.head is not None and connection.head.version == (1, 0)
+        connection.closing = connection.closing or self.stopping or (old and length is None)
+        connection.chunked_answer = length is None and not old
+        connection.remaining_answer = length
+        lines = [f"HTTP/1.1 {status} {reason_phrase(status)}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if connection.chunked_answer:
+            lines.append("transfer-encoding: chunked")
+        elif length is not None and status not in BODYLESS_STATUSES:
+            lines.append(f"content-length: {length}")
+        if connection.closing:
+            lines.append("connection: close")
+        elif old:
+            lines.append("connection: keep-alive")
+        connection.add_output("\r\n".join([*lines, "", ""]).encode("latin-1"))
+        self.metrics.answered(status)
+
+    @handler("SendAnswer")
+    def on_answer(self, request_id: str, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Send a whole answer."""
+        connection = self.in_progress.get(request_id)
+        if connection is None:
+            return
+        self.write_head(connection, status, headers, len(body))
+        if connection.head.method != "HEAD" and status not in BODYLESS_STATUSES:
+            connection.add_output(body)
+        self.finish(connection)
+
+    @handler("SendHead")
+    def on_head(self, request_id: str, status: int, headers: dict[str, str], length: int | None) -> None:
+        """Begin an answer."""
+        connection = self.in_progress.get(request_id)
+        if connection is not None:
+            self.write_head(connection, status, headers, length)
+
+    @handler("SendPart")
+    def on_part(self, request_id: str, data: bytes) -> None:
+        """Send a part of an answer."""
+        connection = self.in_progress.get(request_id)
+        if connection is None or not data:
+            return
+        if connection.chunked_answer:
+            connection.add_output(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            connection.add_output(data)
+            if connection.remaining_answer is not None:
+                connection.remaining_answer -= len(data)
+        self.flush(connection)
+
+    @handler("SendEnd")
+    def on_end(self, request_id: str) -> None:
+        """Finish an answer; one that is shorter than announced is reset."""
+        connection = self.in_progress.get(request_id)
+        if connection is None:
+            return
+        if connection.chunked_answer:
+            connection.add_output(b"0\r\n\r\n")
+        elif connection.remaining_answer and connection.head.method != "HEAD":
+            self.on_abort(request_id)
+            return
+        self.finish(connection)
+
+    @handler("AbortAnswer")
+    def on_abort(self, request_id: str) -> None:
+        """Reset the connection of a truncated answer."""
+        connection = self.in_progress.pop(request_id, None)
+        if connection is not None:
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.drop(connection)
+
+    @handler("CloseIdleCallers")
+    def on_close_idle(self) -> None:
+        """Accept no more connections and close those without a request."""
+        if self.listener is not None:
+            self.accept()
+            self.poller.discard(self.listener)
+            self.listener.close()
+            self.listener = None
+        self.stopping = True
+        for connection in list(self.connections.values()):
+            if connection.state is CallerState.HEAD and not connection.head_started and not connection.out:
+                self.drop(connection)
+
+    def finish(self, connection: CallerConnection) -> None:
+        """Go on to the caller's next request, or close the connection, after an answer was queued."""
+        self.in_progress.pop(connection.request_id, None)
+        connection.begin_request()
+        connection.reader_blocked = False
+        if connection.closing or self.stopping:
+            connection.state = CallerState.LINGER
+            connection.buffer.clear()
+        else:
+            connection.state = CallerState.HEAD
+            self.set_due(connection, self.settings.idle_timeout_seconds)
+        self.flush(connection)
+        if connection.sock not in self.connections:
+            return
+        if connection.paused:
+            connection.paused = False
+            self.poller.addReader(self, connection.sock)
+        if connection.buffer:
+            try:
+                self.parse(connection)
+            except FramingError as error:
+                self.refuse(connection, error.status, error.code, error.message)
+
+    def flush(self, connection: CallerConnection) -> None:
+        """Write queued bytes, watch for room for the rest and tell the sender when to wait."""
+        try:
+            written = connection.write()
+        except OSError:
+            self.drop(connection)
+            return
+        if bool(connection.out) != connection.writing:
+            connection.writing = bool(connection.out)
+            if connection.writing:
+                self.poller.addWriter(self, connection.sock)
+            else:
+                self.poller.removeWriter(connection.sock)
+        if connection.out:
+            if written or math.isinf(connection.due_at):
+                self.set_due(connection, self.settings.idle_timeout_seconds)
+        elif connection.state is CallerState.ANSWER:
+            connection.due_at = math.inf
+        elif connection.state is CallerState.LINGER:
+            self.linger(connection)
+        self.signal_sender(connection)
+
+    def signal_sender(self, connection: CallerConnection) -> None:
+        """Stop or restart the sender of the answer according to the buffered bytes."""
+        if connection.state is not CallerState.ANSWER:
+            return
+        limit = self.settings.caller_buffer_bytes
+        if not connection.reader_blocked and connection.out_bytes > limit:
+            connection.reader_blocked = True
+            self.fire(CallerBlocked(connection.request_id), REQUESTS)
+        elif connection.reader_blocked and connection.out_bytes <= limit // 2:
+            connection.reader_blocked = False
+            self.fire(CallerUnblocked(connection.request_id), REQUESTS)
+
+    def linger(self, connection: CallerConnection) -> None:
+        """Close the sending side; a close with unread bytes would reset the answer on its way."""
+        try:
+            connection.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.drop(connection)
+            return
+        self.set_due(connection, LINGER_SECONDS)
+
+    def drop(self, connection: CallerConnection) -> None:
+        """Close a connection; the request in progress on it loses its caller."""
+        if self.connections.pop(connection.sock, None) is None:
+            return
+        self.poller.discard(connection.sock)
+        connection.sock.close()
+        if connection.deadline is not None:
+            connection.deadline.cancel()
+        if self.in_progress.pop(connection.request_id, None) is not None:
+            self.fire(CallerLost(connection.request_id), REQUESTS)
+
+    def set_due(self, connection: CallerConnection, seconds: float) -> None:
+        """Set when the connection times out."""
+        connection.due_at = self.clock.monotonic() + seconds
+        self.watch_deadline(connection)
+
+    def watch_deadline(self, connection: CallerConnection) -> None:
+        """Keep an entry of the deadline heap no later than the connection's time-out."""
+        present = connection.deadline
+        if math.isinf(connection.due_at) or (present is not None and present.when <= connection.due_at):
+            return
+        if present is not None:
+            present.cancel()
+        connection.deadline = self.deadlines.schedule(connection.due_at, Due(connection), CALLERS)
+
+    @handler("Due")
+    def on_due(self, connection: CallerConnection | None) -> None:
+        """Go on accepting, or time out a connection unless its time-out was moved."""
+        if connection is None:
+            if self.listener is not None:
+                self.poller.addReader(self, self.listener)
+            return
+        connection.deadline = None
+        if connection.sock not in self.connections:
+            return
+        if self.clock.monotonic() < connection.due_at:
+            self.watch_deadline(connection)
+        elif connection.head_started and connection.state is not CallerState.ANSWER and not connection.out:
+            limit = self.settings.header_timeout_seconds
+            if connection.state is CallerState.BODY:
+                limit = self.settings.idle_timeout_seconds
+            message = f"the request did not arrive within {limit:g} s"
+            self.refuse(connection, 408, RefusalCode.REQUEST_TIMEOUT, message)
+        else:
+            self.drop(connection)
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
@@ -0,0 +1,304 @@
+"""Framing of HTTP/1.1 messages: bounds and checks in front of circuits' parser, and body readers.
+
+circuits' HttpParser is used for heads only. Its body parser takes bytes of the next message into the body,
+refuses a chunk whose end has not arrived yet, and accepts lengths such as "+5" and "1_0".
+"""
+
+import re
+from dataclasses import dataclass
+
+from circuits.web.parsers import HttpParser
+from limpetusher.core.actions import RefusalCode
+
+from limpetusher_router.errors import FramingError
+
+HEAD_END = b"\r\n\r\n"
+FIELD_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*")
+REQUEST_LINE_PATTERN = re.compile(rb"[A-Z]{1,20} [\x21-\x7e]+ HTTP/1\.[01]")
+STATUS_LINE_PATTERN = re.compile(rb"(HTTP/1\.[01] [1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?")
+LENGTH_PATTERN = re.compile(r"[0-9]{1,15}")
+CHUNK_LINE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,12})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
+CHUNK_LINE_LIMIT_BYTES = 256
+TRAILER_LIMIT_BYTES = 8_192
+REQUEST_KIND = 0
+RESPONSE_KIND = 1
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Head of a request. Header names are in lower case."""
+
+    method: str
+    path: str
+    query: str
+    version: tuple[int, int]
+    headers: dict[str, str]
+    content_length: int
+    chunked: bool
+    keep_alive: bool
+
+    @property
+    def expects_continue(self) -> bool:
+        """Return whether the caller waits for an interim answer before it sends the body."""
+        return self.headers.get("expect", "").lower() == "100-continue" and self.version == (1, 1)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Head of an answer. `content_length` is None where the head gives no length."""
+
+    status: int
+    headers: dict[str, str]
+    content_length: int | None
+    chunked: bool
+    keep_alive: bool
+
+    @property
+    def content_type(self) -> str:
+        """Return the media type without parameters."""
+        return self.headers.get("content-type", "").partition(";")[0].strip().lower()
+
+
+def bad_request(message: str) -> FramingError:
+    """Return the error for a malformed message."""
+    return FramingError(400, RefusalCode.BAD_REQUEST, message)
+
+
+def find_head(buffer: bytearray, limit: int) -> int | None:
+    """Return the length of the head at the start of `buffer`, None when it is not complete.
+
+    Raises
+    ------
+    FramingError
+        If the head is longer than `limit` bytes.
+    """
+    end = buffer.find(HEAD_END, 0, limit)
+    if end >= 0:
+        return end + len(HEAD_END)
+    if len(buffer) >= limit:
+        message = f"the header fields are longer than {limit} bytes"
+        raise FramingError(431, RefusalCode.HEADERS_TOO_LARGE, message)
+    return None
+
+
+def parse_request_head(data: bytes) -> RequestHead:
+    """Return the parsed head of a request.
+
+    Raises
+    ------
+    FramingError
+        If the head is malformed or its body length is ambiguous.
+    """
+    line = data.partition(b"\r\n")[0]
+    if not REQUEST_LINE_PATTERN.fullmatch(line):
+        raise bad_request("the request line is not of the form `METHOD PATH HTTP/1.1`")
+    parser = parse_head(data, REQUEST_KIND)
+    headers = fields(parser)
+    version = parser.get_version()
+    if version == (1, 1) and "host" not in headers:
+        raise bad_request("the header field host is missing")
+    length, chunked = body_length(headers)
+    return RequestHead(
+        method=parser.get_method(),
+        path=parser.get_path(),
+        query=parser.get_query_string(),
+        version=version,
+        headers=headers,
+        content_length=length or 0,
+        chunked=chunked,
+        keep_alive=stays_open(headers, version),
+    )
+
+
+def parse_answer_head(data: bytes) -> AnswerHead:
+    """Return the parsed head of an answer.
+
+    Raises
+    ------
+    FramingError
+        If the head is malformed or its body length is ambiguous.
+    """
+    line, _, rest = data.partition(b"\r\n")
+    match = STATUS_LINE_PATTERN.fullmatch(line)
+    if match is None:
+        raise bad_request("the status line is not of the form `HTTP/1.1 STATUS REASON`")
+    # The parser refuses reasons with other than word characters, so the reason is replaced.
+    parser = parse_head(match[1] + b" OK\r\n" + rest, RESPONSE_KIND)
+    headers = fields(parser)
+    length, chunked = body_length(headers)
+    return AnswerHead(
+        status=parser.get_status_code(),
+        headers=headers,
+        content_length=length,
+        chunked=chunked,
+        keep_alive=stays_open(headers, parser.get_version()),
+    )
+
+
+def parse_head(data: bytes, kind: int) -> HttpParser:
+    """Check the lines of a head and return the parser that has read them."""
+    for line in data[: -len(HEAD_END)].split(b"\r\n")[1:]:
+        if not FIELD_PATTERN.fullmatch(line):
+            raise bad_request("a header field is not of the form `name: value`")
+    parser = HttpParser(kind)
+    # The parser decodes backslash escapes, which would let a value contain line ends.
+    escaped = data.replace(b"\\", b"\\\\")
+    try:
+        parser.execute(escaped, len(escaped))
+    except ValueError as error:
+        raise bad_request("the head can't be decoded") from error
+    if parser.errno is not None or not parser.is_headers_complete():
+        raise bad_request("the head can't be parsed")
+    return parser
+
+
+def fields(parser: HttpParser) -> dict[str, str]:
+    """Return the header fields by name in lower case; repeated ones are joined by commas."""
+    joined: dict[str, str] = {}
+    for name, value in parser.get_headers().items():
+        name = name.lower()
+        joined[name] = f"{joined[name]}, {value}" if name in joined else value
+    return joined
+
+
+def body_length(headers: dict[str, str]) -> tuple[int | None, bool]:
+    """Return the announced body length, None when there is none, and whether the body comes in chunks.
+
+    Raises
+    ------
+    FramingError
+        If Content-Length is not one number or contradicts Transfer-Encoding.
+    """
+    length = headers.get("content-length")
+    coding = headers.get("transfer-encoding")
+    if coding is not None:
+        if length is not None:
+            raise bad_request("content-length and transfer-encoding exclude each other")
+        if coding.strip().lower() != "chunked":
+            raise bad_request("the transfer-encoding is not chunked")
+        return None, True
+    if length is None:
+        return None, False
+    if not LENGTH_PATTERN.fullmatch(length):
+        raise bad_request("content-length is not one number of up to 15 digits")
+    return int(length), False
+
+
+def stays_open(headers: dict[str, str], version: tuple[int, int]) -> bool:
+    """Return whether the connection stays open after the message."""
+    options = {option.strip().lower() for option in headers.get("connection", "").split(",")}
+    if "close" in options:
+        return False
+    return version == (1, 1) or "keep-alive" in options
+
+
+class BodyReader:
+    """Separates the bytes of one body from those that follow it.
+
+    Parameters
+    ----------
+    length
+        Announced length; None when the body comes in chunks or ends with the connection.
+    chunked
+        Whether the body comes in chunks.
+    limit
+        Largest number of body bytes, None for no limit.
+    """
+
+    def __init__(self, *, length: int | None, chunked: bool = False, limit: int | None = None):
+        self.chunked = chunked
+        self.limit = limit
+        self.remaining = length
+        self.received = 0
+        self.complete = not chunked and length == 0
+        self.buffer = b""
+        self.in_trailers = False
+        if limit is not None and length is not None and length > limit:
+            raise self.too_large()
+
+    def too_large(self) -> FramingError:
+        """Return the error for a body above the limit."""
+        return FramingError(413, RefusalCode.BODY_TOO_LARGE, f"the body is longer than {self.limit} bytes")
+
+    def feed(self, data: bytes) -> tuple[bytes, bytes]:
+        """Return the body bytes in `data` and the bytes after the end of the body.
+
+        Raises
+        ------
+        FramingError
+            If a chunk is malformed or the body is too large.
+        """
+        if self.complete:
+            return b"", data
+        if self.chunked:
+            body, rest = self.feed_chunks(data)
+        elif self.remaining is None:
+            body, rest = data, b""
+        else:
+            body, rest = data[: self.remaining], data[self.remaining :]
+            self.remaining -= len(body)
+            self.complete = self.remaining == 0
+        self.received += len(body)
+        if self.limit is not None and self.received > self.limit:
+            raise self.too_large()
+        return body, rest
+
+    def feed_chunks(self, data: bytes) -> tuple[bytes, bytes]:
+        """Decode chunks; `remaining` counts the bytes of the present one with its line end."""
+        data = self.buffer + data
+        self.buffer = b""
+        parts = []
+        position = 0
+        while position < len(data) and not self.complete:
+            if self.in_trailers:
+                position = self.skip_trailers(data, position)
+            elif self.remaining:
+                position = self.take_chunk(data, position, parts)
+            else:
+                position = self.start_chunk(data, position)
+            if position < 0:
+                return b"".join(parts), b""
+        return b"".join(parts), data[position:]
+
+    def start_chunk(self, data: bytes, position: int) -> int:
+        """Read a chunk's size line and return the position after it, -1 when it is not complete."""
+        end = data.find(b"\r\n", position, position + CHUNK_LINE_LIMIT_BYTES)
+        if end < 0:
+            if len(data) - position >= CHUNK_LINE_LIMIT_BYTES:
+                raise bad_request("a chunk size line is too long")
+            self.buffer = data[position:]
+            return -1
+        match = CHUNK_LINE_PATTERN.fullmatch(data, position, end)
+        if match is None:
+            raise bad_request("a chunk size is not a hexadecimal number of up to 12 digits")
+        size = int(match[1], 16)
+        if size == 0:
+            self.in_trailers = True
+        else:
+            self.remaining = size + 2
+            if self.limit is not None and self.received + size > self.limit:
+                raise self.too_large()
+        return end + 2
+
+    def take_chunk(self, data: bytes, position: int, parts: list[bytes]) -> int:
+        """Take bytes of the present chunk and return the position after them."""
+        taken = data[position : position + self.remaining]
+        payload = max(0, self.remaining - 2)
+        line_end = taken[payload:]
+        expected = b"\r\n" if self.remaining >= 2 else b"\n"
+        if line_end != expected[: len(line_end)]:
+            raise bad_request("a chunk does not end with a line end")
+        parts.append(taken[:payload])
+        self.remaining -= len(taken)
+        return position + len(taken)
+
+    def skip_trailers(self, data: bytes, position: int) -> int:
+        """Skip trailer lines up to the empty one; return the position after them, -1 when incomplete."""
+        end = data.find(b"\r\n", position)
+        if end < 0 or end - position > TRAILER_LIMIT_BYTES:
+            if len(data) - position > TRAILER_LIMIT_BYTES:
+                raise bad_request("a trailer field is too long")
+            self.buffer = data[position:]
+            return -1
+        self.complete = end == position
+        return end + 2
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/peers.py
@@ -0,0 +1,150 @@
+"""Sockets to and from the other routers."""
+
+import logging
+
+import pynng
+from circuits.core import BaseComponent, handler
+from circuits.core.pollers import EPoll
+from limpetusher.core.actions import SendToPeer
+from limpetusher.core.inputs import PeerMessage
+from limpetusher.errors import CodecError
+from limpetusher.events import Event
+from limpetusher.wire.codec import MAXIMUM_MESSAGE_BYTES, Codec
+
+from limpetusher_router.errors import RouterError
+from limpetusher_router.events import CORE, PEERS, CoreInput, Due
+from limpetusher_router.process.deadlines import Deadlines
+from limpetusher_router.process.logs import log_event
+from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.settings import RouterSettings
+
+SEND_BUFFER_MESSAGES = 64
+RECEIVE_BUFFER_MESSAGES = 256
+RECONNECT_MILLISECONDS = 50
+RECONNECT_MAXIMUM_MILLISECONDS = 500
+RECEIVES_PER_EVENT = 256
+UNUSED_SECONDS = 30.0
+
+logger = logging.getLogger(__name__)
+
+
+class OutgoingPeer:
+    """The push socket to one address. `used_at` is when it last got a message."""
+
+    __slots__ = ("socket", "used_at")
+
+    def __init__(self, address: str):
+        self.used_at = 0.0
+        self.socket = pynng.Push0(
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=RECONNECT_MILLISECONDS,
+            reconnect_time_max=RECONNECT_MAXIMUM_MILLISECONDS,
+        )
+        self.socket.dial(f"tcp://{address}", block=False)
+
+
+class PeerSockets(BaseComponent):
+    """Sends messages to other routers without ever waiting, and receives theirs.
+
+    A message that finds its socket full is dropped and counted.
+    """
+
+    channel = PEERS
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        *,
+        key: bytes,
+        incarnation: int,
+        deadlines: Deadlines,
+        poller: EPoll,
+        metrics: Metrics,
+    ):
+        super().__init__()
+        self.settings = settings
+        self.incarnation = incarnation
+        self.codec = Codec(key)
+        self.deadlines = deadlines
+        self.metrics = metrics
+        self.outgoing: dict[str, OutgoingPeer] = {}
+        self.listener = pynng.Pull0(
+            recv_buffer_size=RECEIVE_BUFFER_MESSAGES, recv_max_size=MAXIMUM_MESSAGE_BYTES
+        )
+        try:
+            self.listener.listen(f"tcp://{settings.peer_address}")
+        except pynng.NNGException as error:
+            raise RouterError(f"can't listen on peer address {settings.peer_address}: {error}") from error
+        poller.addReader(self, self.listener.recv_fd)
+        deadlines.schedule_in(UNUSED_SECONDS, Due(), PEERS)
+
+    @handler("_read")
+    def on_readable(self, _descriptor: int) -> None:
+        """Receive the waiting messages, some at a time so that others are served in between."""
+        for _ in range(RECEIVES_PER_EVENT):
+            try:
+                frame = self.listener.recv(block=False)
+            except pynng.TryAgain:
+                return
+            except pynng.NNGException as error:
+                logger.warning("receiving from peers failed: %s", error)
+                return
+            self.receive(frame)
+
+    def receive(self, frame: bytes) -> None:
+        """Hand an authenticated message on to the core."""
+        self.metrics.peer_received(len(frame))
+        try:
+            envelope = self.codec.decode(frame)
+        except CodecError as error:
+            self.drop("received", error.reason)
+            return
+        message = PeerMessage(envelope.sender, envelope.incarnation, envelope.payload)
+        self.fire(CoreInput(message), CORE)
+
+    @handler("CoreAction")
+    def on_action(self, action: SendToPeer) -> None:
+        """Send a message to a peer."""
+        try:
+            frame = self.codec.encode(
+                action.payload, sender=self.settings.host_id, incarnation=self.incarnation
+            )
+        except CodecError as error:
+            self.drop("sent", error.reason)
+            return
+        address = self.settings.reach(action.address)
+        try:
+            peer = self.outgoing.get(address)
+            if peer is None:
+                peer = self.outgoing[address] = OutgoingPeer(address)
+            peer.used_at = self.deadlines.clock.monotonic()
+            peer.socket.send(frame, block=False)
+        except pynng.NNGException as error:
+            self.drop("sent", type(error).__name__)
+            return
+        self.metrics.peer_sent(len(frame))
+
+    def drop(self, direction: str, reason: str) -> None:
+        """Count and log a message that is dropped."""
+        self.metrics.peer_dropped(direction, reason)
+        # Messages to a router that is down are dropped all the time, so they are logged at debug level only.
+        if direction == "received":
+            log_event(Event.PEER_MESSAGE_DROPPED, direction=direction, reason=reason)
+        else:
+            logger.debug("peer message dropped: %s", reason)
+
+    @handler("Due")
+    def on_due(self, _subject: object) -> None:
+        """Close the sockets to peers that are no longer written to."""
+        oldest = self.deadlines.clock.monotonic() - UNUSED_SECONDS
+        for address, peer in list(self.outgoing.items()):
+            if peer.used_at < oldest:
+                peer.socket.close()
+                del self.outgoing[address]
+        self.deadlines.schedule_in(UNUSED_SECONDS, Due(), PEERS)
+
+    def close(self) -> None:
+        """Close all sockets at the end of the process."""
+        for peer in self.outgoing.values():
+            peer.socket.close()
+        self.listener.close()
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -0,0 +1,370 @@
+"""HTTP exchanges with targets and the platform: one component that owns all of these connections."""
+
+import errno
+import logging
+import math
+import socket
+from collections.abc import Hashable
+
+from circuits.core import BaseComponent, handler
+from circuits.core.pollers import EPoll
+from limpetusher.clock import Clock
+
+from limpetusher_router.connection.framing import BodyReader, find_head, parse_answer_head
+from limpetusher_router.connection.target_connection import TargetConnection, TargetState
+from limpetusher_router.errors import FramingError
+from limpetusher_router.events import (
+    TARGETS,
+    AnswerEnded,
+    AnswerPart,
+    AnswerStarted,
+    Attempt,
+    AttemptEnd,
+    AttemptSent,
+    Due,
+)
+from limpetusher_router.process.deadlines import Deadlines
+from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.settings import RouterSettings, split_address
+
+READ_BYTES = 65_536
+KEPT_SECONDS = 15.0
+KEPT_PER_ADDRESS = 16
+BODYLESS_STATUSES = frozenset({204, 304})
+INTERIM_STATUSES = range(100, 200)
+
+logger = logging.getLogger(__name__)
+
+
+class TargetClient(BaseComponent):
+    """Sends requests and streams the answers as byte chunks.
+
+    Messages about an exchange go to the channel that its attempt names. A paused exchange does not read from
+    its socket, so that the target has to wait for a slow caller.
+    """
+
+    channel = TARGETS
+
+    def __init__(
+        self, settings: RouterSettings, *, clock: Clock, deadlines: Deadlines, poller: EPoll, metrics: Metrics
+    ):
+        super().__init__()
+        self.settings = settings
+        self.clock = clock
+        self.deadlines = deadlines
+        self.poller = poller
+        self.metrics = metrics
+        self.connections: dict[socket.socket, TargetConnection] = {}
+        self.exchanges: dict[tuple[str, Hashable], TargetConnection] = {}
+        self.kept: dict[str, list[TargetConnection]] = {}
+
+    @handler("StartAttempt")
+    def on_start(self, attempt: Attempt) -> None:
+        """Begin an exchange on a kept or a new connection."""
+        try:
+            connection = self.take_kept(attempt) if attempt.repeatable else None
+            if connection is None:
+                self.connect(attempt)
+            else:
+                self.begin(connection, attempt)
+        except Exception:
+            logger.exception("starting an exchange failed")
+            self.report_unreachable(attempt, "internal error")
+
+    def take_kept(self, attempt: Attempt) -> TargetConnection | None:
+        """Return a kept connection that is still open, None when there is none."""
+        kept = self.kept.get(attempt.address, [])
+        while kept:
+            connection = kept.pop()
+            try:
+                connection.sock.recv(1, socket.MSG_PEEK)
+            except (BlockingIOError, InterruptedError):
+                connection.reused = True
+                return connection
+            except OSError:
+                pass
+            self.close(connection)
+        return None
+
+    def connect(self, attempt: Attempt) -> None:
+        """Open a connection without waiting for it."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = TargetConnection(sock, attempt.address)
+        connection.begin(attempt)
+        result = sock.connect_ex(split_address(self.settings.reach(attempt.address)))
+        if result not in (0, errno.EINPROGRESS):
+            sock.close()
+            self.report_unreachable(attempt, errno.errorcode.get(result, str(result)))
+            return
+        self.connections[sock] = connection
+        self.exchanges[attempt.channel, attempt.key] = connection
+        self.watch_writing(connection, True)
+        self.set_due(connection, self.settings.connect_timeout_seconds)
+
+    def report_unreachable(self, attempt: Attempt, detail: str) -> None:
+        """Tell that no connection could be made."""
+        self.fire(AnswerEnded(attempt.key, AttemptEnd.UNREACHABLE, detail), attempt.channel)
+
+    def begin(self, connection: TargetConnection, attempt: Attempt) -> None:
+        """Send the request on an open connection."""
+        connection.begin(attempt)
+        connection.state = TargetState.BUSY
+        self.exchanges[attempt.channel, attempt.key] = connection
+        self.set_due(connection, attempt.idle_seconds or self.settings.target_idle_timeout_seconds)
+        self.send(connection)
+
+    def send(self, connection: TargetConnection) -> None:
+        """Send as much of the request as the socket takes; the first byte only in time."""
+        attempt = connection.attempt
+        if not connection.sent and attempt.send_before is not None:
+            now = self.clock.monotonic()
+            if now >= attempt.send_before:
+                self.end(connection, AttemptEnd.EXPIRED, f"{now - attempt.send_before:.3f} s too late")
+                return
+        try:
+            count = connection.sock.send(connection.unsent)
+        except (BlockingIOError, InterruptedError):
+            count = 0
+        except OSError as error:
+            self.broken(connection, errno.errorcode.get(error.errno, str(error)))
+            return
+        if count and not connection.sent:
+            connection.sent = True
+            self.fire(AttemptSent(attempt.key), attempt.channel)
+        connection.unsent = connection.unsent[count:]
+        self.watch_writing(connection, bool(connection.unsent))
+
+    def watch_writing(self, connection: TargetConnection, writing: bool) -> None:
+        """Let the poller tell when the socket has room, or stop that."""
+        if writing == connection.writing:
+            return
+        connection.writing = writing
+        if writing:
+            self.poller.addWriter(self, connection.sock)
+        else:
+            self.poller.removeWriter(connection.sock)
+
+    @handler("_write")
+    def on_writable(self, sock: socket.socket) -> None:
+        """Finish connecting, or go on sending."""
+        connection = self.connections.get(sock)
+        if connection is None or not connection.writing:
+            return
+        if connection.state is TargetState.CONNECTING:
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                self.broken(connection, errno.errorcode.get(error, str(error)))
+                return
+            self.poller.addReader(self, sock)
+            self.begin(connection, connection.attempt)
+        elif connection.state is TargetState.BUSY:
+            self.send(connection)
+
+    @handler("_read")
+    def on_readable(self, sock: socket.socket) -> None:
+        """Read a part of an answer."""
+        connection = self.connections.get(sock)
+        if connection is None or connection.paused:
+            return
+        try:
+            data = sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self.broken(connection, errno.errorcode.get(error.errno, str(error)))
+            return
+        if connection.state is TargetState.IDLE:
+            if data:
+                self.metrics.unrequested_answers.inc({})
+                logger.warning("bytes without a request from %s", connection.address)
+            self.close(connection)
+        elif not data:
+            self.broken(connection, "closed by the target")
+        else:
+            self.receive(connection, data)
+
+    def receive(self, connection: TargetConnection, data: bytes) -> None:
+        """Take bytes of an answer."""
+        connection.received = True
+        attempt = connection.attempt
+        connection.due_at = self.clock.monotonic() + (
+            attempt.idle_seconds or self.settings.target_idle_timeout_seconds
+        )
+        try:
+            if connection.head is None:
+                connection.buffer += data
+                data = self.receive_head(connection)
+                if connection.head is None:
+                    return
+            payload, rest = connection.body.feed(data)
+        except FramingError as error:
+            self.end(connection, AttemptEnd.CUT, error.message)
+            return
+        except Exception:
+            logger.exception("reading an answer failed")
+            self.end(connection, AttemptEnd.CUT, "internal error")
+            return
+        connection.buffer[:] = rest
+        if payload:
+            self.fire(AnswerPart(attempt.key, payload), attempt.channel)
+        if connection.body.complete:
+            self.end(connection, AttemptEnd.COMPLETE)
+
+    def receive_head(self, connection: TargetConnection) -> bytes:
+        """Parse the head once it is complete, skip interim ones, and return the bytes after it."""
+        buffer = connection.buffer
+        while True:
+            length = find_head(buffer, self.settings.max_header_bytes)
+            if length is None:
+                return b""
+            head = parse_answer_head(bytes(buffer[:length]))
+            del buffer[:length]
+            if head.status not in INTERIM_STATUSES:
+                break
+        attempt = connection.attempt
+        empty = attempt.without_body or head.status in BODYLESS_STATUSES
+        connection.head = head
+        connection.ends_with_connection = not empty and not head.chunked and head.content_length is None
+        connection.body = BodyReader(
+            length=0 if empty else head.content_length, chunked=head.chunked and not empty
+        )
+        self.fire(AnswerStarted(attempt.key, head), attempt.channel)
+        rest = bytes(buffer)
+        buffer.clear()
+        return rest
+
+    @handler("_disconnect", "_error")
+    def on_disconnect(self, sock: socket.socket, *_: object) -> None:
+        """Take note of a connection that the poller reports as broken."""
+        connection = self.connections.get(sock)
+        if connection is None:
+            return
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        self.broken(connection, errno.errorcode.get(error, "closed by the target"))
+
+    def broken(self, connection: TargetConnection, detail: str) -> None:
+        """End the exchange on a connection that broke."""
+        attempt = connection.attempt
+        if connection.state is TargetState.IDLE:
+            self.close(connection)
+        elif not connection.sent:
+            self.retry_or_end(connection, AttemptEnd.UNREACHABLE, detail)
+        elif connection.ends_with_connection and detail == "closed by the target":
+            self.end(connection, AttemptEnd.CLOSED)
+        elif connection.received or attempt is None:
+            self.end(connection, AttemptEnd.CUT, detail)
+        else:
+            self.retry_or_end(connection, AttemptEnd.CUT, detail)
+
+    def retry_or_end(self, connection: TargetConnection, end: AttemptEnd, detail: str) -> None:
+        """Send again on a new connection if a kept one had been closed meanwhile, otherwise end."""
+        attempt = connection.attempt
+        if not (connection.reused and attempt.repeatable):
+            self.end(connection, end, detail)
+            return
+        connection.attempt = None
+        del self.exchanges[attempt.channel, attempt.key]
+        self.close(connection)
+        for kept in self.kept.pop(attempt.address, []):
+            self.close(kept)
+        self.connect(attempt)
+
+    def end(self, connection: TargetConnection, end: AttemptEnd, detail: str = "") -> None:
+        """Report the end of an exchange and keep or close its connection."""
+        attempt = connection.attempt
+        del self.exchanges[attempt.channel, attempt.key]
+        unused = end is AttemptEnd.EXPIRED and connection.state is TargetState.BUSY
+        if unused or (end is AttemptEnd.COMPLETE and connection.is_clean):
+            self.keep(connection)
+        else:
+            self.close(connection)
+        self.fire(AnswerEnded(attempt.key, end, detail), attempt.channel)
+
+    def keep(self, connection: TargetConnection) -> None:
+        """Keep an open connection for a later exchange."""
+        self.watch_writing(connection, False)
+        kept = self.kept.setdefault(connection.address, [])
+        if len(kept) >= KEPT_PER_ADDRESS:
+            self.close(connection)
+            return
+        connection.begin(None)
+        connection.state = TargetState.IDLE
+        connection.reused = False
+        kept.append(connection)
+        if connection.paused:
+            connection.paused = False
+            self.poller.addReader(self, connection.sock)
+        self.set_due(connection, KEPT_SECONDS)
+
+    def close(self, connection: TargetConnection) -> None:
+        """Close a connection."""
+        if self.connections.pop(connection.sock, None) is None:
+            return
+        kept = self.kept.get(connection.address)
+        if kept is not None:
+            if connection in kept:
+                kept.remove(connection)
+            if not kept:
+                del self.kept[connection.address]
+        if connection.deadline is not None:
+            connection.deadline.cancel()
+        self.poller.discard(connection.sock)
+        connection.sock.close()
+
+    @handler("StopAttempt")
+    def on_stop(self, key: Hashable, channel: str) -> None:
+        """Abandon an exchange."""
+        connection = self.exchanges.pop((channel, key), None)
+        if connection is not None:
+            self.close(connection)
+
+    @handler("PauseAttempt")
+    def on_pause(self, key: Hashable, channel: str) -> None:
+        """Stop reading an answer."""
+        connection = self.exchanges.get((channel, key))
+        if connection is not None and not connection.paused:
+            connection.paused = True
+            connection.due_at = math.inf
+            self.poller.removeReader(connection.sock)
+
+    @handler("ContinueAttempt")
+    def on_continue(self, key: Hashable, channel: str) -> None:
+        """Go on reading an answer."""
+        connection = self.exchanges.get((channel, key))
+        if connection is not None and connection.paused:
+            connection.paused = False
+            self.poller.addReader(self, connection.sock)
+            idle = connection.attempt.idle_seconds or self.settings.target_idle_timeout_seconds
+            self.set_due(connection, idle)
+
+    def set_due(self, connection: TargetConnection, seconds: float) -> None:
+        """Set when the connection times out."""
+        connection.due_at = self.clock.monotonic() + seconds
+        self.watch_deadline(connection)
+
+    def watch_deadline(self, connection: TargetConnection) -> None:
+        """Keep an entry of the deadline heap no later than the connection's time-out."""
+        present = connection.deadline
+        if math.isinf(connection.due_at) or (present is not None and present.when <= connection.due_at):
+            return
+        if present is not None:
+            present.cancel()
+        connection.deadline = self.deadlines.schedule(connection.due_at, Due(connection), TARGETS)
+
+    @handler("Due")
+    def on_due(self, connection: TargetConnection) -> None:
+        """Time out a connection unless its time-out was moved."""
+        connection.deadline = None
+        if connection.sock not in self.connections:
+            return
+        if self.clock.monotonic() < connection.due_at:
+            self.watch_deadline(connection)
+        elif connection.state is TargetState.IDLE:
+            self.close(connection)
+        elif connection.state is TargetState.CONNECTING:
+            self.end(connection, AttemptEnd.UNREACHABLE, "connecting took too long")
+        else:
+            end = AttemptEnd.CUT if connection.sent else AttemptEnd.UNREACHABLE
+            self.end(connection, end, "the target was silent for too long")
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -0,0 +1,210 @@
+"""Messages between the components of the router process.
+
+Each component owns its sockets and state and handles the messages on its own channel.
+"""
+
+import enum
+from collections.abc import Hashable
+from dataclasses import dataclass
+
+from circuits.core import Event
+from limpetusher.core.inputs import Input
+
+from limpetusher_router.connection.framing import AnswerHead, RequestHead
+
+CALLERS = "callers"
+TARGETS = "targets"
+PEERS = "peers"
+REQUESTS = "requests"
+CORE = "core"
+CONFIGURATION = "configuration"
+HOSTS = "hosts"
+LOADS = "loads"
+ORDERS = "orders"
+PROCESS = "process"
+
+
+class AttemptEnd(enum.Enum):
+    """How an HTTP exchange with a target or the platform ended."""
+
+    COMPLETE = "complete"
+    """The whole answer arrived, by its own length or chunks."""
+    CLOSED = "closed"
+    """The connection was closed at the end of an answer that announced no length."""
+    EXPIRED = "expired"
+    """No byte was sent because the time to send had passed."""
+    UNREACHABLE = "unreachable"
+    """No byte was sent because there was no connection."""
+    CUT = "cut"
+    """The connection broke, or the answer was malformed, after at least one byte was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One HTTP exchange with a target or the platform.
+
+    Messages about it are fired on `channel` with `key`. When `send_before`, a reading of the monotonic clock,
+    has passed, no byte is sent. `repeatable` exchanges may use a kept connection, and are sent once more when
+    that connection turns out to have been closed.
+    """
+
+    key: Hashable
+    channel: str
+    address: str
+    request: bytes
+    send_before: float | None = None
+    repeatable: bool = True
+    without_body: bool = False
+    idle_seconds: float | None = None
+
+
+class Message(Event):
+    """Base of the messages; the circuits name of each is its class name."""
+
+
+class RequestReceived(Message):
+    """A caller sent a whole request: (request id, head, body)."""
+
+    def __init__(self, request_id: str, head: RequestHead, body: bytes):
+        super().__init__(request_id, head, body)
+
+
+class CallerLost(Message):
+    """The caller's connection ended before its answer did: (request id)."""
+
+    def __init__(self, request_id: str):
+        super().__init__(request_id)
+
+
+class CallerBlocked(Message):
+    """The buffer for a slow caller is full: (request id)."""
+
+    def __init__(self, request_id: str):
+        super().__init__(request_id)
+
+
+class CallerUnblocked(Message):
+    """The buffer for a slow caller has room again: (request id)."""
+
+    def __init__(self, request_id: str):
+        super().__init__(request_id)
+
+
+class SendAnswer(Message):
+    """Send a whole answer to the caller: (request id, status, headers, body)."""
+
+    def __init__(self, request_id: str, status: int, headers: dict[str, str], body: bytes):
+        super().__init__(request_id, status, headers, body)
+
+
+class SendHead(Message):
+    """Begin an answer: (request id, status, headers, body length or None when it is not known)."""
+
+    def __init__(self, request_id: str, status: int, headers: dict[str, str], length: int | None):
+        super().__init__(request_id, status, headers, length)
+
+
+class SendPart(Message):
+    """Send a part of an answer that has begun: (request id, data)."""
+
+    def __init__(self, request_id: str, data: bytes):
+        super().__init__(request_id, data)
+
+
+class SendEnd(Message):
+    """Finish an answer that has begun: (request id)."""
+
+    def __init__(self, request_id: str):
+        super().__init__(request_id)
+
+
+class AbortAnswer(Message):
+    """Reset the caller's connection, so that a truncated answer can't be taken for a whole one: (request id)."""
+
+    def __init__(self, request_id: str):
+        super().__init__(request_id)
+
+
+class CloseIdleCallers(Message):
+    """Close callers' connections as soon as no request is in progress on them."""
+
+
+class StartAttempt(Message):
+    """Begin an HTTP exchange: (attempt)."""
+
+    def __init__(self, attempt: Attempt):
+        super().__init__(attempt)
+
+
+class StopAttempt(Message):
+    """Abandon an exchange and close its connection; no further messages follow: (key, channel)."""
+
+    def __init__(self, key: Hashable, channel: str):
+        super().__init__(key, channel)
+
+
+class PauseAttempt(Message):
+    """Stop reading the answer of an exchange: (key, channel)."""
+
+    def __init__(self, key: Hashable, channel: str):
+        super().__init__(key, channel)
+
+
+class ContinueAttempt(Message):
+    """Go on reading the answer of an exchange: (key, channel)."""
+
+    def __init__(self, key: Hashable, channel: str):
+        super().__init__(key, channel)
+
+
+class AttemptSent(Message):
+    """The first byte of the request was sent: (key)."""
+
+    def __init__(self, key: Hashable):
+        super().__init__(key)
+
+
+class AnswerStarted(Message):
+    """The head of the answer arrived: (key, head)."""
+
+    def __init__(self, key: Hashable, head: AnswerHead):
+        super().__init__(key, head)
+
+
+class AnswerPart(Message):
+    """Body bytes of the answer arrived: (key, data)."""
+
+    def __init__(self, key: Hashable, data: bytes):
+        super().__init__(key, data)
+
+
+class AnswerEnded(Message):
+    """An exchange ended: (key, end, detail). No further messages with this key follow."""
+
+    def __init__(self, key: Hashable, end: AttemptEnd, detail: str = ""):
+        super().__init__(key, end, detail)
+
+
+class CoreInput(Message):
+    """An input for the decision core: (input)."""
+
+    def __init__(self, message: Input):
+        super().__init__(message)
+
+
+class CoreAction(Message):
+    """An action of the decision core, fired on the channel of the component that carries it out: (action)."""
+
+    def __init__(self, action: object):
+        super().__init__(action)
+
+
+class Due(Message):
+    """A deadline of the component itself has come: (what it is for)."""
+
+    def __init__(self, subject: object = None):
+        super().__init__(subject)
+
+
+class StopProcess(Message):
+    """All work is finished and the process may exit."""
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -0,0 +1,78 @@
+"""Metrics in Prometheus' text format."""
+
+import os
+import resource
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+LATENCY_BUCKETS_SECONDS = (0.0005, 0.001, 0.002, 0.003, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0)
+WAIT_BUCKETS_SECONDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 60.0, 120.0)
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    with open("/proc/self/statm", encoding="ascii") as source:
+        return int(source.read().split()[1]) * PAGE_BYTES
+
+
+class Metrics:
+    """All metrics of the router process, in a registry of their own."""
+
+    def __init__(self):
+        registry = Registry()
+        self.registry = registry
+
+        def counter(name: str, text: str) -> Counter:
+            return Counter(f"limpetusher_{name}", text, registry=registry)
+
+        def gauge(name: str, text: str) -> Gauge:
+            return Gauge(f"limpetusher_{name}", text, registry=registry)
+
+        def histogram(name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
+            return Histogram(f"limpetusher_{name}", text, registry=registry, buckets=buckets)
+
+        self.answers = counter("answers_total", "Answers to callers by status code")
+        self.cut_answers = counter("cut_answers_total", "Answers cut off after a part was passed on")
+        self.attempts = counter("attempts_total", "Attempts at targets by outcome")
+        self.waiting = gauge("requests_waiting", "Requests that wait for a target")
+        self.running = gauge("requests_running", "Requests that run at a target")
+        self.queue_wait = histogram(
+            "queue_wait_seconds", "Time from arrival to dispatch", WAIT_BUCKETS_SECONDS
+        )
+        self.added_latency = histogram(
+            "added_latency_seconds", "Time from arrival to the first byte sent", LATENCY_BUCKETS_SECONDS
+        )
+        self.peer_messages = counter("peer_messages_total", "Messages of peers by direction")
+        self.peer_bytes = counter("peer_bytes_total", "Bytes of messages of peers by direction")
+        self.peer_drops = counter("peer_messages_dropped_total", "Dropped messages by direction and reason")
+        self.unrequested_answers = counter("unrequested_answers_total", "Answers without a request")
+        self.handler_errors = counter("handler_errors_total", "Exceptions within handlers")
+        self.processor_seconds = counter("process_cpu_seconds_total", "Processor time of the process")
+        self.resident = gauge("process_resident_memory_bytes", "Resident memory of the process")
+
+    def answered(self, status: int) -> None:
+        """Count an answer to a caller."""
+        self.answers.inc({"code": str(status)})
+
+    def peer_received(self, size: int) -> None:
+        """Count a received message."""
+        self.peer_messages.inc({"direction": "received"})
+        self.peer_bytes.add({"direction": "received"}, size)
+
+    def peer_sent(self, size: int) -> None:
+        """Count a sent message."""
+        self.peer_messages.inc({"direction": "sent"})
+        self.peer_bytes.add({"direction": "sent"}, size)
+
+    def peer_dropped(self, direction: str, reason: str) -> None:
+        """Count a dropped message."""
+        self.peer_drops.inc({"direction": direction, "reason": reason})
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the text of all metrics and its content type."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.processor_seconds.set({}, usage.ru_utime + usage.ru_stime)
+        self.resident.set({}, resident_bytes())
+        text, headers = render(self.registry, ["text/plain"])
+        return text, headers["Content-Type"]
