--- a/packages/limpetusher-router/src/limpetusher_router/command.py
+++ b/packages/limpetusher-router/src/limpetusher_router/command.py
@@ -7,8 +7,10 @@
 from cyclopts.config import Env
 
 from limpetusher.errors import ConfigurationError
+from limpetusher_router.errors import RouterError
 from limpetusher_router.settings import ENVIRONMENT_PREFIX, RouterSettings
 
+FAILURE_STATUS = 1
 USAGE_ERROR_STATUS = 2
 
 app = App(
@@ -37,10 +39,10 @@
     return " ".join(str(error).split())
 
 
-def report(line: str) -> int:
-    """Write a line about a wrong setting and return the exit status for it."""
+def report(line: str, status: int = USAGE_ERROR_STATUS) -> int:
+    """Write a line about what prevents the start and return the exit status."""
     print(f"limpetusher-router: {line}", file=sys.stderr)  # noqa: T201 - logging is not set up yet
-    return USAGE_ERROR_STATUS
+    return status
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -49,6 +51,8 @@
         status = app(arguments, exit_on_error=False, print_error=False, result_action="return_value")
     except ConfigurationError as error:
         return report(str(error))
+    except RouterError as error:
+        return report(str(error), FAILURE_STATUS)
     except CycloptsError as error:
         return report(describe_parse_error(error))
     return status if isinstance(status, int) else 0
--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -23,8 +23,8 @@
 class CallerConnection:
     """One caller's connection: unread bytes, the request in progress and unsent bytes.
 
-    `due_at` is when the connection times out, a reading of the monotonic clock; one entry of the deadline heap
-    is kept per connection and is set anew when it fires early.
+    `due_at` is when the connection times out, a reading of the monotonic clock. One entry of the deadline
+    heap is kept per connection and is set anew when it fires early.
     """
 
     __slots__ = (
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -8,9 +8,9 @@
 
 from circuits.core import BaseComponent, handler
 from circuits.core.pollers import EPoll
+
 from limpetusher.clock import Clock
 from limpetusher.core.actions import Ran, RefusalCode
-
 from limpetusher_router.connection.caller_connection import CallerConnection, CallerState
 from limpetusher_router.connection.framing import BodyReader, find_head, parse_request_head
 from limpetusher_router.errors import FramingError
@@ -99,7 +99,7 @@
         """Write what waits for a caller."""
         connection = self.connections.get(sock)
         if connection is not None:
-            self.flush(connection)
+            self.flush_output(connection)
 
     @handler("_disconnect", "_error")
     def on_disconnect(self, sock: socket.socket, *_: object) -> None:
@@ -181,7 +181,7 @@
         self.set_due(connection, self.settings.idle_timeout_seconds)
         if head.expects_continue and not connection.body_reader.complete and not buffer:
             connection.add_output(CONTINUE)
-            self.flush(connection)
+            self.flush_output(connection)
 
     def parse_body(self, connection: CallerConnection) -> None:
         """Collect the body and hand on the request once it is complete."""
@@ -198,7 +198,7 @@
             connection.body_parts = []
             self.fire(RequestReceived(connection.request_id, connection.head, whole), REQUESTS)
         elif connection.body_since_reset >= BODY_PROGRESS_BYTES:
-            # A body must make some progress within the idle time, so that single bytes can't hold a connection.
+            # A body must make some progress in the idle time, so that single bytes can't hold a connection.
             connection.body_since_reset = 0
             self.set_due(connection, self.settings.idle_timeout_seconds)
 
@@ -216,7 +216,10 @@
             return
         request_id = connection.request_id or self.identifiers.next()
         body = error_body(code=code, message=message, request_id=request_id, ran=Ran.NO)
-        headers = {**error_headers(status=status, retry_after_seconds=retry_after), "x-request-id": request_id}
+        headers = {
+            **error_headers(status=status, retry_after_seconds=retry_after),
+            "x-request-id": request_id,
+        }
         connection.closing = True
         connection.buffer.clear()
         self.write_head(connection, status, headers, len(body))
@@ -274,7 +277,7 @@
             connection.add_output(data)
             if connection.remaining_answer is not None:
                 connection.remaining_answer -= len(data)
-        self.flush(connection)
+        self.flush_output(connection)
 
     @handler("SendEnd")
     def on_end(self, request_id: str) -> None:
@@ -321,7 +324,7 @@
         else:
             connection.state = CallerState.HEAD
             self.set_due(connection, self.settings.idle_timeout_seconds)
-        self.flush(connection)
+        self.flush_output(connection)
         if connection.sock not in self.connections:
             return
         if connection.paused:
@@ -333,7 +336,7 @@
             except FramingError as error:
                 self.refuse(connection, error.status, error.code, error.message)
 
-    def flush(self, connection: CallerConnection) -> None:
+    def flush_output(self, connection: CallerConnection) -> None:
         """Write queued bytes, watch for room for the rest and tell the sender when to wait."""
         try:
             written = connection.write()
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/fetching.py
@@ -0,0 +1,90 @@
+"""Base of the components that read small documents from targets and the platform."""
+
+from dataclasses import dataclass, field
+
+from circuits.core import BaseComponent, handler
+
+from limpetusher_router.connection.framing import AnswerHead
+from limpetusher_router.events import TARGETS, AnswerEnded, Attempt, AttemptEnd, StartAttempt, StopAttempt
+
+DOCUMENT_LIMIT_BYTES = 1_100_000
+
+
+@dataclass(slots=True)
+class Fetched:
+    """An answer that is being collected. `error` is empty when it is whole."""
+
+    status: int = 0
+    body: bytearray = field(default_factory=bytearray)
+    error: str = ""
+
+
+class Fetcher(BaseComponent):
+    """Collects whole answers and passes each to `fetched`."""
+
+    def __init__(self):
+        super().__init__()
+        self.fetches: dict[tuple, Fetched] = {}
+
+    def fetched(self, key: tuple, answer: Fetched) -> None:
+        """Use an answer; overridden by each component."""
+        raise NotImplementedError
+
+    def fetch(
+        self,
+        key: tuple,
+        address: str,
+        path: str,
+        *,
+        idle_seconds: float,
+        method: str = "GET",
+        body: bytes = b"",
+    ) -> None:
+        """Begin an exchange; its answer is passed to `fetched` with the key."""
+        lines = [f"{method} {path} HTTP/1.1", f"host: {address}", "accept: application/json"]
+        if method != "GET":
+            lines += ["content-type: application/json", f"content-length: {len(body)}"]
+        request = "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+        self.fetches[key] = Fetched()
+        attempt = Attempt(
+            key=key,
+            channel=self.channel,
+            address=address,
+            request=request,
+            repeatable=method == "GET",
+            idle_seconds=idle_seconds,
+        )
+        self.fire(StartAttempt(attempt), TARGETS)
+
+    def abandon(self, key: tuple) -> None:
+        """Give up an exchange; `fetched` is not called for it."""
+        if self.fetches.pop(key, None) is not None:
+            self.fire(StopAttempt(key, self.channel), TARGETS)
+
+    @handler("AnswerStarted")
+    def on_answer_started(self, key: tuple, head: AnswerHead) -> None:
+        """Take the status of an answer."""
+        if key in self.fetches:
+            self.fetches[key].status = head.status
+
+    @handler("AnswerPart")
+    def on_answer_part(self, key: tuple, data: bytes) -> None:
+        """Collect a part of an answer."""
+        answer = self.fetches.get(key)
+        if answer is None:
+            return
+        answer.body += data
+        if len(answer.body) > DOCUMENT_LIMIT_BYTES:
+            self.fire(StopAttempt(key, self.channel), TARGETS)
+            detail = f"the answer is longer than {DOCUMENT_LIMIT_BYTES} bytes"
+            self.fire(AnswerEnded(key, AttemptEnd.CUT, detail), self.channel)
+
+    @handler("AnswerEnded")
+    def on_answer_ended(self, key: tuple, end: AttemptEnd, detail: str) -> None:
+        """Pass a whole answer, or the reason why there is none, to the component."""
+        answer = self.fetches.pop(key, None)
+        if answer is None:
+            return
+        if end is not AttemptEnd.COMPLETE:
+            answer.error = detail or end.value
+        self.fetched(key, answer)
--- a/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 from circuits.web.parsers import HttpParser
-from limpetusher.core.actions import RefusalCode
 
+from limpetusher.core.actions import RefusalCode
 from limpetusher_router.errors import FramingError
 
 HEAD_END = b"\r\n\r\n"
--- a/packages/limpetusher-router/src/limpetusher_router/connection/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/peers.py
@@ -5,12 +5,12 @@
 import pynng
 from circuits.core import BaseComponent, handler
 from circuits.core.pollers import EPoll
+
 from limpetusher.core.actions import SendToPeer
 from limpetusher.core.inputs import PeerMessage
 from limpetusher.errors import CodecError
 from limpetusher.events import Event
 from limpetusher.wire.codec import MAXIMUM_MESSAGE_BYTES, Codec
-
 from limpetusher_router.errors import RouterError
 from limpetusher_router.events import CORE, PEERS, CoreInput, Due
 from limpetusher_router.process.deadlines import Deadlines
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -8,8 +8,8 @@
 
 from circuits.core import BaseComponent, handler
 from circuits.core.pollers import EPoll
-from limpetusher.clock import Clock
 
+from limpetusher.clock import Clock
 from limpetusher_router.connection.framing import BodyReader, find_head, parse_answer_head
 from limpetusher_router.connection.target_connection import TargetConnection, TargetState
 from limpetusher_router.errors import FramingError
@@ -28,6 +28,7 @@
 from limpetusher_router.settings import RouterSettings, split_address
 
 READ_BYTES = 65_536
+CONNECT_PART_OF_GRANT = 0.8
 KEPT_SECONDS = 15.0
 KEPT_PER_ADDRESS = 16
 BODYLESS_STATUSES = frozenset({204, 304})
@@ -101,7 +102,17 @@
         self.connections[sock] = connection
         self.exchanges[attempt.channel, attempt.key] = connection
         self.watch_writing(connection, True)
-        self.set_due(connection, self.settings.connect_timeout_seconds)
+        self.set_due(connection, self.connect_seconds(attempt))
+
+    def connect_seconds(self, attempt: Attempt) -> float:
+        """Return the time for connecting.
+
+        It ends before `send_before`, so that a target that can't be reached is told apart from a late send.
+        """
+        seconds = self.settings.connect_timeout_seconds
+        if attempt.send_before is not None:
+            seconds = min(seconds, (attempt.send_before - self.clock.monotonic()) * CONNECT_PART_OF_GRANT)
+        return max(seconds, 0.0)
 
     def report_unreachable(self, attempt: Attempt, detail: str) -> None:
         """Tell that no connection could be made."""
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 
 from circuits.core import Event
-from limpetusher.core.inputs import Input
 
+from limpetusher.configuration.compiled import Configuration
+from limpetusher.core.inputs import Input
 from limpetusher_router.connection.framing import AnswerHead, RequestHead
 
 CALLERS = "callers"
@@ -119,7 +120,7 @@
 
 
 class AbortAnswer(Message):
-    """Reset the caller's connection, so that a truncated answer can't be taken for a whole one: (request id)."""
+    """Reset the caller's connection, so that a truncated answer does not look whole: (request id)."""
 
     def __init__(self, request_id: str):
         super().__init__(request_id)
@@ -208,3 +209,17 @@
 
 class StopProcess(Message):
     """All work is finished and the process may exit."""
+
+
+class ConfigurationInForce(Message):
+    """A configuration is in force from now on: (configuration)."""
+
+    def __init__(self, configuration: Configuration):
+        super().__init__(configuration)
+
+
+class FailRequest(Message):
+    """A handler raised an exception for a request, which must still be answered: (request id)."""
+
+    def __init__(self, request_id: str):
+        super().__init__(request_id)
--- a/packages/limpetusher-router/src/limpetusher_router/process/deadlines.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/deadlines.py
@@ -4,6 +4,7 @@
 import itertools
 
 from circuits.core import BaseComponent, Event, handler
+
 from limpetusher.clock import Clock
 
 COMPACTION_ENTRIES = 1024
--- a/packages/limpetusher-router/src/limpetusher_router/process/logs.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/logs.py
@@ -5,8 +5,8 @@
 from datetime import UTC, datetime
 
 import msgspec
-from limpetusher.events import Event
 
+from limpetusher.events import Event
 from limpetusher_router.settings import RouterSettings
 
 EVENT_LOGGER = logging.getLogger("limpetusher")
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -0,0 +1,189 @@
+"""The router process: its components, its start and its stop."""
+
+import logging
+import random
+import signal
+import types
+from collections.abc import Callable
+
+from circuits.core import BaseComponent, handler
+from circuits.core.events import signal as signal_event
+from circuits.core.pollers import EPoll
+
+from limpetusher.clock import Clock, SystemClock
+from limpetusher.core.inputs import StopRequested
+from limpetusher.events import Event
+from limpetusher_router.connection.callers import CallerServer
+from limpetusher_router.connection.peers import PeerSockets
+from limpetusher_router.connection.targets import TargetClient
+from limpetusher_router.errors import RouterError
+from limpetusher_router.events import (
+    CALLERS,
+    CORE,
+    PROCESS,
+    REQUESTS,
+    CloseIdleCallers,
+    CoreInput,
+    Due,
+    FailRequest,
+)
+from limpetusher_router.process.adapter import CoreAdapter
+from limpetusher_router.process.admin import AdminPages, AdminServer
+from limpetusher_router.process.core import make_core, owned_addresses
+from limpetusher_router.process.deadlines import Deadlines
+from limpetusher_router.process.loads import LoadReader
+from limpetusher_router.process.logs import log_event, set_up_logging
+from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.process.orders import OrderSender
+from limpetusher_router.process.tracing import Tracing
+from limpetusher_router.request.exchanges import Exchanges
+from limpetusher_router.request.identifiers import RequestIdentifiers
+from limpetusher_router.settings import RouterSettings
+from limpetusher_router.version.hosts import HostListReader
+from limpetusher_router.version.watch import ConfigurationWatch
+
+INCARNATION_BITS = 63
+FLUSH_POLL_SECONDS = 0.05
+FLUSH_SECONDS = 10.0
+LAST_MESSAGES_SECONDS = 0.2
+
+logger = logging.getLogger(__name__)
+
+
+class StopSignal(signal_event):
+    """SIGTERM or SIGINT arrived; a subclass of circuits' event because only that wakes the poller."""
+
+
+class RouterProcess(BaseComponent):
+    """Root of the component tree.
+
+    Parameters
+    ----------
+    settings
+        Settings of the router.
+    clock
+        Source of time.
+    core_factory
+        Makes the decision core from settings, incarnation, random numbers and clock.
+    """
+
+    channel = PROCESS
+
+    def __init__(
+        self, settings: RouterSettings, *, clock: Clock, core_factory: Callable[..., object] = make_core
+    ):
+        super().__init__()
+        self.settings = settings
+        self.clock = clock
+        self.metrics = Metrics()
+        self.flush_until: float | None = None
+        self.finished = False
+        key = settings.read_peer_key()
+        # Seeded by the operating system, so that restarted routers differ.
+        rng = random.Random(random.SystemRandom().getrandbits(64))
+        incarnation = rng.getrandbits(INCARNATION_BITS)
+        core = core_factory(settings, incarnation=incarnation, rng=random.Random(rng.random()), clock=clock)
+
+        self.poller = EPoll().register(self)
+        self.deadlines = Deadlines(clock).register(self)
+        shared = {"deadlines": self.deadlines, "poller": self.poller, "metrics": self.metrics}
+        self.peers = PeerSockets(settings, key=key, incarnation=incarnation, **shared).register(self)
+        self.callers = CallerServer(
+            settings, clock=clock, identifiers=RequestIdentifiers(settings.host_id, incarnation), **shared
+        ).register(self)
+        self.targets = TargetClient(settings, clock=clock, **shared).register(self)
+        tracing = Tracing(settings.host_id, output=settings.trace_output)
+        Exchanges(settings, clock=clock, metrics=self.metrics, tracing=tracing).register(self)
+        adapter = CoreAdapter(core, clock=clock, deadlines=self.deadlines, metrics=self.metrics)
+        self.adapter = adapter.register(self)
+        ConfigurationWatch(settings, deadlines=self.deadlines, rng=rng).register(self)
+        HostListReader(settings, deadlines=self.deadlines, rng=rng).register(self)
+        LoadReader(
+            settings, clock=clock, deadlines=self.deadlines, owned_targets=lambda: owned_addresses(core)
+        ).register(self)
+        OrderSender().register(self)
+        AdminServer(settings).register(self)
+        AdminPages(core, metrics=self.metrics, document=self.document).register(self)
+
+    def document(self) -> bytes | None:
+        """Return the configuration document in force."""
+        configuration = self.adapter.configuration
+        return configuration.document if configuration is not None else None
+
+    def _signal_handler(self, signo: int, stack: types.FrameType | None) -> None:
+        # Replaces circuits' event, at which its web server would end the process after 3 s.
+        self.fire(StopSignal(signo, None), PROCESS)
+
+    @handler("started", channel="*")
+    def on_started(self, _component: object) -> None:
+        """Let the core ask for what it needs."""
+        log_event(Event.ROUTER_STARTED, data_centre=self.settings.data_centre)
+        self.adapter.schedule_wakeup()
+        self.fire(Due(), CORE)
+
+    @handler("StopSignal")
+    def on_stop_signal(self, number: int, _stack: object) -> None:
+        """Begin to stop; work in progress is finished first."""
+        log_event(Event.ROUTER_STOPPING, signal=signal.Signals(number).name)
+        self.fire(CoreInput(StopRequested()), CORE)
+
+    @handler("StopProcess")
+    def on_stop_process(self) -> None:
+        """Exit as soon as the callers have read their answers."""
+        if self.flush_until is None:
+            now = self.clock.monotonic()
+            self.flush_until = now + FLUSH_SECONDS
+            self.fire(CloseIdleCallers(), CALLERS)
+            self.deadlines.schedule(now + LAST_MESSAGES_SECONDS, Due(), PROCESS)
+
+    @handler("Due")
+    def on_due(self, _subject: object) -> None:
+        """Exit once all answers are written, or the time for that is over."""
+        busy = any(
+            connection.out or connection.request_id for connection in self.callers.connections.values()
+        )
+        if busy and self.clock.monotonic() < self.flush_until:
+            self.deadlines.schedule_in(FLUSH_POLL_SECONDS, Due(), PROCESS)
+            return
+        self.finished = True
+        log_event(Event.ROUTER_STOPPED)
+        self.stop()
+
+    @handler("exception", channel="*")
+    def on_exception(
+        self,
+        error_type: type[BaseException],
+        error: BaseException,
+        traceback: object,
+        handler: object = None,
+        fevent: object = None,
+    ) -> None:
+        """Log an exception of a handler, and answer the request that it concerned."""
+        logger.error("exception in the handler of %s", fevent, exc_info=error)
+        self.metrics.handler_errors.inc({})
+        request_id = request_id_of(fevent)
+        if request_id is not None and not isinstance(fevent, FailRequest):
+            self.fire(FailRequest(request_id), REQUESTS)
+
+
+def request_id_of(event: object) -> str | None:
+    """Return the request that a message is about, None when it is about none."""
+    if REQUESTS not in getattr(event, "channels", ()) or not event.args:
+        return None
+    subject = event.args[0]
+    subject = getattr(subject, "request_id", subject)
+    if isinstance(subject, tuple):
+        subject = subject[0]
+    return subject if isinstance(subject, str) else None
+
+
+def run_router(settings: RouterSettings, *, core_factory: Callable[..., object] = make_core) -> int:
+    """Run a router until it is stopped, and return the exit status."""
+    set_up_logging(settings)
+    try:
+        process = RouterProcess(settings, clock=SystemClock(), core_factory=core_factory)
+    except OSError as error:
+        raise RouterError(f"can't listen: {error}") from error
+    process.run()
+    process.peers.close()
+    return 0 if process.finished else 1
--- a/packages/limpetusher-router/src/limpetusher_router/request/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/answers.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 import msgspec
+
 from limpetusher.core.actions import Ran
 
 ERROR_CONTENT_TYPE = "application/json"
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/request/authentication.py
@@ -0,0 +1,49 @@
+"""Authentication of callers by API key."""
+
+import hashlib
+import hmac
+
+from limpetusher.configuration.compiled import ApiKey, Configuration, Customer
+from limpetusher.core.actions import RefusalCode
+from limpetusher_router.errors import RequestError
+
+SCHEME = "bearer"
+UNKNOWN_KEY = ApiKey(key_id="", salt="00" * 16, digest="")
+
+
+class Authenticator:
+    """Finds the customer of an API key.
+
+    Parameters
+    ----------
+    configuration
+        Configuration whose keys are accepted.
+    """
+
+    def __init__(self, configuration: Configuration):
+        self.keys = {
+            key.key_id: (customer, key)
+            for customer in configuration.customers.values()
+            for key in customer.api_keys
+        }
+
+    def authenticate(self, authorization: str | None) -> Customer:
+        """Return the customer that the header field `Bearer KEY_ID.SECRET` proves.
+
+        An unknown key takes as long as a wrong secret.
+
+        Raises
+        ------
+        RequestError
+            If the field is missing or the key is not accepted.
+        """
+        scheme, _, token = (authorization or "").strip().partition(" ")
+        key_id, _, secret = token.strip().partition(".")
+        customer, key = self.keys.get(key_id, (None, UNKNOWN_KEY))
+        digest = hashlib.sha256(bytes.fromhex(key.salt) + secret.encode("latin-1", "replace")).hexdigest()
+        accepted = hmac.compare_digest(digest, key.digest)
+        if scheme.lower() != SCHEME or customer is None or not accepted:
+            raise RequestError(
+                401, RefusalCode.UNKNOWN_KEY, "the API key is not known; allowed: Bearer KEY_ID.SECRET"
+            )
+        return customer
