--- a/packages/limpetusher-router/src/limpetusher_router/process/adapter.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/adapter.py
@@ -3,13 +3,11 @@
 import logging
 import math
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING
 
 from circuits.core import BaseComponent, handler
 
 from limpetusher.clock import Clock
 from limpetusher.configuration.compiled import Configuration
-from limpetusher.configuration.document import load_configuration
 from limpetusher.core.actions import (
     Action,
     CancelDispatch,
@@ -22,10 +20,8 @@
     Stopped,
     WatchConfiguration,
 )
-from limpetusher.core.inputs import ConfigurationReceived, Input, PeerMessage, TimerDue
-from limpetusher.errors import ConfigurationError
-from limpetusher.events import Event
-from limpetusher.wire.messages import ConfigurationDocument
+from limpetusher.core.decision import DecisionCore
+from limpetusher.core.inputs import Input, TimerDue
 from limpetusher_router.events import (
     CONFIGURATION,
     CORE,
@@ -39,13 +35,11 @@
     FailRequest,
     StopProcess,
 )
+from limpetusher_router.process.core import configuration_in_force
 from limpetusher_router.process.deadlines import Deadline, Deadlines
 from limpetusher_router.process.logs import log_event
 from limpetusher_router.process.metrics import Metrics
 
-if TYPE_CHECKING:
-    from limpetusher.core.decision import DecisionCore
-
 LEAST_WAKEUP_SECONDS = 0.001
 
 logger = logging.getLogger(__name__)
@@ -56,7 +50,7 @@
 
     channel = CORE
 
-    def __init__(self, core: "DecisionCore", *, clock: Clock, deadlines: Deadlines, metrics: Metrics):
+    def __init__(self, core: DecisionCore, *, clock: Clock, deadlines: Deadlines, metrics: Metrics):
         super().__init__()
         self.core = core
         self.clock = clock
@@ -64,14 +58,10 @@
         self.metrics = metrics
         self.wakeup: Deadline | None = None
         self.configuration: Configuration | None = None
-        self.was_ready = False
 
     @handler("CoreInput")
     def on_input(self, message: Input) -> None:
         """Let the core handle an input and carry out its actions in order."""
-        if isinstance(message, PeerMessage) and isinstance(message.payload, ConfigurationDocument):
-            self.relay_document(message)
-            return
         self.handle(message)
 
     def handle(self, message: Input) -> None:
@@ -87,23 +77,13 @@
             actions = []
         for action in actions:
             self.carry_out(action)
-        if isinstance(message, ConfigurationReceived):
-            self.take_configuration(message.configuration)
+        self.note_configuration()
         self.schedule_wakeup()
-        self.note_ready()
 
-    def relay_document(self, message: PeerMessage) -> None:
-        """Validate a configuration document that a peer has sent."""
-        try:
-            configuration = load_configuration(message.payload.document)
-        except ConfigurationError as error:
-            log_event(Event.CONFIGURATION_REFUSED, sender=message.sender, problems=error.problems[:10])
-            return
-        self.handle(ConfigurationReceived(configuration))
-
-    def take_configuration(self, configuration: Configuration) -> None:
-        """Tell the other components about a newer configuration; the order is that of the core."""
-        if self.configuration is None or configuration.order > self.configuration.order:
+    def note_configuration(self) -> None:
+        """Tell the other components when another configuration has come into force."""
+        configuration = configuration_in_force(self.core)
+        if configuration is not self.configuration:
             self.configuration = configuration
             self.fire(ConfigurationInForce(configuration), REQUESTS, CONFIGURATION)
 
@@ -126,13 +106,6 @@
         if not math.isinf(wanted):
             self.wakeup = self.deadlines.schedule(when, Due(), CORE)
 
-    def note_ready(self) -> None:
-        """Log when the router becomes ready."""
-        ready = self.core.is_ready
-        if ready and not self.was_ready:
-            log_event(Event.ROUTER_READY)
-        self.was_ready = ready
-
     @singledispatchmethod
     def carry_out(self, action: Action) -> None:
         """Hand an action to the component that carries it out."""
--- a/packages/limpetusher-router/src/limpetusher_router/process/admin.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/admin.py
@@ -3,19 +3,16 @@
 import logging
 from collections.abc import Callable
 from dataclasses import asdict, is_dataclass
-from typing import TYPE_CHECKING
 
 import msgspec
 from circuits.core import BaseComponent, Event, handler
 from circuits.web import Server
 from circuits.web.wrappers import Request, Response
 
+from limpetusher.core.decision import DecisionCore
 from limpetusher_router.process.metrics import Metrics
 from limpetusher_router.settings import RouterSettings, split_address
 
-if TYPE_CHECKING:
-    from limpetusher.core.decision import DecisionCore
-
 WEB = "web"
 JSON = "application/json"
 EXPLAIN_PREFIX = "/explain/"
@@ -53,7 +50,7 @@
 
     channel = WEB
 
-    def __init__(self, core: "DecisionCore", *, metrics: Metrics, document: Callable[[], bytes | None]):
+    def __init__(self, core: DecisionCore, *, metrics: Metrics, document: Callable[[], bytes | None]):
         super().__init__()
         self.core = core
         self.metrics = metrics
--- a/packages/limpetusher-router/src/limpetusher_router/process/core.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/core.py
@@ -1,31 +1,35 @@
 """Making the decision core, and reading from it what the process needs to know."""
 
 import random
-from typing import TYPE_CHECKING
 
 from limpetusher.clock import Clock
+from limpetusher.configuration.compiled import Configuration
+from limpetusher.core.decision import DecisionCore
 from limpetusher_router.settings import RouterSettings
 
-if TYPE_CHECKING:
-    from limpetusher.core.decision import DecisionCore
-
 
 def make_core(
     settings: RouterSettings, *, incarnation: int, rng: random.Random, clock: Clock
-) -> "DecisionCore":
+) -> DecisionCore:
     """Return the decision core of this router."""
-    from limpetusher.core.decision import DecisionCore
-
+    now = clock.monotonic()
     return DecisionCore(
-        settings.policy,
+        settings=settings.policy,
         own_id=settings.host_id,
         data_centre=settings.data_centre,
         incarnation=incarnation,
         rng=rng,
-        now=clock.monotonic(),
+        started_at=now,
+        wall_offset_seconds=clock.wall() - now,
     )
 
 
-def owned_addresses(core: "DecisionCore") -> dict[str, str]:
+def owned_addresses(core: DecisionCore) -> dict[str, str]:
     """Return the addresses of the targets that this router owns by target id."""
-    return core.owned_targets()
+    membership = core.context.membership
+    return {target_id: membership.target(target_id).address for target_id in core.owned_targets}
+
+
+def configuration_in_force(core: DecisionCore) -> Configuration | None:
+    """Return the configuration in force, None without one."""
+    return core.context.rollout.configuration
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -4,7 +4,6 @@
 import random
 import signal
 import types
-from collections.abc import Callable
 
 from circuits.core import BaseComponent, handler
 from circuits.core.events import signal as signal_event
@@ -63,15 +62,11 @@
         Settings of the router.
     clock
         Source of time.
-    core_factory
-        Makes the decision core from settings, incarnation, random numbers and clock.
     """
 
     channel = PROCESS
 
-    def __init__(
-        self, settings: RouterSettings, *, clock: Clock, core_factory: Callable[..., object] = make_core
-    ):
+    def __init__(self, settings: RouterSettings, *, clock: Clock):
         super().__init__()
         self.settings = settings
         self.clock = clock
@@ -82,7 +77,7 @@
         # Seeded by the operating system, so that restarted routers differ.
         rng = random.Random(random.SystemRandom().getrandbits(64))
         incarnation = rng.getrandbits(INCARNATION_BITS)
-        core = core_factory(settings, incarnation=incarnation, rng=random.Random(rng.random()), clock=clock)
+        core = make_core(settings, incarnation=incarnation, rng=random.Random(rng.random()), clock=clock)
 
         self.poller = EPoll().register(self)
         self.deadlines = Deadlines(clock).register(self)
@@ -124,7 +119,7 @@
     @handler("StopSignal")
     def on_stop_signal(self, number: int, _stack: object) -> None:
         """Begin to stop; work in progress is finished first."""
-        log_event(Event.ROUTER_STOPPING, signal=signal.Signals(number).name)
+        logger.info("received %s", signal.Signals(number).name)
         self.fire(CoreInput(StopRequested()), CORE)
 
     @handler("StopProcess")
@@ -146,7 +141,6 @@
             self.deadlines.schedule_in(FLUSH_POLL_SECONDS, Due(), PROCESS)
             return
         self.finished = True
-        log_event(Event.ROUTER_STOPPED)
         self.stop()
 
     @handler("exception", channel="*")
@@ -177,11 +171,11 @@
     return subject if isinstance(subject, str) else None
 
 
-def run_router(settings: RouterSettings, *, core_factory: Callable[..., object] = make_core) -> int:
+def run_router(settings: RouterSettings) -> int:
     """Run a router until it is stopped, and return the exit status."""
     set_up_logging(settings)
     try:
-        process = RouterProcess(settings, clock=SystemClock(), core_factory=core_factory)
+        process = RouterProcess(settings, clock=SystemClock())
     except OSError as error:
         raise RouterError(f"can't listen: {error}") from error
     process.run()
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchange.py
@@ -22,6 +22,17 @@
 NOT_RUN_STATUSES = frozenset({429, 503})
 
 
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """An answer that may be replayed; `body` is None for one that is not kept."""
+
+    content_type: str = ""
+    body: bytes | None = None
+
+
+NOTHING_KEPT = KeptAnswer()
+
+
 @dataclass(slots=True)
 class TargetAttempt:
     """An attempt of a request at a target."""
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
@@ -40,7 +40,7 @@
 from limpetusher_router.process.tracing import Tracing
 from limpetusher_router.request.answers import error_body, error_event, error_headers
 from limpetusher_router.request.authentication import Authenticator
-from limpetusher_router.request.exchange import Exchange, TargetAttempt
+from limpetusher_router.request.exchange import NOTHING_KEPT, Exchange, KeptAnswer, TargetAttempt
 from limpetusher_router.request.parsing import parse_service_request
 from limpetusher_router.request.relay import Relay
 from limpetusher_router.settings import RouterSettings
@@ -370,11 +370,25 @@
             body = bytes(relay.held)
             headers = exchange.answer_headers(relay)
             self.fire(SendAnswer(exchange.request_id, status, headers, body), CALLERS)
-        self.end_attempt(exchange, Outcome.COMPLETE, cost=cost, status=status)
+        self.end_attempt(exchange, Outcome.COMPLETE, cost=cost, status=status, kept=self.kept(exchange))
         self.close(exchange, status=status)
 
+    def kept(self, exchange: Exchange) -> KeptAnswer:
+        """Return the whole answer to a request with an idempotency key if it is short enough for a replay."""
+        relay = exchange.attempt.relay
+        short = not relay.begun and len(relay.held) <= self.settings.policy.kept_answer_bytes
+        if exchange.request.idempotency_key is None or not short:
+            return NOTHING_KEPT
+        return KeptAnswer(relay.head.headers.get("content-type", ""), bytes(relay.held))
+
     def end_attempt(
-        self, exchange: Exchange, outcome: Outcome, *, cost: float | None = None, status: int | None = None
+        self,
+        exchange: Exchange,
+        outcome: Outcome,
+        *,
+        cost: float | None = None,
+        status: int | None = None,
+        kept: KeptAnswer = NOTHING_KEPT,
     ) -> None:
         """Tell the core how an attempt ended."""
         attempt = exchange.attempt
@@ -383,7 +397,9 @@
         self.metrics.running.dec({})
         self.metrics.waiting.inc({})
         self.metrics.attempts.inc({"outcome": outcome.value})
-        ended = ResponseEnded(exchange.request_id, attempt.number, outcome, cost, status)
+        ended = ResponseEnded(
+            exchange.request_id, attempt.number, outcome, cost, status, kept.content_type, kept.body
+        )
         self.fire(CoreInput(ended), CORE)
 
     @handler("CallerBlocked")
