Add stand-ins for engine, application, platform and proxy, and the fleet runner

The first whole request through the routers needs real surroundings: they are small asyncio servers with a deterministic answer for every request, so that a caller can verify that it got its own answer.

--- /dev/null
+++ b/packages/limpetusher-standins/src/limpetusher_standins/command.py
@@ -0,0 +1,102 @@
+"""Command line of the developer's tools: `python -m limpetusher_standins`."""
+
+import asyncio
+import contextlib
+import json
+import logging
+import signal
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import App, Parameter
+
+from limpetusher_standins.engine_batch import EngineSettings
+from limpetusher_standins.platform_service import PlatformSettings
+
+EngineFlags = Annotated[EngineSettings, Parameter(name="*")]
+PlatformFlags = Annotated[PlatformSettings, Parameter(name="*")]
+
+app = App(name="limpetusher_standins", help="Stand-ins and developer's tools of limpetusher.")
+
+
+def serve(work: Coroutine) -> int:
+    """Run a server until SIGTERM or SIGINT."""
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
+
+    async def run() -> None:
+        task = asyncio.ensure_future(work)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    asyncio.run(run())
+    return 0
+
+
+@app.command
+def engine(*, listen: str, settings: EngineFlags = EngineSettings()) -> int:  # noqa: B008 - frozen
+    """Run a model engine."""
+    from limpetusher_standins.engine import Engine
+
+    async def run() -> None:
+        await Engine(settings).run(listen)
+
+    return serve(run())
+
+
+@app.command
+def application(*, listen: str, name: str = "application", delay_seconds: float = 0.005) -> int:
+    """Run an application service."""
+    from limpetusher_standins.application import Application
+
+    async def run() -> None:
+        await Application(name, delay_seconds).run(listen)
+
+    return serve(run())
+
+
+@app.command(name="platform")
+def run_platform(*, listen: str, settings: PlatformFlags = PlatformSettings()) -> int:  # noqa: B008 - frozen
+    """Run the platform."""
+    from limpetusher_standins.platform_service import Platform
+
+    async def run() -> None:
+        await Platform(settings).run(listen)
+
+    return serve(run())
+
+
+@app.command
+def proxy(*, listen: str, links: Path) -> int:
+    """Run the fault-injecting proxy; `links` is a JSON file of names, listening and target addresses."""
+    from limpetusher_standins.proxy import Proxy
+
+    async def run() -> None:
+        await Proxy(json.loads(links.read_text())).run(listen)
+
+    return serve(run())
+
+
+@app.command(name="run")
+def run_fleet(*, deployment: str = "consortium", with_proxy: bool = False, logs: Path | None = None) -> int:
+    """Run a deployment (consortium, caloredes or small) until Ctrl-C."""
+    from limpetusher_standins.runner import run_deployment
+
+    return run_deployment(deployment, with_proxy=with_proxy, logs=logs)
+
+
+@app.command
+def demo() -> int:
+    """Start the Consortium's deployment, send requests to it, and check every answer."""
+    from limpetusher_standins.demo import run_demo
+
+    return run_demo()
+
+
+def main() -> int:
+    """Run the command line and return the exit status."""
+    status = app(result_action="return_value")
+    return status if isinstance(status, int) else 0
