--- /dev/null
+++ b/packages/limpetusher-standins/src/limpetusher_standins/caller.py
@@ -0,0 +1,214 @@
+"""Caller of a router that verifies every answer: whole, and its own."""
+
+import enum
+import hashlib
+import json
+import time
+import urllib.parse
+from dataclasses import dataclass, field
+
+from limpetusher_standins import http_client
+from limpetusher_standins.answers import answer_text
+from limpetusher_standins.http_client import AnswerCutError, OpenAnswer
+
+ROUTER_HEADER = "x-limpetusher-router"
+TARGET_HEADER = "x-limpetusher-target"
+
+
+class Outcome(enum.StrEnum):
+    """What a caller got."""
+
+    WHOLE = "whole"
+    REFUSED = "refused"
+    """An error answer that says whether the request ran."""
+    CUT = "cut"
+    """The answer ended early and showed that it did."""
+    WRONG = "wrong"
+    """The answer claimed to be complete and was not the caller's own whole answer."""
+    NO_CONNECTION = "no_connection"
+
+
+@dataclass(slots=True)
+class CallResult:
+    """Result of one request; times in seconds."""
+
+    customer: str
+    service: str
+    outcome: Outcome = Outcome.CUT
+    status: int | None = None
+    code: str | None = None
+    ran: str | None = None
+    retry_after: float | None = None
+    router: str = ""
+    target: str = ""
+    request_id: str = ""
+    detail: str = ""
+    started: float = field(default_factory=time.monotonic)
+    first_byte_seconds: float | None = None
+    seconds: float = 0.0
+    prompt_tokens: int = 0
+    generated_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Sends requests of one customer to one router."""
+
+    address: str
+    customer: str
+    authorization: str
+
+    async def complete(self, body: dict, *, headers: dict[str, str] | None = None) -> CallResult:
+        """Send a chat-completions request, streamed if the body says so."""
+        result = CallResult(self.customer, body["model"])
+        check = check_stream if body.get("stream") else check_completion
+        content = json.dumps(body).encode()
+        await self.send(
+            result, "POST", "/v1/chat/completions", content, headers, lambda data: check(data, body, result)
+        )
+        return result
+
+    async def call_application(
+        self,
+        service: str,
+        method: str,
+        path: str,
+        call_id: str,
+        *,
+        idempotency_key: str | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> CallResult:
+        """Send a call to an application service."""
+        result = CallResult(self.customer, service)
+        content = b"" if method == "GET" else json.dumps({"call_id": call_id}).encode()
+        target = f"/apps/{service}{path}"
+        if method == "GET":
+            target += "?" + urllib.parse.urlencode({"call_id": call_id})
+        extra = dict(headers or {})
+        if idempotency_key is not None:
+            extra["idempotency-key"] = idempotency_key
+
+        def check(data: bytes) -> str:
+            return check_application(data, call_id, method, path, content)
+
+        await self.send(result, method, target, content, extra, check)
+        return result
+
+    async def send(self, result: CallResult, method, path, content, headers, check) -> None:
+        """Send a request and fill in its result; `check` returns what is wrong with a complete answer."""
+        sent = {"authorization": self.authorization, "content-type": "application/json", **(headers or {})}
+        try:
+            async with http_client.open_request(
+                self.address, method, path, body=content, headers=sent
+            ) as answer:
+                await self.read(result, answer, check)
+        except AnswerCutError as error:
+            result.outcome, result.detail = Outcome.CUT, str(error)
+        except OSError as error:
+            result.outcome, result.detail = Outcome.NO_CONNECTION, repr(error)
+        result.seconds = time.monotonic() - result.started
+
+    async def read(self, result: CallResult, answer: OpenAnswer, check) -> None:
+        """Read an answer and judge it."""
+        result.status = answer.status
+        result.router = answer.headers.get(ROUTER_HEADER, "")
+        result.target = answer.headers.get(TARGET_HEADER, "")
+        result.request_id = answer.headers.get("x-request-id", "")
+        if "retry-after" in answer.headers:
+            result.retry_after = float(answer.headers["retry-after"])
+        data = bytearray()
+        async for chunk in answer.chunks():
+            if result.first_byte_seconds is None:
+                result.first_byte_seconds = time.monotonic() - result.started
+            data += chunk
+        if answer.status != 200:
+            judge_refusal(result, bytes(data))
+            return
+        try:
+            problem = check(bytes(data))
+        except StreamEndedEarlyError as error:
+            result.outcome, result.detail = Outcome.CUT, str(error)
+            result.code, result.ran = error.code, error.ran
+            return
+        except (ValueError, KeyError, IndexError, TypeError) as error:
+            problem = f"malformed answer: {error!r}"
+        result.outcome = Outcome.WRONG if problem else Outcome.WHOLE
+        result.detail = problem
+
+
+class StreamEndedEarlyError(Exception):
+    """A stream ended without `[DONE]`, by an error event or without one."""
+
+    def __init__(self, message: str, code: str | None = None, ran: str | None = None):
+        super().__init__(message)
+        self.code, self.ran = code, ran
+
+
+def judge_refusal(result: CallResult, data: bytes) -> None:
+    """Fill in a result from an error answer."""
+    result.outcome = Outcome.REFUSED
+    try:
+        error = json.loads(data)["error"]
+        result.code, result.ran, result.detail = error["code"], error["ran"], error["message"]
+    except (ValueError, KeyError, TypeError):
+        result.detail = f"error answer of another form: {data[:200]!r}"
+
+
+def check_completion(data: bytes, body: dict, result: CallResult) -> str:
+    """Return what is wrong with a plain answer."""
+    answer = json.loads(data)
+    take_usage(result, answer["usage"])
+    return compare_text(answer["choices"][0]["message"]["content"], body)
+
+
+def check_stream(data: bytes, body: dict, result: CallResult) -> str:
+    """Return what is wrong with a streamed answer."""
+    text, usage, done = [], None, False
+    for block in data.decode().split("\n\n"):
+        for line in block.splitlines():
+            if not line.startswith("data:"):
+                continue
+            if done:
+                return "events after [DONE]"
+            payload = line.removeprefix("data:").strip()
+            if payload == "[DONE]":
+                done = True
+                continue
+            event = json.loads(payload)
+            if "error" in event:
+                error = event["error"]
+                raise StreamEndedEarlyError(error.get("message", ""), error.get("code"), error.get("ran"))
+            usage = event.get("usage") or usage
+            text += [choice["delta"].get("content", "") for choice in event["choices"]]
+    if not done:
+        raise StreamEndedEarlyError("stream ended without [DONE] and without an error event")
+    if usage is None:
+        return "no usage"
+    take_usage(result, usage)
+    return compare_text("".join(text), body)
+
+
+def take_usage(result: CallResult, usage: dict) -> None:
+    """Fill in the tokens of a result."""
+    result.prompt_tokens = usage["prompt_tokens"]
+    result.generated_tokens = usage["completion_tokens"]
+
+
+def compare_text(text: str, body: dict) -> str:
+    """Return how a text differs from the answer to `body`, or ''."""
+    expected = answer_text(body)
+    return "" if text == expected else f"answer {text[:60]!r}, expected {expected[:60]!r}"
+
+
+def check_application(data: bytes, call_id: str, method: str, path: str, content: bytes) -> str:
+    """Return what is wrong with the answer of an application service."""
+    answer = json.loads(data)
+    expected = {
+        "call_id": call_id,
+        "method": method,
+        "body_digest": hashlib.sha256(content).hexdigest(),
+    }
+    wrong = {name: answer.get(name) for name, value in expected.items() if answer.get(name) != value}
+    if not answer["path"].endswith(path):
+        wrong["path"] = answer["path"]
+    return f"wrong fields {wrong}, expected {expected}" if wrong else ""
--- a/packages/limpetusher-standins/src/limpetusher_standins/proxy.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/proxy.py
@@ -194,6 +194,12 @@
         logger.info("proxy of %d links listens on %s", len(self.links), await self.server.start(address))
         await asyncio.get_running_loop().create_future()
 
+    async def stop(self) -> None:
+        """Close all links and the control endpoint."""
+        for link in self.links.values():
+            await link.set_mode(Mode.CUT)
+        await self.server.stop()
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one control request."""
         match (request.method, request.path):
--- /dev/null
+++ b/tests/standins/test_proxy.py
@@ -0,0 +1,113 @@
+"""Tests of the fault-injecting proxy."""
+
+import asyncio
+import time
+
+import pytest
+
+from builders_standins import get, running_application, running_proxy
+from limpetusher_standins import http_client
+from limpetusher_standins.http_client import AnswerCutError
+from limpetusher_standins.ports import PortBlock
+from limpetusher_standins.proxy import Mode
+
+BROKEN = (AnswerCutError, ConnectionError)
+
+
+@pytest.fixture
+def listen():
+    """Address for the link's port."""
+    ports = PortBlock()
+    yield ports.take()
+    ports.close()
+
+
+@pytest.mark.parametrize("mode", [Mode.CUT, Mode.RESET])
+def test_cut_and_reset_break_open_and_new_connections(listen: str, mode: Mode):
+    """Guards against a fault that leaves connections of before it open, or that can't be undone."""
+
+    async def run() -> None:
+        async with (
+            running_application(delay_seconds=0.5) as (_, target),
+            running_proxy(target, listen) as proxy,
+        ):
+            pending = asyncio.create_task(get(listen, "/status"))
+            await asyncio.sleep(0.1)
+            await proxy.links["link"].set_mode(mode)
+            for request in (pending, get(listen, "/status")):
+                with pytest.raises(BROKEN):
+                    await request
+            await proxy.links["link"].set_mode(Mode.FORWARD)
+            assert (await get(listen, "/status")).status == 200
+
+    asyncio.run(run())
+
+
+def test_black_hole_keeps_the_connection_and_delivers_after_a_restore(listen: str):
+    """Guards against a partition that a router can see as a broken connection."""
+
+    async def run() -> None:
+        async with running_application() as (application, target), running_proxy(target, listen) as proxy:
+            await proxy.links["link"].set_mode(Mode.BLACK_HOLE)
+            pending = asyncio.create_task(get(listen, "/status"))
+            await asyncio.sleep(0.2)
+            assert not pending.done()
+            assert application.received == 0
+            await proxy.links["link"].set_mode(Mode.FORWARD)
+            assert (await pending).status == 200
+
+    asyncio.run(run())
+
+
+def test_delay_applies_to_both_directions(listen: str):
+    """Guards against a delay that is not in force."""
+
+    async def run() -> None:
+        async with running_application() as (_, target), running_proxy(target, listen) as proxy:
+            await proxy.links["link"].set_mode(Mode.DELAY, delay_seconds=0.1)
+            began = time.monotonic()
+            assert (await get(listen, "/status")).status == 200
+            assert time.monotonic() - began >= 0.2
+
+    asyncio.run(run())
+
+
+def test_truncate_ends_the_answer_after_the_bytes(listen: str):
+    """Guards against an answer that passes whole through a truncating link."""
+
+    async def run() -> None:
+        async with running_application() as (application, target), running_proxy(target, listen) as proxy:
+            await proxy.links["link"].set_mode(Mode.TRUNCATE, truncate_bytes=150)
+            with pytest.raises(BROKEN):
+                await http_client.request(listen, "GET", "/status")
+            assert application.received == 1
+
+    asyncio.run(run())
+
+
+def test_slow_reader_stops_the_sender(listen: str):
+    """Guards against a proxy that buffers without limit."""
+    sent = 0
+
+    async def run() -> None:
+        nonlocal sent
+
+        async def flood(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal sent
+            while True:
+                writer.write(b"x" * 65_536)
+                await writer.drain()
+                sent += 65_536
+
+        server = await asyncio.start_server(flood, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with running_proxy(f"{host}:{port}", listen):
+            _, writer = await asyncio.open_connection(*listen.rsplit(":", 1), limit=1024)
+            await asyncio.sleep(0.5)
+            before = sent
+            await asyncio.sleep(0.3)
+            assert sent == before
+            writer.close()
+        server.close()
+
+    asyncio.run(run())
