--- a/packages/limpetusher-standins/src/limpetusher_standins/command.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/command.py
@@ -12,9 +12,11 @@
 from cyclopts import App, Parameter
 
 from limpetusher_standins.engine_batch import EngineSettings
+from limpetusher_standins.load import LoadSettings
 from limpetusher_standins.platform_service import PlatformSettings
 
 EngineFlags = Annotated[EngineSettings, Parameter(name="*")]
+LoadFlags = Annotated[LoadSettings, Parameter(name="*")]
 PlatformFlags = Annotated[PlatformSettings, Parameter(name="*")]
 
 app = App(name="limpetusher_standins", help="Stand-ins and developer's tools of limpetusher.")
@@ -96,6 +98,19 @@
     return run_demo()
 
 
+@app.command
+def load(
+    *,
+    deployment: str = "consortium",
+    fleet: Path | None = None,
+    settings: LoadFlags = LoadSettings(),  # noqa: B008 - frozen
+) -> int:
+    """Send load to a running deployment, given by its fleet.json, or to one that is started for it."""
+    from limpetusher_standins.runner import load_deployment
+
+    return load_deployment(deployment, fleet, settings)
+
+
 def main() -> int:
     """Run the command line and return the exit status."""
     status = app(result_action="return_value")
--- a/packages/limpetusher-standins/src/limpetusher_standins/demo.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/demo.py
@@ -7,6 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from limpetusher_standins.audit import name_targets
 from limpetusher_standins.caller import Caller, CallResult, Outcome
 from limpetusher_standins.deployment import CONSORTIUM, CustomerPlan
 from limpetusher_standins.fleet import Fleet
@@ -30,6 +31,7 @@
     with Fleet(CONSORTIUM) as fleet:
         print(f"{len(fleet.processes)} processes ready after {time.monotonic() - began:.1f} s")
         calls = asyncio.run(send_all(fleet))
+        name_targets(fleet, [call.result for call in calls])
         show(calls)
     whole = sum(call.result.outcome == Outcome.WHOLE for call in calls)
     print(f"{whole} of {len(calls)} answers whole and the caller's own, {time.monotonic() - began:.1f} s")
--- a/packages/limpetusher-standins/src/limpetusher_standins/fleet.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/fleet.py
@@ -1,7 +1,6 @@
 """Fleet of real processes on loopback addresses: routers, stand-ins and an optional fault-injecting proxy."""
 
 import concurrent.futures
-import http.client
 import json
 import shutil
 import tempfile
@@ -9,6 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from limpetusher_standins.calls import Reply, call, status_of
 from limpetusher_standins.deployment import CustomerPlan, DeploymentPlan
 from limpetusher_standins.ports import PortBlock
 from limpetusher_standins.processes import ManagedProcess, stop_all
@@ -19,7 +19,6 @@
 PEER_KEY = "limpetusher-development-peer-key"
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
-CALL_SECONDS = 10.0
 
 
 class FleetError(Exception):
@@ -50,33 +49,6 @@
         }
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A whole answer to a call of this module. Header names are in lower case."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-    def json(self) -> object:
-        """Return the body as JSON."""
-        return json.loads(self.body)
-
-
-def call(
-    address: str, method: str, path: str, body: object = None, headers: dict[str, str] | None = None
-) -> Reply:
-    """Send one HTTP request; a `body` that is not bytes is sent as JSON."""
-    content = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
-    connection = http.client.HTTPConnection(address, timeout=CALL_SECONDS)
-    try:
-        connection.request(method, path, content, headers or {})
-        response = connection.getresponse()
-        return Reply(response.status, {k.lower(): v for k, v in response.getheaders()}, response.read())
-    finally:
-        connection.close()
-
-
 def flags(options: dict[str, object]) -> list[str]:
     """Return command-line flags for options given by their names in Python."""
     arguments = []
@@ -310,15 +282,18 @@
         return version
 
     def publish_hosts(self) -> None:
-        """Publish the host list with the present states."""
+        """Publish the host list as the platform's operator."""
         self.host_list_version += 1
+        call(self.platform_address, "PUT", "/control/hosts", self.host_list())
+
+    def host_list(self) -> dict:
+        """Return the host list with the present states."""
         hosts = [
             host.document(self.host_states[host.host_id])
             for host in (*self.routers.values(), *self.targets.values())
             if host.host_id in self.host_states
         ]
-        document = {"version": self.host_list_version, "hosts": hosts}
-        call(self.platform_address, "PUT", "/control/hosts", document)
+        return {"version": max(1, self.host_list_version), "hosts": hosts}
 
     def set_host_state(self, host_id: str, state: str | None) -> None:
         """Publish a host list with another state of a host; None removes the host."""
@@ -371,11 +346,3 @@
 def link_name(source: str, target: str) -> str:
     """Return the name of the link from a router to another host."""
     return f"{source}>{target}"
-
-
-def status_of(address: str, path: str) -> int | None:
-    """Return the status of a GET, or None when there is no answer."""
-    try:
-        return call(address, "GET", path).status
-    except (OSError, http.client.HTTPException):
-        return None
--- a/packages/limpetusher-standins/src/limpetusher_standins/processes.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/processes.py
@@ -46,6 +46,8 @@
     arguments: list[str]
     log_path: Path
     environment: dict[str, str] = field(default_factory=dict)
+    folder: Path | None = None
+    """Working folder."""
     process: subprocess.Popen | None = None
     paused: bool = False
 
@@ -66,6 +68,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env=environment,
+                cwd=self.folder,
                 start_new_session=True,
                 preexec_fn=end_with_parent,
             )
--- a/packages/limpetusher-standins/src/limpetusher_standins/runner.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/runner.py
@@ -1,11 +1,15 @@
-"""Command `run`: a deployment in the foreground."""
+"""Commands `run` and `load`: a deployment in the foreground, and load on one."""
 
+import asyncio
 import dataclasses
+import json
 import signal
 from pathlib import Path
 
+from limpetusher_standins.audit import audit
 from limpetusher_standins.deployment import PLANS
 from limpetusher_standins.fleet import Fleet
+from limpetusher_standins.load import LoadSettings, run_load, summarise
 
 
 def run_deployment(name: str, *, with_proxy: bool, logs: Path | None) -> int:
@@ -17,6 +21,7 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         with Fleet(dataclasses.replace(PLANS[name], with_proxy=with_proxy), logs) as fleet:
+            write_description(fleet)
             print(describe(fleet), flush=True)
             while True:
                 signal.pause()
@@ -25,6 +30,13 @@
     return 0
 
 
+def write_description(fleet: Fleet) -> None:
+    """Write what `load` needs to know about a running deployment."""
+    routers = [host.caller_address for host in fleet.routers.values()]
+    document = {"deployment": fleet.plan.name, "routers": routers}
+    (fleet.folder / "fleet.json").write_text(json.dumps(document))
+
+
 def describe(fleet: Fleet) -> str:
     """Return the addresses of a fleet and a ready command line for a first request."""
     lines = [f"deployment {fleet.plan.name}, logs in {fleet.folder}"]
@@ -48,3 +60,21 @@
         f"-d '{body}' http://{router.caller_address}/v1/chat/completions"
     )
     return "\n".join(lines)
+
+
+def load_deployment(name: str, description: Path | None, settings: LoadSettings) -> int:
+    """Send load and print its report; return 1 if an answer was wrong or a record contradicts the callers."""
+    if description is not None:
+        running = json.loads(description.read_text())
+        plan = PLANS[running["deployment"]]
+        customers = plan.customer_plans()
+        run = asyncio.run(run_load(plan, customers, running["routers"], settings))
+        report = summarise(run, customers)
+        print(json.dumps(report))
+        return 1 if "wrong" in report["outcomes"] else 0
+    with Fleet(PLANS[name]) as fleet:
+        routers = [host.caller_address for host in fleet.routers.values()]
+        run = asyncio.run(run_load(fleet.plan, fleet.customers, routers, settings))
+        found = audit(fleet, run.results)
+    print(json.dumps({**summarise(run, fleet.customers), "audit": dataclasses.asdict(found)}))
+    return 0 if found.is_clean else 1
--- /dev/null
+++ b/tests/standins/test_fleet.py
@@ -0,0 +1,91 @@
+"""Tests of the fleet runner with stand-ins only."""
+
+import dataclasses
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from builders_standins import chat
+from limpetusher_standins.calls import call, status_of
+from limpetusher_standins.deployment import SMALL
+from limpetusher_standins.fleet import PLATFORM, Fleet, FleetError
+from limpetusher_standins.processes import ManagedProcess, package_paths
+
+pytestmark = pytest.mark.integration
+STAND_INS = dataclasses.replace(SMALL, routers=0)
+
+
+def process_ids(fleet: Fleet) -> list[int]:
+    return [process.process.pid for process in fleet.processes.values()]
+
+
+def is_alive(process_id: int) -> bool:
+    try:
+        os.kill(process_id, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+def test_processes_are_paused_killed_and_restarted_by_id():
+    """Guards against a fault that hits no process or another one, or a restart on another address."""
+    with Fleet(STAND_INS) as fleet:
+        address = fleet.targets["engine-1"].address
+        assert call(address, "POST", "/v1/chat/completions", chat()).status == 200
+        fleet.processes["engine-1"].pause()
+        with pytest.raises(TimeoutError):
+            call(address, "GET", "/load", seconds=0.3)
+        fleet.processes["engine-1"].resume()
+        assert status_of(address, "/load") == 200
+        fleet.processes["engine-1"].kill()
+        assert status_of(address, "/load") is None
+        assert status_of(fleet.targets["engine-2"].address, "/load") == 200
+        fleet.processes["engine-1"].start()
+        fleet.wait_until(lambda: status_of(address, "/load") == 200, "the engine is back")
+        assert fleet.record("engine-1")["requests"] == []
+        assert fleet.processes[PLATFORM].terminate() == 0
+
+
+def test_all_processes_end_when_the_start_fails():
+    """Guards against processes that are left behind by a failed test."""
+    fleet = Fleet(dataclasses.replace(STAND_INS, engine_options={"no_such_option": 1}))
+    with pytest.raises(FleetError, match="engine-1"), fleet:
+        pass
+    assert not any(process.is_running for process in fleet.processes.values())
+
+
+def test_all_processes_end_when_the_runner_is_killed(tmp_path):
+    """Guards against processes that outlive a test run that was killed."""
+    program = (
+        "import dataclasses, time\n"
+        "from limpetusher_standins.deployment import SMALL\n"
+        "from limpetusher_standins.fleet import Fleet\n"
+        "with Fleet(dataclasses.replace(SMALL, routers=0)) as fleet:\n"
+        "    print(*[p.process.pid for p in fleet.processes.values()], flush=True)\n"
+        "    time.sleep(60)\n"
+    )
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(package_paths()), "TMPDIR": str(tmp_path)}
+    runner = subprocess.Popen([sys.executable, "-c", program], stdout=subprocess.PIPE, env=environment)
+    started = [int(number) for number in runner.stdout.readline().split()]
+    runner.kill()
+    runner.wait()
+    runner.stdout.close()
+    deadline = time.monotonic() + 5.0
+    while any(is_alive(number) for number in started):
+        assert time.monotonic() < deadline
+        time.sleep(0.05)
+    assert len(started) == 5
+
+
+def test_process_runs_the_code_of_this_worktree(tmp_path):
+    """Guards against tests that start an installed version instead of the one under test."""
+    module = tmp_path / "show_path.py"
+    module.write_text("import limpetusher_router; print(limpetusher_router.__file__)")
+    process = ManagedProcess("show", ["show_path"], tmp_path / "log", folder=tmp_path)
+    process.start()
+    assert process.process.wait(10) == 0
+    assert process.log_tail().startswith(str(Path(__file__).parents[2]))
