--- /dev/null
+++ b/packages/limpetusher-standins/src/limpetusher_standins/baseline_router.py
@@ -0,0 +1,278 @@
+"""Routers with the policies for comparison: first come first served, and a fixed split of the slots."""
+
+import asyncio
+import contextlib
+import enum
+import hashlib
+import json
+import logging
+import urllib.parse
+from collections import deque
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from limpetusher.configuration.compiled import Configuration, Host, HostList, HostRole, HostState
+from limpetusher.configuration.document import load_configuration, load_host_list
+from limpetusher_standins import http_client
+from limpetusher_standins.engine import CUSTOMER_HEADER
+from limpetusher_standins.http_client import AnswerCutError, OpenAnswer
+from limpetusher_standins.http_server import (
+    ConnectionCut,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    json_response,
+)
+
+CONFIGURATION_WAIT_SECONDS = 10.0
+RETRY_SECONDS = 0.25
+LOAD_POLL_SECONDS = 0.25
+PASSED_HEADERS = ("content-type", "idempotency-key")
+
+logger = logging.getLogger(__name__)
+
+
+class BaselinePolicy(enum.StrEnum):
+    """How a router chooses targets; each one serves its own requests in order of arrival."""
+
+    FIRST_COME = "first-come"
+    """Every router uses all slots, counting what the last load report showed and its own requests since."""
+    FIXED_SPLIT = "fixed-split"
+    """Every slot of a target belongs to one router of the fleet."""
+
+
+@dataclass(slots=True, eq=False)
+class TargetView:
+    """What a router knows about a target."""
+
+    host: Host
+    in_flight: int = 0
+    sent_since_report: int = 0
+    reported_running: int = 0
+    is_warm: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class WaitingRequest:
+    """A request that waits for a slot of a target that serves `service`."""
+
+    service: str
+    granted: asyncio.Future = field(default_factory=lambda: asyncio.get_running_loop().create_future())
+
+
+class BaselineRouter:
+    """Router without messages to other routers.
+
+    Parameters
+    ----------
+    host_id
+        Name of this router in the host list.
+    platform_address
+        Address of the platform.
+    policy
+        How targets are chosen.
+    """
+
+    def __init__(self, host_id: str, platform_address: str, policy: BaselinePolicy):
+        self.host_id = host_id
+        self.platform_address = platform_address
+        self.policy = policy
+        self.configuration: Configuration | None = None
+        self.host_list: HostList | None = None
+        self.targets: dict[str, TargetView] = {}
+        self.waiting: deque[WaitingRequest] = deque()
+        self.count = 0
+        self.server = HttpServer(self.handle)
+        self.admin_server = HttpServer(self.handle_admin)
+
+    async def run(self, caller_address: str, admin_address: str) -> None:
+        """Serve until cancelled."""
+        await self.server.start(caller_address)
+        await self.admin_server.start(admin_address)
+        async with asyncio.TaskGroup() as group:
+            for work in (self.watch_configuration, self.read_hosts, self.read_loads):
+                group.create_task(self.repeat(work))
+
+    async def repeat(self, work) -> None:
+        """Repeat `work`, with a pause after a failure."""
+        while True:
+            try:
+                await work()
+            except (OSError, AnswerCutError) as error:
+                logger.warning("%s: %r", work.__name__, error)
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def watch_configuration(self) -> None:
+        """Wait for a newer configuration."""
+        version = self.configuration.version if self.configuration else 0
+        path = f"/configuration?after={version}&wait={CONFIGURATION_WAIT_SECONDS}"
+        answer = await http_client.request(self.platform_address, "GET", path)
+        if answer.status == 200:
+            self.configuration = load_configuration(answer.body)
+            self.grant()
+        elif answer.status != 204:
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def read_hosts(self) -> None:
+        """Read the host list."""
+        answer = await http_client.request(self.platform_address, "GET", "/hosts")
+        if answer.status == 200:
+            self.host_list = load_host_list(answer.body)
+            hosts = [host for host in self.host_list.hosts if host.role == HostRole.TARGET]
+            old = self.targets
+            self.targets = {host.host_id: old.get(host.host_id, TargetView(host)) for host in hosts}
+            for host in hosts:
+                self.targets[host.host_id].host = host
+            self.grant()
+        await asyncio.sleep(RETRY_SECONDS * 4)
+
+    async def read_loads(self) -> None:
+        """Read the load reports of all targets."""
+        await asyncio.gather(*(self.read_load(view) for view in self.targets.values()))
+        self.grant()
+        await asyncio.sleep(LOAD_POLL_SECONDS)
+
+    async def read_load(self, view: TargetView) -> None:
+        """Read one load report; a target without one counts as cold."""
+        try:
+            answer = await http_client.request(view.host.address, "GET", "/load")
+        except (OSError, AnswerCutError):
+            view.is_warm = False
+            return
+        report = answer.json()
+        view.reported_running, view.is_warm = report["running"], report["warm"]
+        view.sent_since_report = 0
+
+    def has_room(self, view: TargetView, service: str) -> bool:
+        """Return whether this router may send a request for `service` to a target now."""
+        configuration, host = self.configuration, view.host
+        target_class = configuration.target_classes[host.target_class]
+        if service not in target_class.services or host.state != HostState.LIVE:
+            return False
+        if configuration.data_centres[host.data_centre] != "in":
+            return False
+        limit = target_class.slots if view.is_warm else target_class.cold_slots
+        if self.policy == BaselinePolicy.FIXED_SPLIT:
+            return view.in_flight < self.own_slots(host, limit)
+        return max(view.in_flight, view.reported_running + view.sent_since_report) < limit
+
+    def own_slots(self, target: Host, limit: int) -> int:
+        """Return how many of a target's slots belong to this router.
+
+        The count starts at another router for each target, so that the remainders are spread evenly.
+        """
+        routers = sorted(host.host_id for host in self.host_list.hosts if host.role == HostRole.ROUTER)
+        first = int.from_bytes(hashlib.blake2b(target.host_id.encode(), digest_size=4).digest())
+        position = (routers.index(self.host_id) - first) % len(routers)
+        return limit // len(routers) + (position < limit % len(routers))
+
+    def grant(self) -> None:
+        """Give free slots to waiting requests in order of arrival; one without a target lets others pass."""
+        if self.configuration is None or self.host_list is None:
+            return
+        for request in list(self.waiting):
+            free = [view for view in self.targets.values() if self.has_room(view, request.service)]
+            if not free:
+                continue
+            view = min(
+                free, key=lambda view: (view.reported_running + view.sent_since_report, view.in_flight)
+            )
+            view.in_flight += 1
+            view.sent_since_report += 1
+            self.waiting.remove(request)
+            request.granted.set_result(view)
+
+    @contextlib.asynccontextmanager
+    async def slot(self, service: str, patience_seconds: float) -> AsyncIterator[TargetView]:
+        """Wait for a slot and hold it."""
+        request = WaitingRequest(service)
+        self.waiting.append(request)
+        self.grant()
+        try:
+            view = await asyncio.wait_for(asyncio.shield(request.granted), patience_seconds)
+        except (TimeoutError, asyncio.CancelledError):
+            if request in self.waiting:
+                self.waiting.remove(request)
+            else:
+                self.release(request.granted.result())
+            raise
+        try:
+            yield view
+        finally:
+            self.release(view)
+
+    def release(self, view: TargetView) -> None:
+        """Give a slot back."""
+        view.in_flight -= 1
+        self.grant()
+
+    async def handle_admin(self, request: HttpRequest) -> HttpResponse:
+        """Answer whether the router is ready."""
+        ready = self.configuration is not None and bool(self.targets)
+        return json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Pass a caller's request to a target."""
+        self.count += 1
+        request_id = f"{self.host_id}-0-{self.count}"
+        customer = self.authenticate(request)
+        if customer is None:
+            return refusal(401, "unknown_key", request_id)
+        if request.path.startswith("/apps/"):
+            service = request.path.split("/")[2]
+            path = request.path.removeprefix(f"/apps/{service}")
+        else:
+            service, path = json.loads(request.body)["model"], request.path
+        chunks = self.relay(request, request_id, customer, service, path)
+        first = await anext(chunks)
+        if isinstance(first, HttpResponse):
+            await chunks.aclose()
+            return first
+        headers = {"x-request-id": request_id}
+        return HttpResponse(first.status, b"", first.headers["content-type"], headers, chunks)
+
+    def authenticate(self, request: HttpRequest) -> str | None:
+        """Return the customer of the request's key."""
+        key_id, _, secret = request.headers.get("authorization", "").removeprefix("Bearer ").partition(".")
+        for customer in self.configuration.customers.values():
+            for key in customer.api_keys:
+                digest = hashlib.sha256(bytes.fromhex(key.salt) + secret.encode()).hexdigest()
+                if key.key_id == key_id and key.digest == digest:
+                    return customer.customer_id
+        return None
+
+    async def relay(
+        self, request: HttpRequest, request_id: str, customer: str, service: str, path: str
+    ) -> AsyncIterator[OpenAnswer | HttpResponse | bytes]:
+        """Yield the head of the target's answer or a refusal, then the parts of the body."""
+        headers = {name: request.headers[name] for name in PASSED_HEADERS if name in request.headers}
+        headers |= {"x-request-id": request_id, CUSTOMER_HEADER: customer}
+        if request.query:
+            path += "?" + urllib.parse.urlencode(request.query)
+        patience = self.configuration.customers[customer].patience_for(service)
+        begun = False
+        try:
+            async with (
+                self.slot(service, patience) as view,
+                http_client.open_request(
+                    view.host.address, request.method, path, body=request.body, headers=headers
+                ) as answer,
+            ):
+                begun = True
+                yield answer
+                async for chunk in answer.chunks():
+                    if request.is_disconnected:
+                        raise ConnectionCut
+                    yield chunk
+        except TimeoutError:
+            yield refusal(504, "deadline", request_id)
+        except (AnswerCutError, OSError) as error:
+            if begun:
+                raise ConnectionCut from error
+            yield refusal(502, "target_failed", request_id, ran="unknown")
+
+
+def refusal(status: int, code: str, request_id: str, ran: str = "no") -> HttpResponse:
+    """Return an error answer in the routers' form."""
+    error = {"code": code, "message": code, "request_id": request_id, "ran": ran}
+    return json_response({"error": error}, status=status, headers={"x-request-id": request_id})
--- a/packages/limpetusher-standins/src/limpetusher_standins/command.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/command.py
@@ -71,6 +71,28 @@
     return serve(run())
 
 
+@app.command
+def baseline(
+    *,
+    host_id: str,
+    caller_address: str,
+    admin_address: str,
+    platform_urls: str,
+    policy: str = "first-come",
+    data_centre: str = "",
+    peer_address: str = "",
+    fresh_fleet: bool = False,
+) -> int:
+    """Run a router with a baseline policy; it ignores settings for messages between routers."""
+    from limpetusher_standins.baseline_router import BaselinePolicy, BaselineRouter
+
+    async def run() -> None:
+        router = BaselineRouter(host_id, platform_urls.removeprefix("http://"), BaselinePolicy(policy))
+        await router.run(caller_address, admin_address)
+
+    return serve(run())
+
+
 @app.command
 def proxy(*, listen: str, links: Path) -> int:
     """Run the fault-injecting proxy; `links` is a JSON file of names, listening and target addresses."""
--- a/packages/limpetusher-standins/src/limpetusher_standins/deployment.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/deployment.py
@@ -70,6 +70,8 @@
     checks_fencing_number: bool = True
     engine_options: dict[str, object] = field(default_factory=dict)
     application_options: dict[str, object] = field(default_factory=dict)
+    router_program: tuple[str, ...] = ("limpetusher_router",)
+    """Module, and its command if it has several."""
     router_options: dict[str, object] = field(default_factory=dict)
     with_proxy: bool = False
     seed: int = 1
@@ -191,4 +193,16 @@
     customers=4,
     large_customers=1,
 )
+
+
+def with_baseline(plan: DeploymentPlan, policy: str) -> DeploymentPlan:
+    """Return the same deployment with baseline routers (`first-come` or `fixed-split`)."""
+    return replace(
+        plan,
+        name=f"{plan.name}-{policy}",
+        router_program=("limpetusher_standins", "baseline"),
+        router_options={"policy": policy},
+    )
+
+
 PLANS = {plan.name: plan for plan in (CONSORTIUM, CALOREDES, SMALL)}
--- a/packages/limpetusher-standins/src/limpetusher_standins/fleet.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/fleet.py
@@ -217,7 +217,7 @@
                 for name, (listen, target) in self.links.items()
                 if name.startswith(prefix)
             )
-        arguments = ["limpetusher_router", *flags(options), "--fresh-fleet"]
+        arguments = [*self.plan.router_program, *flags(options), "--fresh-fleet"]
         return ManagedProcess(router.host_id, arguments, self.folder / f"{router.host_id}.log", environment)
 
     def stand_ins_answer(self) -> bool:
