--- a/packages/limpetusher-standins/src/limpetusher_standins/fleet.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/fleet.py
@@ -313,6 +313,10 @@
         if reply.status != 200:
             raise FleetError(f"proxy answered {reply.status}: {reply.body!r}")
 
+    def link_states(self) -> list[dict]:
+        """Return mode, connections and forwarded bytes of all links."""
+        return call(self.proxy_address, "GET", "/links").json()
+
     def links_between(self, first: set[str], second: set[str]) -> list[str]:
         """Return the links, in both directions, between two sets of hosts (`platform` counts as a host)."""
         pairs = [(name, name.split(">")) for name in self.links]
