--- a/packages/limpetusher-standins/src/limpetusher_standins/command.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/command.py
@@ -125,12 +125,13 @@
     *,
     deployment: str = "consortium",
     fleet: Path | None = None,
+    logs: Path | None = None,
     settings: LoadFlags = LoadSettings(),  # noqa: B008 - frozen
 ) -> int:
     """Send load to a running deployment, given by its fleet.json, or to one that is started for it."""
     from limpetusher_standins.runner import load_deployment
 
-    return load_deployment(deployment, fleet, settings)
+    return load_deployment(deployment, fleet, settings, logs=logs)
 
 
 def main() -> int:
--- a/packages/limpetusher-standins/src/limpetusher_standins/runner.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/runner.py
@@ -62,7 +62,9 @@
     return "\n".join(lines)
 
 
-def load_deployment(name: str, description: Path | None, settings: LoadSettings) -> int:
+def load_deployment(
+    name: str, description: Path | None, settings: LoadSettings, *, logs: Path | None = None
+) -> int:
     """Send load and print its report; return 1 if an answer was wrong or a record contradicts the callers."""
     if description is not None:
         running = json.loads(description.read_text())
@@ -72,7 +74,7 @@
         report = summarise(run, customers)
         print(json.dumps(report))
         return 1 if "wrong" in report["outcomes"] else 0
-    with Fleet(PLANS[name]) as fleet:
+    with Fleet(PLANS[name], logs) as fleet:
         routers = [host.caller_address for host in fleet.routers.values()]
         run = asyncio.run(run_load(fleet.plan, fleet.customers, routers, settings))
         found = audit(fleet, run.results)
--- a/tests/standins/test_fleet_routers.py
+++ b/tests/standins/test_fleet_routers.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import pytest
+
 from builders_standins import chat
 from limpetusher_standins.caller import Caller, CallResult, Outcome
 from limpetusher_standins.deployment import SMALL
