--- a/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
@@ -9,7 +9,10 @@
 
 @dataclass(slots=True)
 class DemandLine:
-    """Waiting requests of one bucket at one router. `in_flight` counts grants the router has not confirmed."""
+    """Waiting requests of one bucket at one router.
+
+    `in_flight` counts grants that the router has not confirmed.
+    """
 
     holder: str
     bucket: Bucket
@@ -103,6 +106,10 @@
         line.waiting, line.oldest_at, line.preferred = waiting, oldest_at, preferred
         self.relist(line)
 
+    def holder_customers(self, holder: str) -> Iterator[str]:
+        """Return the customers in a router's demand."""
+        return (bucket.customer for bucket in self.holder(holder).lines)
+
     def drop(self, holder: str) -> None:
         """Forget the demand of a router that is unreachable or has restarted."""
         demand = self.holders.pop(holder, None)
--- a/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
@@ -46,14 +46,20 @@
         self.book = book
         self.backlog = backlog
         self.use_grant: Callable[[Bucket, UsedGrant], bool] = lambda bucket, grant: False
-        """Uses a grant that this router issued to itself, and returns whether it could; set by the life cycle."""
+        """Uses a grant to this router itself and returns whether it could; set by the life cycle."""
         self.blocks: dict[str, Block] = {}
         self.grants = 0
 
     def demand(self, sender: str, message: Demand) -> None:
         """Take a router's demand."""
-        for service in self.book.replace(sender, message, self.context.now):
-            self.context.wanted_services[service] = None
+        services = self.book.replace(sender, message, self.context.now)
+        self.context.wanted_services.update(dict.fromkeys(services))
+        self.backlog.replace(demand_source(sender), self.book.holder_customers(sender))
+
+    def drop_demand(self, sender: str) -> None:
+        """Forget the demand of a router that is unreachable, unlisted or restarted."""
+        self.book.drop(sender)
+        self.backlog.drop(demand_source(sender))
 
     def released(self, message: Release) -> None:
         """Free the slot of a request that has ended."""
@@ -184,9 +190,7 @@
                     free[target_id] = slots
         return free
 
-    def choose(
-        self, customer: str, services: Iterable[str], free: dict[str, int]
-    ) -> tuple[DemandLine, str]:
+    def choose(self, customer: str, services: Iterable[str], free: dict[str, int]) -> tuple[DemandLine, str]:
         """Choose among a customer's waiting requests, and the target for it.
 
         A request that prefers a free target comes first, then one of the own data centre, then the oldest.
@@ -225,3 +229,8 @@
         echo = max(self.book.holder(line.holder).sequence, context.peers.echo_for(line.holder))
         context.send(line.holder, Grant(grant_id, number, target_id, service, customer, echo, valid))
         return True
+
+
+def demand_source(router: str) -> str:
+    """Return the name under which the customers in a router's demand are entered in the backlog."""
+    return f"demand of {router}"
