--- a/packages/limpetusher-standins/src/limpetusher_standins/caller.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/caller.py
@@ -44,6 +44,7 @@
     request_id: str = ""
     detail: str = ""
     started: float = field(default_factory=time.monotonic)
+    started_wall: float = field(default_factory=time.time)
     first_byte_seconds: float | None = None
     seconds: float = 0.0
     prompt_tokens: int = 0
--- a/packages/limpetusher-standins/src/limpetusher_standins/command.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/command.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import signal
+import sys
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Annotated
@@ -12,6 +13,7 @@
 from cyclopts import App, Parameter
 
 from limpetusher_standins.engine_batch import EngineSettings
+from limpetusher_standins.fleet import FleetError
 from limpetusher_standins.load import LoadSettings
 from limpetusher_standins.platform_service import PlatformSettings
 
@@ -134,7 +136,21 @@
     return load_deployment(deployment, fleet, settings, logs=logs)
 
 
+@app.command
+def measure(*, quick: bool = False) -> int:
+    """Measure the chosen policy and two baselines; the figures are also written to measurements/."""
+    from limpetusher_standins.measure import run_measure
+
+    return run_measure(quick=quick)
+
+
 def main() -> int:
     """Run the command line and return the exit status."""
-    status = app(result_action="return_value")
+    # SIGTERM is handled like Ctrl-C, so that the processes of a fleet are ended in both cases.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        status = app(result_action="return_value")
+    except FleetError as error:
+        print(error, file=sys.stderr)
+        return 1
     return status if isinstance(status, int) else 0
--- a/packages/limpetusher-standins/src/limpetusher_standins/engine.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/engine.py
@@ -287,6 +287,7 @@
                 "cached_tokens": stream.cached_tokens,
                 "generated_tokens": stream.generated,
                 "started": stream.submitted_at + offset,
+                "admitted": stream.admitted_at and stream.admitted_at + offset,
                 "ended": stream.ended_at and stream.ended_at + offset,
             }
             for stream in self.record
--- a/packages/limpetusher-standins/src/limpetusher_standins/load.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/load.py
@@ -27,6 +27,8 @@
     """Requests a second of each customer; 0: closed loop."""
     workers: int = 4
     """Requests that a customer has open at once in a closed loop."""
+    workers_by_share: bool = False
+    """Whether a customer has `workers` for each unit of its share."""
     flood_factor: float = 10.0
     """How many times the load of others the flooding customer sends; 1: none floods."""
     flooding_customer: int = -1
@@ -159,7 +161,9 @@
         if settings.open_loop_rate:
             work.append(load.send_open(settings.open_loop_rate * factor, deadline))
         else:
-            work += [load.send_closed(deadline) for _ in range(round(settings.workers * factor))]
+            share = customer.share if settings.workers_by_share else 1.0
+            count = round(settings.workers * share * factor)
+            work += [load.send_closed(deadline) for _ in range(count)]
     await asyncio.gather(*work)
     run.seconds = time.monotonic() - began
     return run
--- a/packages/limpetusher-standins/src/limpetusher_standins/runner.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/runner.py
@@ -17,8 +17,6 @@
     if name not in PLANS:
         print(f"deployment is {name!r}; allowed: {', '.join(PLANS)}")
         return 2
-    # SIGTERM is handled like Ctrl-C, so that the processes of the fleet are ended in both cases.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         with Fleet(dataclasses.replace(PLANS[name], with_proxy=with_proxy), logs) as fleet:
             write_description(fleet)
