Match the decision core to the ledger's expire method

Cause: expire returns nothing since lost grants keep their charge, but the exchange still iterated over its result; every tick failed and routers never became ready.

--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -71,7 +71,7 @@
         context, now = self.context, self.context.now
         self.next_tick = now + context.settings.exchange_interval_seconds
         self.check_reachability()
-        context.charge(context.ledger.expire(now))
+        context.ledger.expire(now)
         lent = context.shares.lend(now)
         self.send_heartbeats(lent)
         self.ask_for_state()
