--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -69,6 +69,8 @@
 SEQUENCES_PER_INCARNATION = 1 << 16
 INCARNATION_RANGE = 1 << 32
 DROP_LOG_INTERVAL_SECONDS = 1.0
+PAUSE_INTERVALS = 2.0
+"""A timer is due in each exchange interval; longer silence of all inputs means that the process was paused."""
 WITNESS_RETRY_SECONDS = 0.01
 
 
@@ -151,6 +153,8 @@
     def handle(self, message: Input, now: float) -> list[Action]:
         """Handle one input at monotonic time `now` and return the actions to carry out, in order."""
         context = self.context
+        if now - context.now > PAUSE_INTERVALS * context.settings.exchange_interval_seconds:
+            context.ledger.resumed()
         context.now = max(now, context.now)
         # What has expired while the process was paused is discarded before anything else is done.
         self.run_due()
--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -71,7 +71,7 @@
         context, now = self.context, self.context.now
         self.next_tick = now + context.settings.exchange_interval_seconds
         self.check_reachability()
-        context.charge(context.ledger.expire(now))
+        context.ledger.expire(now)
         lent = context.shares.lend(now)
         self.send_heartbeats(lent)
         self.ask_for_state()
@@ -156,7 +156,7 @@
         for owner, entry in self.lifecycle.held():
             held.setdefault(owner, []).append(entry)
         own = held.pop(context.own_id, [])
-        context.charge(context.ledger.held(context.own_id, own, now))
+        context.charge(context.ledger.held(context.own_id, own, now, sent_after=now))
         waiting = tuple(self.queue.customers())
         free = self.dispatcher.all_free_slots()
         for peer in self.peers():
--- a/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
@@ -171,6 +171,14 @@
             and bool(shares.silent_carriers(target_id, now))
         )
 
+    def resumed(self) -> None:
+        """Borrow nothing until new reports show no outside work for long enough, because the process was paused.
+
+        Carriers whose heartbeats wait in the socket look silent after a pause.
+        """
+        for state in self.targets.values():
+            state.explained_from = None
+
     def grant(
         self,
         grant_id: str,
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from limpetusher.configuration.compiled import Configuration, HostList, HostRole
 from limpetusher.core.actions import Action, CancelDispatch, Dispatch, Refuse, Replay, SendToPeer, Stopped
@@ -25,6 +25,7 @@
 from limpetusher.core.settings import PolicySettings
 
 REPORT_INTERVAL_SECONDS = 0.25
+START = 100.0
 
 
 @dataclass
@@ -36,7 +37,8 @@
     warm: bool = True
     boot_id: str = "boot-1"
     refuses_connections: bool = False
-    running: dict[tuple[str, int, str], float] = field(default_factory=dict)
+    running: dict[tuple[str, int, int], str] = field(default_factory=dict)
+    """Router by request, attempt and incarnation of the router."""
     most_running: int = 0
     starts: list[tuple[float, str]] = field(default_factory=list)
 
@@ -52,7 +54,7 @@
         self.hosts, self.configuration = hosts, configuration
         self.settings = PolicySettings(**{"fresh_fleet": True, **settings})
         self.rng = random.Random(seed)
-        self.now = 100.0
+        self.now = START
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.order = itertools.count()
         self.cores: dict[str, DecisionCore] = {}
@@ -88,8 +90,10 @@
     def start(self, router: str) -> None:
         """Start a router, or restart it without its state."""
         place = next(host.data_centre for host in self.hosts.hosts if host.host_id == router)
+        # Only the first start of the fleet may skip the waits.
+        settings = self.settings if self.now == START else replace(self.settings, fresh_fleet=False)
         core = DecisionCore(
-            settings=self.settings,
+            settings=settings,
             own_id=router,
             data_centre=place,
             incarnation=self.rng.getrandbits(64),
@@ -132,6 +136,8 @@
         if core is None:
             return
         self.handled[router] += 1
+        if isinstance(message, ResponseEnded) and message.outcome is Outcome.COMPLETE:
+            self.answer(message.request_id, message.outcome)
         for action in core.handle(message, self.now):
             self.carry_out(router, action)
         wakeup = core.next_wakeup()
@@ -149,9 +155,9 @@
             case Dispatch():
                 self.dispatch(router, action)
             case CancelDispatch():
-                target_ids = [t for t in self.targets if self.key(router, action) in self.targets[t].running]
-                for target_id in target_ids:
-                    self.finish(router, action, target_id, Outcome.CANCELLED)
+                key = self.key(router, action)
+                for target_id in [name for name, target in self.targets.items() if key in target.running]:
+                    self.finish(key, target_id, Outcome.CANCELLED)
             case Refuse() | Replay():
                 self.answer(action.request_id, action)
             case Stopped():
@@ -159,7 +165,7 @@
                 self.kill(router)
 
     def answer(self, request_id: str, how: object) -> None:
-        assert request_id not in self.answers, f"request {request_id} was answered twice"
+        assert request_id not in self.answers, f"{request_id} answered twice: {self.answers[request_id]} {how} {self.now}"
         self.answers[request_id] = (self.now, how)
 
     def send(self, sender: str, action: SendToPeer) -> None:
@@ -172,9 +178,8 @@
 
     # Targets
 
-    @staticmethod
-    def key(router: str, action: Dispatch | CancelDispatch) -> tuple[str, int, str]:
-        return (action.request_id, action.attempt, router)
+    def key(self, router: str, action: Dispatch | CancelDispatch) -> tuple[str, int, int]:
+        return (action.request_id, action.attempt, self.cores[router].context.incarnation)
 
     def dispatch(self, router: str, action: Dispatch) -> None:
         target = self.targets[action.target_id]
@@ -182,29 +187,30 @@
             ended = ResponseEnded(action.request_id, action.attempt, Outcome.NOT_SENT)
             self.at(self.delay, lambda: self.give(router, ended))
             return
-        target.running[self.key(router, action)] = self.now
+        key = self.key(router, action)
+        target.running[key] = router
         target.most_running = max(target.most_running, len(target.running))
         target.starts.append((self.now, action.request_id))
         self.runs[action.request_id] += 1
-        self.at(target.seconds, lambda: self.finish(router, action, action.target_id, Outcome.COMPLETE))
+        self.at(target.seconds, lambda: self.finish(key, action.target_id, Outcome.COMPLETE))
 
-    def finish(
-        self, router: str, action: Dispatch | CancelDispatch, target_id: str, outcome: Outcome
-    ) -> None:
+    def finish(self, key: tuple[str, int, int], target_id: str, outcome: Outcome) -> None:
+        """End an attempt; a router that was killed or restarted in between does not hear of it."""
         target = self.targets[target_id]
-        if target.running.pop(self.key(router, action), None) is None:
+        router = target.running.pop(key, None)
+        core = self.cores.get(router)
+        if core is None or core.context.incarnation != key[2]:
             return
-        if router in self.cores and outcome is Outcome.COMPLETE:
-            self.give(router, ResponseStarted(action.request_id, action.attempt))
-            self.answer(action.request_id, outcome)
-        ended = ResponseEnded(action.request_id, action.attempt, outcome, target.cost, 200, "text", b"answer")
+        request_id, attempt, _ = key
+        if outcome is Outcome.COMPLETE:
+            self.give(router, ResponseStarted(request_id, attempt))
+        ended = ResponseEnded(request_id, attempt, outcome, target.cost, 200, "text", b"answer")
         self.at(0.0, lambda: self.give(router, ended))
 
     def break_connections(self, target_id: str) -> None:
         """Let a target drop all its connections before it has answered."""
-        for request_id, attempt, router in list(self.targets[target_id].running):
-            action = CancelDispatch(request_id, attempt)
-            self.finish(router, action, target_id, Outcome.CUT_BEFORE_OUTPUT)
+        for key in list(self.targets[target_id].running):
+            self.finish(key, target_id, Outcome.CUT_BEFORE_OUTPUT)
 
     def report(self) -> None:
         """Give every owner the load reports of its targets."""
