--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -70,7 +70,7 @@
 INCARNATION_RANGE = 1 << 32
 DROP_LOG_INTERVAL_SECONDS = 1.0
 PAUSE_INTERVALS = 2.0
-"""A timer is due in each exchange interval; longer silence of all inputs means that the process was paused."""
+"""A timer is due in each exchange interval; a longer time without inputs means that the process paused."""
 WITNESS_RETRY_SECONDS = 0.01
 
 
@@ -126,7 +126,7 @@
             now=started_at,
         )
         self.queue = RequestQueue(settings)
-        self.routes = Routes(own_id, membership, self.context.rollout)
+        self.routes = Routes(own_id, data_centre, membership, self.context.rollout)
         self.book = DemandBook(settings.grant_valid_seconds)
         self.backlog = Backlog()
         self.dispatcher = Dispatcher(self.context, self.routes, self.book, self.backlog)
@@ -143,6 +143,9 @@
             started_at=started_at,
             wall_offset_seconds=wall_offset_seconds,
         )
+        # Bound once, because access to a singledispatchmethod builds a new function each time.
+        self.dispatch_input = self.on_input
+        self.dispatch_payload = self.on_payload
         self.stop_at = math.inf
         self.stopped = False
         self.dropped_messages = 0
@@ -158,7 +161,7 @@
         context.now = max(now, context.now)
         # What has expired while the process was paused is discarded before anything else is done.
         self.run_due()
-        self.on_input(message)
+        self.dispatch_input(message)
         self.settle()
         actions, context.actions = context.actions, []
         return actions
@@ -319,7 +322,7 @@
         ):
             self.drop(message.sender, "unlisted sender" if foreign else "other incarnation")
             return
-        self.on_payload(message.payload, message.sender, message.incarnation)
+        self.dispatch_payload(message.payload, message.sender, message.incarnation)
 
     # Messages from peers
 
--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -62,6 +62,8 @@
         self.view_wanted_until = started_at + VIEW_GIVE_UP_SECONDS
         self.view_asked_at = -math.inf
         self.configuration_asked_at = -math.inf
+        self.owners_outdated = False
+        self.owners_rebuilt_at = -math.inf
         self.watching: bool | None = None
 
     # Regular work
@@ -95,7 +97,7 @@
     def check_reachability(self) -> None:
         """Notice peers that have become silent; those that are heard again are noticed by their heartbeat."""
         context, now = self.context, self.context.now
-        changed = self.update_leaving()
+        changed = self.update_leaving() or self.owners_outdated
         for peer in self.peers():
             reachable = context.peers.is_reachable(peer, now)
             if self.reachable.get(peer, False) and not reachable:
@@ -135,9 +137,18 @@
         context.membership.leaving_self = leaving
         return True
 
+    def owners_may_change(self) -> None:
+        """Rebuild what depends on owners, but only once in an exchange interval when many peers appear."""
+        if self.context.now >= self.owners_rebuilt_at + self.context.settings.exchange_interval_seconds:
+            self.owners_changed()
+        else:
+            self.owners_outdated = True
+
     def owners_changed(self) -> None:
         """Rebuild what depends on which router owns which target."""
         context = self.context
+        self.owners_outdated = False
+        self.owners_rebuilt_at = context.now
         before = self.routes.owned
         self.routes.rebuild(context.now)
         for target_id in self.routes.owned:
@@ -258,6 +269,8 @@
         context.shares.accept(
             sender, message.echo, message.lent_targets, now, host_list_version=message.host_list_version
         )
+        # Grants that the peer no longer lists are dropped, which frees slots.
+        context.dirty_targets.update((entry.target_id, None) for entry in context.ledger.entries_of(sender))
         sent_after = context.peers.sent_at(sender, message.echo)
         context.charge(context.ledger.held(sender, message.held, now, sent_after=sent_after))
         context.fairness.peer_charged(sender, incarnation, message.charged)
@@ -270,8 +283,8 @@
         if ask is not None:
             context.send(ask.peer, ask.payload)
         if change.became_reachable or change.restarted or was_leaving != message.leaving:
-            self.owners_changed()
-        self.wake_targets()
+            self.owners_may_change()
+        context.dirty_targets.update(dict.fromkeys(message.lent_targets))
 
     def found(self, peer: str) -> None:
         """Note that a peer is reachable."""
--- a/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
@@ -87,6 +87,8 @@
         self.settings = settings
         self.targets: dict[str, TargetState] = {}
         self.target_of_grant: dict[str, str] = {}
+        self.by_holder: dict[str, dict[str, GrantEntry]] = {}
+        """Counted grants by holder, so that a heartbeat costs no search over all targets."""
 
     def configure(self, targets: Iterable[Host], classes: Mapping[str, TargetClass]) -> None:
         """Take over the listed targets; those that are gone or have no known class are dropped."""
@@ -107,6 +109,10 @@
             for target_id, state in states.items()
             for grant_id in (*state.entries, *state.lost)
         }
+        self.by_holder = {}
+        for state in states.values():
+            for entry in state.entries.values():
+                self.by_holder.setdefault(entry.holder, {})[entry.grant_id] = entry
 
     def state(self, target_id: str) -> TargetState:
         """Return the state of a target.
@@ -172,7 +178,7 @@
         )
 
     def resumed(self) -> None:
-        """Borrow nothing until new reports show no outside work for long enough, because the process was paused.
+        """Borrow nothing after a pause until new reports have shown no outside work for long enough.
 
         Carriers whose heartbeats wait in the socket look silent after a pause.
         """
@@ -201,6 +207,7 @@
         state.entries[entry.grant_id] = entry
         state.changed_at = now
         self.target_of_grant[entry.grant_id] = entry.target_id
+        self.by_holder.setdefault(entry.holder, {})[entry.grant_id] = entry
 
     def remove(self, grant_id: str, now: float) -> GrantEntry | None:
         """Stop counting a grant and return its entry, None when it is not known."""
@@ -213,7 +220,16 @@
             return lost.entry
         state.changed_at = now
         state.ended.append(now)
-        return state.entries.pop(grant_id)
+        return self.uncount(state, grant_id)
+
+    def uncount(self, state: TargetState, grant_id: str) -> GrantEntry:
+        """Take an entry out of the counted ones."""
+        entry = state.entries.pop(grant_id)
+        held = self.by_holder[entry.holder]
+        del held[grant_id]
+        if not held:
+            del self.by_holder[entry.holder]
+        return entry
 
     def held(
         self, holder: str, entries: Iterable[HeldGrant], now: float, *, sent_after: float | None = None
@@ -261,8 +277,7 @@
 
     def entries_of(self, holder: str) -> list[GrantEntry]:
         """Return the counted grants of a holder."""
-        states = self.targets.values()
-        return [entry for state in states for entry in state.entries.values() if entry.holder == holder]
+        return list(self.by_holder.get(holder, {}).values())
 
     def progressed(self, entry: GrantEntry, progress: float, now: float) -> list[ChargeChange]:
         """Record that a grant is in use; a charge below the progress is corrected."""
@@ -338,7 +353,7 @@
                 if now - entry.seen_at >= self.settings.held_timeout_seconds
             ]
             for entry in silent:
-                state.lost[entry.grant_id] = LostGrant(state.entries.pop(entry.grant_id), now)
+                state.lost[entry.grant_id] = LostGrant(self.uncount(state, entry.grant_id), now)
             if silent:
                 state.outside.freed(len(silent))
                 state.changed_at = now
--- a/packages/limpetusher-core/src/limpetusher/core/process/offers.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/offers.py
@@ -19,8 +19,31 @@
 
 WITHDRAW_DELAY_SECONDS = 0.01
 MAXIMUM_PREFERRED = 4
-REFRESHES_PER_SECOND = 100.0
-"""Bounds the control traffic of a router whose requests wait at many owners."""
+DEMANDS_PER_SECOND = 100.0
+DEMAND_BURST = 50.0
+"""Both bound the control traffic of a router whose requests wait at many owners."""
+
+
+class SendAllowance:
+    """Limits how often demands are sent; first offers may exceed it, and the others then wait."""
+
+    def __init__(self, now: float):
+        self.tokens = DEMAND_BURST
+        self.updated_at = now
+
+    def available(self, now: float) -> bool:
+        """Return whether a demand may be sent now."""
+        return self.available_at() <= now
+
+    def available_at(self) -> float:
+        """Return when a demand may be sent."""
+        return self.updated_at + max(0.0, 1.0 - self.tokens) / DEMANDS_PER_SECOND
+
+    def spend(self, now: float) -> None:
+        """Count a demand that is sent."""
+        earned = (now - self.updated_at) * DEMANDS_PER_SECOND
+        self.tokens = min(DEMAND_BURST, self.tokens + earned) - 1.0
+        self.updated_at = now
 
 
 class Offers:
@@ -50,7 +73,10 @@
         """Number of waiting requests that each owner believes in, by owner and bucket."""
         self.told_owners: dict[Bucket, dict[str, None]] = {}
         self.spread_times: deque[tuple[float, RequestRecord]] = deque()
-        self.urgent: dict[str, None] = {}
+        self.first_offers: dict[str, None] = {}
+        self.outdated: dict[str, None] = {}
+        """Owners whose knowledge has to be brought up to date as the rate of messages allows."""
+        self.allowance = SendAllowance(context.now)
         self.withdraw_at: dict[str, float] = {}
         self.last_grant: dict[str, int] = {}
         self.free_slots: dict[str, int] = {}
@@ -69,6 +95,8 @@
             self.spread_times.append((now + self.context.settings.demand_spread_seconds, record))
             self.context.explain(record.request_id, Step.OFFERED, owner)
             self.touch(record.bucket, owner)
+            if owner in self.outdated:
+                self.first_offers[owner] = None
         else:
             # Owners that already know of waiting requests of this bucket need no message.
             record.offered_to = None
@@ -169,7 +197,7 @@
             return
         told = self.told.get(owner, {}).get(bucket, 0)
         if count > 0 and told <= 0:
-            self.urgent[owner] = None
+            self.outdated[owner] = None
         elif count <= 0 and told > 0:
             self.withdraw_at.setdefault(owner, self.context.now + WITHDRAW_DELAY_SECONDS)
 
@@ -209,27 +237,36 @@
     def send(self, owner: str) -> None:
         """Send the owner the present demand."""
         context, now = self.context, self.context.now
-        self.urgent.pop(owner, None)
+        self.first_offers.pop(owner, None)
+        self.outdated.pop(owner, None)
         self.withdraw_at.pop(owner, None)
         for bucket in list(self.told.get(owner, ())):
             self.set_told(owner, bucket, 0)
         entries = []
-        for bucket, queue in self.queue.buckets.items():
-            count = self.count_for(owner, bucket)
-            if count > 0:
-                wait = now - queue.oldest().arrived_at
-                preferred = self.preferred(bucket, owner)
-                entries.append(DemandEntry(bucket.service, bucket.customer, count, wait, preferred))
-                self.set_told(owner, bucket, count)
+        for service in self.routes.services_of.get(owner, ()):
+            for bucket, queue in self.queue.by_service.get(service, {}).items():
+                count = self.count_for(owner, bucket)
+                if count > 0:
+                    wait = now - queue.oldest().arrived_at
+                    preferred = self.preferred(bucket, owner)
+                    entries.append(DemandEntry(service, bucket.customer, count, wait, preferred))
+                    self.set_told(owner, bucket, count)
         sequence = context.peers.next_sequence(owner, now)
         context.send(owner, Demand(sequence, self.last_grant.get(owner, 0), tuple(entries)))
 
     def flush(self) -> None:
-        """Send the demands that are due."""
+        """Send the demands that are due: first offers at once, the others as the rate of messages allows."""
         now = self.context.now
-        for owner in [owner for owner, due in self.withdraw_at.items() if due <= now]:
-            self.urgent[owner] = None
-        for owner in list(self.urgent):
+        for owner in list(self.first_offers):
+            self.allowance.spend(now)
+            self.send(owner)
+        if self.withdraw_at:
+            for owner in [owner for owner, due in self.withdraw_at.items() if due <= now]:
+                self.outdated[owner] = None
+        for owner in list(self.outdated):
+            if not self.allowance.available(now):
+                break
+            self.allowance.spend(now)
             self.send(owner)
 
     def withdraw_all(self) -> None:
@@ -242,9 +279,8 @@
         now = self.context.now
         if now < self.refresh_at or not self.told:
             return
-        self.refresh_at = now + len(self.told) / REFRESHES_PER_SECOND
-        for owner in list(self.told):
-            self.urgent[owner] = None
+        self.refresh_at = now + 2.0 * len(self.told) / DEMANDS_PER_SECOND
+        self.outdated.update(dict.fromkeys(self.told))
 
     def owners_changed(self) -> None:
         """Offer the waiting requests again after the owners of some targets have changed."""
@@ -270,15 +306,19 @@
         for bucket in list(self.told.get(owner, ())):
             self.set_told(owner, bucket, 0)
         self.last_grant.pop(owner, None)
-        self.urgent.pop(owner, None)
+        self.first_offers.pop(owner, None)
+        self.outdated.pop(owner, None)
         self.withdraw_at.pop(owner, None)
 
     def next_due(self) -> float:
-        """Return when the next spread or withdrawal is due."""
+        """Return when the next demand, spread or withdrawal is due."""
         while self.spread_times and not self.pending(self.spread_times[0][1]):
             self.spread_times.popleft()
         spread = self.spread_times[0][0] if self.spread_times else math.inf
-        return min(spread, min(self.withdraw_at.values(), default=math.inf))
+        demand = self.allowance.available_at() if self.outdated else math.inf
+        # Withdrawals that are due and wait for the rate of messages are among the outdated ones.
+        withdrawals = (due for owner, due in self.withdraw_at.items() if owner not in self.outdated)
+        return min(spread, demand, min(withdrawals, default=math.inf))
 
     def pending(self, record: RequestRecord) -> bool:
         """Return whether the request still waits with one owner only."""
--- a/packages/limpetusher-core/src/limpetusher/core/process/routes.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/routes.py
@@ -21,19 +21,22 @@
 
     Parameters
     ----------
-    own_id
-        Host id of this router.
+    own_id, data_centre
+        This router; owners that have targets in its data centre come first.
     membership
         Host list and ownership.
     rollout
         Configuration and drains.
     """
 
-    def __init__(self, own_id: str, membership: Membership, rollout: Rollout):
+    def __init__(self, own_id: str, data_centre: str, membership: Membership, rollout: Rollout):
         self.own_id = own_id
+        self.data_centre = data_centre
         self.membership = membership
         self.rollout = rollout
         self.services: dict[str, ServiceRoutes] = {}
+        self.services_of: dict[str, list[str]] = {}
+        """Services that each owner has targets for."""
         self.owner_of: dict[str, str] = {}
         self.owned: dict[str, tuple[str, ...]] = {}
         """Services of each target that this router owns and that may receive new work."""
@@ -41,12 +44,13 @@
     def rebuild(self, now: float) -> None:
         """Build the index from the present configuration, host list and reachability."""
         configuration = self.rollout.configuration
-        self.services, self.owner_of, self.owned = {}, {}, {}
+        self.services, self.services_of, self.owner_of, self.owned = {}, {}, {}, {}
         if configuration is None:
             return
         targets: dict[str, list[str]] = {}
         owners: dict[str, dict[str, list[str]]] = {}
-        for host in self.membership.targets():
+        hosts = self.membership.targets()
+        for host in sorted(hosts, key=lambda host: host.data_centre != self.data_centre):
             target_id = host.host_id
             owner = self.membership.owner(target_id, now)
             if owner is not None:
@@ -62,6 +66,8 @@
                     owners.setdefault(service, {}).setdefault(owner, []).append(target_id)
         for service, target_ids in targets.items():
             by_owner = {owner: tuple(ids) for owner, ids in owners.get(service, {}).items()}
+            for owner in by_owner:
+                self.services_of.setdefault(owner, []).append(service)
             self.services[service] = ServiceRoutes(tuple(target_ids), frozenset(target_ids), by_owner)
 
     def targets(self, service: str) -> tuple[str, ...]:
--- a/packages/limpetusher-core/src/limpetusher/core/request/queue.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/queue.py
@@ -94,6 +94,7 @@
         self.settings = settings
         self.records: dict[str, RequestRecord] = {}
         self.buckets: dict[Bucket, BucketQueue] = {}
+        self.by_service: dict[str, dict[Bucket, BucketQueue]] = {}
         self.customer_counts: dict[str, int] = {}
         self.customers_changed = False
         """Set when a customer begins or ceases to wait; reset by the reader."""
@@ -126,6 +127,7 @@
         if queue is None:
             queue = self.buckets[bucket] = BucketQueue(self.settings.estimate_weight)
             queue.rate.started(now)
+            self.by_service.setdefault(bucket.service, {})[bucket] = queue
         queue.add(record, first=first)
         self.records[record.request_id] = record
         self.customer_counts[bucket.customer] = self.customer_count(bucket.customer) + 1
@@ -151,7 +153,7 @@
         queue = self.buckets[bucket]
         queue.discard(record)
         if not queue.records:
-            del self.buckets[bucket]
+            self.discard_bucket(bucket)
         self.customer_counts[bucket.customer] -= 1
         if not self.customer_counts[bucket.customer]:
             del self.customer_counts[bucket.customer]
@@ -159,6 +161,14 @@
         self.compact()
         return record
 
+    def discard_bucket(self, bucket: Bucket) -> None:
+        """Drop a bucket in which nothing waits any more."""
+        del self.buckets[bucket]
+        of_service = self.by_service[bucket.service]
+        del of_service[bucket]
+        if not of_service:
+            del self.by_service[bucket.service]
+
     def take(self, request_id: str, now: float) -> RequestRecord | None:
         """Take a request out because it was granted, and measure the rate of service."""
         record = self.records.get(request_id)
--- a/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
@@ -222,6 +222,8 @@
                 known.left_at = max(known.left_at, left_at)
 
     def _needed(self) -> set[str]:
+        if self.intact and not self.left:
+            return set()
         listed = self.current.ids - {self.own_id}
         needed = set() if self.intact else listed - self.settled_peers
         for left in self.left.values():
--- a/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
+++ b/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
@@ -64,6 +64,10 @@
         self.peers = peers
         self.configuration: Configuration | None = None
         self.host_list: HostList | None = None
+        self.ranked: tuple[str, ...] = ()
+        """Routers of the own data centre in the order in which they watch the configuration service."""
+        self.watchers: tuple[str, ...] = ()
+        """The first other routers of `ranked`."""
         self.asked_order = NO_VERSION
         self.asked_at = float("-inf")
         self.watcher_heard_at: float | None = None
@@ -91,6 +95,9 @@
             return False
         self.host_list = host_list
         self.membership.update(host_list, now)
+        self.ranked = self._rank()
+        others = [router for router in self.ranked if router != self.own_id]
+        self.watchers = tuple(others[:WATCHERS_PER_DATA_CENTRE])
         return True
 
     def is_drained(self, target_id: str) -> bool:
@@ -113,7 +120,7 @@
         A document that was asked for is not asked for again from any peer for 1 s, unless a still newer
         one is seen.
         """
-        if peer in self._ranked_watchers():
+        if peer in self.watchers:
             self.watcher_heard_at = now
         order = (version, digest)
         if order <= self.order:
@@ -138,7 +145,7 @@
         heard_at = self.watcher_heard_at
         return heard_at is None or now >= heard_at + WATCHER_SILENCE_SECONDS
 
-    def _ranked(self) -> tuple[str, ...]:
+    def _rank(self) -> tuple[str, ...]:
         hosts = self.host_list.hosts if self.host_list else ()
         own_data_centre = next((host.data_centre for host in hosts if host.host_id == self.own_id), None)
         routers = [
@@ -148,14 +155,8 @@
         ]
         return tuple(self.membership.rank(WATCH_RANK_KEY, routers))
 
-    def _ranked_watchers(self) -> tuple[str, ...]:
-        others = [router for router in self._ranked() if router != self.own_id]
-        return tuple(others[:WATCHERS_PER_DATA_CENTRE])
-
     def _reachable_watchers(self, now: float) -> tuple[str, ...]:
         reachable = [
-            router
-            for router in self._ranked()
-            if router == self.own_id or self.peers.is_reachable(router, now)
+            router for router in self.ranked if router == self.own_id or self.peers.is_reachable(router, now)
         ]
         return tuple(reachable[:WATCHERS_PER_DATA_CENTRE])
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -165,7 +165,9 @@
                 self.kill(router)
 
     def answer(self, request_id: str, how: object) -> None:
-        assert request_id not in self.answers, f"{request_id} answered twice: {self.answers[request_id]} {how} {self.now}"
+        assert request_id not in self.answers, (
+            f"{request_id} answered twice: {self.answers[request_id]} {how} {self.now}"
+        )
         self.answers[request_id] = (self.now, how)
 
     def send(self, sender: str, action: SendToPeer) -> None:
