--- a/tests/builders_decision.py
+++ b/tests/builders_decision.py
@@ -1,5 +1,6 @@
 """Builders of configurations, host lists and requests for tests of the decision core."""
 
+import json
 import random
 
 from limpetusher.configuration.compiled import (
@@ -14,6 +15,7 @@
     TargetClass,
     TargetKind,
 )
+from limpetusher.configuration.document import load_configuration
 from limpetusher.core.decision import DecisionCore
 from limpetusher.core.inputs import ConfigurationReceived, HostListReceived, LoadReported, RequestArrived
 from limpetusher.core.settings import PolicySettings
@@ -60,6 +62,20 @@
     )
 
 
+def load_small_configuration(version: int) -> Configuration:
+    """Return a configuration that was read from a document, as it is relayed between routers."""
+    customer = {"customer_id": "alpha", "share": 1, "api_keys": [], "services": [MODEL]}
+    engine = {"name": "engine", "kind": "engine", "services": [MODEL], "slots": 4, "cold_slots": 4}
+    document = {
+        "version": version,
+        "customers": [customer],
+        "services": [{"name": MODEL, "kind": "engine"}],
+        "target_classes": [engine],
+        "data_centres": [{"name": "a", "state": "in"}, {"name": "b", "state": "in"}],
+    }
+    return load_configuration(json.dumps(document).encode())
+
+
 def make_host_list(
     *,
     version: int = 1,
--- a/tests/core/test_decision.py
+++ b/tests/core/test_decision.py
@@ -1,18 +1,58 @@
-"""The decision core of one router, input by input."""
+"""The decision core of a lone router, input by input."""
 
-from builders_decision import make_lone_core, make_request
-from limpetusher.core.actions import Dispatch
-from limpetusher.core.inputs import Outcome, ResponseEnded
+import pytest
 
+from builders_decision import (
+    MODEL,
+    make_booking,
+    make_configuration,
+    make_core,
+    make_host_list,
+    make_lone_core,
+    make_report,
+    make_request,
+    make_settings,
+)
+from limpetusher.core.actions import CancelDispatch, Dispatch, Ran, RefusalCode, Refuse, Replay, Stopped
+from limpetusher.core.inputs import (
+    CallerGone,
+    ConfigurationReceived,
+    HostListReceived,
+    Outcome,
+    ResponseEnded,
+    ResponseStarted,
+    StopRequested,
+    TimerDue,
+)
 
-def actions_of(kind, actions):
-    return [action for action in actions if isinstance(action, kind)]
+
+def only(kind, actions):
+    """Return the only action of a kind."""
+    (action,) = [action for action in actions if isinstance(action, kind)]
+    return action
+
+
+def count(kind, actions):
+    return sum(isinstance(action, kind) for action in actions)
+
+
+def ended(request_id, outcome=Outcome.COMPLETE, *, attempt=1, cost=50.0, status=200, **answer):
+    return ResponseEnded(request_id, attempt, outcome, cost, status, **answer)
+
+
+def run_timers(core, until):
+    """Wake the core whenever it asks for it; return the actions and the number of wake-ups."""
+    actions, wakeups = [], 0
+    while core.next_wakeup() <= until:
+        actions += core.handle(TimerDue(), core.next_wakeup())
+        wakeups += 1
+    return actions, wakeups
 
 
 def test_request_is_dispatched_at_once_while_a_slot_is_free():
     """Guards against added latency: a lone router must not wait for messages or timers."""
     core = make_lone_core()
-    (dispatch,) = actions_of(Dispatch, core.handle(make_request(), 1.0))
+    dispatch = only(Dispatch, core.handle(make_request(), 1.0))
     assert (dispatch.request_id, dispatch.target_id, dispatch.attempt) == ("r1", "e1", 1)
     assert dispatch.send_before == 2.0
 
@@ -20,8 +60,261 @@
 def test_slots_are_not_exceeded_and_are_used_again():
     """Guards against overload of a target and against slots that are lost after an answer."""
     core = make_lone_core(slots=2)
-    dispatched = [len(actions_of(Dispatch, core.handle(make_request(f"r{i}"), 1.0))) for i in range(4)]
-    assert dispatched == [1, 1, 0, 0]
-    (dispatch,) = actions_of(Dispatch, core.handle(ResponseEnded("r0", 1, Outcome.COMPLETE, 50.0, 200), 2.0))
-    assert dispatch.request_id == "r2"
+    assert [count(Dispatch, core.handle(make_request(f"r{i}"), 1.0)) for i in range(4)] == [1, 1, 0, 0]
+    assert only(Dispatch, core.handle(ended("r0"), 1.5)).request_id == "r2"
     assert core.status().running == 2
+
+
+def test_request_before_configuration_is_refused_as_not_run():
+    """Guards against requests that wait at a router that can't know any target."""
+    refuse = only(Refuse, make_core().handle(make_request(), 0.0))
+    assert (refuse.status, refuse.code, refuse.ran) == (503, RefusalCode.NOT_READY, Ran.NO)
+
+
+def test_deadline_is_met_to_the_moment():
+    """Guards against callers that are held back after their patience, or given up too early."""
+    core = make_lone_core(slots=1)
+    core.handle(make_request("r1"), 1.0)
+    core.handle(make_request("r2", patience_seconds=2.5), 1.0)
+    actions, _ = run_timers(core, 3.49)
+    assert count(Refuse, actions) == 0
+    actions, _ = run_timers(core, 3.5)
+    refuse = only(Refuse, actions)
+    assert (refuse.request_id, refuse.status, refuse.ran) == ("r2", 504, Ran.NO)
+    assert refuse.retry_after_seconds >= 1.0
+    assert core.context.now == 3.5
+
+
+def test_queue_limit_counts_the_customer_only():
+    """Guards against one customer that fills the queue of the others."""
+    core = make_lone_core(slots=1, queue_limit=2)
+    actions = [action for i in range(4) for action in core.handle(make_request(f"r{i}"), 1.0)]
+    refuse = only(Refuse, actions)
+    assert (refuse.request_id, refuse.status, refuse.code) == ("r3", 429, RefusalCode.QUEUE_FULL)
+    assert count(Refuse, core.handle(make_request("s0", customer="beta"), 1.0)) == 0
+
+
+def serve_slowly(core, requests, seconds):
+    """Let a backlog build up and be served at one request in `seconds`; return the time and the actions."""
+    now = 1.0
+    actions = []
+    for i in range(requests):
+        actions += core.handle(make_request(f"r{i}"), now)
+    for i in range(6):
+        now += seconds
+        actions += core.handle(ended(f"r{i}"), now)
+    return now, actions
+
+
+def test_request_that_cannot_be_served_in_time_is_refused_early():
+    """Guards against callers that wait in vain although the measured rate tells so on arrival."""
+    core = make_lone_core(slots=1)
+    now, _ = serve_slowly(core, 20, 1.0)
+    refuse = only(Refuse, core.handle(make_request("late", patience_seconds=5.0), now))
+    assert (refuse.status, refuse.code, refuse.ran) == (503, RefusalCode.NO_CAPACITY, Ran.NO)
+    assert refuse.retry_after_seconds == pytest.approx(13.0)
+    assert count(Refuse, core.handle(make_request("patient", patience_seconds=14.0), now)) == 0
+
+
+def test_newest_requests_are_given_up_when_the_rate_falls():
+    """Guards against a queue whose every request is answered only at its deadline after capacity was lost."""
+    core = make_lone_core(slots=1)
+    _, actions = serve_slowly(core, 60, 1.0)
+    refused = [action.request_id for action in actions if isinstance(action, Refuse)]
+    assert refused[0] == "r59"
+    assert "r20" not in refused
+
+
+def test_idempotent_request_is_retried_after_a_broken_connection():
+    """Guards against callers that see the failure of one engine."""
+    core = make_lone_core()
+    core.handle(make_request(), 1.0)
+    core.handle(ended("r1", Outcome.CUT_BEFORE_OUTPUT), 1.1)
+    actions = core.handle(make_report("e1"), 1.2)
+    assert only(Dispatch, actions).attempt == 2
+
+
+def test_retries_stop_when_the_budget_is_spent():
+    """Guards against retries that amplify the failure of all targets: without successes, they end."""
+    settings = make_settings(retry_burst=3.0, maximum_attempts=10)
+    core = make_lone_core(settings=settings, slots=1)
+    now, dispatches = 1.0, 0
+    for i in range(10):
+        actions = core.handle(make_request(f"r{i}"), now)
+        while dispatch := next((a for a in actions if isinstance(a, Dispatch)), None):
+            dispatches += 1
+            failed = ended(f"r{i}", Outcome.CUT_BEFORE_OUTPUT, attempt=dispatch.attempt)
+            now += 0.01
+            core.handle(failed, now)
+            now += 0.01
+            actions = core.handle(make_report("e1"), now)
+    assert dispatches == 10 + 3
+
+
+@pytest.mark.parametrize(
+    ("outcome", "started", "status", "ran", "refused_status"),
+    [
+        (Outcome.REJECTED_NOT_RUN, False, 503, Ran.NO, 503),
+        (Outcome.CUT_BEFORE_OUTPUT, False, None, Ran.UNKNOWN, 502),
+        (Outcome.CUT_AFTER_OUTPUT, True, 200, Ran.YES, 502),
+        (Outcome.CUT_AFTER_OUTPUT, True, 500, Ran.UNKNOWN, 502),
+    ],
+)
+def test_failed_booking_is_not_repeated(outcome, started, status, ran, refused_status):
+    """Guards against a second run of a non-idempotent request, and against a wrong claim whether it ran."""
+    core = make_lone_core()
+    core.handle(make_booking(), 1.0)
+    if started:
+        core.handle(ResponseStarted("r1", 1), 1.1)
+    actions = core.handle(ended("r1", outcome, status=status), 1.2)
+    actions += core.handle(make_report("p1"), 1.3)
+    refuse = only(Refuse, actions)
+    assert (refuse.ran, refuse.status, count(Dispatch, actions)) == (ran, refused_status, 0)
+
+
+def test_retried_request_that_is_given_up_may_have_run():
+    """Guards against "not run" for a request whose first attempt reached a target."""
+    core = make_lone_core(slots=1)
+    core.handle(make_request("r1", patience_seconds=3.0), 1.0)
+    core.handle(ended("r1", Outcome.CUT_BEFORE_OUTPUT), 1.1)
+    core.handle(HostListReceived(make_host_list(version=2, routers={"a1": "a"}, engines={"e9": "z"})), 1.1)
+    actions, _ = run_timers(core, 4.0)
+    assert only(Refuse, actions).ran is Ran.UNKNOWN
+
+
+def test_target_that_refuses_connections_is_not_tried_in_a_loop():
+    """Guards against a dead target that looks free and draws all requests as fast as they fail."""
+    core = make_lone_core()
+    actions, tried, now = core.handle(make_booking("r1"), 1.0), 0, 1.0
+    while now < 3.0:
+        if dispatch := next((a for a in actions if isinstance(a, Dispatch)), None):
+            tried += 1
+            actions = core.handle(ended("r1", Outcome.NOT_SENT, attempt=dispatch.attempt), now + 0.001)
+        now = core.next_wakeup()
+        actions = core.handle(TimerDue(), now)
+    assert 2 <= tried <= 5
+
+
+def test_late_dispatch_is_granted_again():
+    """Guards against a request that is lost when the process could not send it before the grant ended."""
+    core = make_lone_core()
+    core.handle(make_booking(), 1.0)
+    actions = core.handle(ended("r1", Outcome.NOT_SENT), 2.1)
+    assert only(Dispatch, actions).attempt == 2
+
+
+def test_caller_gone_while_running_cancels_at_the_target():
+    """Guards against engines that go on generating for a caller that has left, and against a lost slot."""
+    core = make_lone_core(slots=1)
+    core.handle(make_request("r1"), 1.0)
+    core.handle(make_request("r2"), 1.0)
+    core.handle(make_request("r3"), 1.0)
+    assert only(CancelDispatch, core.handle(CallerGone("r1"), 1.1)).attempt == 1
+    assert core.handle(CallerGone("r2"), 1.2) == []
+    actions = core.handle(ended("r1", Outcome.CANCELLED, cost=None), 1.3)
+    assert only(Dispatch, actions).request_id == "r3"
+    assert count(Refuse, actions) == 0
+
+
+def test_drained_data_centre_gets_no_new_work():
+    """Guards against dispatches into a data centre that was taken out of service (requirement 4)."""
+    core = make_lone_core(slots=1)
+    core.handle(make_request("r1"), 1.0)
+    core.handle(make_request("r2"), 1.0)
+    core.handle(ConfigurationReceived(make_configuration(version=2, slots=1, out=("a",))), 1.1)
+    assert count(Dispatch, core.handle(ended("r1"), 1.2)) == 0
+    refuse = only(Refuse, core.handle(make_request("r3"), 1.3))
+    assert (refuse.status, refuse.code) == (503, RefusalCode.NO_CAPACITY)
+    back = core.handle(ConfigurationReceived(make_configuration(version=3, slots=1)), 1.4)
+    assert only(Dispatch, back).request_id == "r2"
+
+
+def test_leaving_target_gets_no_new_work():
+    """Guards against dispatches to a target that the host list shows as leaving (requirement 8)."""
+    core = make_lone_core()
+    hosts = make_host_list(version=2, routers={"a1": "a"}, engines={"e1": "a"}, leaving=("e1",))
+    core.handle(HostListReceived(hosts), 1.0)
+    assert count(Dispatch, core.handle(make_request(), 1.1)) == 0
+
+
+def test_stop_finishes_waiting_and_running_requests():
+    """Guards against requests that a planned stop cuts off (requirement 9)."""
+    core = make_lone_core(slots=1)
+    core.handle(make_request("r1"), 1.0)
+    core.handle(make_request("r2"), 1.0)
+    assert count(Stopped, core.handle(StopRequested(), 1.1)) == 0
+    assert not core.is_ready
+    refuse = only(Refuse, core.handle(make_request("r3"), 1.2))
+    assert (refuse.status, refuse.code, refuse.ran) == (503, RefusalCode.STOPPING, Ran.NO)
+    assert only(Dispatch, core.handle(ended("r1"), 2.0)).request_id == "r2"
+    assert count(Stopped, core.handle(ended("r2"), 3.0)) == 1
+
+
+def test_stop_ends_after_the_grace_time():
+    """Guards against a router that never stops because of one endless answer."""
+    core = make_lone_core(settings=make_settings(stop_grace_seconds=5.0), slots=1)
+    core.handle(make_request("r1"), 1.0)
+    core.handle(make_request("r2"), 1.0)
+    core.handle(StopRequested(), 1.0)
+    actions, _ = run_timers(core, 6.0)
+    ran = {action.request_id: action.ran for action in actions if isinstance(action, Refuse)}
+    assert ran == {"r1": Ran.UNKNOWN, "r2": Ran.NO}
+    assert (count(CancelDispatch, actions), count(Stopped, actions)) == (1, 1)
+
+
+def test_repeated_key_gets_the_recorded_answer():
+    """Guards against a booking that runs twice when the caller repeats it (requirement 7)."""
+    core = make_lone_core()
+    only(Dispatch, core.handle(make_booking("r1", key="k"), 1.0))
+    refuse = only(Refuse, core.handle(make_booking("r2", key="k"), 1.1))
+    assert (refuse.status, refuse.ran) == (409, Ran.UNKNOWN)
+    core.handle(ended("r1", content_type="text/plain", body=b"done"), 1.2)
+    replay = only(Replay, core.handle(make_booking("r3", key="k"), 1.3))
+    assert (replay.status, replay.body) == (200, b"done")
+    refuse = only(Refuse, core.handle(make_booking("r4", key="k", body_digest=b"other"), 1.4))
+    assert refuse.status == 422
+
+
+def test_key_of_a_request_that_was_given_up_may_be_used_again():
+    """Guards against a key that stays blocked although its request did not run."""
+    core = make_lone_core(slots=1)
+    core.handle(make_booking("r1"), 1.0)
+    core.handle(make_booking("r2", key="k", patience_seconds=1.0), 1.0)
+    actions, _ = run_timers(core, 2.0)
+    assert only(Refuse, actions).ran is Ran.NO
+    core.handle(ended("r1"), 2.1)
+    assert only(Dispatch, core.handle(make_booking("r3", key="k"), 2.2)).request_id == "r3"
+
+
+def test_idle_core_wakes_once_in_an_exchange_interval():
+    """Guards against a busy loop and against missed heartbeats."""
+    core = make_lone_core()
+    _, wakeups = run_timers(core, 10.0)
+    assert 38 <= wakeups <= 42
+
+
+def test_deadline_that_passed_during_a_pause_comes_before_other_work():
+    """Guards against a router that wakes late and sends a request that was given up meanwhile."""
+    core = make_lone_core(slots=1)
+    core.handle(make_request("r1"), 1.0)
+    core.handle(make_request("r2", patience_seconds=2.0), 1.0)
+    actions = core.handle(ended("r1"), 60.0)
+    assert only(Refuse, actions).request_id == "r2"
+    assert count(Dispatch, actions) == 0
+
+
+def test_explanation_tells_where_a_request_went():
+    """Guards against an operator who can't find out why a request was slow or refused."""
+    core = make_lone_core()
+    core.handle(make_request(), 1.0)
+    core.handle(ended("r1"), 2.0)
+    explanation = core.explain("r1")
+    assert (explanation.customer, explanation.service) == ("alpha", MODEL)
+    assert [step.step.value for step in explanation.steps] == [
+        "arrived",
+        "queued",
+        "spread",
+        "dispatched",
+        "ended",
+    ]
+    assert core.explain("unknown") is None
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -64,6 +64,8 @@
         self.delay = 0.001
         self.paused: dict[str, list[Input]] = {}
         self.stopped: set[str] = set()
+        self.killed: set[str] = set()
+        self.received: dict[str, str] = {}
         self.answers: dict[str, tuple[float, object]] = {}
         """When and how each caller was answered: an `Outcome`, a `Refuse` or a `Replay`."""
         self.runs: Counter[str] = Counter()
@@ -105,6 +107,7 @@
         self.give(router, ConfigurationReceived(self.configuration))
 
     def kill(self, router: str) -> None:
+        self.killed.add(router)
         del self.cores[router]
 
     def pause(self, router: str) -> None:
@@ -125,6 +128,7 @@
             self.give(router, wrapper(message))
 
     def request(self, router: str, request: RequestArrived) -> None:
+        self.received[request.request_id] = router
         self.give(router, request)
 
     def give(self, router: str, message: Input) -> None:
@@ -162,7 +166,7 @@
                 self.answer(action.request_id, action)
             case Stopped():
                 self.stopped.add(router)
-                self.kill(router)
+                del self.cores[router]
 
     def answer(self, request_id: str, how: object) -> None:
         assert request_id not in self.answers, (
