--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -9,10 +9,10 @@
 from circuits.core import BaseComponent, handler
 from circuits.core.pollers import EPoll
 
-from limpetusher.clock import Clock
-from limpetusher.core.actions import Ran, RefusalCode
+from limpetusher.core.actions import RefusalCode
 from limpetusher_router.connection.caller_connection import CallerConnection, CallerState
 from limpetusher_router.connection.framing import BodyReader, find_head, parse_request_head
+from limpetusher_router.connection.timeouts import Timeouts
 from limpetusher_router.errors import FramingError
 from limpetusher_router.events import (
     CALLERS,
@@ -25,7 +25,7 @@
 )
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.metrics import Metrics
-from limpetusher_router.request.answers import error_body, error_headers, reason_phrase
+from limpetusher_router.request.answers import error_answer, reason_phrase
 from limpetusher_router.request.identifiers import RequestIdentifiers
 from limpetusher_router.settings import RouterSettings, split_address
 
@@ -55,7 +55,6 @@
         self,
         settings: RouterSettings,
         *,
-        clock: Clock,
         deadlines: Deadlines,
         poller: EPoll,
         identifiers: RequestIdentifiers,
@@ -63,8 +62,8 @@
     ):
         super().__init__()
         self.settings = settings
-        self.clock = clock
         self.deadlines = deadlines
+        self.timeouts = Timeouts(deadlines, CALLERS)
         self.poller = poller
         self.identifiers = identifiers
         self.metrics = metrics
@@ -89,7 +88,7 @@
         try:
             self.read(connection)
         except FramingError as error:
-            self.refuse(connection, error.status, error.code, error.message)
+            self.refuse(connection, error)
         except Exception:
             logger.exception("reading from a caller failed")
             self.drop(connection)
@@ -126,9 +125,11 @@
             self.connections[sock] = connection
             self.poller.addReader(self, sock)
             if len(self.connections) > self.settings.max_caller_connections:
-                self.refuse(connection, 503, RefusalCode.NO_CAPACITY, "too many connections", retry_after=1.0)
+                self.refuse(
+                    connection, FramingError(503, RefusalCode.NO_CAPACITY, "too many connections", 1.0)
+                )
             else:
-                self.set_due(connection, self.settings.idle_timeout_seconds)
+                self.timeouts.set(connection, self.settings.idle_timeout_seconds)
 
     def read(self, connection: CallerConnection) -> None:
         """Read from a connection and hand on a request that is complete."""
@@ -164,7 +165,7 @@
             return
         if not connection.head_started:
             connection.head_started = True
-            self.set_due(connection, self.settings.header_timeout_seconds)
+            self.timeouts.set(connection, self.settings.header_timeout_seconds)
         length = find_head(buffer, self.settings.max_header_bytes)
         if length is None:
             return
@@ -178,7 +179,7 @@
         )
         del buffer[:length]
         connection.state = CallerState.BODY
-        self.set_due(connection, self.settings.idle_timeout_seconds)
+        self.timeouts.set(connection, self.settings.idle_timeout_seconds)
         if head.expects_continue and not connection.body_reader.complete and not buffer:
             connection.add_output(CONTINUE)
             self.flush_output(connection)
@@ -192,7 +193,7 @@
         if connection.body_reader.complete:
             connection.state = CallerState.ANSWER
             connection.closing = not connection.head.keep_alive
-            self.set_due(connection, math.inf)
+            self.timeouts.set(connection, math.inf)
             self.in_progress[connection.request_id] = connection
             whole = b"".join(connection.body_parts)
             connection.body_parts = []
@@ -200,26 +201,14 @@
         elif connection.body_since_reset >= BODY_PROGRESS_BYTES:
             # A body must make some progress in the idle time, so that single bytes can't hold a connection.
             connection.body_since_reset = 0
-            self.set_due(connection, self.settings.idle_timeout_seconds)
+            self.timeouts.set(connection, self.settings.idle_timeout_seconds)
 
-    def refuse(
-        self,
-        connection: CallerConnection,
-        status: int,
-        code: str,
-        message: str,
-        *,
-        retry_after: float | None = None,
-    ) -> None:
+    def refuse(self, connection: CallerConnection, error: FramingError) -> None:
         """Answer bytes that are no acceptable request and close the connection."""
         if connection.sock not in self.connections:
             return
-        request_id = connection.request_id or self.identifiers.next()
-        body = error_body(code=code, message=message, request_id=request_id, ran=Ran.NO)
-        headers = {
-            **error_headers(status=status, retry_after_seconds=retry_after),
-            "x-request-id": request_id,
-        }
+        answer = error_answer(connection.request_id or self.identifiers.next(), error)
+        _request_id, status, headers, body = answer.args
         connection.closing = True
         connection.buffer.clear()
         self.write_head(connection, status, headers, len(body))
@@ -323,7 +312,7 @@
             connection.buffer.clear()
         else:
             connection.state = CallerState.HEAD
-            self.set_due(connection, self.settings.idle_timeout_seconds)
+            self.timeouts.set(connection, self.settings.idle_timeout_seconds)
         self.flush_output(connection)
         if connection.sock not in self.connections:
             return
@@ -334,7 +323,7 @@
             try:
                 self.parse(connection)
             except FramingError as error:
-                self.refuse(connection, error.status, error.code, error.message)
+                self.refuse(connection, error)
 
     def flush_output(self, connection: CallerConnection) -> None:
         """Write queued bytes, watch for room for the rest and tell the sender when to wait."""
@@ -351,7 +340,7 @@
                 self.poller.removeWriter(connection.sock)
         if connection.out:
             if written or math.isinf(connection.due_at):
-                self.set_due(connection, self.settings.idle_timeout_seconds)
+                self.timeouts.set(connection, self.settings.idle_timeout_seconds)
         elif connection.state is CallerState.ANSWER:
             connection.due_at = math.inf
         elif connection.state is CallerState.LINGER:
@@ -377,7 +366,7 @@
         except OSError:
             self.drop(connection)
             return
-        self.set_due(connection, LINGER_SECONDS)
+        self.timeouts.set(connection, LINGER_SECONDS)
 
     def drop(self, connection: CallerConnection) -> None:
         """Close a connection; the request in progress on it loses its caller."""
@@ -390,20 +379,6 @@
         if self.in_progress.pop(connection.request_id, None) is not None:
             self.fire(CallerLost(connection.request_id), REQUESTS)
 
-    def set_due(self, connection: CallerConnection, seconds: float) -> None:
-        """Set when the connection times out."""
-        connection.due_at = self.clock.monotonic() + seconds
-        self.watch_deadline(connection)
-
-    def watch_deadline(self, connection: CallerConnection) -> None:
-        """Keep an entry of the deadline heap no later than the connection's time-out."""
-        present = connection.deadline
-        if math.isinf(connection.due_at) or (present is not None and present.when <= connection.due_at):
-            return
-        if present is not None:
-            present.cancel()
-        connection.deadline = self.deadlines.schedule(connection.due_at, Due(connection), CALLERS)
-
     @handler("Due")
     def on_due(self, connection: CallerConnection | None) -> None:
         """Go on accepting, or time out a connection unless its time-out was moved."""
@@ -411,16 +386,13 @@
             if self.listener is not None:
                 self.poller.addReader(self, self.listener)
             return
-        connection.deadline = None
-        if connection.sock not in self.connections:
+        if connection.sock not in self.connections or not self.timeouts.has_expired(connection):
             return
-        if self.clock.monotonic() < connection.due_at:
-            self.watch_deadline(connection)
-        elif connection.head_started and connection.state is not CallerState.ANSWER and not connection.out:
+        if connection.head_started and connection.state is not CallerState.ANSWER and not connection.out:
             limit = self.settings.header_timeout_seconds
             if connection.state is CallerState.BODY:
                 limit = self.settings.idle_timeout_seconds
             message = f"the request did not arrive within {limit:g} s"
-            self.refuse(connection, 408, RefusalCode.REQUEST_TIMEOUT, message)
+            self.refuse(connection, FramingError(408, RefusalCode.REQUEST_TIMEOUT, message))
         else:
             self.drop(connection)
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -12,6 +12,7 @@
 from limpetusher.clock import Clock
 from limpetusher_router.connection.framing import BodyReader, find_head, parse_answer_head
 from limpetusher_router.connection.target_connection import TargetConnection, TargetState
+from limpetusher_router.connection.timeouts import Timeouts
 from limpetusher_router.errors import FramingError
 from limpetusher_router.events import (
     TARGETS,
@@ -21,13 +22,12 @@
     Attempt,
     AttemptEnd,
     AttemptSent,
-    Due,
 )
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.metrics import Metrics
 from limpetusher_router.settings import RouterSettings, split_address
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 CONNECT_PART_OF_GRANT = 0.8
 KEPT_SECONDS = 15.0
 KEPT_PER_ADDRESS = 16
@@ -52,7 +52,7 @@
         super().__init__()
         self.settings = settings
         self.clock = clock
-        self.deadlines = deadlines
+        self.timeouts = Timeouts(deadlines, TARGETS)
         self.poller = poller
         self.metrics = metrics
         self.connections: dict[socket.socket, TargetConnection] = {}
@@ -102,7 +102,7 @@
         self.connections[sock] = connection
         self.exchanges[attempt.channel, attempt.key] = connection
         self.watch_writing(connection, True)
-        self.set_due(connection, self.connect_seconds(attempt))
+        self.timeouts.set(connection, self.connect_seconds(attempt))
 
     def connect_seconds(self, attempt: Attempt) -> float:
         """Return the time for connecting.
@@ -114,6 +114,10 @@
             seconds = min(seconds, (attempt.send_before - self.clock.monotonic()) * CONNECT_PART_OF_GRANT)
         return max(seconds, 0.0)
 
+    def idle_seconds(self, attempt: Attempt) -> float:
+        """Return how long the target may be silent."""
+        return attempt.idle_seconds or self.settings.target_idle_timeout_seconds
+
     def report_unreachable(self, attempt: Attempt, detail: str) -> None:
         """Tell that no connection could be made."""
         self.fire(AnswerEnded(attempt.key, AttemptEnd.UNREACHABLE, detail), attempt.channel)
@@ -123,7 +127,7 @@
         connection.begin(attempt)
         connection.state = TargetState.BUSY
         self.exchanges[attempt.channel, attempt.key] = connection
-        self.set_due(connection, attempt.idle_seconds or self.settings.target_idle_timeout_seconds)
+        self.timeouts.set(connection, self.idle_seconds(attempt))
         self.send(connection)
 
     def send(self, connection: TargetConnection) -> None:
@@ -200,9 +204,7 @@
         """Take bytes of an answer."""
         connection.received = True
         attempt = connection.attempt
-        connection.due_at = self.clock.monotonic() + (
-            attempt.idle_seconds or self.settings.target_idle_timeout_seconds
-        )
+        self.timeouts.set(connection, self.idle_seconds(attempt))
         try:
             if connection.head is None:
                 connection.buffer += data
@@ -307,7 +309,7 @@
         if connection.paused:
             connection.paused = False
             self.poller.addReader(self, connection.sock)
-        self.set_due(connection, KEPT_SECONDS)
+        self.timeouts.set(connection, KEPT_SECONDS)
 
     def close(self, connection: TargetConnection) -> None:
         """Close a connection."""
@@ -347,32 +349,14 @@
         if connection is not None and connection.paused:
             connection.paused = False
             self.poller.addReader(self, connection.sock)
-            idle = connection.attempt.idle_seconds or self.settings.target_idle_timeout_seconds
-            self.set_due(connection, idle)
-
-    def set_due(self, connection: TargetConnection, seconds: float) -> None:
-        """Set when the connection times out."""
-        connection.due_at = self.clock.monotonic() + seconds
-        self.watch_deadline(connection)
-
-    def watch_deadline(self, connection: TargetConnection) -> None:
-        """Keep an entry of the deadline heap no later than the connection's time-out."""
-        present = connection.deadline
-        if math.isinf(connection.due_at) or (present is not None and present.when <= connection.due_at):
-            return
-        if present is not None:
-            present.cancel()
-        connection.deadline = self.deadlines.schedule(connection.due_at, Due(connection), TARGETS)
+            self.timeouts.set(connection, self.idle_seconds(connection.attempt))
 
     @handler("Due")
     def on_due(self, connection: TargetConnection) -> None:
         """Time out a connection unless its time-out was moved."""
-        connection.deadline = None
-        if connection.sock not in self.connections:
+        if connection.sock not in self.connections or not self.timeouts.has_expired(connection):
             return
-        if self.clock.monotonic() < connection.due_at:
-            self.watch_deadline(connection)
-        elif connection.state is TargetState.IDLE:
+        if connection.state is TargetState.IDLE:
             self.close(connection)
         elif connection.state is TargetState.CONNECTING:
             self.end(connection, AttemptEnd.UNREACHABLE, "connecting took too long")
--- a/packages/limpetusher-router/src/limpetusher_router/errors.py
+++ b/packages/limpetusher-router/src/limpetusher_router/errors.py
@@ -19,12 +19,17 @@
         Machine-readable reason in the error answer.
     message
         What is wrong and what is allowed.
+    retry_after_seconds
+        When the caller may try again, None where that does not help.
     """
 
-    def __init__(self, status: int, code: str, message: str):
+    ran = Ran.NO
+
+    def __init__(self, status: int, code: str, message: str, retry_after_seconds: float | None = None):
         self.status = status
         self.code = code
         self.message = message
+        self.retry_after_seconds = retry_after_seconds
         super().__init__(message)
 
 
@@ -51,3 +56,22 @@
         self.message = message
         self.retry_after_seconds = retry_after_seconds
         super().__init__(message)
+
+
+class InternalError(RouterError):
+    """A handler failed while it worked on a request.
+
+    Parameters
+    ----------
+    ran
+        What is known about whether the request ran.
+    """
+
+    status = 500
+    code = "internal_error"
+    message = "an internal error ended the request"
+    retry_after_seconds = None
+
+    def __init__(self, ran: Ran):
+        self.ran = ran
+        super().__init__(self.message)
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -84,7 +84,7 @@
         shared = {"deadlines": self.deadlines, "poller": self.poller, "metrics": self.metrics}
         self.peers = PeerSockets(settings, key=key, incarnation=incarnation, **shared).register(self)
         self.callers = CallerServer(
-            settings, clock=clock, identifiers=RequestIdentifiers(settings.host_id, incarnation), **shared
+            settings, identifiers=RequestIdentifiers(settings.host_id, incarnation), **shared
         ).register(self)
         self.targets = TargetClient(settings, clock=clock, **shared).register(self)
         tracing = Tracing(settings.host_id, output=settings.trace_output)
--- a/packages/limpetusher-router/src/limpetusher_router/request/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/answers.py
@@ -2,10 +2,12 @@
 
 import math
 from http import HTTPStatus
+from typing import Protocol
 
 import msgspec
 
 from limpetusher.core.actions import Ran
+from limpetusher_router.events import SendAnswer
 
 ERROR_CONTENT_TYPE = "application/json"
 UNAUTHORIZED = 401
@@ -26,24 +28,35 @@
     error: ErrorBody
 
 
-def error_body(*, code: str, message: str, request_id: str, ran: Ran) -> bytes:
+class ErrorReason(Protocol):
+    """Why a request gets an error: a refusal of the core or an error of the process."""
+
+    status: int
+    code: str
+    message: str
+    ran: Ran
+    retry_after_seconds: float | None
+
+
+def error_body(request_id: str, error: ErrorReason) -> bytes:
     """Return the JSON body of an error answer."""
-    return msgspec.json.encode(ErrorDocument(ErrorBody(str(code), message, request_id, ran)))
+    body = ErrorBody(str(error.code), error.message, request_id, error.ran)
+    return msgspec.json.encode(ErrorDocument(body))
 
 
-def error_headers(*, status: int, retry_after_seconds: float | None = None) -> dict[str, str]:
-    """Return the header fields of an error answer."""
-    headers = {"content-type": ERROR_CONTENT_TYPE}
-    if status == UNAUTHORIZED:
+def error_answer(request_id: str, error: ErrorReason) -> SendAnswer:
+    """Return the message that answers a caller with an error."""
+    headers = {"content-type": ERROR_CONTENT_TYPE, "x-request-id": request_id}
+    if error.status == UNAUTHORIZED:
         headers["www-authenticate"] = "Bearer"
-    if retry_after_seconds is not None:
-        headers["retry-after"] = str(max(1, math.ceil(retry_after_seconds)))
-    return headers
+    if error.retry_after_seconds is not None:
+        headers["retry-after"] = str(max(1, math.ceil(error.retry_after_seconds)))
+    return SendAnswer(request_id, error.status, headers, error_body(request_id, error))
 
 
-def error_event(body: bytes) -> bytes:
+def error_event(request_id: str, error: ErrorReason) -> bytes:
     """Return the server-sent event that ends a broken stream."""
-    return b"event: error\ndata: " + body + b"\n\n"
+    return b"event: error\ndata: " + error_body(request_id, error) + b"\n\n"
 
 
 def reason_phrase(status: int) -> str:
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchange.py
@@ -4,10 +4,12 @@
 
 from limpetusher.configuration.compiled import Customer
 from limpetusher_router.connection.framing import RequestHead
+from limpetusher_router.events import REQUESTS, Attempt
 from limpetusher_router.process.tracing import RequestTrace
 from limpetusher_router.request.parsing import ServiceRequest
 from limpetusher_router.request.relay import Relay
 
+CANCEL_IDLE_SECONDS = 2.0
 CUSTOMER_HEADER = "x-limpetusher-customer"
 PASSED_REQUEST_HEADERS = ("content-type", "accept", "accept-language", "idempotency-key")
 PASSED_ANSWER_HEADERS = (
@@ -80,6 +82,25 @@
         lines += [f"{name}: {value}" for name, value in headers.items()]
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + self.body
 
+    def stream_cancellation(self) -> Attempt:
+        """Return the exchange that asks the engine to end the stream of the present attempt."""
+        address = self.attempt.address
+        lines = [f"POST /streams/{self.request_id}/cancel HTTP/1.1", f"host: {address}", "content-length: 0"]
+        return Attempt(
+            key=("cancel", self.request_id),
+            channel=REQUESTS,
+            address=address,
+            request="\r\n".join([*lines, "", ""]).encode("latin-1"),
+            idle_seconds=CANCEL_IDLE_SECONDS,
+        )
+
+    def kept_answer(self, limit: int) -> KeptAnswer:
+        """Return the whole answer to a request with an idempotency key if it is short enough for a replay."""
+        relay = self.attempt.relay
+        if self.request.idempotency_key is None or relay.begun or len(relay.held) > limit:
+            return NOTHING_KEPT
+        return KeptAnswer(relay.head.headers.get("content-type", ""), bytes(relay.held))
+
     def answer_headers(self, relay: Relay) -> dict[str, str]:
         """Return the header fields of the answer as they are sent to the caller."""
         passed = relay.head.headers
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
@@ -17,7 +17,7 @@
     ResponseStarted,
 )
 from limpetusher_router.connection.framing import AnswerHead, RequestHead
-from limpetusher_router.errors import RequestError
+from limpetusher_router.errors import InternalError, RequestError
 from limpetusher_router.events import (
     CALLERS,
     CORE,
@@ -38,16 +38,14 @@
 )
 from limpetusher_router.process.metrics import Metrics
 from limpetusher_router.process.tracing import Tracing
-from limpetusher_router.request.answers import error_body, error_event, error_headers
+from limpetusher_router.request.answers import ErrorReason, error_answer, error_event
 from limpetusher_router.request.authentication import Authenticator
 from limpetusher_router.request.exchange import NOTHING_KEPT, Exchange, KeptAnswer, TargetAttempt
 from limpetusher_router.request.parsing import parse_service_request
 from limpetusher_router.request.relay import Relay
 from limpetusher_router.settings import RouterSettings
 
-CANCEL_IDLE_SECONDS = 2.0
 NOT_READY_RETRY_SECONDS = 1.0
-INTERNAL_ERROR_CODE = "internal_error"
 
 logger = logging.getLogger(__name__)
 
@@ -81,9 +79,7 @@
         try:
             exchange = self.open(request_id, head, body)
         except RequestError as error:
-            self.answer_error(
-                request_id, error.status, error.code, error.message, error.ran, error.retry_after_seconds
-            )
+            self.fire(error_answer(request_id, error), CALLERS)
             return
         request, customer = exchange.request, exchange.customer
         arrived = RequestArrived(
@@ -177,76 +173,31 @@
         attempt = exchange.attempt
         self.fire(StopAttempt((action.request_id, action.attempt), REQUESTS), TARGETS)
         if attempt.sent and exchange.request.is_engine:
-            self.cancel_stream(exchange.request_id, attempt.address)
+            self.fire(StartAttempt(exchange.stream_cancellation()), TARGETS)
         outcome = Outcome.CANCELLED if attempt.sent else Outcome.NOT_SENT
         self.end_attempt(exchange, outcome, cost=self.cost_so_far(exchange))
         if exchange.caller_lost:
             self.close(exchange, status=0)
 
-    def cancel_stream(self, request_id: str, address: str) -> None:
-        """Ask an engine to end a stream; the answer does not matter."""
-        request = (
-            f"POST /streams/{request_id}/cancel HTTP/1.1\r\nhost: {address}\r\ncontent-length: 0\r\n\r\n"
-        )
-        attempt = Attempt(
-            key=("cancel", request_id),
-            channel=REQUESTS,
-            address=address,
-            request=request.encode(),
-            idle_seconds=CANCEL_IDLE_SECONDS,
-        )
-        self.fire(StartAttempt(attempt), TARGETS)
-
     @carry_out.register
     def refuse(self, action: Refuse) -> None:
         """Answer with an error, or end a broken answer so that it can't be taken for a whole one."""
-        self.fail(
-            action.request_id,
-            action.status,
-            action.code,
-            action.message,
-            action.ran,
-            action.retry_after_seconds,
-        )
+        self.fail(action.request_id, action)
 
-    def fail(
-        self,
-        request_id: str,
-        status: int,
-        code: str,
-        message: str,
-        ran: Ran,
-        retry_after_seconds: float | None = None,
-    ) -> None:
+    def fail(self, request_id: str, error: ErrorReason) -> None:
         """End a request with an error, however far its answer has come."""
         exchange = self.exchanges.get(request_id)
         if exchange is None or not exchange.answer_begun:
-            self.answer_error(request_id, status, code, message, ran, retry_after_seconds)
+            self.fire(error_answer(request_id, error), CALLERS)
         elif exchange.request.stream:
             self.metrics.cut_answers.inc({})
-            body = error_body(code=code, message=message, request_id=request_id, ran=ran)
-            self.fire(SendPart(request_id, error_event(body)), CALLERS)
+            self.fire(SendPart(request_id, error_event(request_id, error)), CALLERS)
             self.fire(SendEnd(request_id), CALLERS)
         else:
             self.metrics.cut_answers.inc({})
             self.fire(AbortAnswer(request_id), CALLERS)
         if exchange is not None:
-            self.close(exchange, status=status)
-
-    def answer_error(
-        self,
-        request_id: str,
-        status: int,
-        code: str,
-        message: str,
-        ran: Ran,
-        retry_after_seconds: float | None = None,
-    ) -> None:
-        """Send an error answer."""
-        headers = error_headers(status=status, retry_after_seconds=retry_after_seconds)
-        headers["x-request-id"] = request_id
-        body = error_body(code=code, message=message, request_id=request_id, ran=ran)
-        self.fire(SendAnswer(request_id, status, headers, body), CALLERS)
+            self.close(exchange, status=error.status)
 
     @carry_out.register
     def replay(self, action: Replay) -> None:
@@ -370,17 +321,10 @@
             body = bytes(relay.held)
             headers = exchange.answer_headers(relay)
             self.fire(SendAnswer(exchange.request_id, status, headers, body), CALLERS)
-        self.end_attempt(exchange, Outcome.COMPLETE, cost=cost, status=status, kept=self.kept(exchange))
+        kept = exchange.kept_answer(self.settings.policy.kept_answer_bytes)
+        self.end_attempt(exchange, Outcome.COMPLETE, cost=cost, status=status, kept=kept)
         self.close(exchange, status=status)
 
-    def kept(self, exchange: Exchange) -> KeptAnswer:
-        """Return the whole answer to a request with an idempotency key if it is short enough for a replay."""
-        relay = exchange.attempt.relay
-        short = not relay.begun and len(relay.held) <= self.settings.policy.kept_answer_bytes
-        if exchange.request.idempotency_key is None or not short:
-            return NOTHING_KEPT
-        return KeptAnswer(relay.head.headers.get("content-type", ""), bytes(relay.held))
-
     def end_attempt(
         self,
         exchange: Exchange,
@@ -436,5 +380,4 @@
             self.cancel(CancelDispatch(request_id, exchange.attempt.number))
         elif exchange is not None:
             self.fire(CoreInput(CallerGone(request_id)), CORE)
-        ran = Ran.UNKNOWN if sent else Ran.NO
-        self.fail(request_id, 500, INTERNAL_ERROR_CODE, "an internal error ended the request", ran)
+        self.fail(request_id, InternalError(Ran.UNKNOWN if sent else Ran.NO))
--- a/packages/limpetusher-router/src/limpetusher_router/version/hosts.py
+++ b/packages/limpetusher-router/src/limpetusher_router/version/hosts.py
@@ -33,6 +33,7 @@
         self.rng = rng
         self.addresses = platform_addresses(settings)
         self.document = b""
+        self.refused_document = b""
         self.round = 0
         deadlines.schedule_in(0.0, Due(), HOSTS)
 
@@ -59,7 +60,9 @@
         try:
             host_list = load_host_list(document)
         except ConfigurationError as error:
-            logger.error("host list refused: %s", error)
+            if document != self.refused_document:
+                self.refused_document = document
+                logger.error("host list refused: %s", error)
             return
         self.document = document
         self.fire(CoreInput(HostListReceived(host_list)), CORE)
--- a/tests/builders_router.py
+++ b/tests/builders_router.py
@@ -1,103 +1,42 @@
-"""Builders for tests of the router process."""
+"""Builders for tests of the router process: documents, a scripted target and a real router process."""
 
+import contextlib
 import hashlib
 import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import urllib.request
+from collections.abc import Callable, Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
 
-from limpetusher.core.actions import (
-    CancelDispatch,
-    Dispatch,
-    Ran,
-    RefusalCode,
-    Refuse,
-    Stopped,
-    WatchConfiguration,
-)
-from limpetusher.core.inputs import (
-    CallerGone,
-    ConfigurationReceived,
-    HostListReceived,
-    Outcome,
-    RequestArrived,
-    ResponseEnded,
-    StopRequested,
-    TimerDue,
-)
+from limpetusher.configuration.compiled import Configuration
+from limpetusher.configuration.document import load_configuration
 
 SECRET = "correct-horse"
 SALT = "ab" * 16
 KEY_ID = "key-one"
 AUTHORIZATION = f"Bearer {KEY_ID}.{SECRET}"
+START_SECONDS = 15.0
+PACKAGES = Path(__file__).parent.parent / "packages"
+LOAD = {"running": 0, "warm": True, "boot_id": "b1", "measured_at": 1, "report_age_seconds": 0.0}
 
-
-class DirectCore:
-    """Core that sends each request at once to the first target, for tests of the process around the core."""
-
-    def __init__(self, settings, **_options):
-        self.now = 0.0
-        self.configuration = None
-        self.hosts = None
-        self.running = {}
-        self.inputs = []
-        self.started = False
-        self.stopping = False
-
-    @property
-    def is_ready(self) -> bool:
-        return self.configuration is not None and self.hosts is not None and not self.stopping
-
-    def next_wakeup(self) -> float:
-        return float("inf")
-
-    def status(self) -> dict:
-        return {"running": len(self.running)}
-
-    def explain(self, request_id: str):
-        return None
-
-    def owned_targets(self) -> dict[str, str]:
-        return {}
-
-    def handle(self, message, now: float) -> list:
-        self.inputs.append(message)
-        match message:
-            case TimerDue():
-                return [WatchConfiguration(True)]
-            case ConfigurationReceived(configuration):
-                self.configuration = configuration
-            case HostListReceived(host_list):
-                self.hosts = host_list
-            case RequestArrived(request_id=request_id):
-                if self.stopping:
-                    return [Refuse(request_id, 503, RefusalCode.STOPPING, "stopping", Ran.NO, 1.0)]
-                target = next(host for host in self.hosts.hosts if host.role == "target")
-                self.running[request_id] = 1
-                return [Dispatch(request_id, 1, target.host_id, target.address, now + 1.0)]
-            case CallerGone(request_id):
-                return [CancelDispatch(request_id, 1)]
-            case ResponseEnded(request_id=request_id, outcome=outcome):
-                self.running.pop(request_id, None)
-                actions = [] if outcome is Outcome.COMPLETE else [self.refuse(request_id, outcome)]
-                return actions + self.stopped()
-            case StopRequested():
-                self.stopping = True
-                return self.stopped()
-        return []
-
-    def stopped(self) -> list:
-        return [Stopped()] if self.stopping and not self.running else []
-
-    def refuse(self, request_id: str, outcome: Outcome) -> Refuse:
-        ran = Ran.NO if outcome in (Outcome.NOT_SENT, Outcome.REJECTED_NOT_RUN) else Ran.UNKNOWN
-        return Refuse(request_id, 502, RefusalCode.ANSWER_CUT, outcome.value, ran)
+Script = Callable[["TargetConnection"], None]
 
 
 def configuration_document(version: int = 1) -> dict:
-    """Return a small configuration document with one customer."""
+    """Return a configuration with one customer, a model and an application service."""
     digest = hashlib.sha256(bytes.fromhex(SALT) + SECRET.encode()).hexdigest()
     routes = [
         {"method": "POST", "path_prefix": "/dispatch", "idempotent": False},
         {"method": "GET", "path_prefix": "/status", "idempotent": True},
     ]
+    slots = {"slots": 16, "cold_slots": 16}
     return {
         "version": version,
         "customers": [
@@ -109,40 +48,274 @@
             }
         ],
         "services": [
-            {"name": "chatter", "kind": "engine", "default_cost": 100.0, "routes": []},
-            {"name": "crew", "kind": "application", "default_cost": 10.0, "routes": routes},
+            {"name": "chatter", "kind": "engine"},
+            {"name": "crew", "kind": "application", "routes": routes},
+            {"name": "hidden", "kind": "engine"},
         ],
         "target_classes": [
-            {"name": "any", "kind": "engine", "services": ["chatter"], "slots": 4, "cold_slots": 2}
+            {"name": "engines", "kind": "engine", "services": ["chatter"], **slots},
+            {"name": "crews", "kind": "application", "services": ["crew"], **slots},
         ],
         "data_centres": [{"name": "north", "state": "in"}],
     }
 
 
-def host_list(target_address: str, router_address: str = "127.0.0.1:1") -> dict:
-    """Return a host list with one router and one target."""
-    return {
-        "version": 1,
-        "hosts": [
-            {
-                "host_id": "r1",
-                "role": "router",
-                "data_centre": "north",
-                "address": router_address,
-                "state": "live",
-            },
-            {
-                "host_id": "t1",
-                "role": "target",
-                "data_centre": "north",
-                "address": target_address,
-                "state": "live",
-                "target_class": "any",
-            },
-        ],
-    }
+def configuration() -> Configuration:
+    """Return the compiled configuration."""
+    return load_configuration(json.dumps(configuration_document()).encode())
+
+
+def host_list(targets: dict[str, str], router_address: str) -> dict:
+    """Return a host list with one router and targets by target class."""
+    router = {"host_id": "r1", "role": "router", "data_centre": "north", "address": router_address}
+    hosts = [{**router, "state": "live"}]
+    hosts += [
+        {
+            "host_id": f"target-{target_class}",
+            "role": "target",
+            "data_centre": "north",
+            "address": address,
+            "state": "live",
+            "target_class": target_class,
+        }
+        for target_class, address in targets.items()
+    ]
+    return {"version": 1, "hosts": hosts}
+
+
+def completions_body(**fields: object) -> bytes:
+    """Return a chat-completions body."""
+    message = {"role": "user", "content": "hello"}
+    return json.dumps({"model": "chatter", "messages": [message], **fields}).encode()
+
+
+def request_bytes(
+    path: str = "/v1/chat/completions", body: bytes = b"", *, method: str = "POST", **headers: str
+) -> bytes:
+    """Return an authenticated HTTP request; underscores in header names stand for dashes."""
+    lines = [f"{method} {path} HTTP/1.1", "host: router", f"authorization: {AUTHORIZATION}"]
+    lines += [f"content-length: {len(body)}"] if "content_length" not in headers else []
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def answer_bytes(body: bytes, *, status: int = 200, **headers: str) -> bytes:
+    """Return an HTTP answer with a length."""
+    lines = [
+        f"HTTP/1.1 {status} Any-Reason",
+        "content-type: application/json",
+        f"content-length: {len(body)}",
+    ]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class TargetConnection:
+    """One request that a scripted target has read, and the connection on which to answer it."""
+
+    def __init__(self, sock: socket.socket, head: str, body: bytes):
+        self.sock = sock
+        self.head = head
+        self.body = body
+
+    def send(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self.sock.sendall(data)
+
+    def send_stream_head(self) -> None:
+        """Send the head of a chunked event stream."""
+        self.send(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n")
+
+    def send_chunk(self, data: bytes) -> None:
+        """Send one chunk."""
+        self.send(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def reset(self) -> None:
+        """Break the connection."""
+        self.sock.shutdown(socket.SHUT_RDWR)
+
+
+class ScriptedTarget:
+    """Target whose answer to each request is written by a script; load reports are answered by itself."""
+
+    def __init__(self, script: Script):
+        self.script = script
+        self.requests: list[TargetConnection] = []
+        self.socks: list[socket.socket] = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _address = self.listener.accept()
+                self.socks.append(sock)
+                threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError), sock, sock.makefile("rb") as source:
+            while head := b"".join(iter(source.readline, b"\r\n")).decode():
+                length = [
+                    line.split(":")[1] for line in head.splitlines() if line.startswith("content-length")
+                ]
+                connection = TargetConnection(sock, head, source.read(int(length[0])) if length else b"")
+                if head.startswith("GET /load "):
+                    connection.send(answer_bytes(json.dumps(LOAD).encode()))
+                else:
+                    self.requests.append(connection)
+                    self.script(connection)
+
+    def close(self) -> None:
+        """Stop listening and break all connections."""
+        for sock in (self.listener, *self.socks):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+
+class ScriptedPlatform(ThreadingHTTPServer):
+    """Platform that publishes one configuration and one host list."""
+
+    daemon_threads = True
+
+    def __init__(self):
+        super().__init__(("127.0.0.1", 0), PlatformHandler)
+        self.configuration = json.dumps(configuration_document()).encode()
+        self.hosts = b""
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    @property
+    def url(self) -> str:
+        return "http://127.0.0.1:%d" % self.server_address[1]
+
+
+class PlatformHandler(BaseHTTPRequestHandler):
+    """Answers the router's reads."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self) -> None:  # noqa: N802 - the name is given by the library
+        if self.path.startswith("/hosts"):
+            body = self.server.hosts
+        else:
+            body = self.server.configuration
+            after = int(self.path.partition("after=")[2].partition("&")[0])
+            if json.loads(body or b"{}").get("version", 0) <= after:
+                time.sleep(0.5)
+                body = b""
+        self.send_response(200 if body else 204)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_: object) -> None:
+        pass
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses that are free at the moment."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(count)]
+        return ["127.0.0.1:%d" % sock.getsockname()[1] for sock in socks]
+
+
+class RouterRun:
+    """A real router process with its platform and one scripted target for each class."""
+
+    def __init__(self, folder: Path, script: Script, **options: object):
+        self.platform = ScriptedPlatform()
+        self.engine, self.crew = ScriptedTarget(script), ScriptedTarget(script)
+        self.caller, self.peer, self.admin = free_addresses(3)
+        targets = {"engines": self.engine.address, "crews": self.crew.address}
+        self.platform.hosts = json.dumps(host_list(targets, self.peer)).encode()
+        settings = {
+            "host_id": "r1",
+            "data_centre": "north",
+            "caller_address": self.caller,
+            "peer_address": self.peer,
+            "admin_address": self.admin,
+            "platform_urls": self.platform.url,
+            "peer_key": "a-key-of-the-tests",
+            "fresh_fleet": "true",
+            **options,
+        }
+        self.log = folder / "router.log"
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "limpetusher_router"], env=environment(settings), stderr=log
+            )
+
+    def wait_ready(self) -> None:
+        """Wait until the router accepts requests."""
+        deadline = time.monotonic() + START_SECONDS
+        while self.page("/readyz")[0] != 200:
+            assert time.monotonic() < deadline, self.log.read_text()
+            time.sleep(0.02)
+
+    def page(self, path: str) -> tuple[int, str]:
+        """Return status and text of a page of the admin port."""
+        try:
+            with urllib.request.urlopen(f"http://{self.admin}{path}", timeout=5) as answer:
+                return answer.status, answer.read().decode()
+        except urllib.error.HTTPError as error:
+            return error.code, error.read().decode()
+        except OSError:
+            return 0, ""
+
+    def connect(self) -> socket.socket:
+        """Return a caller's connection."""
+        host, port = self.caller.split(":")
+        return socket.create_connection((host, int(port)), timeout=10)
+
+    def exchange(self, data: bytes) -> bytes:
+        """Send bytes and return everything up to the router's close."""
+        with self.connect() as sock:
+            sock.sendall(data)
+            return read_all(sock)
+
+    def stop(self) -> int:
+        """Ask the router to stop and return its exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(20)
+
+    def close(self) -> None:
+        """End everything."""
+        self.process.kill()
+        self.process.wait()
+        self.platform.shutdown()
+        self.platform.server_close()
+        self.engine.close()
+        self.crew.close()
+
+
+def environment(settings: dict[str, object]) -> dict[str, str]:
+    """Return the environment of a router process with the settings."""
+    variables = {f"LIMPETUSHER_{name.upper()}": str(value) for name, value in settings.items()}
+    paths = [str(path) for path in sorted(PACKAGES.glob("*/src"))]
+    return {**os.environ, "PYTHONPATH": os.pathsep.join(paths), **variables}
+
+
+def read_all(sock: socket.socket) -> bytes:
+    """Return everything up to the end of the connection; a reset is an end like any other."""
+    parts = []
+    with contextlib.suppress(ConnectionResetError):
+        while data := sock.recv(65_536):
+            parts.append(data)
+    return b"".join(parts)
+
+
+def error_of(answer: bytes) -> dict:
+    """Return the error in an error answer."""
+    return json.loads(answer.partition(b"\r\n\r\n")[2])["error"]
 
 
-def as_json(value: dict) -> bytes:
-    """Return a document as JSON."""
-    return json.dumps(value).encode()
+@contextlib.contextmanager
+def running_router(folder: Path, script: Script, **options: object) -> Iterator[RouterRun]:
+    """Run a router that is ready, and end it afterwards."""
+    run = RouterRun(folder, script, **options)
+    try:
+        run.wait_ready()
+        yield run
+    finally:
+        run.close()
--- /dev/null
+++ b/tests/router/connection/test_framing.py
@@ -0,0 +1,105 @@
+"""Tests of the checks in front of the parser and of the body readers."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from limpetusher_router.connection.framing import (
+    BodyReader,
+    find_head,
+    parse_answer_head,
+    parse_request_head,
+)
+from limpetusher_router.errors import FramingError
+
+
+def head(*lines: str, start: str = "POST /x HTTP/1.1") -> bytes:
+    return "\r\n".join([start, "host: a", *lines, "", ""]).encode("latin-1")
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        head("content-length: +5"),
+        head("content-length: 1_0"),
+        head("content-length: 5", "content-length: 6"),
+        head("content-length: 5", "transfer-encoding: chunked"),
+        head("transfer-encoding: gzip, chunked"),
+        head("transfer-encoding : chunked"),
+        head("x: a\nb: c"),
+        head("x: a", " folded"),
+        head("x\0: a"),
+        head(start="GET /x HTTP/2.0"),
+        head(start="get /x HTTP/1.1"),
+        head(start="GET /a b HTTP/1.1"),
+        head(start="GET //[ HTTP/1.1"),
+        b"GET / HTTP/1.1\r\n\r\n",
+    ],
+)
+def test_ambiguous_heads_are_refused(data):
+    """Guards against request smuggling: heads that two readers may frame differently are refused."""
+    with pytest.raises(FramingError) as caught:
+        parse_request_head(data)
+    assert caught.value.status == 400
+
+
+def test_backslash_in_header_is_no_line_end():
+    r"""Guards against the parser's unicode_escape decoding, which turns the text `\r\n` into a line end."""
+    parsed = parse_request_head(head(r"x: a\r\nforged: 1\x41", "content-length: 3"))
+    assert parsed.headers["x"] == r"a\r\nforged: 1\x41"
+    assert "forged" not in parsed.headers
+    assert parsed.content_length == 3
+
+
+def test_answer_heads_with_any_reason():
+    """Guards against the parser's refusal of reasons such as "I'm a teapot" and of missing ones."""
+    for line in ("HTTP/1.1 418 I'm a teapot", "HTTP/1.1 418", "HTTP/1.1 418 "):
+        assert parse_answer_head(f"{line}\r\ncontent-length: 1\r\n\r\n".encode()).status == 418
+
+
+def test_head_limit():
+    """Guards against unbounded heads: one byte more than the limit is refused, complete or not."""
+    data = bytearray(head("x: " + "a" * 100))
+    assert find_head(data, len(data)) == len(data)
+    for part in (data, data[:-4]):
+        with pytest.raises(FramingError) as caught:
+            find_head(part, len(part) - 1)
+        assert caught.value.status == 431
+
+
+@given(st.lists(st.binary(min_size=1, max_size=40), max_size=5), st.data())
+def test_chunked_body_at_any_split(chunks, data):
+    """Guards against wrong bodies when the network splits chunks anywhere, and against lost later bytes."""
+    encoded = b"".join(b"%x;e=1\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks) + b"0\r\nt: 1\r\n\r\n"
+    stream = encoded + b"NEXT"
+    reader = BodyReader(length=None, chunked=True)
+    body, rest, position = b"", b"", 0
+    while position < len(stream):
+        size = data.draw(st.integers(1, len(stream) - position))
+        part, after = reader.feed(stream[position : position + size])
+        body, rest, position = body + part, rest + after, position + size
+    assert (body, rest, reader.complete) == (b"".join(chunks), b"NEXT", True)
+
+
+@pytest.mark.parametrize("data", [b"-5\r\n", b"0x5\r\n", b"1_0\r\n", b"\r\n", b"2\r\nabc\r\n", b"f" * 300])
+def test_malformed_chunks_are_refused(data):
+    """Guards against chunk sizes that Python's int() takes and HTTP does not, and against wrong chunk ends."""
+    with pytest.raises(FramingError):
+        BodyReader(length=None, chunked=True).feed(data)
+
+
+def test_body_limit():
+    """Guards against unbounded bodies, whether announced, chunked or ending with the connection."""
+    with pytest.raises(FramingError):
+        BodyReader(length=11, limit=10)
+    with pytest.raises(FramingError):
+        BodyReader(length=None, chunked=True, limit=10).feed(b"b\r\n")
+    with pytest.raises(FramingError):
+        BodyReader(length=None, limit=10).feed(b"a" * 11)
+
+
+def test_length_body_leaves_later_bytes():
+    """Guards against bytes of a pipelined request being taken into the body."""
+    reader = BodyReader(length=3)
+    assert reader.feed(b"ab") == (b"ab", b"")
+    assert reader.feed(b"cGET /") == (b"c", b"GET /")
+    assert reader.complete
--- /dev/null
+++ b/tests/router/request/test_exchanges.py
@@ -0,0 +1,114 @@
+"""Tests of the life of requests in the real process: forwarding, cancelling and idempotency."""
+
+import json
+import time
+
+import pytest
+from builders_router import answer_bytes, completions_body, error_of, request_bytes, running_router
+
+pytestmark = [pytest.mark.integration, pytest.mark.timeout(60)]
+
+
+def run_script(connection) -> None:
+    """Answer a call with its own body, break it, or stream without an end."""
+    if connection.head.startswith("POST /streams/"):
+        connection.send(answer_bytes(b"{}"))
+    elif "/completions " in connection.head:
+        connection.send_stream_head()
+        for number in range(100):
+            connection.send_chunk(b"data: {}\n\n")
+            time.sleep(0.05 + 0 * number)
+    elif b"break" in connection.body:
+        connection.reset()
+    else:
+        connection.send(answer_bytes(b"ran:" + connection.body, status=201))
+
+
+@pytest.fixture(scope="module")
+def router(tmp_path_factory):
+    with running_router(tmp_path_factory.mktemp("exchanges"), run_script) as run:
+        yield run
+        assert "traceback" not in run.log.read_text()
+
+
+def dispatch(router, body: bytes, **headers: str) -> bytes:
+    return router.exchange(request_bytes("/apps/crew/dispatch?x=1", body, connection="close", **headers))
+
+
+def test_request_is_forwarded(router):
+    """Guards against lost or forged fields: the target gets path, body, customer and trace, not the API key."""
+    trace_id = "0af7651916cd43dd8448eb211c80319c"
+    answer = dispatch(router, b"plain", traceparent=f"00-{trace_id}-b7ad6b7169203331-01", x_forged="1")
+    assert answer.startswith(b"HTTP/1.1 201 ")
+    assert answer.endswith(b"ran:plain")
+    head = router.crew.requests[-1].head
+    assert head.startswith("POST /dispatch?x=1 HTTP/1.1\r\n")
+    assert "x-limpetusher-customer: acme\r\n" in head
+    assert f"traceparent: 00-{trace_id}-" in head
+    assert "b7ad6b7169203331" not in head
+    assert "authorization" not in head
+    assert "x-forged" not in head
+
+
+def test_call_without_key_is_sent_once(router):
+    """Guards against repeating a non-idempotent call after its connection broke."""
+    before = len(router.crew.requests)
+    answer = dispatch(router, b"break once")
+    assert answer.startswith(b"HTTP/1.1 502 ")
+    assert error_of(answer)["ran"] == "unknown"
+    assert len(router.crew.requests) == before + 1
+
+
+def test_repeated_key_is_replayed(router):
+    """Guards against running a call twice: the same key gets the first answer, another body an error."""
+    before = len(router.crew.requests)
+    first = dispatch(router, b"keyed", idempotency_key="k1")
+    again = dispatch(router, b"keyed", idempotency_key="k1")
+    other = dispatch(router, b"other", idempotency_key="k1")
+    assert len(router.crew.requests) == before + 1
+    assert first.startswith(b"HTTP/1.1 201 ")
+    assert again.startswith(b"HTTP/1.1 201 ")
+    assert again.endswith(b"ran:keyed")
+    assert other.startswith(b"HTTP/1.1 422 ")
+
+
+def test_broken_key_stays_unknown(router):
+    """Guards against running a call again that may have run: the repeated key is refused as unknown."""
+    before = len(router.crew.requests)
+    assert dispatch(router, b"break keyed", idempotency_key="k2").startswith(b"HTTP/1.1 502 ")
+    again = dispatch(router, b"break keyed", idempotency_key="k2")
+    assert again.startswith(b"HTTP/1.1 409 ")
+    assert error_of(again)["ran"] == "unknown"
+    assert len(router.crew.requests) == before + 1
+
+
+def test_lost_caller_cancels_the_stream(router):
+    """Guards against engines that go on generating for a caller that has disconnected."""
+    with router.connect() as sock:
+        sock.sendall(request_bytes(body=completions_body(stream=True)))
+        assert b"data: {}" in sock.recv(10_000) + sock.recv(10_000)
+    deadline = time.monotonic() + 3
+    while not router.engine.requests[-1].head.startswith("POST /streams/"):
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
+    stream_id = router.engine.requests[-1].head.split("/")[2]
+    assert f"x-request-id: {stream_id}\r\n" in router.engine.requests[-2].head
+    assert json.loads(router.page("/status")[1])["running"] == 0
+
+
+def test_unreachable_target_is_not_run(router):
+    """Guards against hanging, and against a false "ran", when no target can be reached."""
+    router.crew.close()
+    body = request_bytes("/apps/crew/status", method="GET", connection="close")
+    router.platform.configuration = router.platform.configuration.replace(
+        b'"customer_id": "acme"', b'"customer_id": "acme", "default_patience_seconds": 1'
+    ).replace(b'"version": 1', b'"version": 2')
+    deadline = time.monotonic() + 5
+    while '"configuration_version":2' not in router.page("/status")[1]:
+        assert time.monotonic() < deadline
+        time.sleep(0.05)
+    started = time.monotonic()
+    answer = router.exchange(body)
+    assert answer.split()[1] in (b"503", b"504")
+    assert error_of(answer)["ran"] == "no"
+    assert time.monotonic() - started < 3
