--- a/packages/limpetusher-standins/src/limpetusher_standins/measure.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/measure.py
@@ -13,7 +13,7 @@
 from limpetusher_standins.calls import call
 from limpetusher_standins.deployment import CONSORTIUM, DeploymentPlan, with_baseline
 from limpetusher_standins.fleet import PLATFORM, Fleet
-from limpetusher_standins.load import LoadRun, LoadSettings, run_load, summarise
+from limpetusher_standins.load import LoadRun, LoadSettings, percentiles, run_load, summarise
 
 RESULTS = Path("measurements")
 CHOSEN = "chosen"
@@ -26,6 +26,8 @@
 """No sentence of the load's prompts has more than 20 tokens."""
 PUBLICATION_SECONDS = 5.0
 """Time after a publication until which a data centre that is out may receive new work."""
+WARM_UP_SECONDS = CONSORTIUM.cold_seconds + 1.0
+"""Wait before load: first come first served would keep cold engines falling over."""
 BYTES_PATTERN = re.compile(r'^limpetusher_peer_bytes_total{direction="sent"} (\S+)', re.MULTILINE)
 
 
@@ -33,14 +35,15 @@
 class Lengths:
     """Durations in seconds."""
 
-    warm_up: float
+    ramp: float
+    """Time under load until figures are taken."""
     fairness: float
     latency: float
     drain: float
 
 
-FULL = Lengths(warm_up=6.0, fairness=30.0, latency=20.0, drain=40.0)
-QUICK = Lengths(warm_up=5.0, fairness=8.0, latency=5.0, drain=20.0)
+FULL = Lengths(ramp=5.0, fairness=30.0, latency=20.0, drain=40.0)
+QUICK = Lengths(ramp=3.0, fairness=8.0, latency=5.0, drain=20.0)
 
 
 def run_measure(*, quick: bool) -> int:
@@ -80,7 +83,7 @@
     The number of open requests of a customer is well above its part of the slots, so that all are backlogged.
     """
     settings = LoadSettings(
-        seconds=lengths.warm_up + lengths.fairness,
+        seconds=lengths.ramp + lengths.fairness,
         workers=8,
         workers_by_share=True,
         flood_factor=25.0,
@@ -90,10 +93,11 @@
         most_prompt_sentences=PROMPT_SENTENCES,
     )
     with Fleet(plan) as fleet:
+        time.sleep(WARM_UP_SECONDS)
         began, sent = time.time(), sent_bytes(fleet)
         run = send(fleet, settings)
         traffic = (sent_bytes(fleet) - sent) / run.seconds / plan.routers
-        begin, end = began + lengths.warm_up, began + settings.seconds
+        begin, end = began + lengths.ramp, began + settings.seconds
         work = figures.intervals(fleet.records("engine"), time.time())
         found = audit(fleet, run.results)
     tokens = sum(i.cost * (i.share_before(end) - i.share_before(begin)) for i in work) / (end - begin)
@@ -129,32 +133,42 @@
 
 
 def measure_half_load(plan: DeploymentPlan, lengths: Lengths) -> dict:
-    """Measure the time from sending a request to its arrival at an engine."""
+    """Measure the time from sending a request to its arrival at an engine, with and without routers."""
     with Fleet(plan) as fleet:
-        time.sleep(lengths.warm_up)
-        run = send(fleet, half_load(plan, lengths.latency))
+        time.sleep(WARM_UP_SECONDS)
+        settings = half_load(plan, lengths.latency)
+        routed = send(fleet, settings)
+        engines = [host.address for host in fleet.targets.values() if host.target_class == "engine"]
+        direct = asyncio.run(run_load(plan, fleet.customers, engines, settings))
         records = fleet.records("engine")
     arrived = {
         entry["request_id"]: entry["started"] for record in records.values() for entry in record["requests"]
     }
-    added = [
+    routed_times, direct_times = arrival_seconds(routed, arrived), arrival_seconds(direct, arrived)
+    added = statistics.median(routed_times) - statistics.median(direct_times)
+    return {
+        "requests": len(routed.results),
+        "added_milliseconds_p50": round(added * 1000, 2),
+        "routed_seconds": percentiles(routed_times),
+        "direct_seconds": percentiles(direct_times),
+        "outcomes": summarise(routed, fleet.customers)["outcomes"],
+    }
+
+
+def arrival_seconds(run: LoadRun, arrived: dict[str, float]) -> list[float]:
+    """Return the times from sending to arrival at an engine."""
+    return [
         arrived[result.request_id] - result.started_wall
         for result in run.results
         if result.request_id in arrived
     ]
-    return {
-        "requests": len(run.results),
-        "added_milliseconds_p50": round(statistics.median(added) * 1000, 2),
-        "added_milliseconds_p95": round(statistics.quantiles(added, n=20)[-1] * 1000, 2),
-        "outcomes": summarise(run, fleet.customers)["outcomes"],
-    }
 
 
 def measure_drain(plan: DeploymentPlan, lengths: Lengths) -> dict:
     """Measure errors and late dispatches while a data centre leaves and returns at half load."""
     out = plan.data_centres[0]
     with Fleet(plan) as fleet:
-        time.sleep(lengths.warm_up)
+        time.sleep(WARM_UP_SECONDS)
         run, left, returned = asyncio.run(drain_and_return(fleet, out, lengths))
         records = fleet.records("engine")
         versions = {entry["version"]: entry["at"] for entry in fleet.record(PLATFORM)["versions"]}
