--- a/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
@@ -176,11 +176,12 @@
         times = [left.left_at + window for left in self.left.values()]
         if not self.intact:
             times.append(self.started_at + window)
+        times = [time for time in times if time >= now]
         for peer in self._needed():
             exchange = self.exchanges.get(peer)
             retry_at = exchange.sent_at + self.settings.register_timeout_seconds if exchange else now
             times.append(max(retry_at, self.synchronise_from))
-        return min((time for time in times if time >= now), default=float("inf"))
+        return min(times, default=float("inf"))
 
     def answered(self, peer: str, answer: KeySync, now: float) -> None:
         """Take note of an answer whose records have been taken over."""
--- /dev/null
+++ b/tests/builders_versions.py
@@ -0,0 +1,289 @@
+"""Builders of configurations and host lists, and simulated fleets of witnesses and of rollouts."""
+
+import hashlib
+import json
+import random
+from dataclasses import dataclass, field
+
+from limpetusher.configuration.compiled import Configuration, Host, HostList, HostRole, HostState
+from limpetusher.configuration.document import load_configuration
+from limpetusher.core.actions import Ran
+from limpetusher.core.connection.peers import Peers
+from limpetusher.core.inputs import RequestArrived
+from limpetusher.core.process.membership import Membership
+from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, Witness, WitnessSend
+from limpetusher.core.settings import PolicySettings
+
+DATA_CENTRES = ("north", "east", "south", "west")
+
+
+def document_fields(version: int = 1, **changes: object) -> dict:
+    """Return the fields of a small valid configuration document."""
+    return {
+        "version": version,
+        "customers": [
+            {
+                "customer_id": "press",
+                "share": 2,
+                "api_keys": [{"key_id": "press-1", "salt": "00" * 8, "digest": "ab" * 32}],
+                "services": ["assessor", "booking"],
+                "patience_seconds": {"assessor": 30},
+            }
+        ],
+        "services": [
+            {"name": "assessor", "kind": "engine"},
+            {
+                "name": "booking",
+                "kind": "application",
+                "routes": [{"method": "POST", "path_prefix": "/visits", "idempotent": False}],
+            },
+        ],
+        "target_classes": [
+            {
+                "name": "large",
+                "kind": "engine",
+                "services": ["assessor"],
+                "slots": 8,
+                "cold_slots": 1,
+            }
+        ],
+        "data_centres": [{"name": name, "state": "in"} for name in DATA_CENTRES],
+        "placements": [{"target_id": "engine-1", "model": "assessor", "version": "3"}],
+    } | changes
+
+
+def configuration(version: int = 1, **changes: object) -> Configuration:
+    """Return a small compiled configuration."""
+    return load_configuration(json.dumps(document_fields(version, **changes)).encode())
+
+
+def router(number: int, data_centre: str | None = None) -> Host:
+    """Return a router's host list entry."""
+    place = data_centre or DATA_CENTRES[number % len(DATA_CENTRES)]
+    return Host(f"router-{number}", HostRole.ROUTER, place, f"127.0.0.1:{7000 + number}")
+
+
+def target(number: int, data_centre: str = "north", state: HostState = HostState.LIVE) -> Host:
+    """Return an engine's host list entry."""
+    return Host(
+        f"engine-{number}", HostRole.TARGET, data_centre, f"127.0.0.1:{8000 + number}", state, "large"
+    )
+
+
+def host_list(version: int, *hosts: Host) -> HostList:
+    """Return a host list."""
+    return HostList(version, hosts)
+
+
+def call(request_id: str, key: str = "key", body: bytes = b"body") -> RequestArrived:
+    """Return a non-idempotent request with an idempotency key."""
+    return RequestArrived(
+        request_id,
+        "press",
+        "booking",
+        idempotent=False,
+        patience_seconds=60.0,
+        prompt_cost=1.0,
+        idempotency_key=key,
+        body_digest=hashlib.sha256(body).digest(),
+    )
+
+
+@dataclass
+class WitnessNode:
+    """One router of a `WitnessFleet`; its monotonic clock is ahead of the fleet's time by `offset`."""
+
+    name: str
+    offset: float
+    version: int
+    witness: Witness
+    paused: bool = False
+    alive: bool = True
+
+
+@dataclass
+class Call:
+    """A request at a router, as its process sees it."""
+
+    request: RequestArrived
+    node: str
+    witness: Witness
+    arrived_at: float
+    answers: list[Admitted | Rejected | Replayed] = field(default_factory=list)
+    sent_at: float | None = None
+    ended: bool = False
+
+    @property
+    def admitted(self) -> bool:
+        """Return whether it may be sent, as far as its last answer tells."""
+        return bool(self.answers) and isinstance(self.answers[-1], Admitted) and not self.ended
+
+
+class WitnessFleet:
+    """Routers with witnesses, a network that loses, delays and reorders, and a platform's host lists.
+
+    Parameters
+    ----------
+    numbers
+        Routers of the first host list.
+    fresh_fleet
+        Whether the first witnesses are ready at once.
+    """
+
+    def __init__(self, numbers: tuple[int, ...] = (0, 1, 2, 3, 4), *, fresh_fleet: bool = True):
+        self.settings = PolicySettings(fresh_fleet=fresh_fleet)
+        self.restart_settings = PolicySettings()
+        self.now = 1000.0
+        self.lists = [host_list(1, *(router(number) for number in numbers))]
+        self.nodes: dict[str, WitnessNode] = {}
+        self.flight: list[tuple[str, str, object]] = []
+        self.isolated: frozenset[str] = frozenset()
+        self.calls: list[Call] = []
+        self.runs: dict[str, list[Call]] = {}
+        self.starts = 0
+        for number in numbers:
+            self.start(f"router-{number}", self.settings, 1)
+
+    @property
+    def window(self) -> float:
+        """Return how long a key is protected."""
+        return self.settings.idempotency_window_seconds
+
+    def local(self, node: WitnessNode) -> float:
+        """Return the reading of a router's monotonic clock."""
+        return self.now + node.offset
+
+    def list_of(self, node: WitnessNode) -> HostList:
+        """Return the host list that a router uses."""
+        return self.lists[node.version - 1]
+
+    def listed(self, node: WitnessNode) -> set[str]:
+        """Return the routers that a router knows."""
+        return {host.host_id for host in self.list_of(node).hosts}
+
+    def running(self) -> list[WitnessNode]:
+        """Return the routers that handle messages now."""
+        return [node for node in self.nodes.values() if node.alive and not node.paused]
+
+    def start(self, name: str, settings: PolicySettings, version: int) -> WitnessNode:
+        """Start a router without state."""
+        self.starts += 1
+        offset = 500.0 * self.starts
+        membership = Membership(settings, name, Peers(settings))
+        rng = random.Random(self.starts)
+        witness = Witness(settings, name, membership, rng, self.now + offset)
+        node = self.nodes[name] = WitnessNode(name, offset, version, witness)
+        self.carry_out(node, witness.hosts_changed(self.list_of(node), self.local(node)))
+        return node
+
+    def restart(self, name: str, version: int) -> None:
+        """End a router and start it again without state; a request of the former process ends with it."""
+        for ongoing in self.calls:
+            if ongoing.node == name:
+                ongoing.ended = True
+        self.start(name, self.restart_settings, version)
+
+    def publish(self, *hosts: Host) -> int:
+        """Publish a host list and return its version."""
+        version = len(self.lists) + 1
+        self.lists.append(host_list(version, *hosts))
+        return version
+
+    def see_list(self, name: str, version: int) -> None:
+        """Let a router read a host list."""
+        node = self.nodes[name]
+        if version > node.version:
+            node.version = version
+            self.carry_out(node, node.witness.hosts_changed(self.list_of(node), self.local(node)))
+
+    def call(self, name: str, request: RequestArrived) -> Call:
+        """Let a caller send a request to a router."""
+        node = self.nodes[name]
+        ongoing = Call(request, name, node.witness, self.now)
+        self.calls.append(ongoing)
+        self.carry_out(node, node.witness.register(request, self.local(node)))
+        return ongoing
+
+    def send(self, ongoing: Call) -> bool:
+        """Let the process send an admitted request, if it still may; return whether it did."""
+        node = self.nodes[ongoing.node]
+        limit = node.witness.send_before(ongoing.request.request_id)
+        if ongoing.ended or limit is None or self.local(node) >= limit:
+            return False
+        node.witness.sent(ongoing.request.request_id, self.local(node))
+        ongoing.sent_at = self.now
+        self.runs.setdefault(ongoing.request.idempotency_key, []).append(ongoing)
+        return True
+
+    def finish(self, ongoing: Call, ran: Ran) -> None:
+        """Let the process report how a request ended."""
+        node = self.nodes[ongoing.node]
+        ongoing.ended = True
+        results = node.witness.finished(
+            ongoing.request.request_id, ran, self.local(node), http_status=200, body=b"answer"
+        )
+        self.carry_out(node, results)
+
+    def carry_out(self, node: WitnessNode, results: list) -> None:
+        """Put messages on the network and hand answers to the callers."""
+        for result in results:
+            if isinstance(result, WitnessSend):
+                if result.peer in self.listed(node):
+                    self.flight.append((node.name, result.peer, result.payload))
+            elif isinstance(result, Admitted | Rejected | Replayed):
+                for ongoing in self.calls:
+                    if ongoing.request.request_id == result.request_id:
+                        ongoing.answers.append(result)
+                        ongoing.ended = ongoing.ended or not isinstance(result, Admitted)
+
+    def deliver(self, index: int) -> bool:
+        """Deliver one message in flight; return False if its addressee is paused."""
+        sender, peer, payload = self.flight[index]
+        node = self.nodes.get(peer)
+        if node is not None and node.alive and node.paused:
+            return False
+        del self.flight[index]
+        split = (sender in self.isolated) != (peer in self.isolated)
+        if node is None or not node.alive or split or sender not in self.listed(node):
+            return True
+        self.carry_out(node, node.witness.handle(sender, payload, self.local(node)))
+        return True
+
+    def deliver_all(self) -> None:
+        """Deliver messages, and those that they cause, in order until none is left."""
+        index = 0
+        while index < len(self.flight):
+            if not self.deliver(index):
+                index += 1
+
+    def advance(self, seconds: float, *, deliver: bool = True) -> None:
+        """Let time pass; timers run, and messages arrive unless they are delayed."""
+        end = self.now + seconds
+        while True:
+            if deliver:
+                self.deliver_all()
+            due_at = {node.name: self.due_at(node) for node in self.running()}
+            first = min(due_at.values(), default=float("inf"))
+            if first > end:
+                break
+            self.now = first
+            for name in due_at:
+                if due_at[name] <= first:
+                    node = self.nodes[name]
+                    self.carry_out(node, node.witness.due(self.local(node)))
+        self.now = end
+
+    def due_at(self, node: WitnessNode) -> float:
+        """Return when a router's timer is due, at least 1 ms from now so that time passes."""
+        local = self.local(node)
+        return max(node.witness.next_due(local) - node.offset, self.now + 0.001)
+
+    def double_runs(self) -> list[tuple[Call, Call]]:
+        """Return pairs of runs of one key, the later one within the window of the earlier one."""
+        return [
+            (first, second)
+            for runs in self.runs.values()
+            for first in runs
+            for second in runs
+            if first is not second and first.sent_at <= second.sent_at < first.arrived_at + self.window
+        ]
--- /dev/null
+++ b/tests/core/request/test_idempotency.py
@@ -0,0 +1,358 @@
+"""Tests of idempotency keys: requirement 7 under loss, delay, pauses, restarts and host list changes."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from builders_versions import WitnessFleet, call, router
+from limpetusher.core.actions import Ran, RefusalCode
+from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, WitnessSend
+from limpetusher.wire.messages import KeyOutcome, Register
+
+KEYS = st.sampled_from(["key-1", "key-1", "key-2"])
+PAUSES = st.sampled_from([0.01, 0.1, 0.26, 0.51, 2.0, 31.0, 61.0, 119.0, 125.0])
+NUMBERS = st.integers(0, 6)
+
+
+class IdempotencyMachine(RuleBasedStateMachine):
+    """Callers repeat keys at any router while messages and processes misbehave."""
+
+    @initialize(count=st.integers(1, 6))
+    def start(self, count: int):
+        self.fleet = WitnessFleet(tuple(range(count)))
+        self.requests = 0
+
+    def pick(self, number: int, items: list):
+        return items[number % len(items)] if items else None
+
+    @rule(number=NUMBERS, key=KEYS)
+    def call(self, number: int, key: str):
+        node = self.pick(number, self.fleet.running())
+        if node:
+            self.requests += 1
+            self.fleet.call(node.name, call(f"request-{self.requests}", key))
+
+    @rule(number=NUMBERS)
+    def send(self, number: int):
+        waiting = [one for one in self.on_running() if one.sent_at is None]
+        if waiting:
+            self.fleet.send(self.pick(number, waiting))
+
+    @rule(number=NUMBERS, ran=st.sampled_from([Ran.YES, Ran.UNKNOWN]))
+    def finish(self, number: int, ran: Ran):
+        ongoing = self.pick(number, self.on_running())
+        if ongoing:
+            self.fleet.finish(ongoing, Ran.NO if ongoing.sent_at is None else ran)
+
+    @rule(seconds=PAUSES, deliver=st.booleans())
+    def advance(self, seconds: float, deliver: bool):
+        self.fleet.advance(seconds, deliver=deliver)
+
+    @rule(number=st.integers(0, 50))
+    def deliver_one(self, number: int):
+        if self.fleet.flight:
+            self.fleet.deliver(number % len(self.fleet.flight))
+
+    @rule()
+    def deliver_all(self):
+        self.fleet.deliver_all()
+
+    @rule(number=st.integers(0, 50))
+    def lose_one(self, number: int):
+        if self.fleet.flight:
+            del self.fleet.flight[number % len(self.fleet.flight)]
+
+    @rule(number=NUMBERS)
+    def pause(self, number: int):
+        node = self.pick(number, self.fleet.running())
+        if node:
+            node.paused = True
+
+    @rule()
+    def resume_all(self):
+        for node in self.fleet.nodes.values():
+            node.paused = False
+
+    @rule(number=NUMBERS, newest=st.booleans())
+    def restart(self, number: int, newest: bool):
+        node = self.pick(number, list(self.fleet.nodes.values()))
+        self.fleet.restart(node.name, len(self.fleet.lists) if newest else node.version)
+
+    @rule(number=NUMBERS)
+    def change_hosts(self, number: int):
+        """Add or remove one router; the others see it later."""
+        present = {host.host_id: host for host in self.fleet.lists[-1].hosts}
+        host = router(number)
+        if host.host_id not in present:
+            present[host.host_id] = host
+        elif len(present) > 1:
+            del present[host.host_id]
+        version = self.fleet.publish(*present.values())
+        if host.host_id in present and host.host_id not in self.fleet.nodes:
+            self.fleet.start(host.host_id, self.fleet.restart_settings, version)
+
+    @rule(number=NUMBERS)
+    def see_hosts(self, number: int):
+        node = self.pick(number, self.fleet.running())
+        if node:
+            self.fleet.see_list(node.name, len(self.fleet.lists))
+
+    @rule()
+    def all_see_hosts(self):
+        for node in self.fleet.running():
+            self.fleet.see_list(node.name, len(self.fleet.lists))
+
+    @rule(numbers=st.sets(NUMBERS))
+    def split_network(self, numbers: set[int]):
+        self.fleet.isolated = frozenset(f"router-{number}" for number in numbers)
+
+    @precondition(lambda self: hasattr(self, "fleet"))
+    @invariant()
+    def no_key_runs_twice_within_its_window(self):
+        doubles = self.fleet.double_runs()
+        assert not doubles, [(one.node, one.arrived_at, one.sent_at) for pair in doubles for one in pair]
+
+    def on_running(self):
+        return [one for one in self.fleet.calls if one.admitted and not self.fleet.nodes[one.node].paused]
+
+
+IdempotencyMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+)
+
+
+class TestIdempotencyMachine(IdempotencyMachine.TestCase):
+    """Guards against a second run of a key within its window, however the fleet misbehaves."""
+
+
+def admitted_call(fleet: WitnessFleet, name: str, request_id: str, **options: object):
+    """Return a call that all witnesses have recorded."""
+    ongoing = fleet.call(name, call(request_id, **options))
+    fleet.deliver_all()
+    assert isinstance(ongoing.answers[-1], Admitted)
+    return ongoing
+
+
+def test_repeat_while_running_is_unknown():
+    """Guards against a second run when a caller repeats its key at another router too early."""
+    fleet = WitnessFleet()
+    fleet.send(admitted_call(fleet, "router-0", "first"))
+    repeat = fleet.call("router-1", call("repeat"))
+    fleet.deliver_all()
+    answer = repeat.answers[-1]
+    assert (answer.status, answer.code, answer.ran) == (409, RefusalCode.KEY_IN_USE, Ran.UNKNOWN)
+
+
+@pytest.mark.parametrize("repeated_at", ["router-0", "router-1"])
+def test_repeat_after_the_end_is_replayed(repeated_at: str):
+    """Guards against a caller that loses its answer and can't get it at any router."""
+    fleet = WitnessFleet()
+    first = admitted_call(fleet, "router-0", "first")
+    fleet.send(first)
+    fleet.finish(first, Ran.YES)
+    fleet.deliver_all()
+    repeat = fleet.call(repeated_at, call("repeat"))
+    fleet.deliver_all()
+    assert repeat.answers == [Replayed("repeat", 200, "", b"answer")]
+
+
+def test_repeat_is_told_that_it_ran_when_the_holder_is_gone():
+    """Guards against a caller that waits forever for a copy, or is told that its request did not run."""
+    fleet = WitnessFleet()
+    first = admitted_call(fleet, "router-0", "first")
+    fleet.send(first)
+    fleet.finish(first, Ran.YES)
+    fleet.deliver_all()
+    fleet.nodes["router-0"].alive = False
+    repeat = fleet.call("router-1", call("repeat"))
+    fleet.advance(2.0)
+    answer = repeat.answers[-1]
+    assert (answer.code, answer.ran) == (RefusalCode.ALREADY_RUN, Ran.YES)
+
+
+def test_other_body_with_the_same_key_is_refused():
+    """Guards against one request being answered with the answer of another one."""
+    fleet = WitnessFleet()
+    fleet.send(admitted_call(fleet, "router-0", "first"))
+    other = fleet.call("router-1", call("other", body=b"other"))
+    fleet.deliver_all()
+    assert (other.answers[-1].status, other.answers[-1].code) == (422, RefusalCode.KEY_REUSED)
+
+
+def test_abandoned_attempt_frees_the_key():
+    """Guards against a key that stays refused although its request is known not to have run."""
+    fleet = WitnessFleet()
+    fleet.finish(admitted_call(fleet, "router-0", "first"), Ran.NO)
+    fleet.deliver_all()
+    admitted_call(fleet, "router-1", "second")
+
+
+def test_lost_report_of_an_abandoned_attempt_is_repeated():
+    """Guards against a key that stays refused for the window because one message was lost."""
+    fleet = WitnessFleet()
+    fleet.finish(admitted_call(fleet, "router-0", "first"), Ran.NO)
+    fleet.flight.clear()
+    fleet.advance(1.0)
+    admitted_call(fleet, "router-1", "second")
+
+
+def test_registration_that_arrives_after_the_attempt_was_given_up_is_not_recorded():
+    """Guards against a reordered message that blocks a key for the window."""
+    fleet = WitnessFleet()
+    first = fleet.call("router-0", call("first"))
+    late = [message for message in fleet.flight if isinstance(message[2], Register)]
+    fleet.flight = [message for message in fleet.flight if message not in late]
+    fleet.finish(first, Ran.NO)
+    fleet.deliver_all()
+    fleet.flight = late
+    fleet.deliver_all()
+    admitted_call(fleet, "router-1", "second")
+
+
+def test_without_a_majority_the_request_is_refused_as_not_run():
+    """Guards against a run that the other side of a partition can't know of."""
+    fleet = WitnessFleet()
+    fleet.isolated = frozenset(["router-0"])
+    ongoing = fleet.call("router-0", call("first"))
+    fleet.advance(1.0)
+    answer = ongoing.answers[-1]
+    assert (answer.code, answer.ran) == (RefusalCode.NO_QUORUM, Ran.NO)
+
+
+def test_router_that_was_paused_past_its_registration_does_not_send():
+    """Guards against a router that wakes after the records of its attempt have expired."""
+    fleet = WitnessFleet()
+    ongoing = admitted_call(fleet, "router-0", "first")
+    fleet.nodes["router-0"].paused = True
+    fleet.advance(fleet.window + 1)
+    fleet.nodes["router-0"].paused = False
+    assert not fleet.send(ongoing)
+    fleet.advance(0.01)
+    assert isinstance(ongoing.answers[-1], Rejected)
+
+
+def test_waiting_request_stays_admitted_beyond_the_window():
+    """Guards against patient callers being refused although all witnesses are reachable."""
+    fleet = WitnessFleet()
+    ongoing = admitted_call(fleet, "router-0", "first")
+    fleet.advance(3 * fleet.window)
+    assert fleet.send(ongoing)
+
+
+def test_long_run_stays_recorded():
+    """Guards against a repeat that runs because the first run takes longer than the window."""
+    fleet = WitnessFleet()
+    fleet.send(admitted_call(fleet, "router-0", "first"))
+    fleet.advance(3 * fleet.window)
+    repeat = fleet.call("router-1", call("repeat"))
+    fleet.deliver_all()
+    assert repeat.answers[-1].code is RefusalCode.KEY_IN_USE
+
+
+def test_fleet_that_restarts_at_once_refuses_keys_for_a_window():
+    """Guards against a run that no process remembers being repeated, and against a fleet that stays shut."""
+    fleet = WitnessFleet()
+    for name in list(fleet.nodes):
+        fleet.restart(name, 1)
+    early = fleet.call("router-0", call("early"))
+    fleet.advance(fleet.window - 1)
+    assert early.answers[-1].code is RefusalCode.NO_QUORUM
+    fleet.advance(2.0)
+    admitted_call(fleet, "router-0", "late")
+
+
+def test_restarted_router_is_ready_soon():
+    """Guards against a rolling restart that shuts keyed requests out for the window."""
+    fleet = WitnessFleet((0, 1, 2))
+    fleet.restart("router-1", 1)
+    fleet.restart_settings = fleet.settings
+    fleet.advance(2.0)
+    fleet.nodes["router-2"].alive = False
+    admitted_call(fleet, "router-0", "first")
+
+
+def test_added_router_does_not_interrupt_keyed_requests_for_long():
+    """Guards against a changed host list that shuts keyed requests out for the window."""
+    fleet = WitnessFleet((0, 1, 2))
+    version = fleet.publish(router(0), router(1), router(2), router(3))
+    for name in list(fleet.nodes):
+        fleet.see_list(name, version)
+    fleet.advance(1.0)
+    admitted_call(fleet, "router-0", "first")
+
+
+def change_list(fleet: WitnessFleet, numbers: list[int]):
+    """Publish a list of routers, start the new ones, and let all running ones see it."""
+    version = fleet.publish(*(router(number) for number in numbers))
+    for number in numbers:
+        if f"router-{number}" not in fleet.nodes:
+            fleet.start(f"router-{number}", fleet.restart_settings, version)
+    for node in fleet.running():
+        fleet.see_list(node.name, version)
+    fleet.advance(2.0)
+
+
+def test_key_is_protected_across_host_list_changes():
+    """Guards against new witnesses that do not know what the former ones recorded."""
+    fleet = WitnessFleet((0, 1, 2))
+    fleet.send(admitted_call(fleet, "router-0", "first"))
+    for last in range(3, 7):
+        change_list(fleet, list(range(last + 1)))
+    change_list(fleet, [1, 2, 3, 4, 5, 6])
+    repeat = fleet.call("router-5", call("repeat"))
+    fleet.deliver_all()
+    assert repeat.answers[-1].code is RefusalCode.KEY_IN_USE
+
+
+def test_removing_most_witnesses_of_a_key_shuts_it_out_for_a_window():
+    """Guards against a second run when the routers that recorded the first one have left the list."""
+    fleet = WitnessFleet((0, 1, 2))
+    fleet.send(admitted_call(fleet, "router-0", "first"))
+    change_list(fleet, [0, 1, 2, 3])
+    change_list(fleet, [2, 3])
+    for number in (0, 1):
+        fleet.nodes[f"router-{number}"].alive = False
+    early = fleet.call("router-3", call("early"))
+    fleet.advance(1.0)
+    assert early.answers[-1].code is RefusalCode.NO_QUORUM
+    fleet.advance(fleet.window)
+    admitted_call(fleet, "router-3", "late")
+
+
+def test_full_witness_refuses_rather_than_forgets():
+    """Guards against unbounded memory, and against making room by forgetting a recorded run."""
+    fleet = WitnessFleet((0,))
+    fleet.nodes["router-0"].witness.records.maximum_records = 1
+    fleet.send(admitted_call(fleet, "router-0", "first"))
+    refused = fleet.call("router-0", call("second", "key-2"))
+    assert refused.answers[-1].code is RefusalCode.NO_QUORUM
+    fleet.finish(fleet.calls[0], Ran.UNKNOWN)
+    fleet.advance(fleet.window + 10)
+    admitted_call(fleet, "router-0", "third", key="key-3")
+
+
+def test_only_the_holder_can_change_the_state_of_an_attempt():
+    """Guards against a key freed by a message of a router that does not hold it."""
+    fleet = WitnessFleet((0, 1, 2))
+    first = admitted_call(fleet, "router-0", "first")
+    fleet.send(first)
+    attempt_id = first.answers[-1].attempt_id
+    key = next(iter(fleet.nodes["router-1"].witness.records.by_key))
+    forged = KeyOutcome(key, attempt_id, "abandoned")
+    for name in fleet.nodes:
+        fleet.nodes[name].witness.handle("router-2", forged, fleet.local(fleet.nodes[name]))
+    repeat = fleet.call("router-1", call("repeat"))
+    fleet.deliver_all()
+    assert repeat.answers[-1].code is RefusalCode.KEY_IN_USE
+
+
+def test_same_messages_give_the_same_results():
+    """Guards against hidden sources of chance in the decision core."""
+
+    def first_messages() -> list:
+        fleet = WitnessFleet()
+        results = fleet.nodes["router-0"].witness.register(call("first"), 2000.0)
+        return [result for result in results if isinstance(result, WitnessSend)]
+
+    assert first_messages() == first_messages()
