Add the operator's tool, differences, questionnaire, and tests of the version side

A restarted router can tell that its configuration is confirmed by its peers. The problems of the valid part of a faulty document are reported too.

--- a/packages/limpetusher-core/src/limpetusher/configuration/document.py
+++ b/packages/limpetusher-core/src/limpetusher/configuration/document.py
@@ -4,11 +4,14 @@
 of a document are reported at once.
 """
 
+import contextlib
 import hashlib
 import ipaddress
+import json
 from collections.abc import Callable
-from typing import Annotated, TypeVar
+from typing import Annotated, TypeVar, get_args
 
+import pydantic_core
 from pydantic import (
     AfterValidator,
     BaseModel,
@@ -153,6 +156,7 @@
 
 
 Model = TypeVar("Model", bound=_Model)
+CrossCheck = Callable[[Model, frozenset[str]], list[str]]
 
 
 def parse_document(document: bytes) -> ConfigurationModel:
@@ -186,6 +190,17 @@
     return _compile(parse_document(document), document)
 
 
+def check_model(model: ConfigurationModel) -> ConfigurationModel:
+    """Return the model of a changed document after checking it again as a whole.
+
+    Raises
+    ------
+    ConfigurationError
+        With every problem found.
+    """
+    return parse_document(dump_document(model))
+
+
 def load_host_list(document: bytes) -> HostList:
     """Validate and compile a host list.
 
@@ -204,7 +219,9 @@
     return model.model_dump_json(indent=2, exclude_none=True).encode() + b"\n"
 
 
-def _parse(document: bytes, model_type: type[Model], cross_check: Callable[[Model], list[str]]) -> Model:
+def _parse(
+    document: bytes, model_type: type[Model], cross_check: Callable[[Model, frozenset[str]], list[str]]
+) -> Model:
     if len(document) > MAXIMUM_DOCUMENT_BYTES:
         raise ConfigurationError(
             [f"document has {len(document)} bytes, at most {MAXIMUM_DOCUMENT_BYTES} are allowed"]
@@ -212,14 +229,41 @@
     try:
         model = model_type.model_validate_json(document)
     except ValidationError as error:
-        raise ConfigurationError([_describe(problem) for problem in error.errors()]) from None
-    problems = cross_check(model)
+        problems = [describe_problem(problem) for problem in error.errors()]
+        faulty = frozenset(str(problem["loc"][0]) for problem in error.errors() if problem["loc"])
+        problems += cross_check(_valid_part(document, model_type), faulty)
+        raise ConfigurationError(problems) from None
+    problems = cross_check(model, frozenset())
     if problems:
         raise ConfigurationError(problems)
     return model
 
 
-def _describe(problem: dict) -> str:
+def _valid_part(document: bytes, model_type: type[Model]) -> Model:
+    """Return a model with only the valid entries of each list, to find further problems among them."""
+    try:
+        raw = pydantic_core.from_json(document)
+    except ValueError:
+        raw = {}
+    lists = {}
+    for name, field in model_type.model_fields.items():
+        entry_types = get_args(field.annotation)
+        if entry_types:
+            entries = raw.get(name) if isinstance(raw, dict) else None
+            lists[name] = _valid_entries(entries, entry_types[0])
+    return model_type.model_construct(**lists)
+
+
+def _valid_entries(entries: object, entry_type: type[_Model]) -> list[_Model]:
+    valid = []
+    for entry in entries if isinstance(entries, list) else []:
+        with contextlib.suppress(ValidationError):
+            valid.append(entry_type.model_validate_json(json.dumps(entry)))
+    return valid
+
+
+def describe_problem(problem: dict) -> str:
+    """Return one line for a problem that pydantic found: the place, what is allowed, and the value."""
     place = ""
     for step in problem["loc"]:
         place += f"[{step}]" if isinstance(step, int) else f".{step}" if place else str(step)
--- a/packages/limpetusher-core/src/limpetusher/configuration/references.py
+++ b/packages/limpetusher-core/src/limpetusher/configuration/references.py
@@ -11,9 +11,20 @@
 if TYPE_CHECKING:
     from limpetusher.configuration.document import ConfigurationModel, HostListModel
 
+Services = dict[str, TargetKind]
 
-def document_problems(model: ConfigurationModel) -> list[str]:
-    """Return one line for each contradiction within a configuration document."""
+
+def document_problems(model: ConfigurationModel, faulty: frozenset[str]) -> list[str]:
+    """Return one line for each contradiction within a configuration document.
+
+    Parameters
+    ----------
+    model
+        The document, or the valid part of one.
+    faulty
+        Sections that are incomplete; references into them are not checked.
+    """
+    services = None if "services" in faulty else {entry.name: entry.kind for entry in model.services}
     return [
         *_repeated("customers", "customer_id", (entry.customer_id for entry in model.customers)),
         *_repeated("services", "name", (entry.name for entry in model.services)),
@@ -21,14 +32,14 @@
         *_repeated("data_centres", "name", (entry.name for entry in model.data_centres)),
         *_repeated("placements", "target_id", (entry.target_id for entry in model.placements)),
         *_repeated("api_keys", "key_id", (key.key_id for entry in model.customers for key in entry.api_keys)),
-        *_customer_problems(model),
+        *_customer_problems(model, services),
         *_service_problems(model),
-        *_target_class_problems(model),
-        *_placement_problems(model),
+        *_target_class_problems(model, services),
+        *_placement_problems(model, services),
     ]
 
 
-def host_list_problems(model: HostListModel) -> list[str]:
+def host_list_problems(model: HostListModel, faulty: frozenset[str]) -> list[str]:
     """Return one line for each contradiction within a host list."""
     problems = _repeated("hosts", "host_id", (entry.host_id for entry in model.hosts))
     problems += _repeated("hosts", "address", (entry.address for entry in model.hosts))
@@ -53,15 +64,14 @@
     return "known are " + (", ".join(sorted(names)) or "none")
 
 
-def _customer_problems(model: ConfigurationModel) -> list[str]:
-    services = {entry.name for entry in model.services}
+def _customer_problems(model: ConfigurationModel, services: Services | None) -> list[str]:
     problems = []
     for customer in model.customers:
         place = f"customer {customer.customer_id}"
         problems += [
             f"{place}: unknown service {name!r}, {_allowed(services)}"
             for name in customer.services
-            if name not in services
+            if services is not None and name not in services
         ]
         problems += [
             f"{place}: patience_seconds names {name!r}, which is not one of the customer's services"
@@ -83,23 +93,25 @@
     return problems
 
 
-def _target_class_problems(model: ConfigurationModel) -> list[str]:
-    kinds = {entry.name: entry.kind for entry in model.services}
+def _target_class_problems(model: ConfigurationModel, services: Services | None) -> list[str]:
     problems = []
     for entry in model.target_classes:
         place = f"target class {entry.name}"
         if entry.cold_slots > entry.slots:
             problems.append(f"{place}: cold_slots {entry.cold_slots} is above slots {entry.slots}")
-        for name in entry.services:
-            if name not in kinds:
-                problems.append(f"{place}: unknown service {name!r}, {_allowed(kinds)}")
-            elif kinds[name] is not entry.kind:
-                problems.append(f"{place}: kind is {entry.kind.value}, but {name!r} is {kinds[name].value}")
+        for name in entry.services if services is not None else ():
+            if name not in services:
+                problems.append(f"{place}: unknown service {name!r}, {_allowed(services)}")
+            elif services[name] is not entry.kind:
+                kind = services[name].value
+                problems.append(f"{place}: kind is {entry.kind.value}, but {name!r} is {kind}")
     return problems
 
 
-def _placement_problems(model: ConfigurationModel) -> list[str]:
-    engines = {entry.name for entry in model.services if entry.kind is TargetKind.ENGINE}
+def _placement_problems(model: ConfigurationModel, services: Services | None) -> list[str]:
+    if services is None:
+        return []
+    engines = [name for name, kind in services.items() if kind is TargetKind.ENGINE]
     return [
         f"placement of {entry.target_id}: unknown model {entry.model!r}, {_allowed(engines)}"
         for entry in model.placements
--- a/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
+++ b/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
@@ -17,6 +17,8 @@
 WATCHERS_PER_DATA_CENTRE = 2
 WATCHER_SILENCE_SECONDS = 5.0
 REQUEST_REPEAT_SECONDS = 1.0
+CONFIRM_SECONDS = 1.0
+CONFIRM_AT_MOST_SECONDS = 5.0
 WATCH_RANK_KEY = b"configuration-watch"
 NO_VERSION = (0, b"")
 
@@ -67,6 +69,9 @@
         self.asked_order = NO_VERSION
         self.asked_at = float("-inf")
         self.watcher_heard_at: float | None = None
+        self.peer_heard = False
+        self.highest_peer_order = NO_VERSION
+        self.first_offer_at: float | None = None
 
     @property
     def order(self) -> tuple[int, bytes]:
@@ -82,6 +87,8 @@
         """Put a validated configuration in force if it is newer than the present one."""
         if configuration.order <= self.order:
             return RolloutChange(adopted=False, older=configuration.order < self.order)
+        if self.first_offer_at is None:
+            self.first_offer_at = now
         previous, self.configuration = self.configuration, configuration
         return RolloutChange(adopted=True, previous=previous)
 
@@ -93,6 +100,21 @@
         self.membership.update(host_list, now)
         return True
 
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether the configuration in force is as new as what peers have.
+
+        A router that restarts may read an old version from a stale replica of the platform. It is not
+        ready before a peer's heartbeat has confirmed the version, or 1 s has passed without any heartbeat.
+        A peer that names a newer version but does not deliver it delays readiness by 5 s at most.
+        """
+        if self.configuration is None or self.first_offer_at is None:
+            return False
+        waited = now - self.first_offer_at
+        if self.peer_heard:
+            return self.order >= self.highest_peer_order or waited >= CONFIRM_AT_MOST_SECONDS
+        others = [router for router in self.membership.routers() if router != self.own_id]
+        return waited >= CONFIRM_SECONDS or (self.host_list is not None and not others)
+
     def is_drained(self, target_id: str) -> bool:
         """Return whether the target must receive no new work.
 
@@ -116,6 +138,8 @@
         if peer in self._ranked_watchers():
             self.watcher_heard_at = now
         order = (version, digest)
+        self.peer_heard = True
+        self.highest_peer_order = max(self.highest_peer_order, order)
         if order <= self.order:
             return None
         if order <= self.asked_order and now < self.asked_at + REQUEST_REPEAT_SECONDS:
--- /dev/null
+++ b/packages/limpetusher-operator/src/limpetusher_operator/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the operator's tool with `python -m limpetusher_operator`."""
+
+import sys
+
+from limpetusher_operator.command import main
+
+sys.exit(main())
--- /dev/null
+++ b/packages/limpetusher-operator/src/limpetusher_operator/command.py
@@ -0,0 +1,279 @@
+"""Command line of the operator's tool."""
+
+import json
+import sys
+from importlib.metadata import version
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import App, CycloptsError, Parameter
+
+from limpetusher.configuration.compiled import DataCentreState
+from limpetusher.configuration.difference import differences
+from limpetusher.configuration.document import (
+    ConfigurationModel,
+    check_model,
+    dump_document,
+    load_host_list,
+    parse_document,
+)
+from limpetusher.configuration.questionnaire import (
+    DerivedCustomer,
+    TeamAnswers,
+    derive_customer,
+    example_answers,
+    load_answers,
+    merge_customer,
+)
+from limpetusher.errors import ConfigurationError
+from limpetusher_operator import admin, report
+from limpetusher_operator.drains import with_state
+from limpetusher_operator.errors import OperatorError
+from limpetusher_operator.files import read_document, read_file, write_document, write_output
+from limpetusher_operator.keys import NewApiKey, generate_api_key
+
+ERROR_STATUS = 2
+
+app = App(
+    name="limpetusher",
+    help="Operator's tool of a limpetusher fleet. Errors are reported with exit status 2.",
+    version=lambda: version("limpetusher-operator"),
+)
+app.register_install_completion_command()
+
+Routers = Annotated[list[str], Parameter(name="--router", negative="", consume_multiple=True)]
+
+
+@app.command
+def check_config(file: Path, /, *, host_list: Path | None = None) -> None:
+    """Check a configuration document and report all its problems at once.
+
+    Parameters
+    ----------
+    file
+        The configuration document.
+    host_list
+        A host list to check too.
+    """
+    problems = []
+    try:
+        model = read_document(file)
+    except ConfigurationError as error:
+        problems += error.problems
+    if host_list is not None:
+        try:
+            load_host_list(read_file(host_list))
+        except ConfigurationError as error:
+            problems += [f"{host_list}: {problem}" for problem in error.problems]
+    if problems:
+        raise ConfigurationError(problems)
+    print(
+        f"{file}: valid, version {model.version}, {len(model.customers)} customers, "
+        f"{len(model.services)} services, {len(model.data_centres)} data centres"
+    )
+
+
+@app.command
+def questionnaire(
+    answers: Path | None = None,
+    /,
+    *,
+    template: bool = False,
+    into: Path | None = None,
+    output: Path | None = None,
+    new_key: bool = False,
+) -> None:
+    """Derive a customer's configuration from a team's answers about its work and patience.
+
+    The result is written to the output; the reasons and new API keys are shown on standard error.
+
+    Parameters
+    ----------
+    answers
+        File with the answers, in JSON.
+    template
+        Write example answers to start from.
+    into
+        Document to merge the customer into; the output is then the next version of the document.
+    output
+        File to write; standard output without it.
+    new_key
+        Make a further API key for a customer that has one already.
+    """
+    if template:
+        write_template(output)
+        return
+    if answers is None:
+        raise OperatorError("ANSWERS: no file given; a file with answers or --template is needed")
+    team = read_answers(answers)
+    document = read_document(into) if into else None
+    present = customer_ids_with_keys(document)
+    keys = [generate_api_key(team.customer_id)] if new_key or team.customer_id not in present else []
+    derived = derive_customer(team, [key.entry for key in keys])
+    if document is None:
+        write_output(output, dump_document(derived.customer))
+    else:
+        merged = check_model(merge_customer(document, derived.customer))
+        write_document(output, merged)
+        show_differences(document, merged, to_errors=True)
+    show_derived(derived, keys)
+
+
+@app.command
+def drain(
+    data_centre: str, /, *, config: Path, output: Path | None = None, allow_none_left: bool = False
+) -> None:
+    """Write the next version of a document, with a data centre taken out of service.
+
+    Parameters
+    ----------
+    data_centre
+        Name of the data centre.
+    config
+        The document to start from.
+    output
+        File to write; standard output without it.
+    allow_none_left
+        Allow the last data centre in service to be taken out.
+    """
+    model = read_document(config)
+    changed = with_state(model, data_centre, DataCentreState.OUT_OF_SERVICE, allow_none_left=allow_none_left)
+    write_document(output, changed)
+    show_differences(model, changed, to_errors=True)
+
+
+@app.command(name="return")
+def return_(data_centre: str, /, *, config: Path, output: Path | None = None) -> None:
+    """Write the next version of a document, with a data centre back in service.
+
+    Parameters
+    ----------
+    data_centre
+        Name of the data centre.
+    config
+        The document to start from.
+    output
+        File to write; standard output without it.
+    """
+    model = read_document(config)
+    changed = with_state(model, data_centre, DataCentreState.IN_SERVICE)
+    write_document(output, changed)
+    show_differences(model, changed, to_errors=True)
+
+
+@app.command
+def diff(old: Path, new: Path | None = None, /, *, router: str | None = None) -> None:
+    """Show what differs between two documents, or between what a router has in force and a document.
+
+    Parameters
+    ----------
+    old
+        The older document; with a router, the only one, to compare with what the router has in force.
+    new
+        The newer document.
+    router
+        Admin address of a router, IP:PORT.
+    """
+    if (new is None) == (router is None):
+        raise OperatorError("diff: two documents, or one document and --router, are needed")
+    if router is None:
+        show_differences(read_document(old), read_document(new))
+        return
+    try:
+        in_force = parse_document(admin.fetch_configuration(router))
+    except ConfigurationError as error:
+        raise OperatorError(f"router {router}: its document is not valid: {error}") from None
+    show_differences(in_force, read_document(old))
+
+
+@app.command
+def explain(request_id: str, /, *, router: str) -> None:
+    """Show what a router decided about a request, and why.
+
+    Parameters
+    ----------
+    request_id
+        Identifier from the answer's X-Request-Id header or error.
+    router
+        Admin address of the router that received the request, IP:PORT.
+    """
+    body = admin.fetch_explanation(router, request_id)
+    print(report.explanation_text(report.parse(body, f"router {router}")))
+
+
+@app.command
+def status(*, router: Routers, as_json: bool = False) -> None:
+    """Show the state of routers.
+
+    Parameters
+    ----------
+    router
+        Admin addresses, IP:PORT; several are allowed.
+    as_json
+        Write one JSON object a line.
+    """
+    failures = []
+    for address in router:
+        try:
+            state = report.parse(admin.fetch_ok(address, "/status"), f"router {address}")
+        except OperatorError as error:
+            failures.append(str(error))
+            continue
+        line = json.dumps({"address": address} | state) if as_json else report.status_text(address, state)
+        print(line)
+    if failures:
+        raise OperatorError(*failures)
+
+
+def write_template(output: Path | None) -> None:
+    """Write example answers."""
+    write_output(output, example_answers().model_dump_json(indent=2).encode() + b"\n")
+
+
+def read_answers(path: Path) -> TeamAnswers:
+    """Return the checked answers in a file."""
+    try:
+        return load_answers(read_file(path))
+    except ConfigurationError as error:
+        raise ConfigurationError([f"{path}: {problem}" for problem in error.problems]) from None
+
+
+def customer_ids_with_keys(document: ConfigurationModel | None) -> set[str]:
+    """Return the customers of a document that have an API key."""
+    customers = document.customers if document else []
+    return {customer.customer_id for customer in customers if customer.api_keys}
+
+
+def show_differences(old: ConfigurationModel, new: ConfigurationModel, *, to_errors: bool = False) -> None:
+    """Show what differs, on standard output or on standard error."""
+    stream = sys.stderr if to_errors else sys.stdout
+    lines = [str(difference) for difference in differences(old, new)]
+    print("\n".join(lines) if lines else "no differences", file=stream)
+
+
+def show_derived(derived: DerivedCustomer, keys: list[NewApiKey]) -> None:
+    """Show the reasons and the new keys on standard error."""
+    for value in derived.derived:
+        print(value, file=sys.stderr)
+    for key in keys:
+        print(f"new API key, shown only now: {key.token}", file=sys.stderr)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the command line and return the exit status."""
+    try:
+        app(arguments, exit_on_error=False, print_error=False, result_action="return_value")
+    except (ConfigurationError, OperatorError) as error:
+        return report_problems(error.problems)
+    except CycloptsError as error:
+        return report_problems([" ".join(str(error).split())])
+    except BrokenPipeError:
+        return report_problems(["standard output: closed by its reader"])
+    return 0
+
+
+def report_problems(problems: list[str]) -> int:
+    """Write one line for each problem to standard error and return the exit status."""
+    for problem in problems:
+        print(f"limpetusher: {problem}", file=sys.stderr)
+    return ERROR_STATUS
--- /dev/null
+++ b/packages/limpetusher-operator/src/limpetusher_operator/errors.py
@@ -0,0 +1,17 @@
+"""Errors of the operator's tool."""
+
+from limpetusher.errors import LimpetusherError
+
+
+class OperatorError(LimpetusherError):
+    """A command can't be carried out.
+
+    Parameters
+    ----------
+    problems
+        One line for each problem, naming the value and what is allowed.
+    """
+
+    def __init__(self, *problems: str):
+        self.problems = list(problems)
+        super().__init__("; ".join(problems))
--- /dev/null
+++ b/packages/limpetusher-operator/src/limpetusher_operator/files.py
@@ -0,0 +1,70 @@
+"""Reading and writing documents."""
+
+import os
+import sys
+import tempfile
+from pathlib import Path
+
+from limpetusher.configuration.document import ConfigurationModel, dump_document, parse_document
+from limpetusher.errors import ConfigurationError
+from limpetusher_operator.errors import OperatorError
+
+
+def read_file(path: Path) -> bytes:
+    """Return the contents of a file.
+
+    Raises
+    ------
+    OperatorError
+        If it can't be read.
+    """
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise OperatorError(f"{path}: can't be read ({error.strerror}); a readable file is needed") from None
+
+
+def read_document(path: Path) -> ConfigurationModel:
+    """Return the checked document in a file.
+
+    Raises
+    ------
+    OperatorError
+        If the file can't be read.
+    ConfigurationError
+        With every problem found, each with the name of the file.
+    """
+    document = read_file(path)
+    try:
+        return parse_document(document)
+    except ConfigurationError as error:
+        raise ConfigurationError([f"{path}: {problem}" for problem in error.problems]) from None
+
+
+def write_output(path: Path | None, content: bytes) -> None:
+    """Write to a file, or to standard output without one.
+
+    A file is replaced as a whole, so that a failure leaves the old content.
+
+    Raises
+    ------
+    OperatorError
+        If the file can't be written.
+    """
+    if path is None:
+        sys.stdout.write(content.decode())
+        return
+    try:
+        with tempfile.NamedTemporaryFile(dir=path.absolute().parent, delete=False) as file:
+            file.write(content)
+            os.fchmod(file.fileno(), 0o644)
+        os.replace(file.name, path)
+    except OSError as error:
+        raise OperatorError(
+            f"{path}: can't be written ({error.strerror}); a writable place is needed"
+        ) from None
+
+
+def write_document(path: Path | None, model: ConfigurationModel) -> None:
+    """Write a document to a file, or to standard output without one."""
+    write_output(path, dump_document(model))
--- a/tests/core/request/test_idempotency.py
+++ b/tests/core/request/test_idempotency.py
@@ -7,7 +7,7 @@
 
 from builders_versions import WitnessFleet, call, router
 from limpetusher.core.actions import Ran, RefusalCode
-from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, WitnessSend
+from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, WitnessSend, key_of
 from limpetusher.wire.messages import KeyOutcome, Register
 
 KEYS = st.sampled_from(["key-1", "key-1", "key-2"])
@@ -347,6 +347,30 @@
     assert repeat.answers[-1].code is RefusalCode.KEY_IN_USE
 
 
+def test_restarted_witness_does_not_lose_a_registration_that_is_still_under_way():
+    """Guards against records that a restarted witness requests before another witness has them."""
+    fleet = WitnessFleet((0, 1, 2, 3, 4))
+    chosen = fleet.nodes["router-0"].witness.readiness.witnesses(key_of(call("first")))
+    holder, second = (name for name in fleet.nodes if name not in chosen)
+    early, late, unreached = chosen
+    first = fleet.call(holder, call("first"))
+    delayed = [message for message in fleet.flight if message[1] == late]
+    fleet.flight = [message for message in fleet.flight if message[1] == early]
+    fleet.deliver_all()
+    fleet.restart(early, 1)
+    fleet.nodes[holder].paused = True
+    fleet.advance(0.05)
+    fleet.flight += delayed
+    fleet.nodes[holder].paused = False
+    fleet.deliver_all()
+    assert isinstance(first.answers[-1], Admitted)
+    fleet.nodes[late].alive = False
+    repeat = fleet.call(second, call("repeat"))
+    fleet.advance(0.45)
+    assert unreached in fleet.nodes[holder].witness.holder.by_request["first"].told
+    assert not any(isinstance(answer, Admitted) for answer in repeat.answers)
+
+
 def test_same_messages_give_the_same_results():
     """Guards against hidden sources of chance in the decision core."""
 
--- /dev/null
+++ b/tests/core/version/test_rollout.py
@@ -0,0 +1,226 @@
+"""Tests of the rollout of configurations: requirement 10 and drains."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from builders_versions import configuration, document_fields, host_list, router, target
+from limpetusher.configuration.compiled import Configuration, HostState
+from limpetusher.configuration.document import load_configuration
+from limpetusher.core.connection.peers import Peers
+from limpetusher.core.process.membership import Membership
+from limpetusher.core.settings import PolicySettings
+from limpetusher.core.version.rollout import WATCHER_SILENCE_SECONDS, Rollout
+
+ROUTERS = 4
+NODES = st.integers(0, ROUTERS - 1)
+DELAYS = st.sampled_from([0.0, 0.3, 1.1, 6.0])
+
+
+def started(number: int = 0, hosts: tuple = tuple(router(one) for one in range(ROUTERS))) -> Rollout:
+    """Return the rollout of a router that has just started and has read the host list."""
+    policy = PolicySettings()
+    peers = Peers(policy)
+    rollout = Rollout(policy, f"router-{number}", Membership(policy, f"router-{number}", peers), peers)
+    rollout.hosts(host_list(1, *hosts), 0.0)
+    return rollout
+
+
+def heartbeat(sender: Rollout, receiver: Rollout, now: float, *, lost: bool = False):
+    """Let a router hear of another one's version, and get its document unless the messages are lost."""
+    ask = receiver.peer_version(sender.own_id, *sender.order, now)
+    if ask is not None and not lost:
+        receiver.offer(load_configuration(sender.document().document), now)
+
+
+class RolloutMachine(RuleBasedStateMachine):
+    """Operators publish while platform replicas are stale and routers restart and lose messages."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.published = [configuration(1)]
+        self.routers = [started(number) for number in range(ROUTERS)]
+        self.seen = [(0, b"")] * ROUTERS
+
+    @rule(next_version=st.booleans(), share=st.integers(1, 9))
+    def publish(self, next_version: bool, share: int):
+        """Publish the next version, or a second document with the newest version's number."""
+        version = self.published[-1].version + next_version
+        customers = document_fields()["customers"]
+        customers[0]["share"] = share
+        self.published.append(configuration(version, customers=customers))
+
+    @rule(node=NODES, stale=st.integers(0, 5))
+    def read_platform(self, node: int, stale: int):
+        """Read from a replica that may be behind."""
+        self.routers[node].offer(self.published[max(0, len(self.published) - 1 - stale)], self.now)
+
+    @rule(sender=NODES, receiver=NODES, lost=st.booleans(), delay=DELAYS)
+    def exchange(self, sender: int, receiver: int, lost: bool, delay: float):
+        self.now += delay
+        if sender != receiver:
+            heartbeat(self.routers[sender], self.routers[receiver], self.now, lost=lost)
+
+    @rule(node=NODES)
+    def restart(self, node: int):
+        self.routers[node] = started(node)
+        self.seen[node] = (0, b"")
+
+    @invariant()
+    def no_router_goes_back(self):
+        for node, rollout in enumerate(self.routers):
+            assert rollout.order >= self.seen[node]
+            self.seen[node] = rollout.order
+
+    def teardown(self):
+        """Check that one router that reads the newest document brings it to all others by heartbeats."""
+        newest = max(self.published, key=lambda one: one.order)
+        self.routers[0].offer(newest, self.now)
+        for _ in range(2):
+            self.now += 1.1
+            for receiver in self.routers[1:]:
+                heartbeat(self.routers[0], receiver, self.now)
+        assert {rollout.order for rollout in self.routers} == {newest.order}
+
+
+RolloutMachine.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=25, derandomize=True, deadline=None
+)
+
+
+class TestRolloutMachine(RolloutMachine.TestCase):
+    """Guards against a configuration that reverts or does not reach a router."""
+
+
+def two_documents() -> list[Configuration]:
+    """Return two documents of one version in their order."""
+    documents = [configuration(3), configuration(3, weight_loads_per_minute=1.0)]
+    return sorted(documents, key=lambda one: one.order)
+
+
+@pytest.mark.parametrize("first", [0, 1])
+def test_equal_versions_are_ordered_by_digest(first: int):
+    """Guards against routers that keep different documents after two operators publish at once."""
+    documents = two_documents()
+    rollout = started()
+    for one in (documents[first], documents[1 - first]):
+        rollout.offer(one, 0.0)
+    assert rollout.configuration is documents[1]
+
+
+def test_older_configuration_is_recognised():
+    """Guards against a stale platform going unnoticed, and against a repeat being reported as stale."""
+    rollout = started()
+    assert rollout.offer(configuration(2), 0.0).adopted
+    assert rollout.offer(configuration(1), 0.0).older
+    again = rollout.offer(configuration(2), 0.0)
+    assert not again.adopted
+    assert not again.older
+
+
+def test_older_host_list_is_ignored():
+    """Guards against a leaving target that comes back through a stale host list."""
+    rollout = started()
+    assert rollout.hosts(host_list(3, router(0), target(1, state=HostState.LEAVING)), 0.0)
+    assert not rollout.hosts(host_list(2, router(0), target(1)), 0.0)
+    assert rollout.membership.target("engine-1").state is HostState.LEAVING
+
+
+def test_document_is_asked_for_once_until_the_request_is_late():
+    """Guards against a large document being sent by every peer at once, and against giving up."""
+    rollout = started()
+    newer = configuration(5)
+    assert rollout.peer_version("router-1", *newer.order, 0.0).peer == "router-1"
+    assert rollout.peer_version("router-2", *newer.order, 0.5) is None
+    assert rollout.peer_version("router-2", *newer.order, 1.0).peer == "router-2"
+
+
+def test_restarted_router_waits_for_its_peers_versions():
+    """Guards against a restarted router that serves with the old version of a stale platform."""
+    rollout = started()
+    rollout.offer(configuration(1), 0.0)
+    assert not rollout.is_confirmed(0.5)
+    rollout.peer_version("router-1", *configuration(2).order, 0.6)
+    assert not rollout.is_confirmed(1.5)
+    rollout.offer(configuration(2), 1.6)
+    assert rollout.is_confirmed(1.6)
+
+
+@pytest.mark.parametrize(("version", "ready_at"), [(None, 1.0), (9, 5.0)])
+def test_silent_peers_do_not_keep_a_router_from_serving(version: int | None, ready_at: float):
+    """Guards against a router that never becomes ready since no peer answers or delivers."""
+    rollout = started()
+    rollout.offer(configuration(1), 0.0)
+    if version:
+        rollout.peer_version("router-1", version, b"", 0.1)
+    assert not rollout.is_confirmed(ready_at - 0.1)
+    assert rollout.is_confirmed(ready_at)
+
+
+def test_only_router_is_confirmed_at_once():
+    """Guards against a single router that waits for peers it does not have."""
+    rollout = started(hosts=(router(0),))
+    rollout.offer(configuration(1), 0.0)
+    assert rollout.is_confirmed(0.0)
+
+
+def four_in_one_data_centre() -> list[Rollout]:
+    """Return the rollouts of four routers of one data centre that all have a configuration."""
+    hosts = tuple(router(number, "north") for number in range(ROUTERS))
+    rollouts = [started(number, hosts) for number in range(ROUTERS)]
+    for rollout in rollouts:
+        rollout.offer(configuration(1), 0.0)
+    return rollouts
+
+
+def hear(rollouts: list[Rollout], sequence: int, now: float, silent: tuple[str, ...] = ()):
+    """Let all routers hear all others but the silent ones."""
+    for receiver in rollouts:
+        for sender in rollouts:
+            if sender is not receiver and sender.own_id not in silent:
+                receiver.peers.received(sender.own_id, 1, sequence, 0, now, False)
+                receiver.peer_version(sender.own_id, *sender.order, now)
+
+
+def test_two_routers_of_a_data_centre_watch():
+    """Guards against every router loading the platform, and against none watching it."""
+    rollouts = four_in_one_data_centre()
+    hear(rollouts, 1, 1.0)
+    watching = [one.own_id for one in rollouts if one.should_watch(1.0)]
+    assert len(watching) == 2
+    hear(rollouts, 2, 3.0, silent=tuple(watching))
+    others = [one for one in rollouts if one.own_id not in watching]
+    assert all(one.should_watch(3.0) for one in others)
+
+
+def test_router_that_hears_no_watcher_watches_itself():
+    """Guards against a router that misses changes because it is cut off from those that watch."""
+    rollouts = four_in_one_data_centre()
+    hear(rollouts, 1, 1.0)
+    idle = next(one for one in rollouts if not one.should_watch(1.0))
+    assert idle.should_watch(1.0 + WATCHER_SILENCE_SECONDS)
+
+
+def test_router_without_configuration_watches():
+    """Guards against a router that waits for ever for its first configuration."""
+    assert started().should_watch(0.0)
+
+
+@pytest.mark.parametrize(
+    ("data_centre", "state", "listed", "drained"),
+    [
+        ("north", HostState.LIVE, "engine-1", False),
+        ("north", HostState.LEAVING, "engine-1", True),
+        ("east", HostState.LIVE, "engine-1", True),
+        ("north", HostState.LIVE, "engine-2", True),
+    ],
+)
+def test_drained_targets(data_centre: str, state: HostState, listed: str, drained: bool):
+    """Guards against new work for targets that leave, whose data centre is out, or that are unlisted."""
+    states = [{"name": "north", "state": "in"}, {"name": "east", "state": "out"}]
+    rollout = started()
+    rollout.offer(configuration(1, data_centres=states), 0.0)
+    rollout.hosts(host_list(2, router(0), target(1, data_centre, state)), 0.0)
+    assert rollout.is_drained(listed) is drained
