--- a/packages/limpetusher-core/src/limpetusher/core/context.py
+++ b/packages/limpetusher-core/src/limpetusher/core/context.py
@@ -21,6 +21,10 @@
 from limpetusher.events import Event
 from limpetusher.wire.messages import PeerPayload
 
+SEQUENCES_PER_INCARNATION = 1 << 16
+INCARNATION_RANGE = 1 << 32
+"""Each start of a router uses another range of sequence numbers, so that late echoes are not mistaken."""
+
 
 @dataclass(slots=True)
 class Context:
@@ -84,3 +88,36 @@
             and self.membership.version is not None
             and not self.stopping
         )
+
+
+def create_context(
+    settings: PolicySettings,
+    own_id: str,
+    data_centre: str,
+    *,
+    incarnation: int,
+    rng: random.Random,
+    started_at: float,
+) -> Context:
+    """Return the context of a router that has just started, with all its parts."""
+    first_sequence = incarnation % INCARNATION_RANGE * SEQUENCES_PER_INCARNATION
+    peers = Peers(settings, first_sequence=first_sequence)
+    membership = Membership(settings, own_id, peers)
+    return Context(
+        settings=settings,
+        own_id=own_id,
+        data_centre=data_centre,
+        incarnation=incarnation,
+        rng=rng,
+        peers=peers,
+        membership=membership,
+        shares=Shares(settings, own_id, membership, peers, started_at),
+        ledger=Ledger(settings),
+        fairness=Fairness(settings, own_id=own_id, incarnation=incarnation),
+        witness=Witness(settings, own_id, membership, rng, started_at),
+        rollout=Rollout(settings, own_id, membership, peers),
+        orders=Orders(settings, own_id),
+        retries=RetryBudgets(settings),
+        explanations=Explanations(settings),
+        now=started_at,
+    )
--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -7,8 +7,7 @@
 from limpetusher.configuration.compiled import Configuration
 from limpetusher.configuration.document import load_configuration
 from limpetusher.core.actions import Action, Stopped
-from limpetusher.core.connection.peers import Peers
-from limpetusher.core.context import Context
+from limpetusher.core.context import create_context
 from limpetusher.core.inputs import (
     CallerGone,
     ConfigurationReceived,
@@ -29,21 +28,13 @@
 from limpetusher.core.process.demand_book import DemandBook
 from limpetusher.core.process.dispatch import Dispatcher
 from limpetusher.core.process.exchange import Exchange
-from limpetusher.core.process.fairness import Fairness
-from limpetusher.core.process.ledger import Ledger
-from limpetusher.core.process.membership import Membership
 from limpetusher.core.process.offers import Offers
-from limpetusher.core.process.orders import Orders
 from limpetusher.core.process.routes import Routes
-from limpetusher.core.process.shares import Shares
-from limpetusher.core.request.explanation import Explanation, Explanations
-from limpetusher.core.request.idempotency import Witness
+from limpetusher.core.request.explanation import Explanation
 from limpetusher.core.request.lifecycle import Lifecycle
 from limpetusher.core.request.queue import RequestQueue
-from limpetusher.core.request.retry import RetryBudgets
 from limpetusher.core.settings import PolicySettings
 from limpetusher.core.status import CoreStatus, customer_statuses, target_statuses
-from limpetusher.core.version.rollout import Rollout
 from limpetusher.errors import ConfigurationError, PolicyError
 from limpetusher.events import Event
 from limpetusher.wire.messages import (
@@ -66,8 +57,6 @@
     ViewRequest,
 )
 
-SEQUENCES_PER_INCARNATION = 1 << 16
-INCARNATION_RANGE = 1 << 32
 DROP_LOG_INTERVAL_SECONDS = 1.0
 PAUSE_INTERVALS = 2.0
 """A timer is due in each exchange interval; a longer time without inputs means that the process paused."""
@@ -104,27 +93,10 @@
         started_at: float,
         wall_offset_seconds: float = 0.0,
     ):
-        first_sequence = incarnation % INCARNATION_RANGE * SEQUENCES_PER_INCARNATION
-        peers = Peers(settings, first_sequence=first_sequence)
-        membership = Membership(settings, own_id, peers)
-        self.context = Context(
-            settings=settings,
-            own_id=own_id,
-            data_centre=data_centre,
-            incarnation=incarnation,
-            rng=rng,
-            peers=peers,
-            membership=membership,
-            shares=Shares(settings, own_id, membership, peers, started_at),
-            ledger=Ledger(settings),
-            fairness=Fairness(settings, own_id=own_id, incarnation=incarnation),
-            witness=Witness(settings, own_id, membership, rng, started_at),
-            rollout=Rollout(settings, own_id, membership, peers),
-            orders=Orders(settings, own_id),
-            retries=RetryBudgets(settings),
-            explanations=Explanations(settings),
-            now=started_at,
+        self.context = create_context(
+            settings, own_id, data_centre, incarnation=incarnation, rng=rng, started_at=started_at
         )
+        membership = self.context.membership
         self.queue = RequestQueue(settings)
         self.routes = Routes(own_id, data_centre, membership, self.context.rollout)
         self.book = DemandBook(settings.grant_valid_seconds)
--- a/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from limpetusher.core.request.record import Bucket
-from limpetusher.wire.messages import Demand
+from limpetusher.wire.messages import Demand, DemandEntry
 
 
 @dataclass(slots=True)
@@ -19,6 +19,8 @@
     waiting: int
     oldest_at: float
     preferred: tuple[str, ...] = ()
+    prompt_cost: float = 0.0
+    cost_hint: float | None = None
     in_flight: int = 0
 
     @property
@@ -80,9 +82,7 @@
         demand.lines = {}
         for entry in message.entries:
             bucket = Bucket(entry.customer, entry.service)
-            demand.lines[bucket] = DemandLine(
-                holder, bucket, entry.waiting, now - entry.oldest_wait_seconds, entry.preferred
-            )
+            demand.lines[bucket] = line_of(entry, holder, now)
         for grant in demand.in_flight.values():
             if grant.bucket in demand.lines:
                 demand.lines[grant.bucket].in_flight += 1
@@ -90,22 +90,18 @@
             self.relist(line)
         return tuple(dict.fromkeys(bucket.service for bucket in demand.lines))
 
-    def set_line(
-        self, holder: str, bucket: Bucket, waiting: int, oldest_at: float, preferred: tuple[str, ...]
-    ) -> None:
+    def set_line(self, entry: DemandEntry, holder: str, now: float) -> None:
         """Set one line of the own router, whose grants are used at once."""
-        demand = self.holder(holder)
-        line = demand.lines.get(bucket)
-        if waiting <= 0:
-            if line is not None:
-                self.unlist(line)
-                del demand.lines[bucket]
-            return
-        if line is None:
-            line = demand.lines[bucket] = DemandLine(holder, bucket, waiting, oldest_at, preferred)
-        line.waiting, line.oldest_at, line.preferred = waiting, oldest_at, preferred
+        line = line_of(entry, holder, now)
+        self.holder(holder).lines[line.bucket] = line
         self.relist(line)
 
+    def remove_line(self, holder: str, bucket: Bucket) -> None:
+        """Remove one line of the own router."""
+        line = self.holder(holder).lines.pop(bucket, None)
+        if line is not None:
+            self.unlist(line)
+
     def holder_customers(self, holder: str) -> Iterator[str]:
         """Return the customers in a router's demand."""
         return (bucket.customer for bucket in self.holder(holder).lines)
@@ -162,3 +158,16 @@
             del customers[line.bucket.customer]
         if not customers:
             del self.open_lines[line.bucket.service]
+
+
+def line_of(entry: DemandEntry, holder: str, now: float) -> DemandLine:
+    """Return the line for an entry of a demand."""
+    return DemandLine(
+        holder,
+        Bucket(entry.customer, entry.service),
+        entry.waiting,
+        now - entry.oldest_wait_seconds,
+        entry.preferred,
+        entry.prompt_cost,
+        entry.cost_hint,
+    )
--- a/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
@@ -216,7 +216,7 @@
         customer, service = line.bucket.customer, line.bucket.service
         self.grants += 1
         grant_id = f"{context.own_id}.{context.incarnation:x}.{self.grants}"
-        estimate = context.fairness.estimate(customer, service, 0.0, None)
+        estimate = context.fairness.estimate(customer, service, line.prompt_cost, line.cost_hint)
         context.ledger.grant(grant_id, target_id, line.holder, customer, service, estimate, now)
         context.fairness.charge(customer, estimate)
         valid = context.settings.grant_valid_seconds
--- a/packages/limpetusher-core/src/limpetusher/core/process/routes.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/routes.py
@@ -37,6 +37,8 @@
         self.services: dict[str, ServiceRoutes] = {}
         self.services_of: dict[str, list[str]] = {}
         """Services that each owner has targets for."""
+        self.near: frozenset[str] = frozenset()
+        """Targets in the own data centre."""
         self.owner_of: dict[str, str] = {}
         self.owned: dict[str, tuple[str, ...]] = {}
         """Services of each target that this router owns and that may receive new work."""
@@ -50,6 +52,7 @@
         targets: dict[str, list[str]] = {}
         owners: dict[str, dict[str, list[str]]] = {}
         hosts = self.membership.targets()
+        self.near = frozenset(host.host_id for host in hosts if host.data_centre == self.data_centre)
         for host in sorted(hosts, key=lambda host: host.data_centre != self.data_centre):
             target_id = host.host_id
             owner = self.membership.owner(target_id, now)
--- a/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
@@ -246,7 +246,8 @@
         """Note the cost of a stream so far."""
         record = self.attempt_of(message.request_id, message.attempt)
         if record is not None:
-            record.progress_cost = max(record.progress_cost, message.generated_cost)
+            cost = record.request.prompt_cost + message.generated_cost
+            record.progress_cost = max(record.progress_cost, cost)
 
     def ended(self, message: ResponseEnded) -> None:
         """Take the end of an attempt: release the slot, and answer, retry or finish."""
--- a/packages/limpetusher-core/src/limpetusher/wire/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/wire/messages.py
@@ -42,13 +42,18 @@
 
 
 class DemandEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Waiting requests of one customer for one service. `preferred` are targets with a cached prefix."""
+    """Waiting requests of one customer for one service. `preferred` are targets with a cached prefix.
+
+    `prompt_cost` and `cost_hint` are those of the oldest request.
+    """
 
     service: str
     customer: str
     waiting: int
     oldest_wait_seconds: float
     preferred: tuple[str, ...] = ()
+    prompt_cost: float = 0.0
+    cost_hint: float | None = None
 
 
 class Demand(Message, frozen=True, tag="dm"):
--- a/tests/builders_decision.py
+++ b/tests/builders_decision.py
@@ -11,6 +11,7 @@
     HostList,
     HostRole,
     HostState,
+    ModelPlacement,
     Service,
     TargetClass,
     TargetKind,
@@ -22,6 +23,7 @@
 
 MODEL = "chatter"
 BOOKING = "booking"
+WALL_OFFSET_SECONDS = 1_700_000_000.0
 
 
 def make_settings(**changes: object) -> PolicySettings:
@@ -37,6 +39,7 @@
     out: tuple[str, ...] = (),
     queue_limit: int = 1000,
     services: tuple[str, ...] = (MODEL, BOOKING),
+    placements: tuple[ModelPlacement, ...] = (),
 ) -> Configuration:
     customers = {
         name: Customer(name, share, (), frozenset(services), queue_limit=queue_limit)
@@ -59,6 +62,7 @@
         },
         target_classes={target_class.name: target_class for target_class in classes},
         data_centres=dict.fromkeys(out, DataCentreState.OUT_OF_SERVICE),
+        placements={placement.target_id: placement for placement in placements},
     )
 
 
@@ -118,6 +122,7 @@
     own_id: str = "a1", data_centre: str = "a", *, settings: PolicySettings | None = None, **changes: object
 ) -> DecisionCore:
     values = {"incarnation": 1, "rng": random.Random(7), "started_at": 0.0}
+    values["wall_offset_seconds"] = WALL_OFFSET_SECONDS
     return DecisionCore(
         settings=settings or make_settings(),
         own_id=own_id,
--- a/tests/core/test_decision.py
+++ b/tests/core/test_decision.py
@@ -4,6 +4,7 @@
 
 from builders_decision import (
     MODEL,
+    WALL_OFFSET_SECONDS,
     make_booking,
     make_configuration,
     make_core,
@@ -13,17 +14,31 @@
     make_request,
     make_settings,
 )
-from limpetusher.core.actions import CancelDispatch, Dispatch, Ran, RefusalCode, Refuse, Replay, Stopped
+from limpetusher.configuration.compiled import ModelPlacement
+from limpetusher.core.actions import (
+    CancelDispatch,
+    Dispatch,
+    OrderTarget,
+    Ran,
+    RefusalCode,
+    Refuse,
+    Replay,
+    SendToPeer,
+    Stopped,
+    WatchConfiguration,
+)
 from limpetusher.core.inputs import (
     CallerGone,
     ConfigurationReceived,
     HostListReceived,
     Outcome,
+    PeerMessage,
     ResponseEnded,
     ResponseStarted,
     StopRequested,
     TimerDue,
 )
+from limpetusher.wire.messages import Demand, DemandEntry
 
 
 def only(kind, actions):
@@ -318,3 +333,27 @@
         "ended",
     ]
     assert core.explain("unknown") is None
+
+
+def test_engine_without_its_wanted_model_is_ordered_to_load_it():
+    """Guards against orders that are never sent, and against fencing numbers that fall after a restart."""
+    core = make_lone_core(placements=(ModelPlacement("e1", "chatter", "2"),))
+    # The load rate of 6 a minute allows the first one after 10 s.
+    actions, _ = run_timers(core, 20.0)
+    order = only(OrderTarget, actions)
+    assert (order.target_id, order.model, order.version) == ("e1", "chatter", "2")
+    assert 0 <= order.fencing_number / 1000 - WALL_OFFSET_SECONDS <= 20
+
+
+def test_router_without_peers_watches_the_configuration_service():
+    """Guards against a fleet in which nobody reads new configurations."""
+    assert only(WatchConfiguration, make_core().handle(TimerDue(), 0.0)).active
+
+
+def test_message_of_an_unlisted_router_is_dropped():
+    """Guards against grants and demands of hosts that the platform does not list."""
+    core = make_lone_core()
+    demand = Demand(1, 0, (DemandEntry(MODEL, "alpha", 5, 0.0),))
+    actions = core.handle(PeerMessage("stranger", 1, demand), 1.0)
+    assert count(SendToPeer, actions) == 0
+    assert core.status().dropped_messages == 1
