--- a/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
@@ -1,6 +1,6 @@
 """What an owner knows about waiting requests: the demand of each router, indexed by service and customer."""
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Container, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from limpetusher.core.request.record import Bucket
@@ -106,6 +106,20 @@
         """Return the customers in a router's demand."""
         return (bucket.customer for bucket in self.holder(holder).lines)
 
+    def confirm(self, holder: str, sequence: int, customers: Container[str]) -> bool:
+        """Drop lines of customers that a later heartbeat does not name as waiting; return whether any were.
+
+        This ends the effects of a lost demand, and of lines whose requests have all been granted.
+        """
+        demand = self.holders.get(holder)
+        if demand is None or sequence <= demand.sequence:
+            return False
+        gone = [line for bucket, line in demand.lines.items() if bucket.customer not in customers]
+        for line in gone:
+            self.unlist(line)
+            del demand.lines[line.bucket]
+        return bool(gone)
+
     def drop(self, holder: str) -> None:
         """Forget the demand of a router that is unreachable or has restarted."""
         demand = self.holders.pop(holder, None)
--- a/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
@@ -10,7 +10,7 @@
 from limpetusher.core.process.routes import Routes
 from limpetusher.core.request.record import Bucket, UsedGrant
 from limpetusher.events import Event
-from limpetusher.wire.messages import Demand, Grant, GrantReturned, Release
+from limpetusher.wire.messages import Demand, Grant, GrantReturned, Heartbeat, Release
 
 BLOCK_SECONDS = 0.25
 MAXIMUM_BLOCK_SECONDS = 4.0
@@ -56,6 +56,11 @@
         self.context.wanted_services.update(dict.fromkeys(services))
         self.backlog.replace(demand_source(sender), self.book.holder_customers(sender))
 
+    def confirm_demand(self, sender: str, message: Heartbeat) -> None:
+        """Drop what a router asked for earlier and no longer waits for, according to its heartbeat."""
+        if self.book.confirm(sender, message.sequence, message.waiting_customers):
+            self.backlog.replace(demand_source(sender), self.book.holder_customers(sender))
+
     def drop_demand(self, sender: str) -> None:
         """Forget the demand of a router that is unreachable, unlisted or restarted."""
         self.book.drop(sender)
--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -275,6 +275,7 @@
         context.charge(context.ledger.held(sender, message.held, now, sent_after=sent_after))
         context.fairness.peer_charged(sender, incarnation, message.charged)
         self.backlog.replace(sender, message.waiting_customers)
+        self.dispatcher.confirm_demand(sender, message)
         self.offers.free_slots.update(message.free_slots)
         context.orders.heard(message.fencing)
         ask = context.rollout.peer_version(
--- a/packages/limpetusher-core/src/limpetusher/core/process/offers.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/offers.py
@@ -164,13 +164,16 @@
             self.touch(bucket, owner)
         self.touch(bucket, self.context.own_id)
 
-    def granted_by(self, owner: str, bucket: Bucket, number: int) -> None:
-        """Take note of a grant: the owner counts one waiting request less."""
+    def received_grant(self, owner: str, number: int) -> None:
+        """Take note of a grant's number, so that the owner does not count it as on its way any more."""
         self.last_grant[owner] = max(self.last_grant.get(owner, 0), number)
+
+    def used_grant(self, owner: str, bucket: Bucket) -> None:
+        """Take note that the owner counts one waiting request less, because a grant of it was used."""
         told = self.told.get(owner)
         if told and bucket in told:
             self.set_told(owner, bucket, told[bucket] - 1)
-        self.touch(bucket, owner)
+            self.touch(bucket, owner)
 
     def spread_count(self, bucket: Bucket, *, excluding: int = 0) -> int:
         """Return how many waiting requests are offered to all owners; `excluding` of them are not counted."""
--- a/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
@@ -180,9 +180,10 @@
         sent_at = context.peers.sent_at(owner, grant.echo)
         send_before = sent_at + grant.valid_seconds if sent_at is not None else context.now
         used = UsedGrant(grant.grant_id, grant.target_id, owner, send_before)
+        self.offers.received_grant(owner, grant.number)
         if context.now >= send_before or not self.dispatch(bucket, used):
+            # The owner counts the grant as on its way until the next demand, so it is not repeated at once.
             context.send(owner, GrantReturned(grant.grant_id, grant.target_id))
-        self.offers.granted_by(owner, bucket, grant.number)
 
     def dispatch(self, bucket: Bucket, grant: UsedGrant) -> bool:
         """Send a waiting request of the bucket under the grant; return False when none may be sent."""
@@ -196,6 +197,7 @@
         if now >= send_before:
             return False
         self.queue.take(record.request_id, now)
+        self.offers.used_grant(grant.owner, bucket)
         self.offers.removed(record)
         record.state = RequestState.RUNNING
         record.grant = grant
