--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -15,6 +15,7 @@
 from core_harness import Fleet
 from limpetusher.core.actions import Ran, RefusalCode, Refuse
 from limpetusher.core.inputs import CallerGone, ConfigurationReceived, Outcome, StopRequested
+from limpetusher.core.process.offers import DEMAND_BURST, DEMANDS_PER_SECOND
 
 START_SECONDS = 5.0
 """Routers that start claim their own slots first, and lend them to the owner after the takeover wait."""
@@ -241,6 +242,39 @@
     assert {core.status().configuration_version for core in fleet.cores.values()} == {9}
 
 
+def test_router_without_configuration_gets_it_from_a_peer():
+    """Guards against a router that stays unready while the configuration service is down (requirement 10)."""
+    fleet = make_fleet(2, 2, configuration=load_small_configuration(version=3))
+    fleet.kill("r1")
+    fleet.start("r1", configured=False)
+    assert not fleet.cores["r1"].is_ready
+    fleet.run(1.0)
+    assert fleet.cores["r1"].is_ready
+
+
+def test_requests_with_one_prefix_go_to_the_target_that_has_it_cached():
+    """Guards against prompts that are computed again on every target."""
+    fleet = make_fleet(3, 6)
+    for number in range(30):
+        fleet.request("r1", make_request(f"q{number}", prefix=b"history"))
+        fleet.run(0.2)
+    assert max(len(target.starts) for target in fleet.targets.values()) == 30
+
+
+def test_control_traffic_of_a_long_backlog_is_bounded():
+    """Guards against a flood of demands when many customers wait at many owners."""
+    shares = {f"c{number}": 1.0 for number in range(200)}
+    fleet = make_fleet(12, 12, data_centres="abcdefghijkl", configuration=make_configuration(shares=shares))
+    fleet.messages.clear()
+    offer(fleet, 5.0, rate=150.0, make=lambda name: make_request(name, customer=f"c{int(name[1:]) % 200}"))
+    for target in fleet.targets.values():
+        target.seconds = 60.0
+    fleet.run(5.0)
+    first_offers = len(fleet.received)
+    assert fleet.messages["Demand"] <= 12 * (5.0 * DEMANDS_PER_SECOND + DEMAND_BURST) + first_offers
+    assert fleet.messages["Demand"] <= 12 * 5.0 * 4 * 11 + 2 * first_offers
+
+
 def play_failures(fleet, seconds, rng):
     """Pause, cut off, kill and restart routers, and break connections, at random."""
     routers = sorted(fleet.cores)
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -73,7 +73,7 @@
             event()
         self.now = end
 
-    def start(self, router: str) -> None:
+    def start(self, router: str, *, configured: bool = True) -> None:
         """Start a router, or restart it without its state."""
         place = next(host.data_centre for host in self.hosts.hosts if host.host_id == router)
         # Only the first start of the fleet may skip the waits.
@@ -88,7 +88,8 @@
         )
         self.cores[router] = core
         self.give(router, inputs.HostListReceived(self.hosts))
-        self.give(router, inputs.ConfigurationReceived(self.configuration))
+        if configured:
+            self.give(router, inputs.ConfigurationReceived(self.configuration))
 
     def kill(self, router: str) -> None:
         self.killed.add(router)
