--- a/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
@@ -10,7 +10,7 @@
 from limpetusher.core.process.routes import Routes
 from limpetusher.core.request.record import Bucket, UsedGrant
 from limpetusher.events import Event
-from limpetusher.wire.messages import Demand, Grant, GrantReturned, Release
+from limpetusher.wire.messages import Demand, Grant, GrantReturned, Heartbeat, Release
 
 BLOCK_SECONDS = 0.25
 MAXIMUM_BLOCK_SECONDS = 4.0
@@ -56,6 +56,11 @@
         self.context.wanted_services.update(dict.fromkeys(services))
         self.backlog.replace(demand_source(sender), self.book.holder_customers(sender))
 
+    def confirm_demand(self, sender: str, message: Heartbeat) -> None:
+        """Drop what a router asked for earlier and no longer waits for, according to its heartbeat."""
+        if self.book.confirm(sender, message.sequence, message.waiting_customers):
+            self.backlog.replace(demand_source(sender), self.book.holder_customers(sender))
+
     def drop_demand(self, sender: str) -> None:
         """Forget the demand of a router that is unreachable, unlisted or restarted."""
         self.book.drop(sender)
@@ -216,7 +221,7 @@
         customer, service = line.bucket.customer, line.bucket.service
         self.grants += 1
         grant_id = f"{context.own_id}.{context.incarnation:x}.{self.grants}"
-        estimate = context.fairness.estimate(customer, service, 0.0, None)
+        estimate = context.fairness.estimate(customer, service, line.prompt_cost, line.cost_hint)
         context.ledger.grant(grant_id, target_id, line.holder, customer, service, estimate, now)
         context.fairness.charge(customer, estimate)
         valid = context.settings.grant_valid_seconds
