--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -1,10 +1,32 @@
-"""State of one caller's connection."""
+"""State of one caller's connection, and the socket on which callers connect."""
 
 import enum
 import socket
 from collections import deque
 
 from limpetusher_router.connection.framing import BodyReader, RequestHead
+from limpetusher_router.errors import RouterError
+from limpetusher_router.request.answers import reason_phrase
+from limpetusher_router.settings import split_address
+
+BACKLOG = 1024
+BODYLESS_STATUSES = frozenset({204, 304})
+
+
+def listen(address: str) -> socket.socket:
+    """Return a listening socket.
+
+    Raises
+    ------
+    RouterError
+        If the address can't be used.
+    """
+    try:
+        listener = socket.create_server(split_address(address), backlog=BACKLOG)
+    except OSError as error:
+        raise RouterError(f"can't listen on caller address {address}: {error.strerror}") from error
+    listener.setblocking(False)
+    return listener
 
 
 class CallerState(enum.Enum):
@@ -84,6 +106,24 @@
             self.out.append(data)
             self.out_bytes += len(data)
 
+    def add_head(self, status: int, headers: dict[str, str], length: int | None) -> None:
+        """Append the head of an answer; without a length the body follows in chunks, or up to the close."""
+        old = self.head is not None and self.head.version == (1, 0)
+        self.closing = self.closing or (old and length is None)
+        self.chunked_answer = length is None and not old
+        self.remaining_answer = length
+        lines = [f"HTTP/1.1 {status} {reason_phrase(status)}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if self.chunked_answer:
+            lines.append("transfer-encoding: chunked")
+        elif length is not None and status not in BODYLESS_STATUSES:
+            lines.append(f"content-length: {length}")
+        if self.closing:
+            lines.append("connection: close")
+        elif old:
+            lines.append("connection: keep-alive")
+        self.add_output("\r\n".join([*lines, "", ""]).encode("latin-1"))
+
     def write(self) -> int:
         """Write as much as the socket takes and return how much that was.
 
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -10,7 +10,12 @@
 from circuits.core.pollers import EPoll
 
 from limpetusher.core.actions import RefusalCode
-from limpetusher_router.connection.caller_connection import CallerConnection, CallerState
+from limpetusher_router.connection.caller_connection import (
+    BODYLESS_STATUSES,
+    CallerConnection,
+    CallerState,
+    listen,
+)
 from limpetusher_router.connection.framing import BodyReader, find_head, parse_request_head
 from limpetusher_router.connection.timeouts import Timeouts
 from limpetusher_router.errors import FramingError
@@ -25,19 +30,17 @@
 )
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.metrics import Metrics
-from limpetusher_router.request.answers import error_answer, reason_phrase
+from limpetusher_router.request.answers import error_answer
 from limpetusher_router.request.identifiers import RequestIdentifiers
-from limpetusher_router.settings import RouterSettings, split_address
+from limpetusher_router.settings import RouterSettings
 
 ACCEPTS_PER_EVENT = 64
 ACCEPT_PAUSE_SECONDS = 0.1
-BACKLOG = 1024
 BODY_PROGRESS_BYTES = 1024
 LINGER_SECONDS = 2.0
 READ_BYTES = 65_536
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-BODYLESS_STATUSES = frozenset({204, 304})
 
 logger = logging.getLogger(__name__)
 
@@ -70,10 +73,7 @@
         self.connections: dict[socket.socket, CallerConnection] = {}
         self.in_progress: dict[str, CallerConnection] = {}
         self.stopping = False
-        self.listener: socket.socket | None = socket.create_server(
-            split_address(settings.caller_address), backlog=BACKLOG
-        )
-        self.listener.setblocking(False)
+        self.listener: socket.socket | None = listen(settings.caller_address)
         poller.addReader(self, self.listener)
 
     @handler("_read")
@@ -219,21 +219,8 @@
         self, connection: CallerConnection, status: int, headers: dict[str, str], length: int | None
     ) -> None:
         """Queue the head of an answer."""
-        old = connection.head is not None and connection.head.version == (1, 0)
-        connection.closing = connection.closing or self.stopping or (old and length is None)
-        connection.chunked_answer = length is None and not old
-        connection.remaining_answer = length
-        lines = [f"HTTP/1.1 {status} {reason_phrase(status)}"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        if connection.chunked_answer:
-            lines.append("transfer-encoding: chunked")
-        elif length is not None and status not in BODYLESS_STATUSES:
-            lines.append(f"content-length: {length}")
-        if connection.closing:
-            lines.append("connection: close")
-        elif old:
-            lines.append("connection: keep-alive")
-        connection.add_output("\r\n".join([*lines, "", ""]).encode("latin-1"))
+        connection.closing = connection.closing or self.stopping
+        connection.add_head(status, headers, length)
         self.metrics.answered(status)
 
     @handler("SendAnswer")
@@ -289,6 +276,11 @@
             connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             self.drop(connection)
 
+    @handler("CloseAfterAnswers")
+    def on_close_after_answers(self) -> None:
+        """Announce with each answer from now on that the connection closes."""
+        self.stopping = True
+
     @handler("CloseIdleCallers")
     def on_close_idle(self) -> None:
         """Accept no more connections and close those without a request."""
@@ -297,7 +289,6 @@
             self.poller.discard(self.listener)
             self.listener.close()
             self.listener = None
-        self.stopping = True
         for connection in list(self.connections.values()):
             if connection.state is CallerState.HEAD and not connection.head_started and not connection.out:
                 self.drop(connection)
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -126,8 +126,12 @@
         super().__init__(request_id)
 
 
+class CloseAfterAnswers(Message):
+    """Close each caller's connection after its next answer."""
+
+
 class CloseIdleCallers(Message):
-    """Close callers' connections as soon as no request is in progress on them."""
+    """Accept no more connections, and close those without a request in progress."""
 
 
 class StartAttempt(Message):
--- a/packages/limpetusher-router/src/limpetusher_router/process/admin.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/admin.py
@@ -10,6 +10,7 @@
 from circuits.web.wrappers import Request, Response
 
 from limpetusher.core.decision import DecisionCore
+from limpetusher_router.errors import RouterError
 from limpetusher_router.process.metrics import Metrics
 from limpetusher_router.settings import RouterSettings, split_address
 
@@ -24,7 +25,11 @@
     """circuits' web server without its banner on standard error."""
 
     def __init__(self, settings: RouterSettings):
-        super().__init__(split_address(settings.admin_address), channel=WEB)
+        try:
+            super().__init__(split_address(settings.admin_address), channel=WEB)
+        except OSError as error:
+            message = f"can't listen on admin address {settings.admin_address}: {error.strerror}"
+            raise RouterError(message) from error
 
     @handler("ready", override=True)
     def _on_ready(self, *_: object) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -15,12 +15,12 @@
 from limpetusher_router.connection.callers import CallerServer
 from limpetusher_router.connection.peers import PeerSockets
 from limpetusher_router.connection.targets import TargetClient
-from limpetusher_router.errors import RouterError
 from limpetusher_router.events import (
     CALLERS,
     CORE,
     PROCESS,
     REQUESTS,
+    CloseAfterAnswers,
     CloseIdleCallers,
     CoreInput,
     Due,
@@ -120,6 +120,7 @@
     def on_stop_signal(self, number: int, _stack: object) -> None:
         """Begin to stop; work in progress is finished first."""
         logger.info("received %s", signal.Signals(number).name)
+        self.fire(CloseAfterAnswers(), CALLERS)
         self.fire(CoreInput(StopRequested()), CORE)
 
     @handler("StopProcess")
@@ -174,10 +175,7 @@
 def run_router(settings: RouterSettings) -> int:
     """Run a router until it is stopped, and return the exit status."""
     set_up_logging(settings)
-    try:
-        process = RouterProcess(settings, clock=SystemClock())
-    except OSError as error:
-        raise RouterError(f"can't listen: {error}") from error
+    process = RouterProcess(settings, clock=SystemClock())
     process.run()
     process.peers.close()
     return 0 if process.finished else 1
--- a/tests/builders_router.py
+++ b/tests/builders_router.py
@@ -143,7 +143,7 @@
         self.requests: list[TargetConnection] = []
         self.socks: list[socket.socket] = []
         self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self) -> None:
@@ -187,7 +187,7 @@
 
     @property
     def url(self) -> str:
-        return "http://127.0.0.1:%d" % self.server_address[1]
+        return f"http://127.0.0.1:{self.server_address[1]}"
 
 
 class PlatformHandler(BaseHTTPRequestHandler):
@@ -195,7 +195,7 @@
 
     protocol_version = "HTTP/1.1"
 
-    def do_GET(self) -> None:  # noqa: N802 - the name is given by the library
+    def do_GET(self) -> None:
         if self.path.startswith("/hosts"):
             body = self.server.hosts
         else:
@@ -207,7 +207,8 @@
         self.send_response(200 if body else 204)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        with contextlib.suppress(ConnectionError):
+            self.wfile.write(body)
 
     def log_message(self, *_: object) -> None:
         pass
@@ -217,7 +218,7 @@
     """Return loopback addresses that are free at the moment."""
     with contextlib.ExitStack() as stack:
         socks = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(count)]
-        return ["127.0.0.1:%d" % sock.getsockname()[1] for sock in socks]
+        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in socks]
 
 
 class RouterRun:
--- a/tests/router/connection/test_callers.py
+++ b/tests/router/connection/test_callers.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+
 from builders_router import (
     answer_bytes,
     completions_body,
--- a/tests/router/connection/test_framing.py
+++ b/tests/router/connection/test_framing.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from limpetusher_router.connection.framing import (
     BodyReader,
     find_head,
@@ -82,7 +83,7 @@
 
 @pytest.mark.parametrize("data", [b"-5\r\n", b"0x5\r\n", b"1_0\r\n", b"\r\n", b"2\r\nabc\r\n", b"f" * 300])
 def test_malformed_chunks_are_refused(data):
-    """Guards against chunk sizes that Python's int() takes and HTTP does not, and against wrong chunk ends."""
+    """Guards against chunk sizes that int() takes and HTTP does not, and against wrong chunk ends."""
     with pytest.raises(FramingError):
         BodyReader(length=None, chunked=True).feed(data)
 
--- a/tests/router/connection/test_targets.py
+++ b/tests/router/connection/test_targets.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+
 from builders_router import (
     answer_bytes,
     completions_body,
@@ -192,7 +193,7 @@
 
 @pytest.mark.parametrize("script", [cut_before_answer, short_body, until_close, large_head, bad_chunk])
 def test_broken_answer_is_replaced_by_an_error(router, script):
-    """Guards against truncated, oversized or malformed answers being passed on, and against a false "not run"."""
+    """Guards against truncated, oversized or malformed answers that are passed on or called "not run"."""
     answer = ask(router, script)
     assert answer.startswith(b"HTTP/1.1 502 ")
     assert error_of(answer)["ran"] == "unknown"
@@ -224,7 +225,7 @@
 
 
 def test_slow_caller_stops_the_target(router):
-    """Guards against unbounded buffers: a caller that does not read stops the target, and is dropped in time."""
+    """Guards against unbounded buffers: a caller that does not read stops the target, then is dropped."""
     before = resident(router)
     with router.connect() as sock:
         sock.sendall(request_bytes(body=completions_body(user="endless", stream=True)))
--- /dev/null
+++ b/tests/router/process/test_router.py
@@ -0,0 +1,131 @@
+"""Tests of the start and the stop of the real process."""
+
+import contextlib
+import json
+import os
+import signal
+import threading
+import time
+
+import pytest
+
+from builders_router import (
+    answer_bytes,
+    completions_body,
+    error_of,
+    read_all,
+    request_bytes,
+    running_router,
+)
+
+pytestmark = [pytest.mark.integration, pytest.mark.timeout(60)]
+RESIDENT_LIMIT_BYTES = 64_000_000
+EVENT = b"data: {}\n\n"
+
+
+def run_script(connection) -> None:
+    """Stream for three seconds, answer a large body, or answer at once."""
+    body = json.loads(connection.body)
+    if body.get("stream"):
+        connection.send_stream_head()
+        for _ in range(30):
+            connection.send_chunk(EVENT)
+            time.sleep(0.1)
+        connection.send_chunk(b"data: [DONE]\n\n")
+        connection.send(b"0\r\n\r\n")
+    else:
+        connection.send(answer_bytes(b"x" * int(body.get("size", 1))))
+
+
+def test_stop_finishes_streams_and_refuses_new_requests(tmp_path):
+    """Guards against a planned stop that cuts off a stream, or refuses new requests other than as not run."""
+    with running_router(tmp_path, run_script) as run, run.connect() as stream, run.connect() as kept:
+        kept.sendall(request_bytes(body=completions_body()))
+        assert kept.recv(10_000).endswith(b"x")
+        stream.sendall(request_bytes(body=completions_body(stream=True)))
+        assert stream.recv(10_000)
+        run.process.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        assert run.page("/readyz")[0] == 503
+        kept.sendall(request_bytes(body=completions_body()))
+        for refused in (read_all(kept), run.exchange(request_bytes(body=completions_body()))):
+            assert refused.startswith(b"HTTP/1.1 503 ")
+            assert b"connection: close" in refused
+            assert error_of(refused)["ran"] == "no"
+        body = read_all(stream)
+        assert body.count(EVENT) + 2 >= 30
+        assert body.endswith(b"0\r\n\r\n")
+        assert run.process.wait(5) == 0
+
+
+def test_stop_waits_until_the_answer_is_read(tmp_path):
+    """Guards against an exit while a whole answer is still on its way to a slow caller."""
+    size = 20_000_000
+    with running_router(tmp_path, run_script, caller_buffer_bytes=2 * size) as run, run.connect() as sock:
+        sock.sendall(request_bytes(body=completions_body(size=size)))
+        time.sleep(0.5)
+        run.process.send_signal(signal.SIGTERM)
+        time.sleep(0.5)
+        assert len(read_all(sock).partition(b"\r\n\r\n")[2]) == size
+        assert run.process.wait(10) == 0
+
+
+def test_idle_router_stops_at_once(tmp_path):
+    """Guards against a stop that hangs or fails without work, on either signal."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        with running_router(tmp_path, run_script) as run:
+            run.process.send_signal(number)
+            assert run.process.wait(5) == 0
+            assert "traceback" not in run.log.read_text()
+
+
+def test_memory_and_idle_processor_time(tmp_path):
+    """Guards against imports and leaks above 64 MB, and against a loop that never sleeps."""
+    with running_router(tmp_path, run_script) as run:
+
+        def call() -> None:
+            for _ in range(50):
+                assert run.exchange(request_bytes(body=completions_body(), connection="close")).endswith(b"x")
+
+        threads = [threading.Thread(target=call) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert metric(run, "limpetusher_process_resident_memory_bytes") < RESIDENT_LIMIT_BYTES
+        before = metric(run, "limpetusher_process_cpu_seconds_total")
+        time.sleep(2)
+        assert metric(run, "limpetusher_process_cpu_seconds_total") - before < 0.2
+        assert 'limpetusher_answers_total{code="200"} 200' in run.page("/metrics")[1]
+
+
+def test_pause_beyond_the_grant(tmp_path):
+    """Guards against a router that, after a pause, sends under a grant that has expired."""
+    with running_router(tmp_path, run_script) as run, run.connect() as sock:
+        os.kill(run.process.pid, signal.SIGSTOP)
+        sock.sendall(request_bytes(body=completions_body(), connection="close"))
+        time.sleep(1.5)
+        os.kill(run.process.pid, signal.SIGCONT)
+        assert read_all(sock).endswith(b"x")
+        assert len(run.engine.requests) == 1
+
+
+def test_admin_pages(tmp_path):
+    """Guards against missing pages, and against pages that fail because of a type JSON does not know."""
+    with running_router(tmp_path, run_script) as run:
+        answer = run.exchange(request_bytes(body=completions_body(), connection="close"))
+        request_id = answer.partition(b"x-request-id: ")[2].split(b"\r\n")[0].decode()
+        assert json.loads(run.page(f"/explain/{request_id}")[1])["customer"] == "acme"
+        assert json.loads(run.page("/configuration")[1])["version"] == 1
+        assert json.loads(run.page("/status")[1])["ready"] is True
+        assert run.page("/healthz")[0] == 200
+        assert run.page("/explain/other")[0] == 404
+        assert run.page("/other")[0] == 404
+
+
+def metric(run, name: str) -> float:
+    with contextlib.suppress(StopIteration):
+        return float(
+            next(line.split()[1] for line in run.page("/metrics")[1].splitlines() if line.startswith(name))
+        )
+    return 0.0
--- a/tests/router/request/test_exchanges.py
+++ b/tests/router/request/test_exchanges.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+
 from builders_router import answer_bytes, completions_body, error_of, request_bytes, running_router
 
 pytestmark = [pytest.mark.integration, pytest.mark.timeout(60)]
@@ -36,7 +37,7 @@
 
 
 def test_request_is_forwarded(router):
-    """Guards against lost or forged fields: the target gets path, body, customer and trace, not the API key."""
+    """Guards against lost or forged fields: the target gets path, customer and trace, not the API key."""
     trace_id = "0af7651916cd43dd8448eb211c80319c"
     answer = dispatch(router, b"plain", traceparent=f"00-{trace_id}-b7ad6b7169203331-01", x_forged="1")
     assert answer.startswith(b"HTTP/1.1 201 ")
