--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -42,7 +42,7 @@
 from limpetusher.core.request.queue import RequestQueue
 from limpetusher.core.request.retry import RetryBudgets
 from limpetusher.core.settings import PolicySettings
-from limpetusher.core.status import CoreStatus, CustomerStatus, TargetStatus
+from limpetusher.core.status import CoreStatus, customer_statuses, target_statuses
 from limpetusher.core.version.rollout import Rollout
 from limpetusher.errors import ConfigurationError, PolicyError
 from limpetusher.events import Event
@@ -69,6 +69,8 @@
 SEQUENCES_PER_INCARNATION = 1 << 16
 INCARNATION_RANGE = 1 << 32
 DROP_LOG_INTERVAL_SECONDS = 1.0
+PAUSE_INTERVALS = 2.0
+"""A timer is due in each exchange interval; a longer time without inputs means that the process paused."""
 WITNESS_RETRY_SECONDS = 0.01
 
 
@@ -124,7 +126,7 @@
             now=started_at,
         )
         self.queue = RequestQueue(settings)
-        self.routes = Routes(own_id, membership, self.context.rollout)
+        self.routes = Routes(own_id, data_centre, membership, self.context.rollout)
         self.book = DemandBook(settings.grant_valid_seconds)
         self.backlog = Backlog()
         self.dispatcher = Dispatcher(self.context, self.routes, self.book, self.backlog)
@@ -141,6 +143,9 @@
             started_at=started_at,
             wall_offset_seconds=wall_offset_seconds,
         )
+        # Bound once, because access to a singledispatchmethod builds a new function each time.
+        self.dispatch_input = self.on_input
+        self.dispatch_payload = self.on_payload
         self.stop_at = math.inf
         self.stopped = False
         self.dropped_messages = 0
@@ -151,10 +156,12 @@
     def handle(self, message: Input, now: float) -> list[Action]:
         """Handle one input at monotonic time `now` and return the actions to carry out, in order."""
         context = self.context
+        if now - context.now > PAUSE_INTERVALS * context.settings.exchange_interval_seconds:
+            context.ledger.resumed()
         context.now = max(now, context.now)
         # What has expired while the process was paused is discarded before anything else is done.
         self.run_due()
-        self.on_input(message)
+        self.dispatch_input(message)
         self.settle()
         actions, context.actions = context.actions, []
         return actions
@@ -189,41 +196,18 @@
 
     def status(self) -> CoreStatus:
         """Return the present state."""
-        context = self.context
-        targets = tuple(
-            TargetStatus(
-                target_id,
-                context.ledger.limit(target_id),
-                context.ledger.count(target_id),
-                self.dispatcher.free_slots(target_id),
-                context.ledger.is_warm(target_id),
-                context.rollout.is_drained(target_id),
-            )
-            for target_id in self.owned_targets
-            if target_id in context.ledger.targets
-        )
-        configuration = context.rollout.configuration
-        customers = tuple(
-            CustomerStatus(
-                customer,
-                self.queue.customer_count(customer),
-                context.fairness.virtual_time(customer),
-                customer in context.fairness.backlogged,
-            )
-            for customer in (configuration.customers if configuration is not None else ())
-        )
         return CoreStatus(
-            own_id=context.own_id,
-            data_centre=context.data_centre,
-            ready=context.ready,
-            stopping=context.stopping,
-            configuration_version=context.rollout.order[0],
-            host_list_version=context.rollout.host_list_version,
+            own_id=self.context.own_id,
+            data_centre=self.context.data_centre,
+            ready=self.context.ready,
+            stopping=self.context.stopping,
+            configuration_version=self.context.rollout.order[0],
+            host_list_version=self.context.rollout.host_list_version,
             waiting=len(self.queue),
             running=len(self.lifecycle.running),
             reachable_peers=tuple(peer for peer, up in self.exchange.reachable.items() if up),
-            targets=targets,
-            customers=customers,
+            targets=target_statuses(self.context, self.dispatcher, self.owned_targets),
+            customers=customer_statuses(self.context, self.queue),
             dropped_messages=self.dropped_messages,
         )
 
@@ -245,7 +229,9 @@
 
     def settle(self) -> None:
         """Use the free slots and send the demands that the input has led to."""
-        self.backlog.replace(self.context.own_id, self.queue.customers())
+        if self.queue.customers_changed:
+            self.queue.customers_changed = False
+            self.backlog.replace(self.context.own_id, self.queue.customers())
         self.dispatcher.fill()
         self.offers.flush()
         if self.context.stopping and not self.lifecycle.records and not self.stopped:
@@ -331,10 +317,12 @@
         known = context.peers.incarnation(message.sender)
         foreign = message.sender == context.own_id or not context.is_router(message.sender)
         # The first heartbeat of a new incarnation makes it known; the other messages wait for it.
-        if foreign or (known not in (None, message.incarnation) and not isinstance(message.payload, Heartbeat)):
+        if foreign or (
+            known not in (None, message.incarnation) and not isinstance(message.payload, Heartbeat)
+        ):
             self.drop(message.sender, "unlisted sender" if foreign else "other incarnation")
             return
-        self.on_payload(message.payload, message.sender, message.incarnation)
+        self.dispatch_payload(message.payload, message.sender, message.incarnation)
 
     # Messages from peers
 
