--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -147,7 +147,8 @@
             return
         if count and not connection.sent:
             connection.sent = True
-            self.fire(AttemptSent(attempt.key), attempt.channel)
+            if attempt.send_before is not None:
+                self.fire(AttemptSent(attempt.key), attempt.channel)
         connection.unsent = connection.unsent[count:]
         self.watch_writing(connection, bool(connection.unsent))
 
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -163,7 +163,7 @@
 
 
 class AttemptSent(Message):
-    """The first byte of the request was sent: (key)."""
+    """The first byte of a request with a `send_before` was sent: (key)."""
 
     def __init__(self, key: Hashable):
         super().__init__(key)
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -2,6 +2,7 @@
 
 import os
 import resource
+from dataclasses import dataclass
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -16,6 +17,19 @@
         return int(source.read().split()[1]) * PAGE_BYTES
 
 
+@dataclass(slots=True)
+class Traffic:
+    """Messages and bytes in one direction."""
+
+    messages: int = 0
+    bytes: int = 0
+
+    def add(self, size: int) -> None:
+        """Count a message."""
+        self.messages += 1
+        self.bytes += size
+
+
 class Metrics:
     """All metrics of the router process, in a registry of their own."""
 
@@ -46,6 +60,8 @@
         self.peer_messages = counter("peer_messages_total", "Messages of peers by direction")
         self.peer_bytes = counter("peer_bytes_total", "Bytes of messages of peers by direction")
         self.peer_drops = counter("peer_messages_dropped_total", "Dropped messages by direction and reason")
+        # A counter of the library encodes its labels at each call, which is much for each message of a peer.
+        self.received, self.sent = Traffic(), Traffic()
         self.unrequested_answers = counter("unrequested_answers_total", "Answers without a request")
         self.handler_errors = counter("handler_errors_total", "Exceptions within handlers")
         self.processor_seconds = counter("process_cpu_seconds_total", "Processor time of the process")
@@ -57,13 +73,11 @@
 
     def peer_received(self, size: int) -> None:
         """Count a received message."""
-        self.peer_messages.inc({"direction": "received"})
-        self.peer_bytes.add({"direction": "received"}, size)
+        self.received.add(size)
 
     def peer_sent(self, size: int) -> None:
         """Count a sent message."""
-        self.peer_messages.inc({"direction": "sent"})
-        self.peer_bytes.add({"direction": "sent"}, size)
+        self.sent.add(size)
 
     def peer_dropped(self, direction: str, reason: str) -> None:
         """Count a dropped message."""
@@ -71,6 +85,9 @@
 
     def render(self) -> tuple[bytes, str]:
         """Return the text of all metrics and its content type."""
+        for direction, traffic in (("received", self.received), ("sent", self.sent)):
+            self.peer_messages.set({"direction": direction}, traffic.messages)
+            self.peer_bytes.set({"direction": direction}, traffic.bytes)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.processor_seconds.set({}, usage.ru_utime + usage.ru_stime)
         self.resident.set({}, resident_bytes())
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -1,5 +1,6 @@
 """The router process: its components, its start and its stop."""
 
+import gc
 import logging
 import random
 import signal
@@ -176,6 +177,9 @@
     """Run a router until it is stopped, and return the exit status."""
     set_up_logging(settings)
     process = RouterProcess(settings, clock=SystemClock())
+    # What exists now lives as long as the process, so later collections need not visit it.
+    gc.collect()
+    gc.freeze()
     process.run()
     process.peers.close()
     return 0 if process.finished else 1
