--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -17,6 +17,7 @@
     listen,
 )
 from limpetusher_router.connection.framing import BodyReader, find_head, parse_request_head
+from limpetusher_router.connection.keepalive import prepare
 from limpetusher_router.connection.timeouts import Timeouts
 from limpetusher_router.errors import FramingError
 from limpetusher_router.events import (
@@ -72,6 +73,8 @@
         self.metrics = metrics
         self.connections: dict[socket.socket, CallerConnection] = {}
         self.in_progress: dict[str, CallerConnection] = {}
+        self.idle: dict[CallerConnection, None] = {}
+        """Connections that wait for the first byte of a request, longest idle first."""
         self.stopping = False
         self.listener: socket.socket | None = listen(settings.caller_address)
         poller.addReader(self, self.listener)
@@ -119,17 +122,22 @@
                 self.poller.removeReader(self.listener)
                 self.deadlines.schedule_in(ACCEPT_PAUSE_SECONDS, Due(), CALLERS)
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            prepare(sock)
             connection = CallerConnection(sock)
+            if len(self.connections) >= self.settings.max_caller_connections and self.idle:
+                self.drop(next(iter(self.idle)))
             self.connections[sock] = connection
             self.poller.addReader(self, sock)
             if len(self.connections) > self.settings.max_caller_connections:
-                self.refuse(
-                    connection, FramingError(503, RefusalCode.NO_CAPACITY, "too many connections", 1.0)
-                )
+                error = FramingError(503, RefusalCode.NO_CAPACITY, "too many connections", 1.0)
+                self.refuse(connection, error)
             else:
-                self.timeouts.set(connection, self.settings.idle_timeout_seconds)
+                self.become_idle(connection)
+
+    def become_idle(self, connection: CallerConnection) -> None:
+        """Wait for the first byte of a request."""
+        self.idle[connection] = None
+        self.timeouts.set(connection, self.settings.idle_timeout_seconds)
 
     def read(self, connection: CallerConnection) -> None:
         """Read from a connection and hand on a request that is complete."""
@@ -165,6 +173,7 @@
             return
         if not connection.head_started:
             connection.head_started = True
+            self.idle.pop(connection, None)
             self.timeouts.set(connection, self.settings.header_timeout_seconds)
         length = find_head(buffer, self.settings.max_header_bytes)
         if length is None:
@@ -289,8 +298,8 @@
             self.poller.discard(self.listener)
             self.listener.close()
             self.listener = None
-        for connection in list(self.connections.values()):
-            if connection.state is CallerState.HEAD and not connection.head_started and not connection.out:
+        for connection in list(self.idle):
+            if not connection.out:
                 self.drop(connection)
 
     def finish(self, connection: CallerConnection) -> None:
@@ -303,7 +312,7 @@
             connection.buffer.clear()
         else:
             connection.state = CallerState.HEAD
-            self.timeouts.set(connection, self.settings.idle_timeout_seconds)
+            self.become_idle(connection)
         self.flush_output(connection)
         if connection.sock not in self.connections:
             return
@@ -363,6 +372,7 @@
         """Close a connection; the request in progress on it loses its caller."""
         if self.connections.pop(connection.sock, None) is None:
             return
+        self.idle.pop(connection, None)
         self.poller.discard(connection.sock)
         connection.sock.close()
         if connection.deadline is not None:
--- a/packages/limpetusher-router/src/limpetusher_router/connection/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/peers.py
@@ -89,6 +89,9 @@
             except pynng.NNGException as error:
                 logger.warning("receiving from peers failed: %s", error)
                 return
+            except RuntimeError:
+                # pynng fails to unpack an empty message, which it has taken off the queue.
+                frame = b""
             self.receive(frame)
 
     def receive(self, frame: bytes) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -11,6 +11,7 @@
 
 from limpetusher.clock import Clock
 from limpetusher_router.connection.framing import BodyReader, find_head, parse_answer_head
+from limpetusher_router.connection.keepalive import prepare
 from limpetusher_router.connection.target_connection import TargetConnection, TargetState
 from limpetusher_router.connection.timeouts import Timeouts
 from limpetusher_router.errors import FramingError
@@ -90,8 +91,7 @@
     def connect(self, attempt: Attempt) -> None:
         """Open a connection without waiting for it."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        prepare(sock)
         connection = TargetConnection(sock, attempt.address)
         connection.begin(attempt)
         result = sock.connect_ex(split_address(self.settings.reach(attempt.address)))
@@ -173,7 +173,8 @@
             if error:
                 self.broken(connection, errno.errorcode.get(error, str(error)))
                 return
-            self.poller.addReader(self, sock)
+            if not connection.paused:
+                self.poller.addReader(self, sock)
             self.begin(connection, connection.attempt)
         elif connection.state is TargetState.BUSY:
             self.send(connection)
@@ -279,7 +280,7 @@
             self.end(connection, end, detail)
             return
         connection.attempt = None
-        del self.exchanges[attempt.channel, attempt.key]
+        self.exchanges.pop((attempt.channel, attempt.key), None)
         self.close(connection)
         for kept in self.kept.pop(attempt.address, []):
             self.close(kept)
@@ -288,7 +289,7 @@
     def end(self, connection: TargetConnection, end: AttemptEnd, detail: str = "") -> None:
         """Report the end of an exchange and keep or close its connection."""
         attempt = connection.attempt
-        del self.exchanges[attempt.channel, attempt.key]
+        self.exchanges.pop((attempt.channel, attempt.key), None)
         unused = end is AttemptEnd.EXPIRED and connection.state is TargetState.BUSY
         if unused or (end is AttemptEnd.COMPLETE and connection.is_clean):
             self.keep(connection)
@@ -340,8 +341,9 @@
         connection = self.exchanges.get((channel, key))
         if connection is not None and not connection.paused:
             connection.paused = True
-            connection.due_at = math.inf
-            self.poller.removeReader(connection.sock)
+            if connection.state is TargetState.BUSY:
+                connection.due_at = math.inf
+                self.poller.removeReader(connection.sock)
 
     @handler("ContinueAttempt")
     def on_continue(self, key: Hashable, channel: str) -> None:
@@ -349,8 +351,9 @@
         connection = self.exchanges.get((channel, key))
         if connection is not None and connection.paused:
             connection.paused = False
-            self.poller.addReader(self, connection.sock)
-            self.timeouts.set(connection, self.idle_seconds(connection.attempt))
+            if connection.state is TargetState.BUSY:
+                self.poller.addReader(self, connection.sock)
+                self.timeouts.set(connection, self.idle_seconds(connection.attempt))
 
     @handler("Due")
     def on_due(self, connection: TargetConnection) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -3,6 +3,7 @@
 import gc
 import logging
 import random
+import resource
 import signal
 import types
 
@@ -114,7 +115,6 @@
     def on_started(self, _component: object) -> None:
         """Let the core ask for what it needs."""
         log_event(Event.ROUTER_STARTED, data_centre=self.settings.data_centre)
-        self.adapter.schedule_wakeup()
         self.fire(Due(), CORE)
 
     @handler("StopSignal")
@@ -173,9 +173,16 @@
     return subject if isinstance(subject, str) else None
 
 
+def allow_connections() -> None:
+    """Allow as many open files as the system lets this process have."""
+    _soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def run_router(settings: RouterSettings) -> int:
     """Run a router until it is stopped, and return the exit status."""
     set_up_logging(settings)
+    allow_connections()
     process = RouterProcess(settings, clock=SystemClock())
     # What exists now lives as long as the process, so later collections need not visit it.
     gc.collect()
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchange.py
@@ -47,6 +47,9 @@
     """Whether at least one byte was sent."""
     relay: Relay | None = None
     reported_at: float = 0.0
+    resumptions: int = 0
+    resuming: bool = False
+    """Whether the engine was asked for the rest of a stream and has not answered yet."""
 
 
 @dataclass(slots=True)
@@ -94,6 +97,13 @@
             idle_seconds=CANCEL_IDLE_SECONDS,
         )
 
+    def cost_so_far(self) -> float | None:
+        """Return the cost of an answer that is not whole, None when it is not known."""
+        relay = self.attempt.relay
+        if relay is None or not relay.is_stream:
+            return None
+        return self.request.prompt_cost + relay.generated_tokens
+
     def kept_answer(self, limit: int) -> KeptAnswer:
         """Return the whole answer to a request with an idempotency key if it is short enough for a replay."""
         relay = self.attempt.relay
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
@@ -43,6 +43,7 @@
 from limpetusher_router.request.exchange import NOTHING_KEPT, Exchange, KeptAnswer, TargetAttempt
 from limpetusher_router.request.parsing import parse_service_request
 from limpetusher_router.request.relay import Relay
+from limpetusher_router.request.resumption import continues, may_resume, resumption
 from limpetusher_router.settings import RouterSettings
 
 NOT_READY_RETRY_SECONDS = 1.0
@@ -139,7 +140,8 @@
         """Send a request to a target."""
         exchange = self.exchanges.get(action.request_id)
         if exchange is None:
-            self.end_unsent(action)
+            ended = ResponseEnded(action.request_id, action.attempt, Outcome.NOT_SENT)
+            self.fire(CoreInput(ended), CORE)
             return
         now = self.clock.monotonic()
         exchange.attempt = TargetAttempt(action.attempt, action.target_id, action.address, now)
@@ -159,11 +161,6 @@
         )
         self.fire(StartAttempt(attempt), TARGETS)
 
-    def end_unsent(self, action: Dispatch) -> None:
-        """Hand back a dispatch whose request has gone."""
-        ended = ResponseEnded(action.request_id, action.attempt, Outcome.NOT_SENT)
-        self.fire(CoreInput(ended), CORE)
-
     @carry_out.register
     def cancel(self, action: CancelDispatch) -> None:
         """Cancel an attempt at its target."""
@@ -175,7 +172,7 @@
         if attempt.sent and exchange.request.is_engine:
             self.fire(StartAttempt(exchange.stream_cancellation()), TARGETS)
         outcome = Outcome.CANCELLED if attempt.sent else Outcome.NOT_SENT
-        self.end_attempt(exchange, outcome, cost=self.cost_so_far(exchange))
+        self.end_attempt(exchange, outcome, cost=exchange.cost_so_far())
         if exchange.caller_lost:
             self.close(exchange, status=0)
 
@@ -231,8 +228,16 @@
     def on_answer_started(self, key: AttemptKey, head: AnswerHead) -> None:
         """Begin to relay an answer."""
         exchange = self.find(key)
-        if exchange is not None:
-            exchange.attempt.relay = Relay(head)
+        if exchange is None:
+            return
+        attempt = exchange.attempt
+        if not attempt.resuming:
+            attempt.relay = Relay(head)
+        elif continues(exchange, head):
+            attempt.resuming = False
+        else:
+            self.fire(StopAttempt(key, REQUESTS), TARGETS)
+            self.end_cut(exchange)
 
     @handler("AnswerPart")
     def on_answer_part(self, key: AttemptKey, data: bytes) -> None:
@@ -272,16 +277,9 @@
         ):
             return
         attempt.reported_at = now
-        cost = self.cost_so_far(exchange)
+        cost = exchange.cost_so_far()
         self.fire(CoreInput(ResponseProgress(exchange.request_id, attempt.number, cost)), CORE)
 
-    def cost_so_far(self, exchange: Exchange) -> float | None:
-        """Return the cost of an answer that is not whole, None when it is not known."""
-        relay = exchange.attempt.relay
-        if relay is None or not relay.is_stream:
-            return None
-        return exchange.request.prompt_cost + relay.generated_tokens
-
     @handler("AnswerEnded")
     def on_answer_ended(self, key: AttemptKey, end: AttemptEnd, detail: str) -> None:
         """Finish an answer, or tell the core how the attempt failed."""
@@ -289,20 +287,31 @@
         if exchange is None:
             return
         relay = exchange.attempt.relay
-        if end in (AttemptEnd.EXPIRED, AttemptEnd.UNREACHABLE):
+        if relay is not None and end is AttemptEnd.UNREACHABLE:
+            self.end_cut(exchange)
+        elif end in (AttemptEnd.EXPIRED, AttemptEnd.UNREACHABLE):
             logger.debug("attempt %s not sent: %s", key, detail)
             self.end_attempt(exchange, Outcome.NOT_SENT)
         elif relay is None:
             self.end_attempt(exchange, Outcome.CUT_BEFORE_OUTPUT)
         elif relay.done or (end is AttemptEnd.COMPLETE and not relay.is_stream):
             self.finish(exchange, relay)
+        elif may_resume(exchange, end):
+            self.fire(StartAttempt(resumption(exchange)), TARGETS)
+            if exchange.blocked:
+                self.fire(PauseAttempt(key, REQUESTS), TARGETS)
         else:
             logger.debug("attempt %s cut: %s", key, detail)
-            outcome = Outcome.CUT_AFTER_OUTPUT if exchange.answer_begun else Outcome.CUT_BEFORE_OUTPUT
-            self.end_attempt(exchange, outcome, cost=self.cost_so_far(exchange), status=relay.head.status)
+            self.end_cut(exchange)
         if exchange.caller_lost:
             self.close(exchange, status=0)
 
+    def end_cut(self, exchange: Exchange) -> None:
+        """Tell the core that an answer broke off."""
+        outcome = Outcome.CUT_AFTER_OUTPUT if exchange.answer_begun else Outcome.CUT_BEFORE_OUTPUT
+        status = exchange.attempt.relay.head.status
+        self.end_attempt(exchange, outcome, cost=exchange.cost_so_far(), status=status)
+
     def finish(self, exchange: Exchange, relay: Relay) -> None:
         """Finish a whole answer."""
         status = relay.head.status
@@ -351,6 +360,7 @@
         """Stop reading the answer for a slow caller."""
         exchange = self.exchanges.get(request_id)
         if exchange is not None and exchange.attempt is not None:
+            exchange.blocked = True
             self.fire(PauseAttempt((request_id, exchange.attempt.number), REQUESTS), TARGETS)
 
     @handler("CallerUnblocked")
@@ -358,6 +368,7 @@
         """Go on reading the answer for a slow caller."""
         exchange = self.exchanges.get(request_id)
         if exchange is not None and exchange.attempt is not None:
+            exchange.blocked = False
             self.fire(ContinueAttempt((request_id, exchange.attempt.number), REQUESTS), TARGETS)
 
     def close(self, exchange: Exchange, *, status: int) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/settings.py
+++ b/packages/limpetusher-router/src/limpetusher_router/settings.py
@@ -75,11 +75,12 @@
     caller_buffer_bytes
         Bytes of an answer that are kept for a slow caller before reading from the target stops.
     max_caller_connections
-        Largest number of open caller connections.
+        Largest number of open caller connections; above it, idle connections are closed first.
     connect_timeout_seconds
         Time for connecting to a target or to the platform.
     target_idle_timeout_seconds
-        Time that a target may be silent while it answers.
+        Time that a target may be silent while it answers. A plain answer is silent until it is whole. Hosts
+        that have gone are noticed earlier, by TCP keep-alive.
     watch_wait_seconds
         Time that the platform holds a configuration watch open.
     host_poll_seconds
@@ -107,9 +108,9 @@
     header_timeout_seconds: float = 10.0
     idle_timeout_seconds: float = 60.0
     caller_buffer_bytes: int = 262_144
-    max_caller_connections: int = 2_000
+    max_caller_connections: int = 4_000
     connect_timeout_seconds: float = 1.0
-    target_idle_timeout_seconds: float = 120.0
+    target_idle_timeout_seconds: float = 600.0
     watch_wait_seconds: float = 10.0
     host_poll_seconds: float = 1.0
     load_poll_seconds: float = 0.25
