--- a/tests/router/request/test_exchanges.py
+++ b/tests/router/request/test_exchanges.py
@@ -27,7 +27,7 @@
 
 @pytest.fixture(scope="module")
 def router(tmp_path_factory):
-    with running_router(tmp_path_factory.mktemp("exchanges"), run_script) as run:
+    with running_router(tmp_path_factory.mktemp("exchanges"), run_script, trace_output="true") as run:
         yield run
         assert "traceback" not in run.log.read_text()
 
@@ -49,6 +49,13 @@
     assert "b7ad6b7169203331" not in head
     assert "authorization" not in head
     assert "x-forged" not in head
+    lines = [json.loads(line)["message"] for line in router.log.read_text().splitlines()]
+    spans = [json.loads(line.removeprefix("span ")) for line in lines if line.startswith("span ")]
+    mine = {span["span"]: span for span in spans if span["trace_id"] == trace_id}
+    assert set(mine) == {"request", "queue wait", "target attempt"}
+    assert mine["request"]["parent_id"] == "b7ad6b7169203331"
+    assert mine["target attempt"]["parent_id"] == mine["request"]["span_id"]
+    assert mine["target attempt"]["attributes"] == {"target_id": "target-crews", "outcome": "complete"}
 
 
 def test_call_without_key_is_sent_once(router):
