--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -126,8 +126,12 @@
         super().__init__(request_id)
 
 
+class CloseAfterAnswers(Message):
+    """Close each caller's connection after its next answer."""
+
+
 class CloseIdleCallers(Message):
-    """Close callers' connections as soon as no request is in progress on them."""
+    """Accept no more connections, and close those without a request in progress."""
 
 
 class StartAttempt(Message):
@@ -159,7 +163,7 @@
 
 
 class AttemptSent(Message):
-    """The first byte of the request was sent: (key)."""
+    """The first byte of a request with a `send_before` was sent: (key)."""
 
     def __init__(self, key: Hashable):
         super().__init__(key)
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -1,7 +1,9 @@
 """The router process: its components, its start and its stop."""
 
+import gc
 import logging
 import random
+import resource
 import signal
 import types
 
@@ -15,12 +17,12 @@
 from limpetusher_router.connection.callers import CallerServer
 from limpetusher_router.connection.peers import PeerSockets
 from limpetusher_router.connection.targets import TargetClient
-from limpetusher_router.errors import RouterError
 from limpetusher_router.events import (
     CALLERS,
     CORE,
     PROCESS,
     REQUESTS,
+    CloseAfterAnswers,
     CloseIdleCallers,
     CoreInput,
     Due,
@@ -113,13 +115,13 @@
     def on_started(self, _component: object) -> None:
         """Let the core ask for what it needs."""
         log_event(Event.ROUTER_STARTED, data_centre=self.settings.data_centre)
-        self.adapter.schedule_wakeup()
         self.fire(Due(), CORE)
 
     @handler("StopSignal")
     def on_stop_signal(self, number: int, _stack: object) -> None:
         """Begin to stop; work in progress is finished first."""
         logger.info("received %s", signal.Signals(number).name)
+        self.fire(CloseAfterAnswers(), CALLERS)
         self.fire(CoreInput(StopRequested()), CORE)
 
     @handler("StopProcess")
@@ -171,13 +173,20 @@
     return subject if isinstance(subject, str) else None
 
 
+def allow_connections() -> None:
+    """Allow as many open files as the system lets this process have."""
+    _soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def run_router(settings: RouterSettings) -> int:
     """Run a router until it is stopped, and return the exit status."""
     set_up_logging(settings)
-    try:
-        process = RouterProcess(settings, clock=SystemClock())
-    except OSError as error:
-        raise RouterError(f"can't listen: {error}") from error
+    allow_connections()
+    process = RouterProcess(settings, clock=SystemClock())
+    # What exists now lives as long as the process, so later collections need not visit it.
+    gc.collect()
+    gc.freeze()
     process.run()
     process.peers.close()
     return 0 if process.finished else 1
--- a/tests/builders_router.py
+++ b/tests/builders_router.py
@@ -122,9 +122,11 @@
         """Send bytes as they are."""
         self.sock.sendall(data)
 
-    def send_stream_head(self) -> None:
+    def send_stream_head(self, **headers: str) -> None:
         """Send the head of a chunked event stream."""
-        self.send(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n")
+        lines = ["HTTP/1.1 200 OK", "content-type: text/event-stream", "transfer-encoding: chunked"]
+        lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+        self.send("\r\n".join([*lines, "", ""]).encode())
 
     def send_chunk(self, data: bytes) -> None:
         """Send one chunk."""
@@ -143,7 +145,7 @@
         self.requests: list[TargetConnection] = []
         self.socks: list[socket.socket] = []
         self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self) -> None:
@@ -179,15 +181,16 @@
 
     daemon_threads = True
 
-    def __init__(self):
-        super().__init__(("127.0.0.1", 0), PlatformHandler)
+    def __init__(self, address: tuple[str, int] = ("127.0.0.1", 0)):
+        super().__init__(address, PlatformHandler)
         self.configuration = json.dumps(configuration_document()).encode()
         self.hosts = b""
+        self.is_down = False
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     @property
     def url(self) -> str:
-        return "http://127.0.0.1:%d" % self.server_address[1]
+        return f"http://127.0.0.1:{self.server_address[1]}"
 
 
 class PlatformHandler(BaseHTTPRequestHandler):
@@ -195,7 +198,10 @@
 
     protocol_version = "HTTP/1.1"
 
-    def do_GET(self) -> None:  # noqa: N802 - the name is given by the library
+    def do_GET(self) -> None:
+        if self.server.is_down:
+            self.close_connection = True
+            return
         if self.path.startswith("/hosts"):
             body = self.server.hosts
         else:
@@ -207,7 +213,8 @@
         self.send_response(200 if body else 204)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        with contextlib.suppress(ConnectionError):
+            self.wfile.write(body)
 
     def log_message(self, *_: object) -> None:
         pass
@@ -217,7 +224,7 @@
     """Return loopback addresses that are free at the moment."""
     with contextlib.ExitStack() as stack:
         socks = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(count)]
-        return ["127.0.0.1:%d" % sock.getsockname()[1] for sock in socks]
+        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in socks]
 
 
 class RouterRun:
@@ -263,6 +270,18 @@
         except OSError:
             return 0, ""
 
+    def stop_platform(self) -> None:
+        """Stop the platform; its connections break at the next request."""
+        self.platform.is_down = True
+        self.platform.shutdown()
+        self.platform.server_close()
+
+    def restart_platform(self, address: tuple[str, int], document: bytes) -> None:
+        """Start the platform again at its address, with a configuration and the same host list."""
+        hosts = self.platform.hosts
+        self.platform = ScriptedPlatform(address)
+        self.platform.configuration, self.platform.hosts = document, hosts
+
     def connect(self) -> socket.socket:
         """Return a caller's connection."""
         host, port = self.caller.split(":")
