--- a/packages/limpetusher-core/src/limpetusher/core/connection/peers.py
+++ b/packages/limpetusher-core/src/limpetusher/core/connection/peers.py
@@ -136,6 +136,15 @@
         state = self.states.get(peer)
         return None if state is None else state.incarnation
 
+    def long_silent(self, now: float) -> tuple[str, ...]:
+        """Return the peers whose service history may be forgotten."""
+        limit = self.settings.peer_forget_seconds
+        return tuple(
+            peer
+            for peer, state in self.states.items()
+            if state.heard_at is not None and now - state.heard_at >= limit
+        )
+
     def forget_unlisted(self, host_ids: Container[str]) -> tuple[str, ...]:
         """Drop the state of peers that are not in `host_ids` and return them."""
         forgotten = tuple(peer for peer in self.states if peer not in host_ids)
