--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -205,10 +205,10 @@
             self.queue.customers_changed = False
             self.backlog.replace(self.context.own_id, self.queue.customers())
         self.dispatcher.fill()
-        self.offers.flush()
+        self.offers.sender.flush()
         if self.context.stopping and not self.lifecycle.records and not self.stopped:
             self.stopped = True
-            self.offers.withdraw_all()
+            self.offers.sender.withdraw_all()
             self.context.log(Event.ROUTER_STOPPED)
             self.context.actions.append(Stopped())
 
--- a/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
@@ -66,29 +66,39 @@
     def replace(self, holder: str, message: Demand, now: float) -> tuple[str, ...]:
         """Take a router's newest demand and return the services it asks for.
 
-        A grant that was neither confirmed by `last_grant` nor used within its validity was lost.
+        A partial demand changes only the buckets that it names. A grant that was neither confirmed by
+        `last_grant` nor used within its validity was lost.
         """
         demand = self.holder(holder)
         if message.sequence <= demand.sequence:
             return ()
         demand.sequence = message.sequence
-        demand.in_flight = {
-            number: grant
-            for number, grant in demand.in_flight.items()
-            if number > message.last_grant and now - grant.issued_at < self.grant_valid_seconds
-        }
-        for line in demand.lines.values():
-            self.unlist(line)
-        demand.lines = {}
+        self.confirm_grants(demand, message.last_grant, now)
+        if not message.partial:
+            for line in demand.lines.values():
+                self.unlist(line)
+            demand.lines = {}
         for entry in message.entries:
-            bucket = Bucket(entry.customer, entry.service)
-            demand.lines[bucket] = line_of(entry, holder, now)
-        for grant in demand.in_flight.values():
-            if grant.bucket in demand.lines:
-                demand.lines[grant.bucket].in_flight += 1
-        for line in demand.lines.values():
-            self.relist(line)
-        return tuple(dict.fromkeys(bucket.service for bucket in demand.lines))
+            line = line_of(entry, holder, now)
+            self.remove_line(holder, line.bucket)
+            if line.waiting > 0:
+                line.in_flight = sum(grant.bucket == line.bucket for grant in demand.in_flight.values())
+                demand.lines[line.bucket] = line
+                self.relist(line)
+        return tuple(dict.fromkeys(entry.service for entry in message.entries))
+
+    def confirm_grants(self, demand: HolderDemand, last_grant: int, now: float) -> None:
+        """Forget the grants that have arrived or were lost."""
+        for number, grant in list(demand.in_flight.items()):
+            if number <= last_grant or now - grant.issued_at >= self.grant_valid_seconds:
+                del demand.in_flight[number]
+                line = demand.lines.get(grant.bucket)
+                if line is not None and line.in_flight > 0:
+                    line.in_flight -= 1
+                    if number <= last_grant:
+                        # The router has used or returned it, and counts it no longer.
+                        line.waiting -= 1
+                    self.relist(line)
 
     def set_line(self, entry: DemandEntry, holder: str, now: float) -> None:
         """Set one line of the own router, whose grants are used at once."""
--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -82,7 +82,7 @@
             self.next_orders = now + ORDER_INTERVAL_SECONDS
             self.order()
         self.lifecycle.refuse_hopeless()
-        self.offers.refresh()
+        self.offers.sender.repeat()
         self.wake_targets()
 
     def wake_targets(self) -> None:
@@ -116,7 +116,7 @@
         self.unheard_since[peer] = context.now + context.settings.peer_forget_seconds
         self.dispatcher.drop_demand(peer)
         self.backlog.drop(peer)
-        self.offers.forget(peer)
+        self.offers.sender.forget(peer)
         context.log(Event.PEER_UNREACHABLE, peer=peer)
 
     def update_leaving(self) -> bool:
@@ -263,7 +263,7 @@
             return
         if change.restarted:
             self.dispatcher.drop_demand(sender)
-            self.offers.forget(sender)
+            self.offers.sender.forget(sender)
             context.fairness.peer_restarted(sender)
         self.found(sender)
         context.shares.accept(
@@ -313,4 +313,4 @@
             self.unheard_since.pop(peer, None)
             self.dispatcher.drop_demand(peer)
             self.backlog.drop(peer)
-            self.offers.forget(peer)
+            self.offers.sender.forget(peer)
--- a/packages/limpetusher-core/src/limpetusher/core/process/offers.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/offers.py
@@ -1,49 +1,19 @@
-"""Demand sent to owners: the first offer of a request, its spread, withdrawal and refresh.
-
-What each owner was told is kept by bucket. A demand is sent at once when an owner knows of no waiting
-request of a bucket that has one, a little later when all requests of a bucket are gone, and at intervals
-while requests wait. Changes of a count in between cause no message: an owner counts its own grants down by
-itself.
-"""
+"""Which owners hear of which waiting requests: first offer, spread and withdrawal."""
 
 import math
 from collections import deque
+from collections.abc import Iterator
 
 from limpetusher.core.context import Context
+from limpetusher.core.process.demand_sender import DemandSender
 from limpetusher.core.process.dispatch import Dispatcher
 from limpetusher.core.process.routes import Routes
 from limpetusher.core.request.explanation import Step
 from limpetusher.core.request.queue import RequestQueue
 from limpetusher.core.request.record import Bucket, RequestRecord
-from limpetusher.wire.messages import Demand, DemandEntry
+from limpetusher.wire.messages import DemandEntry
 
-WITHDRAW_DELAY_SECONDS = 0.01
 MAXIMUM_PREFERRED = 4
-DEMANDS_PER_SECOND = 100.0
-DEMAND_BURST = 50.0
-"""Both bound the control traffic of a router whose requests wait at many owners."""
-
-
-class SendAllowance:
-    """Limits how often demands are sent; first offers may exceed it, and the others then wait."""
-
-    def __init__(self, now: float):
-        self.tokens = DEMAND_BURST
-        self.updated_at = now
-
-    def available(self, now: float) -> bool:
-        """Return whether a demand may be sent now."""
-        return self.available_at() <= now
-
-    def available_at(self) -> float:
-        """Return when a demand may be sent."""
-        return self.updated_at + max(0.0, 1.0 - self.tokens) / DEMANDS_PER_SECOND
-
-    def spend(self, now: float) -> None:
-        """Count a demand that is sent."""
-        earned = (now - self.updated_at) * DEMANDS_PER_SECOND
-        self.tokens = min(DEMAND_BURST, self.tokens + earned) - 1.0
-        self.updated_at = now
 
 
 class Offers:
@@ -69,19 +39,10 @@
         self.book = dispatcher.book
         self.narrow: dict[Bucket, dict[str, int]] = {}
         """Number of requests offered to one owner only, by bucket and owner."""
-        self.told: dict[str, dict[Bucket, int]] = {}
-        """Number of waiting requests that each owner believes in, by owner and bucket."""
-        self.told_owners: dict[Bucket, dict[str, None]] = {}
         self.spread_times: deque[tuple[float, RequestRecord]] = deque()
-        self.first_offers: dict[str, None] = {}
-        self.outdated: dict[str, None] = {}
-        """Owners whose knowledge has to be brought up to date as the rate of messages allows."""
-        self.allowance = SendAllowance(context.now)
-        self.withdraw_at: dict[str, float] = {}
-        self.last_grant: dict[str, int] = {}
         self.free_slots: dict[str, int] = {}
         """Free slots of other owners' targets, as last heard of and reduced by offers made since."""
-        self.refresh_at = -math.inf
+        self.sender = DemandSender(context, self.entry, self.buckets_for, self.has_free_slots)
 
     def offer(self, record: RequestRecord) -> None:
         """Offer a request that has just been queued."""
@@ -94,14 +55,15 @@
             narrow[owner] = narrow.get(owner, 0) + 1
             self.spread_times.append((now + self.context.settings.demand_spread_seconds, record))
             self.context.explain(record.request_id, Step.OFFERED, owner)
-            self.touch(record.bucket, owner)
-            if owner in self.outdated:
-                self.first_offers[owner] = None
+            if owner == self.context.own_id:
+                self.enter_own(record.bucket)
+            else:
+                self.sender.first_offer(owner, record.bucket)
         else:
             # Owners that already know of waiting requests of this bucket need no message.
             record.offered_to = None
             self.context.explain(record.request_id, Step.SPREAD)
-            self.touch_all(record.bucket)
+            self.tell_all(record.bucket)
 
     def first_owner(self, record: RequestRecord, owners: dict[str, tuple[str, ...]]) -> str:
         """Choose the owner that hears of a request first.
@@ -142,7 +104,7 @@
                 continue
             self.widen(record)
             self.context.explain(record.request_id, Step.SPREAD)
-            self.touch_all(record.bucket)
+            self.tell_all(record.bucket)
 
     def widen(self, record: RequestRecord) -> None:
         """Count a request as offered to all owners."""
@@ -156,24 +118,18 @@
         if not narrow:
             del self.narrow[record.bucket]
 
-    def removed(self, record: RequestRecord) -> None:
-        """Correct the offers after a request has left the queue."""
+    def removed(self, record: RequestRecord, *, granted_by: str | None = None) -> None:
+        """Correct the offers after a request has left the queue, by a grant of the given owner if any."""
         self.widen(record)
         bucket = record.bucket
-        for owner in list(self.told_owners.get(bucket, ())):
-            self.touch(bucket, owner)
-        self.touch(bucket, self.context.own_id)
-
-    def received_grant(self, owner: str, number: int) -> None:
-        """Take note of a grant's number, so that the owner does not count it as on its way any more."""
-        self.last_grant[owner] = max(self.last_grant.get(owner, 0), number)
-
-    def used_grant(self, owner: str, bucket: Bucket) -> None:
-        """Take note that the owner counts one waiting request less, because a grant of it was used."""
-        told = self.told.get(owner)
-        if told and bucket in told:
-            self.set_told(owner, bucket, told[bucket] - 1)
-            self.touch(bucket, owner)
+        if granted_by not in (None, self.context.own_id):
+            self.sender.count_down(granted_by, bucket)
+            if self.count_for(granted_by, bucket) > 0:
+                self.sender.unknown_to((granted_by,), bucket)
+        for owner in list(self.sender.told_owners.get(bucket, ())):
+            if self.count_for(owner, bucket) <= 0:
+                self.sender.withdraw(owner, bucket)
+        self.enter_own(bucket)
 
     def spread_count(self, bucket: Bucket, *, excluding: int = 0) -> int:
         """Return how many waiting requests are offered to all owners; `excluding` of them are not counted."""
@@ -185,38 +141,27 @@
             return 0
         return self.spread_count(bucket) + self.narrow.get(bucket, {}).get(owner, 0)
 
-    def touch(self, bucket: Bucket, owner: str) -> None:
-        """Plan a message if what the owner knows of the bucket differs too much from what it should know."""
-        count = self.count_for(owner, bucket)
-        if owner == self.context.own_id:
-            self.enter_own(bucket, count)
-            return
-        told = self.told.get(owner, {}).get(bucket, 0)
-        if count > 0 and told <= 0:
-            self.outdated[owner] = None
-        elif count <= 0 and told > 0:
-            self.withdraw_at.setdefault(owner, self.context.now + WITHDRAW_DELAY_SECONDS)
-
-    def touch_all(self, bucket: Bucket) -> None:
-        """Do the same as `touch` for all owners after a request was offered to all of them."""
-        told = self.told_owners.get(bucket, {})
+    def tell_all(self, bucket: Bucket) -> None:
+        """Tell all owners of a request that is offered to all of them."""
         if self.spread_count(bucket) > 0:
             owners = self.routes.owners(bucket.service)
-            self.outdated.update((owner, None) for owner in owners if owner not in told)
-            self.outdated.pop(self.context.own_id, None)
-        self.touch(bucket, self.context.own_id)
+            self.sender.unknown_to((owner for owner in owners if owner != self.context.own_id), bucket)
+        self.enter_own(bucket)
 
-    def enter_own(self, bucket: Bucket, count: int) -> None:
+    def enter_own(self, bucket: Bucket) -> None:
         """Enter the bucket in the own demand book."""
         own_id = self.context.own_id
-        if count <= 0:
+        if self.count_for(own_id, bucket) <= 0:
             self.book.remove_line(own_id, bucket)
             return
-        self.book.set_line(self.entry(own_id, bucket, count), own_id, self.context.now)
+        self.book.set_line(self.entry(own_id, bucket), own_id, self.context.now)
         self.context.wanted_services[bucket.service] = None
 
-    def entry(self, owner: str, bucket: Bucket, count: int) -> DemandEntry:
+    def entry(self, owner: str, bucket: Bucket) -> DemandEntry:
         """Return what to tell an owner about a bucket; costs are those of the oldest request."""
+        count = self.count_for(owner, bucket)
+        if count <= 0:
+            return DemandEntry(bucket.service, bucket.customer, 0, 0.0)
         oldest = self.queue.buckets[bucket].oldest()
         return DemandEntry(
             service=bucket.service,
@@ -228,6 +173,20 @@
             cost_hint=oldest.request.cost_hint,
         )
 
+    def buckets_for(self, owner: str) -> Iterator[Bucket]:
+        """Return the buckets with waiting requests that the owner has targets for."""
+        for service in self.routes.services_of.get(owner, ()):
+            yield from self.queue.by_service.get(service, ())
+
+    def has_free_slots(self, owner: str) -> bool:
+        """Return whether the owner has free slots for a service that is waited for."""
+        return any(
+            self.free_slots.get(target_id, 0) > 0
+            for service in self.routes.services_of.get(owner, ())
+            if service in self.queue.by_service
+            for target_id in self.routes.owners(service)[owner]
+        )
+
     def preferred(self, bucket: Bucket, owner: str) -> tuple[str, ...]:
         """Return the owner's targets that waiting requests of the bucket prefer."""
         owner_of = self.routes.owner_of
@@ -235,67 +194,6 @@
         targets = (target_id for target_id in preferring if owner_of.get(target_id) == owner)
         return tuple(target_id for _, target_id in zip(range(MAXIMUM_PREFERRED), targets, strict=False))
 
-    def set_told(self, owner: str, bucket: Bucket, count: int) -> None:
-        """Record what the owner believes after a message or grant."""
-        if count > 0:
-            self.told.setdefault(owner, {})[bucket] = count
-            self.told_owners.setdefault(bucket, {})[owner] = None
-            return
-        told = self.told.get(owner)
-        if told is not None and told.pop(bucket, None) is not None:
-            if not told:
-                del self.told[owner]
-            owners = self.told_owners[bucket]
-            del owners[owner]
-            if not owners:
-                del self.told_owners[bucket]
-
-    def send(self, owner: str) -> None:
-        """Send the owner the present demand."""
-        context, now = self.context, self.context.now
-        self.first_offers.pop(owner, None)
-        self.outdated.pop(owner, None)
-        self.withdraw_at.pop(owner, None)
-        for bucket in list(self.told.get(owner, ())):
-            self.set_told(owner, bucket, 0)
-        entries = []
-        for service in self.routes.services_of.get(owner, ()):
-            for bucket in self.queue.by_service.get(service, ()):
-                count = self.count_for(owner, bucket)
-                if count > 0:
-                    entries.append(self.entry(owner, bucket, count))
-                    self.set_told(owner, bucket, count)
-        sequence = context.peers.next_sequence(owner, now)
-        context.send(owner, Demand(sequence, self.last_grant.get(owner, 0), tuple(entries)))
-
-    def flush(self) -> None:
-        """Send the demands that are due: first offers at once, the others as the rate of messages allows."""
-        now = self.context.now
-        for owner in list(self.first_offers):
-            self.allowance.spend(now)
-            self.send(owner)
-        if self.withdraw_at:
-            for owner in [owner for owner, due in self.withdraw_at.items() if due <= now]:
-                self.outdated[owner] = None
-        for owner in list(self.outdated):
-            if not self.allowance.available(now):
-                break
-            self.allowance.spend(now)
-            self.send(owner)
-
-    def withdraw_all(self) -> None:
-        """Withdraw all demand at once, because this router stops."""
-        for owner in list(self.told):
-            self.send(owner)
-
-    def refresh(self) -> None:
-        """Repeat the demand to all owners, because messages may be lost and counts have changed since."""
-        now = self.context.now
-        if now < self.refresh_at or not self.told:
-            return
-        self.refresh_at = now + 2.0 * len(self.told) / DEMANDS_PER_SECOND
-        self.outdated.update(dict.fromkeys(self.told))
-
     def owners_changed(self) -> None:
         """Offer the waiting requests again after the owners of some targets have changed."""
         owners_now: dict[str, None] = {}
@@ -309,28 +207,17 @@
                         record.offered_to = None
                     break
             owners_now.update(dict.fromkeys(owners))
-            self.touch_all(bucket)
-        for owner in [owner for owner in self.told if owner not in owners_now]:
-            self.withdraw_at.setdefault(owner, self.context.now)
-
-    def forget(self, owner: str) -> None:
-        """Forget what a router was told that has restarted, is unreachable or is no longer listed."""
-        for bucket in list(self.told.get(owner, ())):
-            self.set_told(owner, bucket, 0)
-        self.last_grant.pop(owner, None)
-        self.first_offers.pop(owner, None)
-        self.outdated.pop(owner, None)
-        self.withdraw_at.pop(owner, None)
+            self.tell_all(bucket)
+        for owner in self.sender.told:
+            if owner not in owners_now:
+                self.sender.repeated[owner] = None
 
     def next_due(self) -> float:
         """Return when the next demand, spread or withdrawal is due."""
         while self.spread_times and not self.pending(self.spread_times[0][1]):
             self.spread_times.popleft()
         spread = self.spread_times[0][0] if self.spread_times else math.inf
-        demand = self.allowance.available_at() if self.outdated else math.inf
-        # Withdrawals that are due and wait for the rate of messages are among the outdated ones.
-        withdrawals = (due for owner, due in self.withdraw_at.items() if owner not in self.outdated)
-        return min(spread, demand, min(withdrawals, default=math.inf))
+        return min(spread, self.sender.next_due())
 
     def pending(self, record: RequestRecord) -> bool:
         """Return whether the request still waits with one owner only."""
--- a/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
@@ -180,7 +180,7 @@
         sent_at = context.peers.sent_at(owner, grant.echo)
         send_before = sent_at + grant.valid_seconds if sent_at is not None else context.now
         used = UsedGrant(grant.grant_id, grant.target_id, owner, send_before)
-        self.offers.received_grant(owner, grant.number)
+        self.offers.sender.received_grant(owner, grant.number)
         if context.now >= send_before or not self.dispatch(bucket, used):
             # The owner counts the grant as on its way until the next demand, so it is not repeated at once.
             context.send(owner, GrantReturned(grant.grant_id, grant.target_id))
@@ -197,8 +197,7 @@
         if now >= send_before:
             return False
         self.queue.take(record.request_id, now)
-        self.offers.used_grant(grant.owner, bucket)
-        self.offers.removed(record)
+        self.offers.removed(record, granted_by=grant.owner)
         record.state = RequestState.RUNNING
         record.grant = grant
         record.attempt += 1
--- a/packages/limpetusher-core/src/limpetusher/wire/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/wire/messages.py
@@ -57,7 +57,9 @@
 
 
 class Demand(Message, frozen=True, tag="dm"):
-    """Replaces the sender's earlier demand at the addressee.
+    """Replaces the sender's earlier demand at the addressee; a partial one only in the entries that it has.
+
+    An entry without waiting requests withdraws the earlier one.
 
     `sequence` is shared with heartbeats; `last_grant` is the number of the last grant received from the
     addressee, so that grants on their way are not counted twice.
@@ -66,6 +68,7 @@
     sequence: int
     last_grant: int
     entries: tuple[DemandEntry, ...]
+    partial: bool = False
 
 
 class Grant(Message, frozen=True, tag="gr"):
