--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -382,6 +382,8 @@
         configuration = context.rollout.configuration
         if configuration is not None:
             context.ledger.configure(context.membership.targets(), configuration.target_classes)
+            self.dispatcher.keep_targets(context.ledger.targets)
+            self.offers.keep_targets(context.ledger.targets)
         self.exchange.owners_changed()
         self.exchange.tick()
         if context.ready and not was_ready:
--- a/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
@@ -1,6 +1,6 @@
 """The owner's side: demand in, grants out, and the choice of customer and target for a free slot."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
 
 from limpetusher.core.context import Context
@@ -134,6 +134,12 @@
             block.seconds = min(2 * block.seconds, MAXIMUM_BLOCK_SECONDS)
             block.until = now + block.seconds
 
+    def keep_targets(self, targets: Container[str]) -> None:
+        """Forget targets that are no longer listed or have no known class."""
+        reports = self.context.reports
+        self.blocks = {target_id: block for target_id, block in self.blocks.items() if target_id in targets}
+        self.context.reports = {name: report for name, report in reports.items() if name in targets}
+
     def unblock_due(self) -> None:
         """Try blocked targets again whose pause is over."""
         for target_id, block in self.blocks.items():
@@ -176,8 +182,7 @@
             customers = self.book.customers(services)
             if not customers:
                 return
-            if self.backlog.changed:
-                context.fairness.set_backlogged(self.backlog.customers())
+            self.update_backlogged()
             line, target_id = self.choose(context.fairness.choose(customers), services, free)
             if not self.grant(line, target_id):
                 return
@@ -185,6 +190,11 @@
             if free[target_id] <= 0:
                 del free[target_id]
 
+    def update_backlogged(self) -> None:
+        """Tell the fairness part which customers have work waiting anywhere."""
+        if self.backlog.changed:
+            self.context.fairness.set_backlogged(self.backlog.customers())
+
     def free_among(self, target_ids: Iterable[str]) -> dict[str, int]:
         """Return the free slots of those targets that have any and for which somebody waits."""
         free = {}
--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -74,6 +74,8 @@
         self.next_tick = now + context.settings.exchange_interval_seconds
         self.check_reachability()
         context.ledger.expire(now)
+        # Also while nothing is granted here, as a customer that has become idle must not keep its credit.
+        self.dispatcher.update_backlogged()
         lent = context.shares.lend(now)
         self.send_heartbeats(lent)
         self.ask_for_state()
--- a/packages/limpetusher-core/src/limpetusher/core/process/offers.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/offers.py
@@ -1,8 +1,9 @@
 """Which owners hear of which waiting requests: first offer, spread and withdrawal."""
 
+import itertools
 import math
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
 from limpetusher.core.context import Context
 from limpetusher.core.process.demand_sender import DemandSender
@@ -14,6 +15,7 @@
 from limpetusher.wire.messages import DemandEntry
 
 MAXIMUM_PREFERRED = 4
+MAXIMUM_EXAMINED = 32
 
 
 class Offers:
@@ -91,6 +93,10 @@
         self.count_down(target_id)
         return owner
 
+    def keep_targets(self, targets: Container[str]) -> None:
+        """Forget targets that are no longer listed or have no known class."""
+        self.free_slots = {name: free for name, free in self.free_slots.items() if name in targets}
+
     def count_down(self, target_id: str) -> None:
         """Count an offer against the free slots last heard of, so that the next offers go elsewhere."""
         if self.free_slots.get(target_id, 0) > 0:
@@ -190,9 +196,9 @@
     def preferred(self, bucket: Bucket, owner: str) -> tuple[str, ...]:
         """Return the owner's targets that waiting requests of the bucket prefer."""
         owner_of = self.routes.owner_of
-        preferring = self.queue.buckets[bucket].preferring
-        targets = (target_id for target_id in preferring if owner_of.get(target_id) == owner)
-        return tuple(target_id for _, target_id in zip(range(MAXIMUM_PREFERRED), targets, strict=False))
+        examined = itertools.islice(self.queue.buckets[bucket].preferring, MAXIMUM_EXAMINED)
+        mine = (target_id for target_id in examined if owner_of.get(target_id) == owner)
+        return tuple(itertools.islice(mine, MAXIMUM_PREFERRED))
 
     def owners_changed(self) -> None:
         """Offer the waiting requests again after the owners of some targets have changed."""
--- a/packages/limpetusher-core/src/limpetusher/core/request/queue.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/queue.py
@@ -50,7 +50,8 @@
             return None
         if now - self.backlogged_since < MINIMUM_RATE_SECONDS:
             return None
-        return ahead * self.interval
+        stall = max(0.0, now - self.last_taken_at - self.interval)
+        return ahead * self.interval + stall
 
 
 class BucketQueue:
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -129,6 +129,23 @@
     assert abs(served["flood"] - served["beta"]) * 100 <= bound
 
 
+def test_idle_customer_saves_no_credit():
+    """Guards against a customer that comes back after a pause and takes all capacity for its past share."""
+    fleet = make_fleet(2, 2, configuration=make_configuration(queue_limit=100_000))
+    patient = {"patience_seconds": 300.0}
+    fleet.request("r0", make_request("first"))
+    for number in range(1600):
+        fleet.request(f"r{number % 2}", make_request(f"beta-{number}", customer="beta", **patient))
+    fleet.run(10.0)
+    for number in range(800):
+        fleet.request(f"r{number % 2}", make_request(f"alpha-{number}", **patient))
+    before = Counter(request_id.split("-")[0] for request_id in fleet.runs)
+    fleet.run(5.0)
+    served = Counter(request_id.split("-")[0] for request_id in fleet.runs) - before
+    bound = (0.25 + 0.001) * 8_000 + (8 + 2) * 100
+    assert abs(served["alpha"] - served["beta"]) * 100 <= bound
+
+
 def test_lost_messages_cost_no_slot_and_no_request():
     """Guards against slots or requests that stay lost after a demand, grant or release was lost."""
     fleet = make_fleet(4, 4, data_centres="ab")
@@ -139,6 +156,9 @@
     fleet.run(10.0)
     assert outcomes(fleet) == {Outcome.COMPLETE: len(arrivals)}
     assert {free_slots(fleet)[name] for name in ("e0", "e1", "e2", "e3")} == {4}
+    for core in fleet.cores.values():
+        kept = (core.lifecycle.records, core.queue.buckets, core.offers.narrow, core.offers.sender.told)
+        assert (*kept, core.book.open_lines, core.context.ledger.by_holder) == ({},) * 6
 
 
 def test_killed_owner_is_replaced():
