--- /dev/null
+++ b/tests/core/test_grants.py
@@ -0,0 +1,105 @@
+"""A router that gets grants from a peer: when it uses them and when it returns them."""
+
+import pytest
+
+from builders_decision import MODEL, make_configuration, make_core, make_host_list, make_request
+from limpetusher.core.actions import Dispatch, SendToPeer
+from limpetusher.core.inputs import (
+    ConfigurationReceived,
+    HostListReceived,
+    Outcome,
+    PeerMessage,
+    ResponseEnded,
+    TimerDue,
+)
+from limpetusher.wire.messages import Grant, GrantReturned, Heartbeat, Release
+
+HOSTS = {"routers": {"a1": "a", "a2": "a"}, "engines": {"e1": "a"}}
+
+
+@pytest.fixture
+def core():
+    """Return a core with one request running or waiting at its own slot and one that waits."""
+    core = make_core()
+    core.handle(HostListReceived(make_host_list(**HOSTS)), 0.0)
+    core.handle(ConfigurationReceived(make_configuration(slots=1)), 0.0)
+    for number in range(2):
+        core.handle(make_request(f"r{number}"), 0.1)
+    return core
+
+
+def give_grant(core, now, *, echo, customer="alpha"):
+    grant = Grant("g1", 1, "e1", MODEL, customer, echo, 1.0)
+    return core.handle(PeerMessage("a2", 5, grant), now)
+
+
+def last_sequence(core):
+    """Return the newest sequence number that was sent to the peer."""
+    return core.context.peers.state("a2").last_sequence
+
+
+def kinds(actions):
+    """Return the dispatches and the payloads to the peer, without heartbeats and demands."""
+    payloads = [action.payload for action in actions if isinstance(action, SendToPeer)]
+    return (
+        [action for action in actions if isinstance(action, Dispatch)],
+        [payload for payload in payloads if isinstance(payload, GrantReturned | Release)],
+    )
+
+
+def test_grant_is_valid_from_when_its_echo_was_sent(core):
+    """Guards against a late grant that is used after its owner has given the slot to another."""
+    sent_at = core.context.peers.sent_at("a2", last_sequence(core))
+    (dispatch,), returned = kinds(give_grant(core, sent_at + 0.9, echo=last_sequence(core)))
+    assert (dispatch.target_id, dispatch.send_before, returned) == ("e1", sent_at + 1.0, [])
+
+
+def test_grant_that_has_expired_is_returned(core):
+    """Guards against a router that was paused and uses a grant from before (requirement 3)."""
+    sequence = last_sequence(core)
+    sent_at = core.context.peers.sent_at("a2", sequence)
+    dispatches, returned = kinds(give_grant(core, sent_at + 1.0, echo=sequence))
+    assert (dispatches, returned) == ([], [GrantReturned("g1", "e1")])
+
+
+def test_grant_with_an_unknown_echo_is_returned(core):
+    """Guards against a grant that was meant for this router before it restarted."""
+    dispatches, returned = kinds(give_grant(core, 0.2, echo=last_sequence(core) + 100))
+    assert (dispatches, returned) == ([], [GrantReturned("g1", "e1")])
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        ConfigurationReceived(make_configuration(version=2, slots=1, out=("a",))),
+        HostListReceived(make_host_list(version=2, leaving=("e1",), **HOSTS)),
+    ],
+)
+def test_grant_for_a_drained_target_is_returned(core, change):
+    """Guards against owners that have not yet heard that a target is drained (requirements 4 and 8)."""
+    core.handle(change, 0.2)
+    dispatches, returned = kinds(give_grant(core, 0.3, echo=last_sequence(core)))
+    assert (dispatches, returned) == ([], [GrantReturned("g1", "e1")])
+
+
+def test_grant_for_which_nothing_waits_is_returned(core):
+    """Guards against slots that stay reserved for requests that were granted elsewhere."""
+    dispatches, returned = kinds(give_grant(core, 0.2, echo=last_sequence(core), customer="beta"))
+    assert (dispatches, returned) == ([], [GrantReturned("g1", "e1")])
+
+
+def test_release_names_the_cost_and_whether_the_connection_broke(core):
+    """Guards against owners that charge too little or send full load to an engine that has failed."""
+    ((dispatch,), _) = kinds(give_grant(core, 0.2, echo=last_sequence(core)))
+    failed = ResponseEnded(dispatch.request_id, 1, Outcome.CUT_BEFORE_OUTPUT)
+    _, (release,) = kinds(core.handle(failed, 0.3))
+    assert (release.cost, release.complete, release.target_failed) == (None, False, True)
+
+
+def test_held_grants_are_listed_in_heartbeats(core):
+    """Guards against an owner that takes a slot for free while the request runs."""
+    ((dispatch,), _) = kinds(give_grant(core, 0.2, echo=last_sequence(core)))
+    payloads = [a.payload for a in core.handle(TimerDue(), 0.25) if isinstance(a, SendToPeer)]
+    (heartbeat,) = [payload for payload in payloads if isinstance(payload, Heartbeat)]
+    assert "g1" in [held.grant_id for held in heartbeat.held]
+    assert dispatch.request_id in core.lifecycle.running
