--- a/packages/limpetusher-core/src/limpetusher/core/process/fairness.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/fairness.py
@@ -18,6 +18,8 @@
 """Cumulative charges in a `View`, so that it fits in a message; beyond it only the routers are named."""
 REMEMBERED_SENDS = 64
 """Heartbeats per peer for which it is known which changes they carried."""
+FEW_CANDIDATES = 4
+"""Candidates are compared directly when they are less than this fraction of the backlogged customers."""
 RETIRED_INCARNATIONS = 8
 """Earlier incarnations per peer whose charges are ignored."""
 
@@ -43,6 +45,52 @@
     sends: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=REMEMBERED_SENDS))
 
 
+class VirtualOrder:
+    """Heap of customer indexes by virtual time.
+
+    `keys` holds the value of the valid entry of each index. It may be below the virtual time, because charges
+    do not touch the heap, but never above it.
+    """
+
+    def __init__(self):
+        self.heap: list[tuple[float, int]] = []
+        self.keys: dict[int, float] = {}
+
+    def add(self, index: int, virtual: float) -> None:
+        """Add an index, unless it has a valid entry that is low enough."""
+        if virtual < self.keys.get(index, math.inf):
+            self.keys[index] = virtual
+            heapq.heappush(self.heap, (virtual, index))
+
+    def lowered(self, index: int, virtual: float) -> None:
+        """Take over a virtual time that went down."""
+        if index in self.keys:
+            self.add(index, virtual)
+
+    def least(self, fairness: "Fairness", candidates: Collection[str] | None = None) -> int | None:
+        """Return the backlogged index with the least virtual time, among `candidates` when given."""
+        skipped: list[tuple[float, int]] = []
+        found = None
+        while self.heap and found is None:
+            key, index = self.heap[0]
+            name = fairness.names[index]
+            if self.keys.get(index) != key:
+                heapq.heappop(self.heap)
+            elif name not in fairness.backlogged:
+                heapq.heappop(self.heap)
+                del self.keys[index]
+            elif (virtual := fairness.caught_up(index)) != key:
+                self.keys[index] = virtual
+                heapq.heapreplace(self.heap, (virtual, index))
+            elif candidates is None or name in candidates:
+                found = index
+            else:
+                skipped.append(heapq.heappop(self.heap))
+        for entry in skipped:
+            heapq.heappush(self.heap, entry)
+        return found
+
+
 class Fairness:
     """Service received by each customer, in this router's view.
 
@@ -71,8 +119,8 @@
         self.change_number = 0
         self.changed: dict[int, int] = {}
         self.backlogged: frozenset[str] = frozenset()
-        self.heap: list[tuple[float, int]] = []
-        self.furthest = -math.inf
+        self.order = VirtualOrder()
+        self.furthest = -1
         self.system_virtual = 0.0
 
     def set_shares(self, customers: Mapping[str, Customer]) -> None:
@@ -132,16 +180,19 @@
 
     def add_service(self, index: int, amount: float) -> None:
         """Add service to a customer's virtual time."""
-        self.move(index, self.virtual[index] + amount / self.shares[index])
-
-    def move(self, index: int, virtual: float) -> None:
-        """Set a virtual time and keep the heap usable: entries in it may be too low but not too high."""
-        lower = virtual < self.virtual[index]
-        self.virtual[index] = virtual
-        if self.names[index] in self.backlogged:
-            self.furthest = max(self.furthest, virtual)
-            if lower:
-                heapq.heappush(self.heap, (virtual, index))
+        virtual = self.virtual[index] = self.virtual[index] + amount / self.shares[index]
+        if amount < 0.0:
+            self.order.lowered(index, virtual)
+            if index == self.furthest:
+                self.find_furthest()
+        elif virtual > self.virtual[self.furthest] and self.names[index] in self.backlogged:
+            self.furthest = index
+
+    def find_furthest(self) -> None:
+        """Find the backlogged customer with the greatest virtual time."""
+        self.furthest = max(
+            (self.index[name] for name in self.backlogged), key=self.virtual.__getitem__, default=-1
+        )
 
     def peer_charged(self, peer: str, incarnation: int, totals: Mapping[str, float]) -> None:
         """Apply the cumulative charges of a peer: what exceeds the values last seen is new service."""
@@ -208,15 +259,16 @@
         present = frozenset(customers)
         if present == self.backlogged:
             return
-        staying = present & self.backlogged
-        floor = min((self.virtual_time(name) for name in staying), default=self.system_virtual)
-        for name in sorted(present - self.backlogged):
-            index = self.place(name)
-            self.virtual[index] = max(self.virtual[index], floor)
+        added = sorted(self.place(name) for name in present - self.backlogged)
+        self.backlogged = present & self.backlogged
+        least = self.order.least(self)
+        floor = self.system_virtual if least is None else self.virtual[least]
         self.backlogged = present
-        self.heap = [(self.virtual_time(name), self.index[name]) for name in sorted(present)]
-        heapq.heapify(self.heap)
-        self.furthest = max((virtual for virtual, _ in self.heap), default=-math.inf)
+        for index in added:
+            self.virtual[index] = max(self.virtual[index], floor)
+            self.order.add(index, self.virtual[index])
+        if self.furthest < 0 or added or self.names[self.furthest] not in present:
+            self.find_furthest()
 
     def choose(self, candidates: Collection[str]) -> str:
         """Return the backlogged candidate with the least virtual time; ties go to the earlier configured.
@@ -226,20 +278,11 @@
         PolicyError
             When no candidate is backlogged.
         """
-        skipped: list[tuple[float, int]] = []
-        chosen: int | None = None
-        while self.heap:
-            virtual, index = self.heap[0]
-            present = self.caught_up(index)
-            if virtual != present:
-                heapq.heapreplace(self.heap, (present, index))
-            elif self.names[index] in candidates:
-                chosen = index
-                break
-            else:
-                skipped.append(heapq.heappop(self.heap))
-        for entry in skipped:
-            heapq.heappush(self.heap, entry)
+        if len(candidates) * FEW_CANDIDATES < len(self.backlogged):
+            eligible = (self.index[name] for name in candidates if name in self.backlogged)
+            chosen = min(eligible, key=lambda index: (self.caught_up(index), index), default=None)
+        else:
+            chosen = self.order.least(self, candidates)
         if chosen is None:
             raise PolicyError("no candidate is backlogged")
         self.system_virtual = max(self.system_virtual, self.virtual[chosen])
@@ -247,9 +290,9 @@
 
     def caught_up(self, index: int) -> float:
         """Return a backlogged customer's virtual time, raised to the edge of the catch-up window."""
-        edge = self.furthest - self.settings.catch_up_window_cost / self.shares[index]
-        if self.virtual[index] < edge:
-            self.virtual[index] = edge
+        if self.furthest >= 0:
+            window = self.settings.catch_up_window_cost / self.shares[index]
+            self.virtual[index] = max(self.virtual[index], self.virtual[self.furthest] - window)
         return self.virtual[index]
 
     def view(self) -> View:
@@ -299,9 +342,11 @@
         return known
 
     def rebuild(self) -> None:
-        """Recompute what depends on the virtual times of the backlogged customers."""
+        """Order the backlogged customers again after their virtual times were replaced."""
         present, self.backlogged = self.backlogged, frozenset()
-        self.system_virtual = min((self.virtual_time(name) for name in present), default=self.system_virtual)
+        self.order = VirtualOrder()
+        self.furthest = -1
+        self.system_virtual = min((self.virtual_time(name) for name in present), default=0.0)
         self.set_backlogged(present)
 
 
