--- a/packages/limpetusher-core/src/limpetusher/core/process/shares.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/shares.py
@@ -242,8 +242,15 @@
         return all(self.is_silent(name, now) for name in own.claimants - self.confirmed.keys())
 
     def may_borrow(self, target_id: str, now: float) -> bool:
-        """Return whether there are slots of the target that only silent routers keep from being lent."""
-        return bool(self.silent_carriers(target_id, now)) or self.waits_for_silent(target_id, now)
+        """Return whether only silent routers keep slots of the target from being leased to this router.
+
+        While a carrier that is not silent lends to another owner, that owner may borrow the same slots.
+        """
+        missing = set(self.layouts.get(target_id, ())) - self.lenders(target_id, now)
+        silent = set(self.silent_carriers(target_id, now))
+        if self.waits_for_silent(target_id, now):
+            silent.add(self.own_id)
+        return bool(missing) and missing <= silent
 
     def holders_known_since(self, target_id: str, now: float) -> float | None:
         """Return a time after which every listed router has reported the grants it holds for the target.
