--- a/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
@@ -114,6 +114,14 @@
             for entry in state.entries.values():
                 self.by_holder.setdefault(entry.holder, {})[entry.grant_id] = entry
 
+    def resumed(self) -> None:
+        """Borrow nothing after a pause until new reports have shown no outside work for long enough.
+
+        Carriers whose heartbeats wait in the socket look silent after a pause.
+        """
+        for state in self.targets.values():
+            state.explained_from = None
+
     def state(self, target_id: str) -> TargetState:
         """Return the state of a target.
 
@@ -177,14 +185,6 @@
             and shares.may_borrow(target_id, now)
         )
 
-    def resumed(self) -> None:
-        """Borrow nothing after a pause until new reports have shown no outside work for long enough.
-
-        Carriers whose heartbeats wait in the socket look silent after a pause.
-        """
-        for state in self.targets.values():
-            state.explained_from = None
-
     def grant(
         self,
         grant_id: str,
@@ -209,6 +209,16 @@
         self.target_of_grant[entry.grant_id] = entry.target_id
         self.by_holder.setdefault(entry.holder, {})[entry.grant_id] = entry
 
+    def uncount(self, state: TargetState, grant_id: str, now: float) -> GrantEntry:
+        """Stop counting an entry."""
+        state.changed_at = now
+        entry = state.entries.pop(grant_id)
+        held = self.by_holder[entry.holder]
+        del held[grant_id]
+        if not held:
+            del self.by_holder[entry.holder]
+        return entry
+
     def remove(self, grant_id: str, now: float) -> GrantEntry | None:
         """Stop counting a grant and return its entry, None when it is not known."""
         target_id = self.target_of_grant.pop(grant_id, None)
@@ -218,18 +228,8 @@
         lost = state.lost.pop(grant_id, None)
         if lost is not None:
             return lost.entry
-        state.changed_at = now
         state.ended.append(now)
-        return self.uncount(state, grant_id)
-
-    def uncount(self, state: TargetState, grant_id: str) -> GrantEntry:
-        """Take an entry out of the counted ones."""
-        entry = state.entries.pop(grant_id)
-        held = self.by_holder[entry.holder]
-        del held[grant_id]
-        if not held:
-            del self.by_holder[entry.holder]
-        return entry
+        return self.uncount(state, grant_id, now)
 
     def held(
         self, holder: str, entries: Iterable[HeldGrant], now: float, *, sent_after: float | None = None
@@ -346,17 +346,18 @@
         As such requests may still run, they count as work outside the ledger until reports show less, or
         until the longest time that a stopping router takes to finish.
         """
+        timeout = self.settings.held_timeout_seconds
+        silent = [
+            entry
+            for held in self.by_holder.values()
+            for entry in held.values()
+            if now - entry.seen_at >= timeout
+        ]
+        for entry in silent:
+            state = self.targets[entry.target_id]
+            state.lost[entry.grant_id] = LostGrant(self.uncount(state, entry.grant_id, now), now)
+            state.outside.freed(1)
         for state in self.targets.values():
-            silent = [
-                entry
-                for entry in state.entries.values()
-                if now - entry.seen_at >= self.settings.held_timeout_seconds
-            ]
-            for entry in silent:
-                state.lost[entry.grant_id] = LostGrant(self.uncount(state, entry.grant_id), now)
-            if silent:
-                state.outside.freed(len(silent))
-                state.changed_at = now
             for grant_id, lost in list(state.lost.items()):
                 if now - lost.freed_at >= self.settings.stop_grace_seconds:
                     del state.lost[grant_id]
