--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -60,6 +60,7 @@
         self.peer_messages = counter("peer_messages_total", "Messages of peers by direction")
         self.peer_bytes = counter("peer_bytes_total", "Bytes of messages of peers by direction")
         self.peer_drops = counter("peer_messages_dropped_total", "Dropped messages by direction and reason")
+        self.waiting_requests = self.running_requests = 0
         # A counter of the library encodes its labels at each call, which is much for each message of a peer.
         self.received, self.sent = Traffic(), Traffic()
         self.unrequested_answers = counter("unrequested_answers_total", "Answers without a request")
@@ -85,6 +86,8 @@
 
     def render(self) -> tuple[bytes, str]:
         """Return the text of all metrics and its content type."""
+        self.waiting.set({}, self.waiting_requests)
+        self.running.set({}, self.running_requests)
         for direction, traffic in (("received", self.received), ("sent", self.sent)):
             self.peer_messages.set({"direction": direction}, traffic.messages)
             self.peer_bytes.set({"direction": direction}, traffic.bytes)
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -45,6 +45,7 @@
 from limpetusher_router.version.watch import ConfigurationWatch
 
 INCARNATION_BITS = 63
+CHAINED_STEPS = 10
 FLUSH_POLL_SECONDS = 0.05
 FLUSH_SECONDS = 10.0
 LAST_MESSAGES_SECONDS = 0.2
@@ -113,6 +114,17 @@
         # Replaces circuits' event, at which its web server would end the process after 3 s.
         self.fire(StopSignal(signo, None), PROCESS)
 
+    def tick(self, timeout: float = -1) -> None:
+        """Handle the messages that follow from each other before the poller is asked again.
+
+        circuits polls after each step of such a chain; a request has about ten steps.
+        """
+        for _ in range(CHAINED_STEPS):
+            if not len(self):
+                break
+            self.flush()
+        super().tick(timeout)
+
     @handler("started", channel="*")
     def on_started(self, _component: object) -> None:
         """Let the core ask for what it needs."""
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
@@ -110,7 +110,7 @@
         trace = self.tracing.begin(head.headers, request_id)
         exchange = Exchange(request_id, head, body, customer, request, self.clock.monotonic(), trace)
         self.exchanges[request_id] = exchange
-        self.metrics.waiting.inc({})
+        self.metrics.waiting_requests += 1
         trace.begin_queue()
         return exchange
 
@@ -147,8 +147,8 @@
         exchange.attempt = TargetAttempt(action.attempt, action.target_id, action.address, now)
         exchange.blocked = False
         self.metrics.queue_wait.observe({}, now - exchange.arrived_at)
-        self.metrics.waiting.dec({})
-        self.metrics.running.inc({})
+        self.metrics.waiting_requests -= 1
+        self.metrics.running_requests += 1
         traceparent = exchange.trace.begin_attempt(action.target_id)
         attempt = Attempt(
             key=(action.request_id, action.attempt),
@@ -347,8 +347,8 @@
         attempt = exchange.attempt
         exchange.attempt = None
         exchange.trace.end_attempt(outcome)
-        self.metrics.running.dec({})
-        self.metrics.waiting.inc({})
+        self.metrics.running_requests -= 1
+        self.metrics.waiting_requests += 1
         self.metrics.attempts.inc({"outcome": outcome.value})
         ended = ResponseEnded(
             exchange.request_id, attempt.number, outcome, cost, status, kept.content_type, kept.body
@@ -377,9 +377,9 @@
             return
         if exchange.attempt is not None:
             self.fire(StopAttempt((exchange.request_id, exchange.attempt.number), REQUESTS), TARGETS)
-            self.metrics.running.dec({})
+            self.metrics.running_requests -= 1
         else:
-            self.metrics.waiting.dec({})
+            self.metrics.waiting_requests -= 1
         exchange.trace.end(status)
 
     @handler("FailRequest")
