--- a/packages/limpetusher-router/src/limpetusher_router/connection/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/peers.py
@@ -1,6 +1,7 @@
 """Sockets to and from the other routers."""
 
 import logging
+import math
 
 import pynng
 from circuits.core import BaseComponent, handler
@@ -24,6 +25,7 @@
 RECONNECT_MAXIMUM_MILLISECONDS = 500
 RECEIVES_PER_EVENT = 256
 UNUSED_SECONDS = 30.0
+LOG_INTERVAL_SECONDS = 1.0
 
 logger = logging.getLogger(__name__)
 
@@ -67,6 +69,7 @@
         self.codec = Codec(key)
         self.deadlines = deadlines
         self.metrics = metrics
+        self.logged_at = -math.inf
         self.outgoing: dict[str, OutgoingPeer] = {}
         self.listener = pynng.Pull0(
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES, recv_max_size=MAXIMUM_MESSAGE_BYTES
@@ -130,11 +133,11 @@
     def drop(self, direction: str, reason: str) -> None:
         """Count and log a message that is dropped."""
         self.metrics.peer_dropped(direction, reason)
-        # Messages to a router that is down are dropped all the time, so they are logged at debug level only.
-        if direction == "received":
+        # A router that is down, or a foreign sender, causes drops all the time; all of them are counted.
+        now = self.deadlines.clock.monotonic()
+        if now >= self.logged_at + LOG_INTERVAL_SECONDS:
+            self.logged_at = now
             log_event(Event.PEER_MESSAGE_DROPPED, direction=direction, reason=reason)
-        else:
-            logger.debug("peer message dropped: %s", reason)
 
     @handler("Due")
     def on_due(self, _subject: object) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchange.py
@@ -66,6 +66,8 @@
     attempt: TargetAttempt | None = None
     caller_lost: bool = False
     answer_begun: bool = False
+    stream_begun: bool = False
+    """Whether the answer that has begun is a stream, which can end with an error event."""
     blocked: bool = False
     ever_sent: bool = field(default=False)
     """Whether any attempt sent a byte, so that the request may have run."""
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
@@ -186,7 +186,7 @@
         exchange = self.exchanges.get(request_id)
         if exchange is None or not exchange.answer_begun:
             self.fire(error_answer(request_id, error), CALLERS)
-        elif exchange.request.stream:
+        elif exchange.stream_begun:
             self.metrics.cut_answers.inc({})
             self.fire(SendPart(request_id, error_event(request_id, error)), CALLERS)
             self.fire(SendEnd(request_id), CALLERS)
@@ -260,6 +260,7 @@
         relay = exchange.attempt.relay
         if not exchange.answer_begun:
             exchange.answer_begun = True
+            exchange.stream_begun = relay.is_stream
             length = None if relay.is_stream else relay.head.content_length
             headers = exchange.answer_headers(relay)
             self.fire(SendHead(exchange.request_id, relay.head.status, headers, length), CALLERS)
--- a/tests/router/connection/test_peers.py
+++ b/tests/router/connection/test_peers.py
@@ -50,4 +50,5 @@
     assert '"dropped_messages":100' in router.page("/status")[1]
     answer = router.exchange(request_bytes(body=completions_body(), connection="close"))
     assert answer.endswith(b"ok")
+    assert router.log.read_text().count("peer message dropped") < 20
     assert "traceback" not in router.log.read_text()
--- a/tests/router/connection/test_targets.py
+++ b/tests/router/connection/test_targets.py
@@ -232,9 +232,11 @@
     assert error_of(answer)["ran"] == "unknown"
 
 
-def test_broken_large_answer_is_reset(router):
-    """Guards against a truncated large answer that looks whole: it ends before its announced length."""
-    answer = ask(router, large_then_cut)
+@pytest.mark.parametrize("stream", [False, True])
+def test_broken_large_answer_is_reset(router, stream):
+    """Guards against a truncated large answer that looks whole, or has an error event within its text."""
+    answer = ask(router, large_then_cut, stream=stream)
+    assert b"error" not in answer
     head, _, body = answer.partition(b"\r\n\r\n")
     assert b"content-length: 300000" in head
     assert len(body) < 300_000
