--- a/packages/limpetusher-standins/src/limpetusher_standins/command.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/command.py
@@ -146,8 +146,10 @@
 
 def main() -> int:
     """Run the command line and return the exit status."""
-    # SIGTERM is handled like Ctrl-C, so that the processes of a fleet are ended in both cases.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # SIGTERM is handled like Ctrl-C, so that the processes of a fleet are ended in both cases. SIGINT is set
+    # too, because a shell starts background jobs with SIGINT ignored.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.default_int_handler)
     try:
         status = app(result_action="return_value")
     except FleetError as error:
--- a/packages/limpetusher-standins/src/limpetusher_standins/engine.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/engine.py
@@ -56,6 +56,7 @@
         self.orders: list[dict] = []
         self.highest_fencing_number = 0
         self.loaded_models = list(settings.models)
+        self.role = "mixed"
         self.background: set[asyncio.Task] = set()
 
     async def run(self, address: str) -> None:
@@ -96,7 +97,8 @@
             "boot_id": self.batch.boot_id,
             "slots": self.settings.slots,
             "highest_fencing_number": self.highest_fencing_number,
-            "loaded_models": self.loaded_models,
+            "loaded_models": list(self.loaded_models),
+            "role": self.role,
             "measured_at": self.report_sequence,
         }
         self.reports.append((now, report))
@@ -128,7 +130,7 @@
     async def complete(self, request: HttpRequest) -> HttpResponse:
         """Run a chat-completions request."""
         body = request.json()
-        if self.loaded_models and body["model"] not in self.loaded_models:
+        if not self.serves(body["model"]):
             return error_response(404, f"model {body['model']!r} is not loaded")
         request_id = request.headers.get("x-request-id") or uuid.uuid4().hex
         customer = request.headers.get(CUSTOMER_HEADER, "")
@@ -150,6 +152,10 @@
         await self.wait_until_ended(stream, request)
         return json_response(completion(stream), headers=headers)
 
+    def serves(self, model: str) -> bool:
+        """Return whether a version of a model is loaded."""
+        return not self.loaded_models or model in {name.partition("@")[0] for name in self.loaded_models}
+
     async def wait_until_ended(self, stream: Stream, request: HttpRequest) -> None:
         """Wait for a plain answer; a caller that goes away cancels it."""
         while stream.state == StreamState.RUNNING:
@@ -248,15 +254,18 @@
 
     async def load_model(self, order: dict) -> None:
         """Fetch the weights from the weight store, then serve the model, cold at first."""
-        model, version = order.get("model"), order.get("version")
-        if not model:
+        self.role = order.get("role") or self.role
+        model, version = order["model"], order["version"]
+        adapter = f"+{order['adapter']}" if order.get("adapter") else ""
+        name = f"{model}@{version}{adapter}"
+        if name in self.loaded_models:
             return
         if self.settings.weight_store:
             path = f"/weights/{model}/{version}"
             while (await http_client.request(self.settings.weight_store, "GET", path)).status == 429:
                 await asyncio.sleep(1.0)
-        if self.loaded_models and model not in self.loaded_models:
-            self.loaded_models.append(model)
+        if name not in self.loaded_models:
+            self.loaded_models.append(name)
         self.batch.turn_cold(time.monotonic())
 
     def turn_cold(self, options: dict) -> HttpResponse:
--- a/packages/limpetusher-standins/src/limpetusher_standins/engine_batch.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/engine_batch.py
@@ -35,7 +35,7 @@
     """How long a stream goes on without a reader before it is cancelled."""
     checks_fencing_number: bool = True
     models: tuple[str, ...] = ()
-    """Loaded models; empty: every model."""
+    """Loaded models as `MODEL@VERSION` or `MODEL@VERSION+ADAPTER`; empty: every model."""
     weight_store: str | None = None
     seed: int = 1
 
--- a/packages/limpetusher-standins/src/limpetusher_standins/fleet.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/fleet.py
@@ -17,6 +17,7 @@
 PLATFORM = "platform"
 PROXY = "proxy"
 PEER_KEY = "limpetusher-development-peer-key"
+MODEL_VERSION = "1"
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
 
@@ -192,7 +193,7 @@
             "cold_seconds": self.plan.cold_seconds,
             "checks_fencing_number": self.plan.checks_fencing_number,
             "weight_store": self.platform_address,
-            "models": self.plan.models,
+            "models": [f"{model}@{MODEL_VERSION}" for model in self.plan.models],
             "seed": self.plan.seed + int(host.host_id.rsplit("-", 1)[1]),
             **self.plan.engine_options,
         }
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from builders_standins import chat, get, post, running_engine
+from builders_standins import chat, get, post, running_engine, running_platform
 from limpetusher_standins import http_client
 from limpetusher_standins.answers import answer_text
 from limpetusher_standins.http_client import AnswerCutError
@@ -138,6 +138,35 @@
     asyncio.run(run())
 
 
+def test_ordered_model_is_fetched_served_and_reported():
+    """Guards against orders that are accepted and have no effect."""
+
+    async def run() -> None:
+        async with (
+            running_platform(weight_seconds=0.0) as (platform, store),
+            running_engine(models=("assessor@1",), weight_store=store) as (engine, address),
+        ):
+            assert (await post(address, COMPLETIONS, chat(model="chatter"))).status == 404
+            order = {
+                "fencing_number": 1,
+                "model": "chatter",
+                "version": "2",
+                "adapter": "a",
+                "role": "decode",
+            }
+            assert (await post(address, "/orders", order)).json()["accepted"]
+            while len(engine.loaded_models) == 1:
+                await asyncio.sleep(0.01)
+            assert (await post(address, COMPLETIONS, chat(model="chatter"))).status == 200
+            engine.take_report()
+            report = (await get(address, "/load")).json()
+            assert report["loaded_models"] == ["assessor@1", "chatter@2+a"]
+            assert report["role"] == "decode"
+            assert [load["model"] for load in platform.weight_record] == ["chatter"]
+
+    asyncio.run(run())
+
+
 def test_turning_cold_without_a_restart_keeps_work_and_old_reports():
     """Guards against a warning before an engine turns cold."""
 
