--- a/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/demand_book.py
@@ -1,10 +1,10 @@
 """What an owner knows about waiting requests: the demand of each router, indexed by service and customer."""
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Container, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from limpetusher.core.request.record import Bucket
-from limpetusher.wire.messages import Demand
+from limpetusher.wire.messages import Demand, DemandEntry
 
 
 @dataclass(slots=True)
@@ -19,6 +19,8 @@
     waiting: int
     oldest_at: float
     preferred: tuple[str, ...] = ()
+    prompt_cost: float = 0.0
+    cost_hint: float | None = None
     in_flight: int = 0
 
     @property
@@ -64,52 +66,70 @@
     def replace(self, holder: str, message: Demand, now: float) -> tuple[str, ...]:
         """Take a router's newest demand and return the services it asks for.
 
-        A grant that was neither confirmed by `last_grant` nor used within its validity was lost.
+        A partial demand changes only the buckets that it names. A grant that was neither confirmed by
+        `last_grant` nor used within its validity was lost.
         """
         demand = self.holder(holder)
         if message.sequence <= demand.sequence:
             return ()
         demand.sequence = message.sequence
-        demand.in_flight = {
-            number: grant
-            for number, grant in demand.in_flight.items()
-            if number > message.last_grant and now - grant.issued_at < self.grant_valid_seconds
-        }
-        for line in demand.lines.values():
-            self.unlist(line)
-        demand.lines = {}
+        self.confirm_grants(demand, message.last_grant, now)
+        if not message.partial:
+            for line in demand.lines.values():
+                self.unlist(line)
+            demand.lines = {}
         for entry in message.entries:
-            bucket = Bucket(entry.customer, entry.service)
-            demand.lines[bucket] = DemandLine(
-                holder, bucket, entry.waiting, now - entry.oldest_wait_seconds, entry.preferred
-            )
-        for grant in demand.in_flight.values():
-            if grant.bucket in demand.lines:
-                demand.lines[grant.bucket].in_flight += 1
-        for line in demand.lines.values():
-            self.relist(line)
-        return tuple(dict.fromkeys(bucket.service for bucket in demand.lines))
-
-    def set_line(
-        self, holder: str, bucket: Bucket, waiting: int, oldest_at: float, preferred: tuple[str, ...]
-    ) -> None:
+            line = line_of(entry, holder, now)
+            self.remove_line(holder, line.bucket)
+            if line.waiting > 0:
+                line.in_flight = sum(grant.bucket == line.bucket for grant in demand.in_flight.values())
+                demand.lines[line.bucket] = line
+                self.relist(line)
+        return tuple(dict.fromkeys(entry.service for entry in message.entries))
+
+    def confirm_grants(self, demand: HolderDemand, last_grant: int, now: float) -> None:
+        """Forget the grants that have arrived or were lost."""
+        for number, grant in list(demand.in_flight.items()):
+            if number <= last_grant or now - grant.issued_at >= self.grant_valid_seconds:
+                del demand.in_flight[number]
+                line = demand.lines.get(grant.bucket)
+                if line is not None and line.in_flight > 0:
+                    line.in_flight -= 1
+                    if number <= last_grant:
+                        # The router has used or returned it, and counts it no longer.
+                        line.waiting -= 1
+                    self.relist(line)
+
+    def set_line(self, entry: DemandEntry, holder: str, now: float) -> None:
         """Set one line of the own router, whose grants are used at once."""
-        demand = self.holder(holder)
-        line = demand.lines.get(bucket)
-        if waiting <= 0:
-            if line is not None:
-                self.unlist(line)
-                del demand.lines[bucket]
-            return
-        if line is None:
-            line = demand.lines[bucket] = DemandLine(holder, bucket, waiting, oldest_at, preferred)
-        line.waiting, line.oldest_at, line.preferred = waiting, oldest_at, preferred
+        line = line_of(entry, holder, now)
+        self.holder(holder).lines[line.bucket] = line
         self.relist(line)
 
+    def remove_line(self, holder: str, bucket: Bucket) -> None:
+        """Remove one line of the own router."""
+        line = self.holder(holder).lines.pop(bucket, None)
+        if line is not None:
+            self.unlist(line)
+
     def holder_customers(self, holder: str) -> Iterator[str]:
         """Return the customers in a router's demand."""
         return (bucket.customer for bucket in self.holder(holder).lines)
 
+    def confirm(self, holder: str, sequence: int, customers: Container[str]) -> bool:
+        """Drop lines of customers that a later heartbeat does not name as waiting; return whether any were.
+
+        This ends the effects of a lost demand, and of lines whose requests have all been granted.
+        """
+        demand = self.holders.get(holder)
+        if demand is None or sequence <= demand.sequence:
+            return False
+        gone = [line for bucket, line in demand.lines.items() if bucket.customer not in customers]
+        for line in gone:
+            self.unlist(line)
+            del demand.lines[line.bucket]
+        return bool(gone)
+
     def drop(self, holder: str) -> None:
         """Forget the demand of a router that is unreachable or has restarted."""
         demand = self.holders.pop(holder, None)
@@ -162,3 +182,16 @@
             del customers[line.bucket.customer]
         if not customers:
             del self.open_lines[line.bucket.service]
+
+
+def line_of(entry: DemandEntry, holder: str, now: float) -> DemandLine:
+    """Return the line for an entry of a demand."""
+    return DemandLine(
+        holder,
+        Bucket(entry.customer, entry.service),
+        entry.waiting,
+        now - entry.oldest_wait_seconds,
+        entry.preferred,
+        entry.prompt_cost,
+        entry.cost_hint,
+    )
--- a/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/dispatch.py
@@ -1,6 +1,6 @@
 """The owner's side: demand in, grants out, and the choice of customer and target for a free slot."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
 
 from limpetusher.core.context import Context
@@ -10,7 +10,7 @@
 from limpetusher.core.process.routes import Routes
 from limpetusher.core.request.record import Bucket, UsedGrant
 from limpetusher.events import Event
-from limpetusher.wire.messages import Demand, Grant, GrantReturned, Release
+from limpetusher.wire.messages import Demand, Grant, GrantReturned, Heartbeat, Release
 
 BLOCK_SECONDS = 0.25
 MAXIMUM_BLOCK_SECONDS = 4.0
@@ -56,6 +56,11 @@
         self.context.wanted_services.update(dict.fromkeys(services))
         self.backlog.replace(demand_source(sender), self.book.holder_customers(sender))
 
+    def confirm_demand(self, sender: str, message: Heartbeat) -> None:
+        """Drop what a router asked for earlier and no longer waits for, according to its heartbeat."""
+        if self.book.confirm(sender, message.sequence, message.waiting_customers):
+            self.backlog.replace(demand_source(sender), self.book.holder_customers(sender))
+
     def drop_demand(self, sender: str) -> None:
         """Forget the demand of a router that is unreachable, unlisted or restarted."""
         self.book.drop(sender)
@@ -129,6 +134,12 @@
             block.seconds = min(2 * block.seconds, MAXIMUM_BLOCK_SECONDS)
             block.until = now + block.seconds
 
+    def keep_targets(self, targets: Container[str]) -> None:
+        """Forget targets that are no longer listed or have no known class."""
+        reports = self.context.reports
+        self.blocks = {target_id: block for target_id, block in self.blocks.items() if target_id in targets}
+        self.context.reports = {name: report for name, report in reports.items() if name in targets}
+
     def unblock_due(self) -> None:
         """Try blocked targets again whose pause is over."""
         for target_id, block in self.blocks.items():
@@ -171,8 +182,7 @@
             customers = self.book.customers(services)
             if not customers:
                 return
-            if self.backlog.changed:
-                context.fairness.set_backlogged(self.backlog.customers())
+            self.update_backlogged()
             line, target_id = self.choose(context.fairness.choose(customers), services, free)
             if not self.grant(line, target_id):
                 return
@@ -180,6 +190,11 @@
             if free[target_id] <= 0:
                 del free[target_id]
 
+    def update_backlogged(self) -> None:
+        """Tell the fairness part which customers have work waiting anywhere."""
+        if self.backlog.changed:
+            self.context.fairness.set_backlogged(self.backlog.customers())
+
     def free_among(self, target_ids: Iterable[str]) -> dict[str, int]:
         """Return the free slots of those targets that have any and for which somebody waits."""
         free = {}
@@ -216,7 +231,7 @@
         customer, service = line.bucket.customer, line.bucket.service
         self.grants += 1
         grant_id = f"{context.own_id}.{context.incarnation:x}.{self.grants}"
-        estimate = context.fairness.estimate(customer, service, 0.0, None)
+        estimate = context.fairness.estimate(customer, service, line.prompt_cost, line.cost_hint)
         context.ledger.grant(grant_id, target_id, line.holder, customer, service, estimate, now)
         context.fairness.charge(customer, estimate)
         valid = context.settings.grant_valid_seconds
--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -74,6 +74,8 @@
         self.next_tick = now + context.settings.exchange_interval_seconds
         self.check_reachability()
         context.ledger.expire(now)
+        # Also while nothing is granted here, as a customer that has become idle must not keep its credit.
+        self.dispatcher.update_backlogged()
         lent = context.shares.lend(now)
         self.send_heartbeats(lent)
         self.ask_for_state()
@@ -82,7 +84,7 @@
             self.next_orders = now + ORDER_INTERVAL_SECONDS
             self.order()
         self.lifecycle.refuse_hopeless()
-        self.offers.refresh()
+        self.offers.sender.repeat()
         self.wake_targets()
 
     def wake_targets(self) -> None:
@@ -116,7 +118,7 @@
         self.unheard_since[peer] = context.now + context.settings.peer_forget_seconds
         self.dispatcher.drop_demand(peer)
         self.backlog.drop(peer)
-        self.offers.forget(peer)
+        self.offers.sender.forget(peer)
         context.log(Event.PEER_UNREACHABLE, peer=peer)
 
     def update_leaving(self) -> bool:
@@ -263,7 +265,7 @@
             return
         if change.restarted:
             self.dispatcher.drop_demand(sender)
-            self.offers.forget(sender)
+            self.offers.sender.forget(sender)
             context.fairness.peer_restarted(sender)
         self.found(sender)
         context.shares.accept(
@@ -275,6 +277,7 @@
         context.charge(context.ledger.held(sender, message.held, now, sent_after=sent_after))
         context.fairness.peer_charged(sender, incarnation, message.charged)
         self.backlog.replace(sender, message.waiting_customers)
+        self.dispatcher.confirm_demand(sender, message)
         self.offers.free_slots.update(message.free_slots)
         context.orders.heard(message.fencing)
         ask = context.rollout.peer_version(
@@ -312,4 +315,4 @@
             self.unheard_since.pop(peer, None)
             self.dispatcher.drop_demand(peer)
             self.backlog.drop(peer)
-            self.offers.forget(peer)
+            self.offers.sender.forget(peer)
--- a/packages/limpetusher-core/src/limpetusher/core/process/offers.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/offers.py
@@ -1,49 +1,21 @@
-"""Demand sent to owners: the first offer of a request, its spread, withdrawal and refresh.
-
-What each owner was told is kept by bucket. A demand is sent at once when an owner knows of no waiting
-request of a bucket that has one, a little later when all requests of a bucket are gone, and at intervals
-while requests wait. Changes of a count in between cause no message: an owner counts its own grants down by
-itself.
-"""
+"""Which owners hear of which waiting requests: first offer, spread and withdrawal."""
 
+import itertools
 import math
 from collections import deque
+from collections.abc import Container, Iterator
 
 from limpetusher.core.context import Context
+from limpetusher.core.process.demand_sender import DemandSender
 from limpetusher.core.process.dispatch import Dispatcher
 from limpetusher.core.process.routes import Routes
 from limpetusher.core.request.explanation import Step
 from limpetusher.core.request.queue import RequestQueue
 from limpetusher.core.request.record import Bucket, RequestRecord
-from limpetusher.wire.messages import Demand, DemandEntry
+from limpetusher.wire.messages import DemandEntry
 
-WITHDRAW_DELAY_SECONDS = 0.01
 MAXIMUM_PREFERRED = 4
-DEMANDS_PER_SECOND = 100.0
-DEMAND_BURST = 50.0
-"""Both bound the control traffic of a router whose requests wait at many owners."""
-
-
-class SendAllowance:
-    """Limits how often demands are sent; first offers may exceed it, and the others then wait."""
-
-    def __init__(self, now: float):
-        self.tokens = DEMAND_BURST
-        self.updated_at = now
-
-    def available(self, now: float) -> bool:
-        """Return whether a demand may be sent now."""
-        return self.available_at() <= now
-
-    def available_at(self) -> float:
-        """Return when a demand may be sent."""
-        return self.updated_at + max(0.0, 1.0 - self.tokens) / DEMANDS_PER_SECOND
-
-    def spend(self, now: float) -> None:
-        """Count a demand that is sent."""
-        earned = (now - self.updated_at) * DEMANDS_PER_SECOND
-        self.tokens = min(DEMAND_BURST, self.tokens + earned) - 1.0
-        self.updated_at = now
+MAXIMUM_EXAMINED = 32
 
 
 class Offers:
@@ -69,19 +41,10 @@
         self.book = dispatcher.book
         self.narrow: dict[Bucket, dict[str, int]] = {}
         """Number of requests offered to one owner only, by bucket and owner."""
-        self.told: dict[str, dict[Bucket, int]] = {}
-        """Number of waiting requests that each owner believes in, by owner and bucket."""
-        self.told_owners: dict[Bucket, dict[str, None]] = {}
         self.spread_times: deque[tuple[float, RequestRecord]] = deque()
-        self.first_offers: dict[str, None] = {}
-        self.outdated: dict[str, None] = {}
-        """Owners whose knowledge has to be brought up to date as the rate of messages allows."""
-        self.allowance = SendAllowance(context.now)
-        self.withdraw_at: dict[str, float] = {}
-        self.last_grant: dict[str, int] = {}
         self.free_slots: dict[str, int] = {}
         """Free slots of other owners' targets, as last heard of and reduced by offers made since."""
-        self.refresh_at = -math.inf
+        self.sender = DemandSender(context, self.entry, self.buckets_for, self.has_free_slots)
 
     def offer(self, record: RequestRecord) -> None:
         """Offer a request that has just been queued."""
@@ -94,15 +57,15 @@
             narrow[owner] = narrow.get(owner, 0) + 1
             self.spread_times.append((now + self.context.settings.demand_spread_seconds, record))
             self.context.explain(record.request_id, Step.OFFERED, owner)
-            self.touch(record.bucket, owner)
-            if owner in self.outdated:
-                self.first_offers[owner] = None
+            if owner == self.context.own_id:
+                self.enter_own(record.bucket)
+            else:
+                self.sender.first_offer(owner, record.bucket)
         else:
             # Owners that already know of waiting requests of this bucket need no message.
             record.offered_to = None
             self.context.explain(record.request_id, Step.SPREAD)
-            for owner in owners:
-                self.touch(record.bucket, owner)
+            self.tell_all(record.bucket)
 
     def first_owner(self, record: RequestRecord, owners: dict[str, tuple[str, ...]]) -> str:
         """Choose the owner that hears of a request first.
@@ -110,30 +73,29 @@
         The order is: a target with the request's prefix in its cache and a free slot, any free slot, the own
         data centre, the number of free slots last heard of, this router itself, a random one.
         """
-        membership = self.context.membership
         for target_id in record.preferred:
             owner = self.routes.owner_of.get(target_id)
             if owner in owners and (owner == self.context.own_id or self.free_slots.get(target_id, 1) > 0):
                 self.count_down(target_id)
                 return owner
-        best: tuple[tuple, str, str] | None = None
+        best_key: tuple | None = None
+        best: list[tuple[str, str]] = []
         for owner, target_ids in owners.items():
+            own = owner == self.context.own_id
             for target_id in target_ids:
-                free = self.free_of(owner, target_id)
-                near = membership.target(target_id).data_centre == self.context.data_centre
-                own = owner == self.context.own_id
-                key = (free > 0, near, free, own, self.context.rng.random())
-                if best is None or key > best[0]:
-                    best = (key, owner, target_id)
-        assert best is not None
-        self.count_down(best[2])
-        return best[1]
-
-    def free_of(self, owner: str, target_id: str) -> int:
-        """Return the free slots of a target as far as this router knows."""
-        if owner == self.context.own_id:
-            return self.dispatcher.free_slots(target_id)
-        return self.free_slots.get(target_id, 0)
+                free = self.dispatcher.free_slots(target_id) if own else self.free_slots.get(target_id, 0)
+                key = (free > 0, target_id in self.routes.near, free, own)
+                if best_key is None or key > best_key:
+                    best_key, best = key, []
+                if key == best_key:
+                    best.append((owner, target_id))
+        owner, target_id = self.context.rng.choice(best)
+        self.count_down(target_id)
+        return owner
+
+    def keep_targets(self, targets: Container[str]) -> None:
+        """Forget targets that are no longer listed or have no known class."""
+        self.free_slots = {name: free for name, free in self.free_slots.items() if name in targets}
 
     def count_down(self, target_id: str) -> None:
         """Count an offer against the free slots last heard of, so that the next offers go elsewhere."""
@@ -148,8 +110,7 @@
                 continue
             self.widen(record)
             self.context.explain(record.request_id, Step.SPREAD)
-            for owner in self.routes.owners(record.bucket.service):
-                self.touch(record.bucket, owner)
+            self.tell_all(record.bucket)
 
     def widen(self, record: RequestRecord) -> None:
         """Count a request as offered to all owners."""
@@ -163,21 +124,18 @@
         if not narrow:
             del self.narrow[record.bucket]
 
-    def removed(self, record: RequestRecord) -> None:
-        """Correct the offers after a request has left the queue."""
+    def removed(self, record: RequestRecord, *, granted_by: str | None = None) -> None:
+        """Correct the offers after a request has left the queue, by a grant of the given owner if any."""
         self.widen(record)
         bucket = record.bucket
-        for owner in list(self.told_owners.get(bucket, ())):
-            self.touch(bucket, owner)
-        self.touch(bucket, self.context.own_id)
-
-    def granted_by(self, owner: str, bucket: Bucket, number: int) -> None:
-        """Take note of a grant: the owner counts one waiting request less."""
-        self.last_grant[owner] = max(self.last_grant.get(owner, 0), number)
-        told = self.told.get(owner)
-        if told and bucket in told:
-            self.set_told(owner, bucket, told[bucket] - 1)
-        self.touch(bucket, owner)
+        if granted_by not in (None, self.context.own_id):
+            self.sender.count_down(granted_by, bucket)
+            if self.count_for(granted_by, bucket) > 0:
+                self.sender.unknown_to((granted_by,), bucket)
+        for owner in list(self.sender.told_owners.get(bucket, ())):
+            if self.count_for(owner, bucket) <= 0:
+                self.sender.withdraw(owner, bucket)
+        self.enter_own(bucket)
 
     def spread_count(self, bucket: Bucket, *, excluding: int = 0) -> int:
         """Return how many waiting requests are offered to all owners; `excluding` of them are not counted."""
@@ -189,98 +147,58 @@
             return 0
         return self.spread_count(bucket) + self.narrow.get(bucket, {}).get(owner, 0)
 
-    def touch(self, bucket: Bucket, owner: str) -> None:
-        """Plan a message if what the owner knows of the bucket differs too much from what it should know."""
-        count = self.count_for(owner, bucket)
-        if owner == self.context.own_id:
-            self.enter_own(bucket, count)
-            return
-        told = self.told.get(owner, {}).get(bucket, 0)
-        if count > 0 and told <= 0:
-            self.outdated[owner] = None
-        elif count <= 0 and told > 0:
-            self.withdraw_at.setdefault(owner, self.context.now + WITHDRAW_DELAY_SECONDS)
+    def tell_all(self, bucket: Bucket) -> None:
+        """Tell all owners of a request that is offered to all of them."""
+        if self.spread_count(bucket) > 0:
+            owners = self.routes.owners(bucket.service)
+            self.sender.unknown_to((owner for owner in owners if owner != self.context.own_id), bucket)
+        self.enter_own(bucket)
 
-    def enter_own(self, bucket: Bucket, count: int) -> None:
+    def enter_own(self, bucket: Bucket) -> None:
         """Enter the bucket in the own demand book."""
         own_id = self.context.own_id
-        if count <= 0:
-            self.book.set_line(own_id, bucket, 0, 0.0, ())
+        if self.count_for(own_id, bucket) <= 0:
+            self.book.remove_line(own_id, bucket)
             return
-        queue = self.queue.buckets[bucket]
-        preferred = self.preferred(bucket, own_id)
-        self.book.set_line(own_id, bucket, count, queue.oldest().arrived_at, preferred)
+        self.book.set_line(self.entry(own_id, bucket), own_id, self.context.now)
         self.context.wanted_services[bucket.service] = None
 
-    def preferred(self, bucket: Bucket, owner: str) -> tuple[str, ...]:
-        """Return the owner's targets that waiting requests of the bucket prefer."""
-        owner_of = self.routes.owner_of
-        preferring = self.queue.buckets[bucket].preferring
-        targets = (target_id for target_id in preferring if owner_of.get(target_id) == owner)
-        return tuple(target_id for _, target_id in zip(range(MAXIMUM_PREFERRED), targets, strict=False))
-
-    def set_told(self, owner: str, bucket: Bucket, count: int) -> None:
-        """Record what the owner believes after a message or grant."""
-        if count > 0:
-            self.told.setdefault(owner, {})[bucket] = count
-            self.told_owners.setdefault(bucket, {})[owner] = None
-            return
-        told = self.told.get(owner)
-        if told is not None and told.pop(bucket, None) is not None:
-            if not told:
-                del self.told[owner]
-            owners = self.told_owners[bucket]
-            del owners[owner]
-            if not owners:
-                del self.told_owners[bucket]
-
-    def send(self, owner: str) -> None:
-        """Send the owner the present demand."""
-        context, now = self.context, self.context.now
-        self.first_offers.pop(owner, None)
-        self.outdated.pop(owner, None)
-        self.withdraw_at.pop(owner, None)
-        for bucket in list(self.told.get(owner, ())):
-            self.set_told(owner, bucket, 0)
-        entries = []
+    def entry(self, owner: str, bucket: Bucket) -> DemandEntry:
+        """Return what to tell an owner about a bucket; costs are those of the oldest request."""
+        count = self.count_for(owner, bucket)
+        if count <= 0:
+            return DemandEntry(bucket.service, bucket.customer, 0, 0.0)
+        oldest = self.queue.buckets[bucket].oldest()
+        return DemandEntry(
+            service=bucket.service,
+            customer=bucket.customer,
+            waiting=count,
+            oldest_wait_seconds=self.context.now - oldest.arrived_at,
+            preferred=self.preferred(bucket, owner),
+            prompt_cost=oldest.request.prompt_cost,
+            cost_hint=oldest.request.cost_hint,
+        )
+
+    def buckets_for(self, owner: str) -> Iterator[Bucket]:
+        """Return the buckets with waiting requests that the owner has targets for."""
         for service in self.routes.services_of.get(owner, ()):
-            for bucket, queue in self.queue.by_service.get(service, {}).items():
-                count = self.count_for(owner, bucket)
-                if count > 0:
-                    wait = now - queue.oldest().arrived_at
-                    preferred = self.preferred(bucket, owner)
-                    entries.append(DemandEntry(service, bucket.customer, count, wait, preferred))
-                    self.set_told(owner, bucket, count)
-        sequence = context.peers.next_sequence(owner, now)
-        context.send(owner, Demand(sequence, self.last_grant.get(owner, 0), tuple(entries)))
-
-    def flush(self) -> None:
-        """Send the demands that are due: first offers at once, the others as the rate of messages allows."""
-        now = self.context.now
-        for owner in list(self.first_offers):
-            self.allowance.spend(now)
-            self.send(owner)
-        if self.withdraw_at:
-            for owner in [owner for owner, due in self.withdraw_at.items() if due <= now]:
-                self.outdated[owner] = None
-        for owner in list(self.outdated):
-            if not self.allowance.available(now):
-                break
-            self.allowance.spend(now)
-            self.send(owner)
+            yield from self.queue.by_service.get(service, ())
 
-    def withdraw_all(self) -> None:
-        """Withdraw all demand at once, because this router stops."""
-        for owner in list(self.told):
-            self.send(owner)
+    def has_free_slots(self, owner: str) -> bool:
+        """Return whether the owner has free slots for a service that is waited for."""
+        return any(
+            self.free_slots.get(target_id, 0) > 0
+            for service in self.routes.services_of.get(owner, ())
+            if service in self.queue.by_service
+            for target_id in self.routes.owners(service)[owner]
+        )
 
-    def refresh(self) -> None:
-        """Repeat the demand to all owners, because messages may be lost and counts have changed since."""
-        now = self.context.now
-        if now < self.refresh_at or not self.told:
-            return
-        self.refresh_at = now + 2.0 * len(self.told) / DEMANDS_PER_SECOND
-        self.outdated.update(dict.fromkeys(self.told))
+    def preferred(self, bucket: Bucket, owner: str) -> tuple[str, ...]:
+        """Return the owner's targets that waiting requests of the bucket prefer."""
+        owner_of = self.routes.owner_of
+        examined = itertools.islice(self.queue.buckets[bucket].preferring, MAXIMUM_EXAMINED)
+        mine = (target_id for target_id in examined if owner_of.get(target_id) == owner)
+        return tuple(itertools.islice(mine, MAXIMUM_PREFERRED))
 
     def owners_changed(self) -> None:
         """Offer the waiting requests again after the owners of some targets have changed."""
@@ -294,31 +212,18 @@
                     for record in self.queue.buckets[bucket].records.values():
                         record.offered_to = None
                     break
-            for owner in owners:
-                owners_now[owner] = None
-                self.touch(bucket, owner)
-            self.touch(bucket, self.context.own_id)
-        for owner in [owner for owner in self.told if owner not in owners_now]:
-            self.withdraw_at.setdefault(owner, self.context.now)
-
-    def forget(self, owner: str) -> None:
-        """Forget what a router was told that has restarted, is unreachable or is no longer listed."""
-        for bucket in list(self.told.get(owner, ())):
-            self.set_told(owner, bucket, 0)
-        self.last_grant.pop(owner, None)
-        self.first_offers.pop(owner, None)
-        self.outdated.pop(owner, None)
-        self.withdraw_at.pop(owner, None)
+            owners_now.update(dict.fromkeys(owners))
+            self.tell_all(bucket)
+        for owner in self.sender.told:
+            if owner not in owners_now:
+                self.sender.repeated[owner] = None
 
     def next_due(self) -> float:
         """Return when the next demand, spread or withdrawal is due."""
         while self.spread_times and not self.pending(self.spread_times[0][1]):
             self.spread_times.popleft()
         spread = self.spread_times[0][0] if self.spread_times else math.inf
-        demand = self.allowance.available_at() if self.outdated else math.inf
-        # Withdrawals that are due and wait for the rate of messages are among the outdated ones.
-        withdrawals = (due for owner, due in self.withdraw_at.items() if owner not in self.outdated)
-        return min(spread, demand, min(withdrawals, default=math.inf))
+        return min(spread, self.sender.next_due())
 
     def pending(self, record: RequestRecord) -> bool:
         """Return whether the request still waits with one owner only."""
--- a/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
@@ -180,9 +180,10 @@
         sent_at = context.peers.sent_at(owner, grant.echo)
         send_before = sent_at + grant.valid_seconds if sent_at is not None else context.now
         used = UsedGrant(grant.grant_id, grant.target_id, owner, send_before)
+        self.offers.sender.received_grant(owner, grant.number)
         if context.now >= send_before or not self.dispatch(bucket, used):
+            # The owner counts the grant as on its way until the next demand, so it is not repeated at once.
             context.send(owner, GrantReturned(grant.grant_id, grant.target_id))
-        self.offers.granted_by(owner, bucket, grant.number)
 
     def dispatch(self, bucket: Bucket, grant: UsedGrant) -> bool:
         """Send a waiting request of the bucket under the grant; return False when none may be sent."""
@@ -196,7 +197,7 @@
         if now >= send_before:
             return False
         self.queue.take(record.request_id, now)
-        self.offers.removed(record)
+        self.offers.removed(record, granted_by=grant.owner)
         record.state = RequestState.RUNNING
         record.grant = grant
         record.attempt += 1
@@ -246,7 +247,8 @@
         """Note the cost of a stream so far."""
         record = self.attempt_of(message.request_id, message.attempt)
         if record is not None:
-            record.progress_cost = max(record.progress_cost, message.generated_cost)
+            cost = record.request.prompt_cost + message.generated_cost
+            record.progress_cost = max(record.progress_cost, cost)
 
     def ended(self, message: ResponseEnded) -> None:
         """Take the end of an attempt: release the slot, and answer, retry or finish."""
--- a/packages/limpetusher-core/src/limpetusher/wire/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/wire/messages.py
@@ -42,17 +42,24 @@
 
 
 class DemandEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Waiting requests of one customer for one service. `preferred` are targets with a cached prefix."""
+    """Waiting requests of one customer for one service. `preferred` are targets with a cached prefix.
+
+    `prompt_cost` and `cost_hint` are those of the oldest request.
+    """
 
     service: str
     customer: str
     waiting: int
     oldest_wait_seconds: float
     preferred: tuple[str, ...] = ()
+    prompt_cost: float = 0.0
+    cost_hint: float | None = None
 
 
 class Demand(Message, frozen=True, tag="dm"):
-    """Replaces the sender's earlier demand at the addressee.
+    """Replaces the sender's earlier demand at the addressee; a partial one only in the entries that it has.
+
+    An entry without waiting requests withdraws the earlier one.
 
     `sequence` is shared with heartbeats; `last_grant` is the number of the last grant received from the
     addressee, so that grants on their way are not counted twice.
@@ -61,6 +68,7 @@
     sequence: int
     last_grant: int
     entries: tuple[DemandEntry, ...]
+    partial: bool = False
 
 
 class Grant(Message, frozen=True, tag="gr"):
--- a/tests/builders_decision.py
+++ b/tests/builders_decision.py
@@ -1,5 +1,6 @@
 """Builders of configurations, host lists and requests for tests of the decision core."""
 
+import json
 import random
 
 from limpetusher.configuration.compiled import (
@@ -10,16 +11,19 @@
     HostList,
     HostRole,
     HostState,
+    ModelPlacement,
     Service,
     TargetClass,
     TargetKind,
 )
+from limpetusher.configuration.document import load_configuration
 from limpetusher.core.decision import DecisionCore
 from limpetusher.core.inputs import ConfigurationReceived, HostListReceived, LoadReported, RequestArrived
 from limpetusher.core.settings import PolicySettings
 
 MODEL = "chatter"
 BOOKING = "booking"
+WALL_OFFSET_SECONDS = 1_700_000_000.0
 
 
 def make_settings(**changes: object) -> PolicySettings:
@@ -35,6 +39,7 @@
     out: tuple[str, ...] = (),
     queue_limit: int = 1000,
     services: tuple[str, ...] = (MODEL, BOOKING),
+    placements: tuple[ModelPlacement, ...] = (),
 ) -> Configuration:
     customers = {
         name: Customer(name, share, (), frozenset(services), queue_limit=queue_limit)
@@ -57,9 +62,24 @@
         },
         target_classes={target_class.name: target_class for target_class in classes},
         data_centres=dict.fromkeys(out, DataCentreState.OUT_OF_SERVICE),
+        placements={placement.target_id: placement for placement in placements},
     )
 
 
+def load_small_configuration(version: int) -> Configuration:
+    """Return a configuration that was read from a document, as it is relayed between routers."""
+    customer = {"customer_id": "alpha", "share": 1, "api_keys": [], "services": [MODEL]}
+    engine = {"name": "engine", "kind": "engine", "services": [MODEL], "slots": 4, "cold_slots": 4}
+    document = {
+        "version": version,
+        "customers": [customer],
+        "services": [{"name": MODEL, "kind": "engine"}],
+        "target_classes": [engine],
+        "data_centres": [{"name": "a", "state": "in"}, {"name": "b", "state": "in"}],
+    }
+    return load_configuration(json.dumps(document).encode())
+
+
 def make_host_list(
     *,
     version: int = 1,
@@ -102,6 +122,7 @@
     own_id: str = "a1", data_centre: str = "a", *, settings: PolicySettings | None = None, **changes: object
 ) -> DecisionCore:
     values = {"incarnation": 1, "rng": random.Random(7), "started_at": 0.0}
+    values["wall_offset_seconds"] = WALL_OFFSET_SECONDS
     return DecisionCore(
         settings=settings or make_settings(),
         own_id=own_id,
