--- a/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
@@ -88,6 +88,7 @@
         self.targets: dict[str, TargetState] = {}
         self.target_of_grant: dict[str, str] = {}
         self.by_holder: dict[str, dict[str, GrantEntry]] = {}
+        """Counted grants by holder, so that a heartbeat costs no search over all targets."""
 
     def configure(self, targets: Iterable[Host], classes: Mapping[str, TargetClass]) -> None:
         """Take over the listed targets; those that are gone or have no known class are dropped."""
@@ -176,6 +177,14 @@
             and shares.may_borrow(target_id, now)
         )
 
+    def resumed(self) -> None:
+        """Borrow nothing after a pause until new reports have shown no outside work for long enough.
+
+        Carriers whose heartbeats wait in the socket look silent after a pause.
+        """
+        for state in self.targets.values():
+            state.explained_from = None
+
     def grant(
         self,
         grant_id: str,
@@ -200,16 +209,6 @@
         self.target_of_grant[entry.grant_id] = entry.target_id
         self.by_holder.setdefault(entry.holder, {})[entry.grant_id] = entry
 
-    def uncount(self, state: TargetState, grant_id: str, now: float) -> GrantEntry:
-        """Stop counting an entry."""
-        state.changed_at = now
-        entry = state.entries.pop(grant_id)
-        held = self.by_holder[entry.holder]
-        del held[grant_id]
-        if not held:
-            del self.by_holder[entry.holder]
-        return entry
-
     def remove(self, grant_id: str, now: float) -> GrantEntry | None:
         """Stop counting a grant and return its entry, None when it is not known."""
         target_id = self.target_of_grant.pop(grant_id, None)
@@ -219,8 +218,18 @@
         lost = state.lost.pop(grant_id, None)
         if lost is not None:
             return lost.entry
+        state.changed_at = now
         state.ended.append(now)
-        return self.uncount(state, grant_id, now)
+        return self.uncount(state, grant_id)
+
+    def uncount(self, state: TargetState, grant_id: str) -> GrantEntry:
+        """Take an entry out of the counted ones."""
+        entry = state.entries.pop(grant_id)
+        held = self.by_holder[entry.holder]
+        del held[grant_id]
+        if not held:
+            del self.by_holder[entry.holder]
+        return entry
 
     def held(
         self, holder: str, entries: Iterable[HeldGrant], now: float, *, sent_after: float | None = None
@@ -244,7 +253,7 @@
             if sent_after is not None and entry.listed_at is not None:
                 state.outside.explain(entry.grant_id, entry.listed_at, sent_after)
         if sent_after is not None:
-            for entry in list(self.by_holder.get(holder, {}).values()):
+            for entry in self.entries_of(holder):
                 if (
                     entry.charge is not None
                     and entry.grant_id not in listed
@@ -266,6 +275,10 @@
         self.add(state, entry, now)
         return entry
 
+    def entries_of(self, holder: str) -> list[GrantEntry]:
+        """Return the counted grants of a holder."""
+        return list(self.by_holder.get(holder, {}).values())
+
     def progressed(self, entry: GrantEntry, progress: float, now: float) -> list[ChargeChange]:
         """Record that a grant is in use; a charge below the progress is corrected."""
         entry.seen_at = now
@@ -333,18 +346,17 @@
         As such requests may still run, they count as work outside the ledger until reports show less, or
         until the longest time that a stopping router takes to finish.
         """
-        timeout = self.settings.held_timeout_seconds
-        silent = [
-            entry
-            for held in self.by_holder.values()
-            for entry in held.values()
-            if now - entry.seen_at >= timeout
-        ]
-        for entry in silent:
-            state = self.targets[entry.target_id]
-            state.lost[entry.grant_id] = LostGrant(self.uncount(state, entry.grant_id, now), now)
-            state.outside.freed(1)
         for state in self.targets.values():
+            silent = [
+                entry
+                for entry in state.entries.values()
+                if now - entry.seen_at >= self.settings.held_timeout_seconds
+            ]
+            for entry in silent:
+                state.lost[entry.grant_id] = LostGrant(self.uncount(state, entry.grant_id), now)
+            if silent:
+                state.outside.freed(len(silent))
+                state.changed_at = now
             for grant_id, lost in list(state.lost.items()):
                 if now - lost.freed_at >= self.settings.stop_grace_seconds:
                     del state.lost[grant_id]
--- a/tests/core/connection/test_peers.py
+++ b/tests/core/connection/test_peers.py
@@ -13,6 +13,7 @@
     peers = make_peers()
     sent = {peers.next_sequence("p", float(i)): float(i) for i in range(2 * RECENT_SEQUENCES)}
     newest = max(sent)
+    assert min(sent) == 1001
     assert all(peers.sent_at("p", s) == sent[s] for s in range(newest - RECENT_SEQUENCES + 1, newest + 1))
     assert [peers.sent_at("p", s) for s in (newest - RECENT_SEQUENCES, newest + 1, 1000, 0)] == [None] * 4
 
