--- a/packages/limpetusher-core/src/limpetusher/core/process/shares.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/shares.py
@@ -85,6 +85,8 @@
         self.confirmed: dict[str, float] = {}
         self.contacts: dict[str, Contact] = {}
         self.version: int | None = None
+        self.stopping = False
+        """Whether heartbeats say that this router is leaving; other routers then name another owner."""
 
     def hosts_changed(self, now: float) -> None:
         """Take over the carriers of a new host list: slots are lost at once and gained late."""
@@ -259,7 +261,9 @@
         the first carrier, all use the same host list, and all have heard this router within the timeout.
         Otherwise the result is None.
         """
-        if self.layouts.get(target_id, ())[:1] != (self.own_id,) or self.membership.is_leaving(self.own_id):
+        if self.layouts.get(target_id, ())[:1] != (self.own_id,):
+            return None
+        if self.stopping or self.membership.is_leaving(self.own_id):
             return None
         timeout = self.settings.peer_timeout_seconds
         since = now
--- a/tests/builders_capacity.py
+++ b/tests/builders_capacity.py
@@ -122,6 +122,11 @@
         """Stop a router at once; its requests end with it."""
         self.nodes.pop(name, None)
 
+    def leave(self, name: str) -> None:
+        """Let a router announce that it is stopping; the next owner has to take over from it."""
+        node = self.nodes[name]
+        node.shares.stopping = node.membership.leaving_self = True
+
     def see(self, name: str, age: int) -> None:
         """Let a router read the newest host list or one that is `age` versions older."""
         node = self.nodes[name]
@@ -149,7 +154,7 @@
                     sequence=node.peers.next_sequence(peer, self.now),
                     echo=node.peers.echo_for(peer),
                     ready=True,
-                    leaving=False,
+                    leaving=node.shares.stopping,
                     configuration_version=1,
                     configuration_digest=b"",
                     host_list_version=node.membership.version,
--- a/tests/core/process/test_capacity_safety.py
+++ b/tests/core/process/test_capacity_safety.py
@@ -73,6 +73,11 @@
     def stop(self, name):
         self.world.stop(name)
 
+    @rule(name=NAMES)
+    def leave(self, name):
+        if name in self.world.nodes:
+            self.world.leave(name)
+
     @rule(listed=st.sets(NAMES, min_size=1))
     def publish(self, listed):
         self.world.publish(sorted(listed))
