--- a/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
@@ -24,6 +24,7 @@
 from limpetusher.wire.messages import EarlierList, KeySync, KeySyncRequest
 
 MAXIMUM_WITNESS_SETS = 50_000
+SLOWEST_RETRY_SECONDS = 5.0
 
 
 @dataclass(slots=True)
@@ -40,8 +41,14 @@
 
     number: int
     sent_at: float
+    retry_seconds: float
     parts: set[int]
 
+    @property
+    def retry_at(self) -> float:
+        """Return when to ask again."""
+        return self.sent_at + self.retry_seconds
+
 
 class Readiness:
     """Tells for which keys this router may act as a witness.
@@ -162,9 +169,12 @@
         due = []
         for peer in sorted(self._needed()):
             exchange = self.exchanges.get(peer)
-            if exchange is None or now >= exchange.sent_at + self.settings.register_timeout_seconds:
+            if exchange is None or now >= exchange.retry_at:
                 number = self.rng.getrandbits(48)
-                self.exchanges[peer] = Exchange(number, now, set())
+                retry = self.settings.register_timeout_seconds
+                if exchange is not None:
+                    retry = min(2 * exchange.retry_seconds, SLOWEST_RETRY_SECONDS)
+                self.exchanges[peer] = Exchange(number, now, retry, set())
                 due.append((peer, KeySyncRequest(self.current.digest, number)))
         return due
 
@@ -179,8 +189,7 @@
         times = [time for time in times if time >= now]
         for peer in self._needed():
             exchange = self.exchanges.get(peer)
-            retry_at = exchange.sent_at + self.settings.register_timeout_seconds if exchange else now
-            times.append(max(retry_at, self.synchronise_from))
+            times.append(max(exchange.retry_at if exchange else now, self.synchronise_from))
         return min(times, default=float("inf"))
 
     def answered(self, peer: str, answer: KeySync, now: float) -> None:
--- a/packages/limpetusher-core/src/limpetusher/core/request/witness_sets.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/witness_sets.py
@@ -3,6 +3,7 @@
 import hashlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import cached_property
 
 from limpetusher.configuration.compiled import HostList, HostRole
 
@@ -10,7 +11,7 @@
 DIGEST_BYTES = 16
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class RouterList:
     """The routers of a host list with their data centres, sorted by identifier."""
 
@@ -29,7 +30,7 @@
         digest = hashlib.blake2b(repr(routers).encode(), digest_size=DIGEST_BYTES).digest()
         return cls(digest, tuple(routers))
 
-    @property
+    @cached_property
     def ids(self) -> frozenset[str]:
         """Return the identifiers of the routers."""
         return frozenset(router for router, _ in self.routers)
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -256,6 +256,17 @@
             if not self.deliver(index):
                 index += 1
 
+    def exchange(self, names: set[str], *, lose_others: bool = False) -> None:
+        """Deliver the messages between some routers; the others' are delayed or lost."""
+        held, index = [], 0
+        while index < len(self.flight):
+            if {self.flight[index][0], self.flight[index][1]} <= names:
+                if not self.deliver(index):
+                    index += 1
+            else:
+                held.append(self.flight.pop(index))
+        self.flight += [] if lose_others else held
+
     def advance(self, seconds: float, *, deliver: bool = True) -> None:
         """Let time pass; timers run, and messages arrive unless they are delayed."""
         end = self.now + seconds
--- a/tests/core/request/test_idempotency.py
+++ b/tests/core/request/test_idempotency.py
@@ -6,19 +6,27 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from builders_versions import WitnessFleet, call, router
+from limpetusher.configuration.compiled import Host
 from limpetusher.core.actions import Ran, RefusalCode
 from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, WitnessSend, key_of
 from limpetusher.wire.messages import KeyOutcome, Register
 
-KEYS = st.sampled_from(["key-1", "key-1", "key-2"])
-PAUSES = st.sampled_from([0.01, 0.1, 0.26, 0.51, 2.0, 31.0, 61.0, 119.0, 125.0])
-NUMBERS = st.integers(0, 6)
+PAUSES = st.sampled_from([0.01, 0.26, 0.51, 1.1, 31.0, 61.0, 119.0, 121.0])
+NUMBERS = st.integers(0, 5)
+GROUPS = st.sets(NUMBERS, min_size=1).map(lambda numbers: {f"router-{number}" for number in numbers})
+
+STEPS = st.sampled_from(
+    [
+        *("call", "call", "call", "call", "send", "finish", "advance", "advance", "exchange", "exchange"),
+        *("split", "pause", "restart", "change", "see"),
+    ]
+)
 
 
 class IdempotencyMachine(RuleBasedStateMachine):
-    """Callers repeat keys at any router while messages and processes misbehave."""
+    """Callers repeat one key at any router while messages and processes misbehave."""
 
-    @initialize(count=st.integers(1, 6))
+    @initialize(count=st.sampled_from([1, 2, 3, 3, 4, 5, 6]))
     def start(self, count: int):
         self.fleet = WitnessFleet(tuple(range(count)))
         self.requests = 0
@@ -26,64 +34,60 @@
     def pick(self, number: int, items: list):
         return items[number % len(items)] if items else None
 
-    @rule(number=NUMBERS, key=KEYS)
-    def call(self, number: int, key: str):
+    def open_calls(self) -> list:
+        """Return the calls that a running process may act on."""
+        return [one for one in self.fleet.calls if one.admitted and not self.fleet.nodes[one.node].paused]
+
+    # Hypothesis leaves out some rules in each run, and then calls were too rare for two of them to meet.
+    # Therefore all steps are one rule.
+    @rule(step=STEPS, number=NUMBERS, group=GROUPS, seconds=PAUSES, flag=st.booleans())
+    def step(self, step: str, number: int, group: set[str], seconds: float, flag: bool):
+        """Take one step; `flag` chooses between two forms of it."""
+        match step:
+            case "call":
+                self.call(number, group, lose_others=flag)
+            case "send":
+                waiting = [one for one in self.open_calls() if one.sent_at is None]
+                if waiting:
+                    self.fleet.send(self.pick(number, waiting))
+            case "finish":
+                ongoing = self.pick(number, self.open_calls())
+                if ongoing:
+                    ran = Ran.YES if flag else Ran.UNKNOWN
+                    self.fleet.finish(ongoing, Ran.NO if ongoing.sent_at is None else ran)
+            case "advance":
+                self.fleet.advance(seconds, deliver=flag)
+            case "exchange":
+                self.fleet.exchange(group, lose_others=flag)
+            case "split":
+                self.fleet.isolated = frozenset(group) if flag else frozenset()
+            case "pause":
+                for node in self.fleet.nodes.values():
+                    node.paused = flag and node.name in group
+            case "restart":
+                for name in sorted(group & self.fleet.nodes.keys()):
+                    node = self.fleet.nodes[name]
+                    self.fleet.restart(name, len(self.fleet.lists) if flag else node.version)
+            case "change":
+                self.change_hosts(router(number))
+            case "see":
+                for node in self.fleet.running():
+                    if flag or node.name in group:
+                        self.fleet.see_list(node.name, len(self.fleet.lists))
+
+    def call(self, number: int, group: set[str], lose_others: bool):
+        """Call a router that can exchange messages with some routers only, and send if admitted."""
         node = self.pick(number, self.fleet.running())
         if node:
             self.requests += 1
-            self.fleet.call(node.name, call(f"request-{self.requests}", key))
-
-    @rule(number=NUMBERS)
-    def send(self, number: int):
-        waiting = [one for one in self.on_running() if one.sent_at is None]
-        if waiting:
-            self.fleet.send(self.pick(number, waiting))
-
-    @rule(number=NUMBERS, ran=st.sampled_from([Ran.YES, Ran.UNKNOWN]))
-    def finish(self, number: int, ran: Ran):
-        ongoing = self.pick(number, self.on_running())
-        if ongoing:
-            self.fleet.finish(ongoing, Ran.NO if ongoing.sent_at is None else ran)
-
-    @rule(seconds=PAUSES, deliver=st.booleans())
-    def advance(self, seconds: float, deliver: bool):
-        self.fleet.advance(seconds, deliver=deliver)
-
-    @rule(number=st.integers(0, 50))
-    def deliver_one(self, number: int):
-        if self.fleet.flight:
-            self.fleet.deliver(number % len(self.fleet.flight))
-
-    @rule()
-    def deliver_all(self):
-        self.fleet.deliver_all()
-
-    @rule(number=st.integers(0, 50))
-    def lose_one(self, number: int):
-        if self.fleet.flight:
-            del self.fleet.flight[number % len(self.fleet.flight)]
-
-    @rule(number=NUMBERS)
-    def pause(self, number: int):
-        node = self.pick(number, self.fleet.running())
-        if node:
-            node.paused = True
-
-    @rule()
-    def resume_all(self):
-        for node in self.fleet.nodes.values():
-            node.paused = False
-
-    @rule(number=NUMBERS, newest=st.booleans())
-    def restart(self, number: int, newest: bool):
-        node = self.pick(number, list(self.fleet.nodes.values()))
-        self.fleet.restart(node.name, len(self.fleet.lists) if newest else node.version)
-
-    @rule(number=NUMBERS)
-    def change_hosts(self, number: int):
-        """Add or remove one router; the others see it later."""
-        present = {host.host_id: host for host in self.fleet.lists[-1].hosts}
-        host = router(number)
+            ongoing = self.fleet.call(node.name, call(f"request-{self.requests}"))
+            self.fleet.exchange(group | {node.name}, lose_others=lose_others)
+            if ongoing.admitted and number < 4:
+                self.fleet.send(ongoing)
+
+    def change_hosts(self, host: Host):
+        """Publish a list with one router more or less, which the routers see later."""
+        present = {one.host_id: one for one in self.fleet.lists[-1].hosts}
         if host.host_id not in present:
             present[host.host_id] = host
         elif len(present) > 1:
@@ -92,33 +96,15 @@
         if host.host_id in present and host.host_id not in self.fleet.nodes:
             self.fleet.start(host.host_id, self.fleet.restart_settings, version)
 
-    @rule(number=NUMBERS)
-    def see_hosts(self, number: int):
-        node = self.pick(number, self.fleet.running())
-        if node:
-            self.fleet.see_list(node.name, len(self.fleet.lists))
-
-    @rule()
-    def all_see_hosts(self):
-        for node in self.fleet.running():
-            self.fleet.see_list(node.name, len(self.fleet.lists))
-
-    @rule(numbers=st.sets(NUMBERS))
-    def split_network(self, numbers: set[int]):
-        self.fleet.isolated = frozenset(f"router-{number}" for number in numbers)
-
     @precondition(lambda self: hasattr(self, "fleet"))
     @invariant()
     def no_key_runs_twice_within_its_window(self):
         doubles = self.fleet.double_runs()
         assert not doubles, [(one.node, one.arrived_at, one.sent_at) for pair in doubles for one in pair]
 
-    def on_running(self):
-        return [one for one in self.fleet.calls if one.admitted and not self.fleet.nodes[one.node].paused]
-
 
 IdempotencyMachine.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
 )
 
 
