--- a/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
@@ -24,6 +24,7 @@
 from limpetusher.wire.messages import EarlierList, KeySync, KeySyncRequest
 
 MAXIMUM_WITNESS_SETS = 50_000
+SLOWEST_RETRY_SECONDS = 5.0
 
 
 @dataclass(slots=True)
@@ -40,8 +41,14 @@
 
     number: int
     sent_at: float
+    retry_seconds: float
     parts: set[int]
 
+    @property
+    def retry_at(self) -> float:
+        """Return when to ask again."""
+        return self.sent_at + self.retry_seconds
+
 
 class Readiness:
     """Tells for which keys this router may act as a witness.
@@ -162,9 +169,12 @@
         due = []
         for peer in sorted(self._needed()):
             exchange = self.exchanges.get(peer)
-            if exchange is None or now >= exchange.sent_at + self.settings.register_timeout_seconds:
+            if exchange is None or now >= exchange.retry_at:
                 number = self.rng.getrandbits(48)
-                self.exchanges[peer] = Exchange(number, now, set())
+                retry = self.settings.register_timeout_seconds
+                if exchange is not None:
+                    retry = min(2 * exchange.retry_seconds, SLOWEST_RETRY_SECONDS)
+                self.exchanges[peer] = Exchange(number, now, retry, set())
                 due.append((peer, KeySyncRequest(self.current.digest, number)))
         return due
 
@@ -179,8 +189,7 @@
         times = [time for time in times if time >= now]
         for peer in self._needed():
             exchange = self.exchanges.get(peer)
-            retry_at = exchange.sent_at + self.settings.register_timeout_seconds if exchange else now
-            times.append(max(retry_at, self.synchronise_from))
+            times.append(max(exchange.retry_at if exchange else now, self.synchronise_from))
         return min(times, default=float("inf"))
 
     def answered(self, peer: str, answer: KeySync, now: float) -> None:
@@ -231,26 +240,33 @@
             needed |= (left.router_list.ids & listed) - self.intact_peers
         return needed
 
-    def _has_left(self, router: str, left: LeftList, now: float) -> bool:
-        if router == self.own_id:
-            return self.intact
-        if router in self.intact_peers:
-            return True
-        # A router that was removed from the list is taken to have stopped when a window has passed.
-        removed = router not in self.current.ids
-        return removed and now >= left.left_at + self.settings.idempotency_window_seconds
+    def _has_left(self, router: str) -> bool:
+        return self.intact if router == self.own_id else router in self.intact_peers
+
+    def _may_count_on_removal(self, left: LeftList, remaining: list[str], now: float) -> bool:
+        """Return whether those that have not left the list are taken to have stopped.
+
+        That is so when a window has passed and all of them were removed from the list. A router that is still
+        listed may use the earlier list for ever, and form a majority with a removed one that still runs.
+        """
+        window_passed = now >= left.left_at + self.settings.idempotency_window_seconds
+        return window_passed and self.current.ids.isdisjoint(remaining)
 
     def _is_closed(self, left: LeftList, key: bytes, now: float) -> bool:
         chosen = self._witnesses(left.router_list, key)
-        gone = sum(self._has_left(router, left, now) for router in chosen)
-        return gone >= majority(len(chosen))
+        remaining = [router for router in chosen if not self._has_left(router)]
+        if len(chosen) - len(remaining) >= majority(len(chosen)):
+            return True
+        return self._may_count_on_removal(left, remaining, now)
 
     def _is_closed_for_all(self, left: LeftList, now: float) -> bool:
         routers = left.router_list.ids
-        remaining = [router for router in routers if not self._has_left(router, left, now)]
+        remaining = [router for router in routers if not self._has_left(router)]
         size = min(self.settings.witness_count, len(routers))
         most = most_witnesses_within(left.router_list, remaining, self.settings.witness_count)
-        return size - most >= majority(size)
+        if size - most >= majority(size):
+            return True
+        return self._may_count_on_removal(left, remaining, now)
 
     def _witnesses(self, router_list: RouterList, key: bytes) -> tuple[str, ...]:
         return witnesses(router_list, key, self.settings.witness_count, self.rank)
