--- a/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
@@ -181,7 +181,7 @@
         send_before = sent_at + grant.valid_seconds if sent_at is not None else context.now
         used = UsedGrant(grant.grant_id, grant.target_id, owner, send_before)
         self.offers.sender.received_grant(owner, grant.number)
-        if context.now >= send_before or not self.dispatch(bucket, used):
+        if not self.dispatch(bucket, used):
             # The owner counts the grant as on its way until the next demand, so it is not repeated at once.
             context.send(owner, GrantReturned(grant.grant_id, grant.target_id))
 
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -90,14 +90,22 @@
     assert outcomes(fleet) == {Outcome.COMPLETE: len(arrivals)}
 
 
-def test_demand_spreads_to_other_owners_when_the_first_has_no_slot():
-    """Guards against work that waits at one owner while the targets of another are idle."""
+def test_request_spreads_to_other_owners_when_the_first_has_no_slot():
+    """Guards against work that waits at one owner while the target of another is idle.
+
+    The first offer goes to the owner whose target has the prefix cached, although its slots are in use.
+    """
     fleet = make_fleet(2, 2, data_centres="ab")
+    fleet.request("r0", make_request("first", prefix=b"history"))
+    fleet.run(1.0)
     fleet.targets["e0"].seconds = fleet.targets["e1"].seconds = 5.0
-    for number in range(8):
-        fleet.request("r0", make_request(f"q{number}"))
+    for number in range(5):
+        fleet.request("r0", make_request(f"q{number}", prefix=b"history"))
+    asked_at = fleet.now
     fleet.run(0.05)
-    assert fleet.runs.total() == 8
+    assert len(fleet.targets["e0"].running) == 4
+    ((started_at, _),) = fleet.targets["e1"].starts
+    assert 0.01 <= started_at - asked_at <= 0.015
 
 
 def test_utilisation_stays_high_while_work_waits():
--- a/tests/core/test_grants.py
+++ b/tests/core/test_grants.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from builders_decision import MODEL, make_configuration, make_core, make_host_list, make_request
+from builders_decision import MODEL, make_configuration, make_core, make_host_list, make_report, make_request
 from limpetusher.core.actions import Dispatch, SendToPeer
 from limpetusher.core.inputs import (
     ConfigurationReceived,
@@ -103,3 +103,29 @@
     (heartbeat,) = [payload for payload in payloads if isinstance(payload, Heartbeat)]
     assert "g1" in [held.grant_id for held in heartbeat.held]
     assert dispatch.request_id in core.lifecycle.running
+
+
+def free_after_silence(*, heard_until, paused_from, looked_at):
+    """Return the free slots of a warm target whose other carrier has become silent."""
+    core = make_core()
+    core.handle(HostListReceived(make_host_list(**HOSTS)), 0.0)
+    core.handle(ConfigurationReceived(make_configuration(slots=4)), 0.0)
+    for tick in range(1, int(paused_from / 0.25) + 1):
+        now = tick * 0.25
+        if now <= heard_until:
+            values = {"ready": True, "leaving": False, "configuration_version": 1, "host_list_version": 1}
+            heartbeat = Heartbeat(tick, last_sequence(core), configuration_digest=b"", **values)
+            core.handle(PeerMessage("a2", 5, heartbeat), now)
+        core.handle(make_report("e1"), now)
+    core.handle(TimerDue(), looked_at)
+    (target,) = core.status().targets
+    return target.free
+
+
+def test_router_that_wakes_does_not_take_its_own_pause_for_the_silence_of_others():
+    """Guards against borrowed slots that their carrier, which was never silent, uses itself.
+
+    The own slots of this router are still lent to the other one when it wakes.
+    """
+    assert free_after_silence(heard_until=3.0, paused_from=12.0, looked_at=12.25) == 4
+    assert free_after_silence(heard_until=3.0, paused_from=3.25, looked_at=6.125) == 0
