--- a/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/ledger.py
@@ -59,6 +59,7 @@
 class TargetState:
     """State of one target.
 
+    `lost` are grants of silent holders; at most `lost_running` of them, freed until `lost_at`, still run.
     `changed_at` is the time of the last grant, release or other change of `entries`. `explained_from` is the
     time of the first report since the last one that showed work outside the ledger.
     """
@@ -66,6 +67,8 @@
     limit: TargetLimit
     entries: dict[str, GrantEntry] = field(default_factory=dict)
     lost: dict[str, LostGrant] = field(default_factory=dict)
+    lost_running: int = 0
+    lost_at: float = float("-inf")
     outside: OutsideWork = field(default_factory=OutsideWork)
     running: int = 0
     measured_at: float = float("-inf")
@@ -73,6 +76,12 @@
     ended: deque[float] = field(default_factory=lambda: deque(maxlen=REMEMBERED_RELEASES))
     explained_from: float | None = None
 
+    def settle_lost(self, greatest: int | None = None) -> None:
+        """Lower the bound of lost grants that still run to what reports and `greatest` allow."""
+        least = self.outside.least_since(self.lost_at)
+        bounds = (len(self.lost), least, greatest)
+        self.lost_running = min(self.lost_running, *(bound for bound in bounds if bound is not None))
+
 
 class Ledger:
     """Grants, held requests and limits of all targets that this router may own.
@@ -143,21 +152,24 @@
         """Return how many more grants may be issued for the target now."""
         state = self.state(target_id)
         limit = state.limit.present
-        counted = len(state.entries)
         borrow = self.may_borrow(target_id, state, shares, now)
         lent = shares.lent_slots(target_id, limit, now, borrow=borrow)
-        if lent <= counted:
+        if lent <= len(state.entries):
             return 0
 
         def lent_since(since: float) -> int:
             return shares.lent_slots(target_id, limit, now, since=since, borrow=borrow)
 
+        state.settle_lost()
         capacity = state.outside.capacity(limit, lent_since)
-        if capacity < lent:
+        if capacity < lent or state.lost_running:
             known_since = shares.holders_known_since(target_id, now)
             if known_since is not None:
-                state.outside.holders_known(known_since, self.still_lost(state, shares))
+                state.outside.holders_known(known_since)
+                state.settle_lost(self.still_lost(state, shares))
                 capacity = state.outside.capacity(limit, lent_since)
+        # Lost grants occupy own slots, so unlike other outside work they are subtracted in full.
+        counted = len(state.entries) + state.lost_running
         running = state.running if state.measured_at > state.changed_at else 0
         return max(0, min(capacity - counted, limit - max(counted, running)))
 
@@ -329,6 +341,7 @@
             return
         state.running, state.measured_at = report.running, measured_at
         state.limit.reported(report, measured_at)
+        state.settle_lost()
         state.outside.reported(measured_at, report.running)
         ended = sum(1 for time in state.ended if time >= measured_at)
         if report.running > len(state.entries) + ended:
@@ -355,8 +368,8 @@
             for entry in silent:
                 state.lost[entry.grant_id] = LostGrant(self.uncount(state, entry.grant_id), now)
             if silent:
-                state.outside.freed(len(silent))
-                state.changed_at = now
+                state.lost_running += len(silent)
+                state.lost_at = state.changed_at = now
             for grant_id, lost in list(state.lost.items()):
                 if now - lost.freed_at >= self.settings.stop_grace_seconds:
                     del state.lost[grant_id]
--- a/packages/limpetusher-core/src/limpetusher/core/process/outside.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/outside.py
@@ -55,14 +55,13 @@
             if running_from <= report.measured_at <= running_until:
                 report.explained.add(grant_id)
 
-    def holders_known(self, since: float, lost: int) -> None:
-        """Record that all routers have listed what they held at `since`; `lost` grants have no holder."""
-        self.bounds = with_bound(self.bounds, Bound(since, lost))
-
-    def freed(self, count: int) -> None:
-        """Count grants as outside work that were in the ledger before and may still run."""
-        self.bounds = [Bound(bound.since, bound.work + count) for bound in self.bounds]
-        self.reports.clear()
+    def holders_known(self, since: float) -> None:
+        """Record that all routers have listed what they held at `since`."""
+        self.bounds = with_bound(self.bounds, Bound(since, 0))
+
+    def least_since(self, time: float) -> int | None:
+        """Return the least outside work by the reports measured after `time`, None if there is none."""
+        return min((report.outside for report in self.reports if report.measured_at > time), default=None)
 
     def capacity(self, limit: int, lent_since: Callable[[float], int]) -> int:
         """Return how many grants the leased slots allow by the best known bound.
--- a/tests/core/process/test_ledger.py
+++ b/tests/core/process/test_ledger.py
@@ -124,6 +124,26 @@
     assert fixture.usable(126.0) == 3
 
 
+def test_lost_grants_take_own_slots_in_full():
+    """Guards against sharing the room for lost grants with owners that don't know of them.
+
+    Found by a random run: 3 lost grants of an owner with 4 of 8 slots left room for 2 instead of 1.
+    """
+    fixture = Fixture(["r1"], cold_slots=8)
+    assert fixture.usable(0.5) == 0
+    fixture.report(0, 1.0)
+    for grant_id in ("g1", "g2", "g3"):
+        fixture.grant(grant_id, 1.0, holder="gone")
+    fixture.ledger.expire(6.0)
+    fixture.shares.lend(2.4)
+    assert fixture.usable(2.4) == 1
+    fixture.report(3, 6.5, age=0.2)
+    assert fixture.ledger.state(TARGET).lost_running == 3
+    fixture.report(1, 7.0)
+    fixture.report(1, 7.1)
+    assert fixture.ledger.state(TARGET).lost_running == 1
+
+
 def test_slots_of_silent_carriers_are_borrowed_only_for_warm_explained_targets():
     """Guards against borrowing at a cold target or while unknown work runs."""
     fixture = Fixture(["r1"])
