--- a/tests/core/process/test_ledger.py
+++ b/tests/core/process/test_ledger.py
@@ -134,9 +134,10 @@
     fixture.report(0, 1.0)
     for grant_id in ("g1", "g2", "g3"):
         fixture.grant(grant_id, 1.0, holder="gone")
+    for second in range(1, 6):
+        fixture.shares.lend(float(second))
     fixture.ledger.expire(6.0)
-    fixture.shares.lend(2.4)
-    assert fixture.usable(2.4) == 1
+    assert fixture.usable(6.0) == 1
     fixture.report(3, 6.5, age=0.2)
     assert fixture.ledger.state(TARGET).lost_running == 3
     fixture.report(1, 7.0)
