--- a/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
@@ -34,6 +34,7 @@
         "received",
         "reused",
         "sent",
+        "sent_before",
         "sock",
         "state",
         "unsent",
@@ -55,6 +56,8 @@
         """Forget the exchange before and begin another one."""
         self.attempt = attempt
         self.unsent = memoryview(attempt.request if attempt is not None else b"")
+        self.sent_before = False
+        """Whether the same exchange has sent a byte on a kept connection that broke."""
         self.sent = False
         """Whether at least one byte of the request was handed to the network."""
         self.received = False
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -70,8 +70,12 @@
             else:
                 self.begin(connection, attempt)
         except Exception:
+            connection = self.exchanges.get((attempt.channel, attempt.key))
+            if connection is not None:
+                self.fail(connection)
+                return
             logger.exception("starting an exchange failed")
-            self.report_unreachable(attempt, "internal error")
+            self.fire(AnswerEnded(attempt.key, AttemptEnd.UNREACHABLE, "internal error"), attempt.channel)
 
     def take_kept(self, attempt: Attempt) -> TargetConnection | None:
         """Return a kept connection that is still open, None when there is none."""
@@ -88,16 +92,19 @@
             self.close(connection)
         return None
 
-    def connect(self, attempt: Attempt) -> None:
+    def connect(self, attempt: Attempt, *, sent_before: bool = False) -> None:
         """Open a connection without waiting for it."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         prepare(sock)
         connection = TargetConnection(sock, attempt.address)
         connection.begin(attempt)
+        connection.sent_before = sent_before
         result = sock.connect_ex(split_address(self.settings.reach(attempt.address)))
         if result not in (0, errno.EINPROGRESS):
             sock.close()
-            self.report_unreachable(attempt, errno.errorcode.get(result, str(result)))
+            end = AttemptEnd.CUT if sent_before else AttemptEnd.UNREACHABLE
+            detail = errno.errorcode.get(result, str(result))
+            self.fire(AnswerEnded(attempt.key, end, detail), attempt.channel)
             return
         self.connections[sock] = connection
         self.exchanges[attempt.channel, attempt.key] = connection
@@ -118,13 +125,11 @@
         """Return how long the target may be silent."""
         return attempt.idle_seconds or self.settings.target_idle_timeout_seconds
 
-    def report_unreachable(self, attempt: Attempt, detail: str) -> None:
-        """Tell that no connection could be made."""
-        self.fire(AnswerEnded(attempt.key, AttemptEnd.UNREACHABLE, detail), attempt.channel)
-
     def begin(self, connection: TargetConnection, attempt: Attempt) -> None:
         """Send the request on an open connection."""
+        sent_before = connection.sent_before
         connection.begin(attempt)
+        connection.sent_before = sent_before
         connection.state = TargetState.BUSY
         self.exchanges[attempt.channel, attempt.key] = connection
         self.timeouts.set(connection, self.idle_seconds(attempt))
@@ -168,6 +173,14 @@
         connection = self.connections.get(sock)
         if connection is None or not connection.writing:
             return
+        try:
+            self.proceed(connection)
+        except Exception:
+            self.fail(connection)
+
+    def proceed(self, connection: TargetConnection) -> None:
+        """Finish connecting, or go on sending."""
+        sock = connection.sock
         if connection.state is TargetState.CONNECTING:
             error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if error:
@@ -218,8 +231,7 @@
             self.end(connection, AttemptEnd.CUT, error.message)
             return
         except Exception:
-            logger.exception("reading an answer failed")
-            self.end(connection, AttemptEnd.CUT, "internal error")
+            self.fail(connection)
             return
         connection.buffer[:] = rest
         if payload:
@@ -284,13 +296,22 @@
         self.close(connection)
         for kept in self.kept.pop(attempt.address, []):
             self.close(kept)
-        self.connect(attempt)
+        self.connect(attempt, sent_before=connection.sent)
+
+    def fail(self, connection: TargetConnection) -> None:
+        """End the exchange on a connection after an exception in a handler."""
+        logger.exception("an exchange with %s failed", connection.address)
+        self.metrics.handler_errors.inc({})
+        end = AttemptEnd.CUT if connection.sent else AttemptEnd.UNREACHABLE
+        self.end(connection, end, "internal error")
 
     def end(self, connection: TargetConnection, end: AttemptEnd, detail: str = "") -> None:
         """Report the end of an exchange and keep or close its connection."""
         attempt = connection.attempt
         self.exchanges.pop((attempt.channel, attempt.key), None)
         unused = end is AttemptEnd.EXPIRED and connection.state is TargetState.BUSY
+        if connection.sent_before and end in (AttemptEnd.EXPIRED, AttemptEnd.UNREACHABLE):
+            end = AttemptEnd.CUT
         if unused or (end is AttemptEnd.COMPLETE and connection.is_clean):
             self.keep(connection)
         else:
--- a/tests/router/request/test_exchanges.py
+++ b/tests/router/request/test_exchanges.py
@@ -111,10 +111,7 @@
     assert json.loads(router.page("/status")[1])["running"] == 0
 
 
-def test_unreachable_target_is_not_run(router):
-    """Guards against hanging, and against a false "ran", when no target can be reached."""
-    router.crew.close()
-    body = request_bytes("/apps/crew/status", method="GET", connection="close")
+def publish_short_patience(router) -> None:
     router.platform.configuration = router.platform.configuration.replace(
         b'"customer_id": "acme"', b'"customer_id": "acme", "default_patience_seconds": 1'
     ).replace(b'"version": 1', b'"version": 2')
@@ -122,6 +119,32 @@
     while '"configuration_version":2' not in router.page("/status")[1]:
         assert time.monotonic() < deadline
         time.sleep(0.05)
+
+
+def test_kept_connection_that_breaks_after_sending(tmp_path):
+    """Guards against a false "not run": the target has read the request, then can't be reached again."""
+
+    def script(connection) -> None:
+        if "x-request-id" not in connection.head or len(run.crew.requests) == 1:
+            connection.send(answer_bytes(b"first"))
+        else:
+            run.crew.close()
+
+    with running_router(tmp_path, script) as run:
+        publish_short_patience(run)
+        body = request_bytes("/apps/crew/status", method="GET", connection="close")
+        assert run.exchange(body).endswith(b"first")
+        answer = run.exchange(body)
+        assert len(run.crew.requests) == 2
+        assert answer.split()[1] in (b"502", b"503", b"504")
+        assert error_of(answer)["ran"] == "unknown"
+
+
+def test_unreachable_target_is_not_run(router):
+    """Guards against hanging, and against a false "ran", when no target can be reached."""
+    router.crew.close()
+    body = request_bytes("/apps/crew/status", method="GET", connection="close")
+    publish_short_patience(router)
     started = time.monotonic()
     answer = router.exchange(body)
     assert answer.split()[1] in (b"503", b"504")
