--- a/packages/limpetusher-standins/src/limpetusher_standins/engine.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/engine.py
@@ -71,8 +71,7 @@
         """Generate tokens as they become due and wake the readers of the streams."""
         while True:
             await asyncio.sleep(LOOP_SECONDS if self.batch.count else LOOP_SECONDS * 2)
-            if self.batch.count:
-                self.batch.advance(time.monotonic())
+            if self.batch.count and self.batch.advance(time.monotonic()):
                 self.notify_readers()
 
     def notify_readers(self) -> None:
--- a/packages/limpetusher-standins/src/limpetusher_standins/engine_batch.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/engine_batch.py
@@ -211,9 +211,14 @@
             1 + self.settings.batch_slowdown * max(0, len(self.running) - 1)
         )
 
-    def advance(self, now: float) -> None:
-        """Generate the tokens that are due; late calls catch up, so a busy machine slows no engine."""
+    def advance(self, now: float) -> bool:
+        """Generate the tokens that are due and return whether there were any.
+
+        Late calls catch up, so that a busy machine slows no engine.
+        """
+        stepped = False
         while self.running and now >= self.last_step_at + self.step_seconds():
+            stepped = True
             self.last_step_at += self.step_seconds()
             for stream in list(self.running):
                 if stream.prompt_done_at <= self.last_step_at:
@@ -221,3 +226,4 @@
                     if stream.generated >= len(stream.tokens):
                         self.end(stream, StreamState.COMPLETE, self.last_step_at)
             self.admit(self.last_step_at)
+        return stepped
--- /dev/null
+++ b/tests/standins/test_load.py
@@ -0,0 +1,68 @@
+"""Tests of the load tool."""
+
+import asyncio
+
+import pytest
+
+from limpetusher_standins.caller import Caller, CallResult, Outcome
+from limpetusher_standins.deployment import CONSORTIUM
+from limpetusher_standins.load import CustomerLoad, LoadRun, LoadSettings, percentiles, run_load, summarise
+
+
+class RecordingCaller:
+    """Keeps the requests that it is asked for and answers them at once."""
+
+    def __init__(self):
+        self.requests = []
+
+    async def complete(self, body: dict) -> CallResult:
+        self.requests.append(body)
+
+    async def call_application(self, *arguments: object, **options: object) -> CallResult:
+        self.requests.append((arguments, options))
+
+
+def drawn(seed: int) -> list:
+    caller = RecordingCaller()
+    customer = CONSORTIUM.customer_plans()[0]
+    load = CustomerLoad(CONSORTIUM, customer, ["a", "b"], LoadSettings(seed=seed), LoadRun())
+    for load.count in range(50):
+        asyncio.run(load.draw(caller))
+    return caller.requests
+
+
+def test_same_seed_draws_the_same_requests():
+    """Guards against a load that can't be repeated."""
+    assert drawn(1) == drawn(1)
+    assert drawn(1) != drawn(2)
+
+
+def test_every_writing_call_has_its_own_key():
+    """Guards against calls that are refused because their key was used before."""
+    keys = [request[1]["idempotency_key"] for request in drawn(1) if isinstance(request, tuple)]
+    writing = [key for key in keys if key is not None]
+    assert len(writing) == len(set(writing)) > 0
+
+
+@pytest.mark.parametrize("rate", [0.0, 50.0])
+def test_load_is_bounded(monkeypatch, rate: float):
+    """Guards against a load without end when nothing answers."""
+
+    async def complete(self: Caller, body: dict) -> CallResult:
+        return CallResult(self.customer, body["model"], Outcome.NO_CONNECTION)
+
+    monkeypatch.setattr(Caller, "complete", complete)
+    settings = LoadSettings(
+        seconds=5.0, maximum_requests=40, open_loop_rate=rate, application_fraction=0.0, workers=1
+    )
+    customers = CONSORTIUM.customer_plans()
+    run = asyncio.run(run_load(CONSORTIUM, customers, ["127.0.0.1:1"], settings))
+    assert 40 <= len(run.results) <= 40 + 2 * len(customers)
+    assert summarise(run, customers)["outcomes"] == {"no_connection": len(run.results)}
+
+
+def test_percentiles():
+    """Guards against percentiles of the wrong rank."""
+    values = percentiles([float(value) for value in range(101)])
+    assert (values["p50"], values["p99"], values["maximum"]) == (50.0, 99.0, 100.0)
+    assert percentiles([]) == {}
