--- a/packages/limpetusher-core/src/limpetusher/core/process/shares.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/shares.py
@@ -85,6 +85,8 @@
         self.confirmed: dict[str, float] = {}
         self.contacts: dict[str, Contact] = {}
         self.version: int | None = None
+        self.stopping = False
+        """Whether heartbeats say that this router is leaving; other routers then name another owner."""
 
     def hosts_changed(self, now: float) -> None:
         """Take over the carriers of a new host list: slots are lost at once and gained late."""
@@ -242,8 +244,15 @@
         return all(self.is_silent(name, now) for name in own.claimants - self.confirmed.keys())
 
     def may_borrow(self, target_id: str, now: float) -> bool:
-        """Return whether there are slots of the target that only silent routers keep from being lent."""
-        return bool(self.silent_carriers(target_id, now)) or self.waits_for_silent(target_id, now)
+        """Return whether only silent routers keep slots of the target from being leased to this router.
+
+        While a carrier that is not silent lends to another owner, that owner may borrow the same slots.
+        """
+        missing = set(self.layouts.get(target_id, ())) - self.lenders(target_id, now)
+        silent = set(self.silent_carriers(target_id, now))
+        if self.waits_for_silent(target_id, now):
+            silent.add(self.own_id)
+        return bool(missing) and missing <= silent
 
     def holders_known_since(self, target_id: str, now: float) -> float | None:
         """Return a time after which every listed router has reported the grants it holds for the target.
@@ -252,7 +261,9 @@
         the first carrier, all use the same host list, and all have heard this router within the timeout.
         Otherwise the result is None.
         """
-        if self.layouts.get(target_id, ())[:1] != (self.own_id,) or self.membership.is_leaving(self.own_id):
+        if self.layouts.get(target_id, ())[:1] != (self.own_id,):
+            return None
+        if self.stopping or self.membership.is_leaving(self.own_id):
             return None
         timeout = self.settings.peer_timeout_seconds
         since = now
