--- a/tests/core/request/test_idempotency.py
+++ b/tests/core/request/test_idempotency.py
@@ -9,7 +9,7 @@
 from limpetusher.configuration.compiled import Host
 from limpetusher.core.actions import Ran, RefusalCode
 from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, WitnessSend, key_of
-from limpetusher.wire.messages import KeyOutcome, Register
+from limpetusher.wire.messages import KeyOutcome, Register, Registered
 
 PAUSES = st.sampled_from([0.01, 0.26, 0.51, 1.1, 31.0, 61.0, 119.0, 121.0])
 NUMBERS = st.integers(0, 5)
@@ -220,6 +220,46 @@
     assert isinstance(ongoing.answers[-1], Rejected)
 
 
+def test_answers_that_are_handled_too_late_do_not_count():
+    """Guards against a majority of answers by witnesses that may have restarted in the meantime."""
+    fleet = WitnessFleet()
+    chosen = fleet.nodes["router-0"].witness.readiness.witnesses(key_of(call("first")))
+    holder = next(name for name in fleet.nodes if name not in chosen)
+    ongoing = fleet.call(holder, call("first"))
+    fleet.nodes[holder].paused = True
+    fleet.deliver_all()
+    fleet.advance(fleet.settings.register_timeout_seconds, deliver=False)
+    fleet.nodes[holder].paused = False
+    fleet.deliver_all()
+    assert not ongoing.admitted
+
+
+def test_answers_to_an_earlier_registration_do_not_renew_the_promise():
+    """Guards against a promise that is counted from a registration that no witness has answered."""
+    fleet = WitnessFleet()
+    chosen = fleet.nodes["router-0"].witness.readiness.witnesses(key_of(call("first")))
+    holder = next(name for name in fleet.nodes if name not in chosen)
+    ongoing = fleet.call(holder, call("first"))
+    fleet.exchange({holder, chosen[0], chosen[1]})
+    repeated = [Registered(key_of(call("first")), ongoing.answers[-1].attempt_id, "recorded", round=1)] * 2
+    fleet.isolated = frozenset([holder])
+    fleet.advance(30.2)
+    node = fleet.nodes[holder]
+    assert node.witness.holder.by_request["first"].round == 2
+    promised = node.witness.send_before("first")
+    for witness, answer in zip(chosen, repeated, strict=False):
+        node.witness.handle(witness, answer, fleet.local(node))
+    assert node.witness.send_before("first") == promised
+
+
+def test_registration_under_another_host_list_is_refused():
+    """Guards against majorities of two lists that do not overlap."""
+    fleet = WitnessFleet((0,))
+    message = Register(b"key", "router-1:attempt", b"", b"digest of another list")
+    (answer,) = fleet.nodes["router-0"].witness.handle("router-1", message, 2000.0)
+    assert answer.payload.status == "other_hosts"
+
+
 def test_waiting_request_stays_admitted_beyond_the_window():
     """Guards against patient callers being refused although all witnesses are reachable."""
     fleet = WitnessFleet()
