--- a/packages/limpetusher-core/src/limpetusher/core/request/holder.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/holder.py
@@ -15,7 +15,7 @@
 from limpetusher.core.settings import PolicySettings
 from limpetusher.wire.messages import AnswerCopy, AnswerRequest, KeyRecord, Registered
 
-MAXIMUM_ATTEMPTS = 100_000
+MAXIMUM_ATTEMPTS = 10_000
 OUTCOME_REPEATS = 3
 OUTCOME_REPEAT_SECONDS = 0.5
 RENEWAL_RETRY_SECONDS = 2.0
@@ -258,6 +258,7 @@
     def _end(self, attempt: Attempt, state: str, answer: KeptAnswer | None, now: float) -> list[Result]:
         attempt.phase, attempt.state, attempt.changed_at = Phase.ENDED, state, now
         attempt.answer = answer
+        attempt.forget_round()
         if answer is not None:
             self.replays.keep(answer)
         self.by_request.pop(attempt.request.request_id, None)
--- a/packages/limpetusher-core/src/limpetusher/core/request/key_records.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/key_records.py
@@ -11,7 +11,7 @@
 FINISHED = "finished"
 ABANDONED = "abandoned"
 STATE_ORDER = {RUNNING: 0, UNKNOWN: 1, FINISHED: 2, ABANDONED: 3}
-MAXIMUM_RECORDS = 100_000
+MAXIMUM_RECORDS = 20_000
 
 
 class RecordsFullError(Exception):
--- a/packages/limpetusher-core/src/limpetusher/core/request/registration.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/registration.py
@@ -51,8 +51,8 @@
     repeated: bool = False
     host_list_digest: bytes = b""
     witnesses: tuple[str, ...] = ()
-    recorded: set[str] = field(default_factory=set)
-    refused: set[str] = field(default_factory=set)
+    recorded: set[str] | frozenset[str] = field(default_factory=set)
+    refused: set[str] | frozenset[str] = field(default_factory=set)
     existing: dict[str, Registered] = field(default_factory=dict)
     promised_from: float = 0.0
     told: set[str] = field(default_factory=set)
@@ -72,6 +72,11 @@
         self.refused.clear()
         self.existing.clear()
 
+    def forget_round(self) -> None:
+        """Drop the answers of witnesses, to save memory while the ended attempt is remembered."""
+        self.recorded = self.refused = frozenset()
+        self.existing = {}
+
     def register_message(self) -> Register:
         """Return the message to the witnesses."""
         return Register(
--- a/packages/limpetusher-core/src/limpetusher/core/request/replays.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/replays.py
@@ -11,7 +11,7 @@
 from limpetusher.core.settings import PolicySettings
 from limpetusher.wire.messages import AnswerCopy, AnswerRequest
 
-MAXIMUM_KEPT_ANSWER_BYTES = 16_777_216
+MAXIMUM_KEPT_ANSWER_BYTES = 4_194_304
 MAXIMUM_WAITING_REPLAYS = 1000
 
 
--- a/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
@@ -23,7 +23,7 @@
 from limpetusher.core.settings import PolicySettings
 from limpetusher.wire.messages import EarlierList, KeySync, KeySyncRequest
 
-MAXIMUM_WITNESS_SETS = 50_000
+MAXIMUM_WITNESS_SETS = 20_000
 SLOWEST_RETRY_SECONDS = 5.0
 
 
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -222,12 +222,12 @@
         self.runs.setdefault(ongoing.request.idempotency_key, []).append(ongoing)
         return True
 
-    def finish(self, ongoing: Call, ran: Ran) -> None:
+    def finish(self, ongoing: Call, ran: Ran, body: bytes = b"answer") -> None:
         """Let the process report how a request ended."""
         node = self.nodes[ongoing.node]
         ongoing.ended = True
         results = node.witness.finished(
-            ongoing.request.request_id, ran, self.local(node), http_status=200, body=b"answer"
+            ongoing.request.request_id, ran, self.local(node), http_status=200, body=body
         )
         self.carry_out(node, results)
 
--- a/tests/core/request/test_idempotency.py
+++ b/tests/core/request/test_idempotency.py
@@ -9,6 +9,7 @@
 from limpetusher.configuration.compiled import Host
 from limpetusher.core.actions import Ran, RefusalCode
 from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, WitnessSend, key_of
+from limpetusher.core.request.replays import MAXIMUM_KEPT_ANSWER_BYTES
 from limpetusher.wire.messages import KeyOutcome, Register, Registered
 
 PAUSES = st.sampled_from([0.01, 0.26, 0.51, 1.1, 31.0, 61.0, 119.0, 121.0])
@@ -441,3 +442,29 @@
         return [result for result in results if isinstance(result, WitnessSend)]
 
     assert first_messages() == first_messages()
+
+
+def test_kept_answers_are_bounded():
+    """Guards against answers that fill the memory: the oldest is dropped, its run stays known."""
+    fleet = WitnessFleet((0,))
+    replays = fleet.nodes["router-0"].witness.holder.replays
+    size = fleet.settings.kept_answer_bytes
+    for number in range(MAXIMUM_KEPT_ANSWER_BYTES // size + 1):
+        ongoing = admitted_call(fleet, "router-0", f"request-{number}", key=f"key-{number}")
+        fleet.send(ongoing)
+        fleet.finish(ongoing, Ran.YES, body=b"x" * size)
+    assert replays.kept_bytes <= MAXIMUM_KEPT_ANSWER_BYTES
+    first = fleet.call("router-0", call("first", "key-0"))
+    last = fleet.call("router-0", call("last", f"key-{number}"))
+    assert first.answers[-1].code is RefusalCode.ALREADY_RUN
+    assert isinstance(last.answers[-1], Replayed)
+
+
+def test_too_long_answer_is_not_kept():
+    """Guards against one long answer that takes the place of many, and against replaying a cut one."""
+    fleet = WitnessFleet((0,))
+    ongoing = admitted_call(fleet, "router-0", "first")
+    fleet.send(ongoing)
+    fleet.finish(ongoing, Ran.YES, body=b"x" * (fleet.settings.kept_answer_bytes + 1))
+    repeat = fleet.call("router-0", call("repeat"))
+    assert repeat.answers[-1].code is RefusalCode.ALREADY_RUN
