--- a/tests/core/request/test_idempotency.py
+++ b/tests/core/request/test_idempotency.py
@@ -9,7 +9,8 @@
 from limpetusher.configuration.compiled import Host
 from limpetusher.core.actions import Ran, RefusalCode
 from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, WitnessSend, key_of
-from limpetusher.wire.messages import KeyOutcome, Register
+from limpetusher.core.request.replays import MAXIMUM_KEPT_ANSWER_BYTES
+from limpetusher.wire.messages import KeyOutcome, Register, Registered
 
 PAUSES = st.sampled_from([0.01, 0.26, 0.51, 1.1, 31.0, 61.0, 119.0, 121.0])
 NUMBERS = st.integers(0, 5)
@@ -220,6 +221,46 @@
     assert isinstance(ongoing.answers[-1], Rejected)
 
 
+def test_answers_that_are_handled_too_late_do_not_count():
+    """Guards against a majority of answers by witnesses that may have restarted in the meantime."""
+    fleet = WitnessFleet()
+    chosen = fleet.nodes["router-0"].witness.readiness.witnesses(key_of(call("first")))
+    holder = next(name for name in fleet.nodes if name not in chosen)
+    ongoing = fleet.call(holder, call("first"))
+    fleet.nodes[holder].paused = True
+    fleet.deliver_all()
+    fleet.advance(fleet.settings.register_timeout_seconds, deliver=False)
+    fleet.nodes[holder].paused = False
+    fleet.deliver_all()
+    assert not ongoing.admitted
+
+
+def test_answers_to_an_earlier_registration_do_not_renew_the_promise():
+    """Guards against a promise that is counted from a registration that no witness has answered."""
+    fleet = WitnessFleet()
+    chosen = fleet.nodes["router-0"].witness.readiness.witnesses(key_of(call("first")))
+    holder = next(name for name in fleet.nodes if name not in chosen)
+    ongoing = fleet.call(holder, call("first"))
+    fleet.exchange({holder, chosen[0], chosen[1]})
+    repeated = [Registered(key_of(call("first")), ongoing.answers[-1].attempt_id, "recorded", round=1)] * 2
+    fleet.isolated = frozenset([holder])
+    fleet.advance(30.2)
+    node = fleet.nodes[holder]
+    assert node.witness.holder.by_request["first"].round == 2
+    promised = node.witness.send_before("first")
+    for witness, answer in zip(chosen, repeated, strict=False):
+        node.witness.handle(witness, answer, fleet.local(node))
+    assert node.witness.send_before("first") == promised
+
+
+def test_registration_under_another_host_list_is_refused():
+    """Guards against majorities of two lists that do not overlap."""
+    fleet = WitnessFleet((0,))
+    message = Register(b"key", "router-1:attempt", b"", b"digest of another list")
+    (answer,) = fleet.nodes["router-0"].witness.handle("router-1", message, 2000.0)
+    assert answer.payload.status == "other_hosts"
+
+
 def test_waiting_request_stays_admitted_beyond_the_window():
     """Guards against patient callers being refused although all witnesses are reachable."""
     fleet = WitnessFleet()
@@ -401,3 +442,29 @@
         return [result for result in results if isinstance(result, WitnessSend)]
 
     assert first_messages() == first_messages()
+
+
+def test_kept_answers_are_bounded():
+    """Guards against answers that fill the memory: the oldest is dropped, its run stays known."""
+    fleet = WitnessFleet((0,))
+    replays = fleet.nodes["router-0"].witness.holder.replays
+    size = fleet.settings.kept_answer_bytes
+    for number in range(MAXIMUM_KEPT_ANSWER_BYTES // size + 1):
+        ongoing = admitted_call(fleet, "router-0", f"request-{number}", key=f"key-{number}")
+        fleet.send(ongoing)
+        fleet.finish(ongoing, Ran.YES, body=b"x" * size)
+    assert replays.kept_bytes <= MAXIMUM_KEPT_ANSWER_BYTES
+    first = fleet.call("router-0", call("first", "key-0"))
+    last = fleet.call("router-0", call("last", f"key-{number}"))
+    assert first.answers[-1].code is RefusalCode.ALREADY_RUN
+    assert isinstance(last.answers[-1], Replayed)
+
+
+def test_too_long_answer_is_not_kept():
+    """Guards against one long answer that takes the place of many, and against replaying a cut one."""
+    fleet = WitnessFleet((0,))
+    ongoing = admitted_call(fleet, "router-0", "first")
+    fleet.send(ongoing)
+    fleet.finish(ongoing, Ran.YES, body=b"x" * (fleet.settings.kept_answer_bytes + 1))
+    repeat = fleet.call("router-0", call("repeat"))
+    assert repeat.answers[-1].code is RefusalCode.ALREADY_RUN
