--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -126,6 +126,16 @@
             lines.append("connection: keep-alive")
         self.add_output("\r\n".join([*lines, "", ""]).encode("latin-1"))
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is in progress or an answer is not written yet."""
+        return bool(self.out or self.head_started or self.request_id)
+
+    def takes_body(self, status: int) -> bool:
+        """Return whether an answer with the status has a body."""
+        head_only = self.head is not None and self.head.method == "HEAD"
+        return not head_only and status not in BODYLESS_STATUSES
+
     def write(self) -> int:
         """Write as much as the socket takes and return how much that was.
 
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -11,7 +11,6 @@
 
 from limpetusher.core.actions import RefusalCode
 from limpetusher_router.connection.caller_connection import (
-    BODYLESS_STATUSES,
     CallerConnection,
     CallerState,
     listen,
@@ -239,8 +238,7 @@
         if connection is None:
             return
         self.write_head(connection, status, headers, len(body))
-        if connection.head.method != "HEAD" and status not in BODYLESS_STATUSES:
-            connection.add_output(body)
+        connection.add_output(body if connection.takes_body(status) else b"")
         self.finish(connection)
 
     @handler("SendHead")
@@ -290,17 +288,19 @@
         """Announce with each answer from now on that the connection closes."""
         self.stopping = True
 
-    @handler("CloseIdleCallers")
-    def on_close_idle(self) -> None:
-        """Accept no more connections and close those without a request."""
+    @handler("StopAccepting")
+    def on_stop_accepting(self) -> None:
+        """Accept what waits and close the listening socket."""
         if self.listener is not None:
             self.accept()
             self.poller.discard(self.listener)
             self.listener.close()
             self.listener = None
-        for connection in list(self.idle):
-            if not connection.out:
-                self.drop(connection)
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is in progress or an answer is not written yet."""
+        return any(connection.is_busy for connection in self.connections.values())
 
     def finish(self, connection: CallerConnection) -> None:
         """Go on to the caller's next request, or close the connection, after an answer was queued."""
--- a/tests/router/process/test_router.py
+++ b/tests/router/process/test_router.py
@@ -59,6 +59,28 @@
         assert run.process.wait(5) == 0
 
 
+def test_stop_under_load_cuts_off_nothing(tmp_path):
+    """Guards against a stop that resets a connection whose request has arrived but was not read yet."""
+    with running_router(tmp_path, run_script) as run:
+        answers = []
+
+        def call_until_refused() -> None:
+            with contextlib.suppress(ConnectionRefusedError):
+                while True:
+                    answers.append(run.exchange(request_bytes(body=completions_body(), connection="close")))
+
+        threads = [threading.Thread(target=call_until_refused) for _ in range(16)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        assert run.stop() == 0
+        for thread in threads:
+            thread.join()
+        assert len(answers) > 16
+        for answer in answers:
+            assert answer.endswith(b"x") or error_of(answer)["ran"] == "no"
+
+
 def test_stop_waits_until_the_answer_is_read(tmp_path):
     """Guards against an exit while a whole answer is still on its way to a slow caller."""
     size = 20_000_000
