Tell the slot shares that the router stops

Cause: holders list their grants to the next owner once a router announces that it leaves, but the stopping router still took their lists as complete and could count too little work. Before: the new test failed; after: it passes.

--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -278,7 +278,7 @@
         context = self.context
         if context.stopping:
             return
-        context.stopping = True
+        context.stopping = context.shares.stopping = True
         self.stop_at = context.now + context.settings.stop_grace_seconds
         context.log(Event.ROUTER_STOPPING, waiting=len(self.queue), running=len(self.lifecycle.running))
         self.exchange.tick()
--- a/tests/core/test_decision.py
+++ b/tests/core/test_decision.py
@@ -357,3 +357,12 @@
     actions = core.handle(PeerMessage("stranger", 1, demand), 1.0)
     assert count(SendToPeer, actions) == 0
     assert core.status().dropped_messages == 1
+
+
+def test_stopping_router_does_not_rely_on_holders_lists():
+    """Guards against a stopping owner that counts too little work: holders list their grants elsewhere."""
+    core = make_lone_core()
+    target_id = core.owned_targets[0]
+    assert core.context.shares.holders_known_since(target_id, core.context.now) is not None
+    core.handle(StopRequested(), core.context.now)
+    assert core.context.shares.holders_known_since(target_id, core.context.now) is None
