Say "unknown" when a broken kept connection may have carried the request

An attempt on a kept connection that broke was reported as not sent when the new connection failed, although the target may have got the request before the break. The reproducing test gives ran "no" without the change and ran "unknown" with it.

--- a/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
@@ -289,7 +289,8 @@
         relay = exchange.attempt.relay
         if relay is not None and end is AttemptEnd.UNREACHABLE:
             self.end_cut(exchange)
-        elif end in (AttemptEnd.EXPIRED, AttemptEnd.UNREACHABLE):
+        elif end in (AttemptEnd.EXPIRED, AttemptEnd.UNREACHABLE) and not exchange.attempt.sent:
+            # An attempt on a kept connection that broke may have run before the new connection failed.
             logger.debug("attempt %s not sent: %s", key, detail)
             self.end_attempt(exchange, Outcome.NOT_SENT)
         elif relay is None:
--- a/tests/router/request/test_exchanges.py
+++ b/tests/router/request/test_exchanges.py
@@ -6,8 +6,10 @@
 import pytest
 
 from builders_router import (
+    RouterRun,
     answer_bytes,
     completions_body,
+    configuration_document,
     error_of,
     read_until,
     request_bytes,
@@ -127,3 +129,32 @@
     assert answer.split()[1] in (b"503", b"504")
     assert error_of(answer)["ran"] == "no"
     assert time.monotonic() - started < 3
+
+
+def test_request_on_a_broken_kept_connection_may_have_run(tmp_path):
+    """Guards against "not run" for a request that a target got before it broke off and became unreachable."""
+    got = []
+
+    def script(connection) -> None:
+        if "/status?call=second" in connection.head:
+            got.append(connection.head)
+            run.crew.close()
+        else:
+            connection.send(answer_bytes(b"{}"))
+
+    run = RouterRun(tmp_path, script)
+    try:
+        document = configuration_document(version=2)
+        document["customers"][0]["default_patience_seconds"] = 2.0
+        run.platform.configuration = json.dumps(document).encode()
+        run.wait_ready()
+        status = [
+            request_bytes(f"/apps/crew/status?call={name}", method="GET", connection="close")
+            for name in ("first", "second")
+        ]
+        assert run.exchange(status[0]).startswith(b"HTTP/1.1 200 ")
+        error = error_of(run.exchange(status[1]))
+    finally:
+        run.close()
+    assert len(got) == 1
+    assert error["ran"] == "unknown"
