Answer requests that are on their way when a router stops

The router closed connections that had just opened at the end of a stop, so that their callers saw a reset instead of an answer.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -110,18 +110,18 @@
         if connection is not None:
             self.drop(connection)
 
-    def accept(self) -> None:
-        """Accept waiting connections, some at a time so that others are served in between."""
+    def accept(self) -> bool:
+        """Accept some waiting connections, so that others are served in between; return whether to go on."""
         for _ in range(ACCEPTS_PER_EVENT):
             try:
                 sock, _address = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError as error:
                 logger.warning("accepting a connection failed: %s", errno.errorcode.get(error.errno, error))
                 self.poller.removeReader(self.listener)
                 self.deadlines.schedule_in(ACCEPT_PAUSE_SECONDS, Due(), CALLERS)
-                return
+                return False
             prepare(sock)
             connection = CallerConnection(sock)
             if len(self.connections) >= self.settings.max_caller_connections and self.idle:
@@ -133,6 +133,7 @@
                 self.refuse(connection, error)
             else:
                 self.become_idle(connection)
+        return True
 
     def become_idle(self, connection: CallerConnection) -> None:
         """Wait for the first byte of a request."""
@@ -290,17 +291,16 @@
         """Announce with each answer from now on that the connection closes."""
         self.stopping = True
 
-    @handler("CloseIdleCallers")
-    def on_close_idle(self) -> None:
-        """Accept no more connections and close those without a request."""
-        if self.listener is not None:
-            self.accept()
-            self.poller.discard(self.listener)
-            self.listener.close()
-            self.listener = None
-        for connection in list(self.idle):
-            if not connection.out:
-                self.drop(connection)
+    @handler("StopAccepting")
+    def on_stop_accepting(self) -> None:
+        """Accept no more; connections stay open, because a request may be on its way on a new one."""
+        if self.listener is None:
+            return
+        while self.accept():
+            pass
+        self.poller.discard(self.listener)
+        self.listener.close()
+        self.listener = None
 
     def finish(self, connection: CallerConnection) -> None:
         """Go on to the caller's next request, or close the connection, after an answer was queued."""
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -130,8 +130,8 @@
     """Close each caller's connection after its next answer."""
 
 
-class CloseIdleCallers(Message):
-    """Accept no more connections, and close those without a request in progress."""
+class StopAccepting(Message):
+    """Accept no more caller connections; those that are open may still send a request."""
 
 
 class StartAttempt(Message):
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -23,10 +23,10 @@
     PROCESS,
     REQUESTS,
     CloseAfterAnswers,
-    CloseIdleCallers,
     CoreInput,
     Due,
     FailRequest,
+    StopAccepting,
 )
 from limpetusher_router.process.adapter import CoreAdapter
 from limpetusher_router.process.admin import WEB, AdminPages, AdminServer
@@ -132,14 +132,15 @@
         if self.flush_until is None:
             now = self.clock.monotonic()
             self.flush_until = now + FLUSH_SECONDS
-            self.fire(CloseIdleCallers(), CALLERS)
+            self.fire(StopAccepting(), CALLERS)
             self.deadlines.schedule(now + LAST_MESSAGES_SECONDS, Due(), PROCESS)
 
     @handler("Due")
     def on_due(self, _subject: object) -> None:
         """Exit once all answers are written, or the time for that is over."""
         busy = any(
-            connection.out or connection.request_id for connection in self.callers.connections.values()
+            connection.out or connection.request_id or connection.head_started
+            for connection in self.callers.connections.values()
         )
         if busy and self.clock.monotonic() < self.flush_until:
             self.deadlines.schedule_in(FLUSH_POLL_SECONDS, Due(), PROCESS)
