--- /dev/null
+++ b/tests/builders_integration.py
@@ -0,0 +1,251 @@
+"""Builders of small fleets, callers in the background, and faults, for tests with real processes."""
+
+import asyncio
+import contextlib
+import dataclasses
+import threading
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+
+from builders_standins import chat
+from limpetusher_standins.caller import Caller, CallResult, Outcome
+from limpetusher_standins.calls import call
+from limpetusher_standins.deployment import CREW_ROUTES, DeploymentPlan
+from limpetusher_standins.fleet import PLATFORM, PROXY, Fleet, FleetError
+from limpetusher_standins.proxy import Mode
+
+ANSWER_SECONDS = 30.0
+REFUSED_PAUSE_SECONDS = 0.05
+LEASE_AND_GRANT_SECONDS = 3.0
+"""Lease of a slot share and validity of a grant: after it, another router may own a target (design, 4.2)."""
+PEER_TIMEOUT_SECONDS = 1.0
+TAKEOVER_SECONDS = PEER_TIMEOUT_SECONDS + 2 * LEASE_AND_GRANT_SECONDS
+"""Time in which a target whose owner is silent has another one that uses its slots."""
+DRAIN_SECONDS = 5.0
+CONFIGURATION_SECONDS = 19.0
+
+SMALL_PLAN = DeploymentPlan(
+    name="integration",
+    data_centres=("north", "east"),
+    routers=4,
+    engines=2,
+    applications=2,
+    customers=2,
+    models=("assessor",),
+    application_service="crew",
+    application_routes=CREW_ROUTES,
+    slots=6,
+    cold_slots=2,
+    cold_seconds=1.0,
+    patience_seconds=20.0,
+    engine_options={"token_seconds": 0.01},
+    with_proxy=True,
+)
+
+MakeRequest = Callable[[Caller, str], Awaitable[CallResult]]
+
+
+def small_plan(**changes: object) -> DeploymentPlan:
+    """Return the plan of a small fleet behind the proxy."""
+    return dataclasses.replace(SMALL_PLAN, **changes)
+
+
+def caller_of(fleet: Fleet, router: str, customer: int = 0) -> Caller:
+    """Return a caller of a router."""
+    plan = fleet.customers[customer]
+    return Caller(fleet.routers[router].caller_address, plan.customer_id, plan.authorization)
+
+
+def make_chat(caller: Caller, name: str, *, tokens: int = 10) -> Awaitable[CallResult]:
+    """Return a request to an engine; every other one is streamed."""
+    return caller.complete(chat(f"Request {name}", max_tokens=tokens, stream=name[-1] in "02468"))
+
+
+def make_dispatch(caller: Caller, name: str) -> Awaitable[CallResult]:
+    """Return a call that dispatches a crew, with an idempotency key of its own."""
+    return caller.call_application("crew", "POST", "/dispatch", name, idempotency_key=f"key/{name}")
+
+
+def make_mixed(caller: Caller, name: str) -> Awaitable[CallResult]:
+    """Return a request to an engine, or a call of the application service for every fifth name."""
+    return make_dispatch(caller, name) if name[-1] in "37" else make_chat(caller, name)
+
+
+async def gather(*requests: Awaitable[CallResult]) -> list[CallResult]:
+    """Return the results of requests sent at once."""
+    return await asyncio.gather(*requests)
+
+
+def send(*requests: Awaitable[CallResult]) -> list[CallResult]:
+    """Send requests at once and wait for their results."""
+    return asyncio.run(gather(*requests))
+
+
+class BackgroundCallers:
+    """Callers that send one request after the other, in a thread, until the end of the `with` block.
+
+    Parameters
+    ----------
+    fleet
+        Fleet that they call.
+    workers
+        Open requests at each router.
+    routers
+        Routers that they call; all if None.
+    customer
+        Position of their customer.
+    make
+        Returns a request from a caller and a name that is used once.
+    label
+        Begin of the names.
+    finish
+        Whether open requests are finished at the end; otherwise the callers disconnect.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        *,
+        workers: int = 4,
+        routers: list[str] | None = None,
+        customer: int = 0,
+        make: MakeRequest = make_chat,
+        label: str = "load",
+        finish: bool = True,
+    ):
+        self.finish = finish
+        self.make = make
+        self.label = label
+        names = list(fleet.routers) if routers is None else routers
+        self.callers = [caller_of(fleet, router, customer) for router in names for _ in range(workers)]
+        self.results: list[CallResult] = []
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(target=lambda: asyncio.run(self.run()), daemon=True)
+
+    def __enter__(self) -> "BackgroundCallers":
+        self.thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stopping.set()
+        self.thread.join()
+
+    async def run(self) -> None:
+        """Run all callers."""
+        work = [asyncio.create_task(self.work(*each)) for each in enumerate(self.callers)]
+        if not self.finish:
+            await asyncio.to_thread(self.stopping.wait)
+            for task in work:
+                task.cancel()
+        await asyncio.gather(*work, return_exceptions=not self.finish)
+
+    async def work(self, number: int, caller: Caller) -> None:
+        """Send one request after the other."""
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            request = self.make(caller, f"{self.label}/{number}/{count}")
+            try:
+                result = await asyncio.wait_for(request, ANSWER_SECONDS)
+            except TimeoutError:
+                result = CallResult(caller.customer, "", detail="no answer in time")
+            self.results.append(result)
+            if result.outcome in (Outcome.REFUSED, Outcome.NO_CONNECTION):
+                await asyncio.sleep(REFUSED_PAUSE_SECONDS)
+
+    def whole_since(self, wall_time: float) -> int:
+        """Return how many requests that began after a wall-clock time had a whole answer."""
+        return sum(
+            result.outcome == Outcome.WHOLE and result.started_wall > wall_time for result in self.results
+        )
+
+    def outcomes(self) -> dict[str, int]:
+        """Return how often there was each result."""
+        return dict(
+            Counter(
+                result.outcome.value
+                if result.outcome == Outcome.WHOLE
+                else f"{result.outcome.value} {result.code} ran={result.ran} {result.detail}"
+                for result in self.results
+            )
+        )
+
+
+def status(fleet: Fleet, router: str) -> dict:
+    """Return the state of a router from its admin port."""
+    return call(fleet.routers[router].admin_address, "GET", "/status").json()
+
+
+def owned_target(fleet: Fleet, router: str, target: str) -> dict | None:
+    """Return the state of a target in the view of a router that owns it, None when it does not."""
+    targets = status(fleet, router)["targets"]
+    return next((entry for entry in targets if entry["target_id"] == target), None)
+
+
+def owner_of(fleet: Fleet, target: str, routers: list[str] | None = None) -> str:
+    """Wait until the routers, which reach each other, agree on the owner of the target, and return it."""
+    names = list(fleet.routers) if routers is None else routers
+    found: list[str] = []
+
+    def is_owned() -> bool:
+        states = {router: status(fleet, router) for router in names}
+        found[:] = [
+            router
+            for router, state in states.items()
+            if any(entry["target_id"] == target for entry in state["targets"])
+        ]
+        connected = all(set(names) <= {router, *state["reachable_peers"]} for router, state in states.items())
+        return connected and len(found) == 1
+
+    fleet.wait_until(is_owned, f"{target} has one owner", TAKEOVER_SECONDS)
+    return found[0]
+
+
+def started_times(fleet: Fleet, target: str) -> list[float]:
+    """Return the wall-clock times at which a target received work."""
+    record = fleet.record(target)
+    return [entry["started"] for entry in record.get("requests") or record.get("calls") or []]
+
+
+def runs_of_calls(fleet: Fleet) -> Counter:
+    """Return how often each call that is not idempotent ran, over all replicas."""
+    calls = [entry for record in fleet.records("application").values() for entry in record["calls"]]
+    return Counter(entry["call_id"] for entry in calls if entry["method"] != "GET")
+
+
+@contextlib.contextmanager
+def paused(fleet: Fleet, *names: str) -> Iterator[None]:
+    """Pause processes with SIGSTOP and let them go on at the end."""
+    for name in names:
+        fleet.processes[name].pause()
+    try:
+        yield
+    finally:
+        for name in names:
+            fleet.processes[name].resume()
+
+
+@contextlib.contextmanager
+def broken_links(fleet: Fleet, names: list[str], mode: Mode = Mode.CUT, **options: object) -> Iterator[None]:
+    """Break links and restore them at the end."""
+    if not names:
+        raise FleetError("no such links")
+    fleet.set_links(names, mode, **options)
+    try:
+        yield
+    finally:
+        fleet.set_links(names, Mode.FORWARD)
+
+
+def wait_for_wall_time(fleet: Fleet, wall_time: float) -> None:
+    """Wait until a wall-clock time has passed."""
+    seconds = wall_time - time.time()
+    fleet.wait_until(lambda: time.time() > wall_time, "the time has passed", max(0.0, seconds) + 5.0)
+
+
+def check_processes(fleet: Fleet) -> None:
+    """Raise FleetError if a process has ended without being told to."""
+    for name, process in fleet.processes.items():
+        if name not in (PLATFORM, PROXY):
+            fleet.check_running(process)
