--- /dev/null
+++ b/tests/integration/test_drains.py
@@ -0,0 +1,117 @@
+"""Requirements 4 and 8: targets that are taken out or leave get no new work later than 5 s after that."""
+
+import time
+
+import pytest
+
+from builders_integration import (
+    CONFIGURATION_SECONDS,
+    DRAIN_SECONDS,
+    BackgroundCallers,
+    broken_links,
+    make_mixed,
+    paused,
+    small_plan,
+    started_times,
+    wait_for_wall_time,
+)
+from limpetusher_standins.audit import audit
+from limpetusher_standins.fleet import PLATFORM, Fleet
+from limpetusher_standins.proxy import Mode
+
+pytestmark = pytest.mark.integration
+SERVED_AFTERWARDS = 40
+"""Whole answers that have to come after the time limit, so that late work would have been seen."""
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    """Start four routers in two data centres, with an engine and an application replica in each."""
+    with Fleet(small_plan(cold_slots=6)) as started:
+        yield started
+
+
+def published_at(fleet: Fleet) -> float:
+    """Return the wall-clock time at which the newest configuration was published."""
+    return fleet.record(PLATFORM)["versions"][-1]["at"]
+
+
+def serve_past(fleet: Fleet, callers: BackgroundCallers, limit: float) -> None:
+    """Wait until requests that began after the time limit have whole answers."""
+    wait_for_wall_time(fleet, limit)
+    fleet.wait_until(
+        lambda: callers.whole_since(limit) >= SERVED_AFTERWARDS, "requests are served", CONFIGURATION_SECONDS
+    )
+
+
+def works(fleet: Fleet, targets: list[str], since: float) -> bool:
+    """Return whether all targets have received work after a wall-clock time."""
+    return all(max(started_times(fleet, target), default=0.0) > since for target in targets)
+
+
+def late_work(fleet: Fleet, targets: list[str], limit: float) -> list[float]:
+    """Return how late targets received work after the time limit, in seconds."""
+    times = [at for target in targets for at in started_times(fleet, target)]
+    return sorted(at - limit for at in times if at > limit)
+
+
+def check_answers(fleet: Fleet, callers: BackgroundCallers) -> None:
+    """Check that every request has its own whole answer."""
+    assert set(callers.outcomes()) == {"whole"}
+    found = audit(fleet, callers.results)
+    assert found.is_clean, found
+
+
+def test_data_centre_leaves_and_returns_without_an_error(fleet):
+    """Guards against late dispatches into a drained data centre, and errors while it leaves and returns.
+
+    The routers of one data centre can't read the platform; the others relay the publication to them.
+    """
+    north = sorted(fleet.hosts_in("north") & set(fleet.targets))
+    far = fleet.hosts_in("north") & set(fleet.routers)
+    with BackgroundCallers(fleet, make=make_mixed, label="drain") as callers:
+        fleet.wait_until(lambda: works(fleet, north, 0.0), "the data centre works", CONFIGURATION_SECONDS)
+        with broken_links(fleet, fleet.links_between(far, {PLATFORM}), Mode.BLACK_HOLE):
+            fleet.set_out("north")
+            limit = published_at(fleet) + DRAIN_SECONDS
+            serve_past(fleet, callers, limit)
+            assert late_work(fleet, north, limit) == []
+        fleet.set_out()
+        back = published_at(fleet)
+        fleet.wait_until(
+            lambda: works(fleet, north, back), "the data centre works again", CONFIGURATION_SECONDS
+        )
+    check_answers(fleet, callers)
+
+
+def test_router_that_wakes_during_a_drain_learns_of_it_in_time(fleet):
+    """Guards against grants and configuration from before a pause that are used long after it."""
+    north = sorted(fleet.hosts_in("north") & set(fleet.targets))
+    sleeper = min(fleet.hosts_in("north") & set(fleet.routers))
+    with BackgroundCallers(fleet, make=make_mixed, label="wake") as callers:
+        fleet.wait_until(lambda: works(fleet, north, 0.0), "the data centre works", CONFIGURATION_SECONDS)
+        with paused(fleet, sleeper):
+            fleet.set_out("north")
+            limit = published_at(fleet) + DRAIN_SECONDS
+            serve_past(fleet, callers, limit)
+            assert late_work(fleet, north, limit) == []
+        woken = time.time()
+        serve_past(fleet, callers, woken)
+    # The publication can't reach a paused router; from its wake-up on it has the same time.
+    assert late_work(fleet, north, woken + DRAIN_SECONDS) == []
+    fleet.set_out()
+    check_answers(fleet, callers)
+
+
+@pytest.mark.parametrize(("target", "state"), [("engine-1", "leaving"), ("application-2", None)])
+def test_leaving_target_gets_no_late_work(fleet, target, state):
+    """Guards against new work for a target that the host list shows as leaving or does not list."""
+    with BackgroundCallers(fleet, make=make_mixed, label=f"leave-{target}") as callers:
+        began = time.time()
+        fleet.wait_until(lambda: works(fleet, [target], began), "the target has work", CONFIGURATION_SECONDS)
+        fleet.set_host_state(target, state)
+        limit = time.time() + DRAIN_SECONDS
+        serve_past(fleet, callers, limit)
+        assert late_work(fleet, [target], limit) == []
+    fleet.set_host_state(target, "live")
+    check_answers(fleet, callers)
