Test that answers are whole and refusals true while links and engines break

With cut answers finished like whole ones, the tests of breaks fail (half an answer with status 200, streams without an error event). With forgotten attempts (may_have_run not set), calls that ran are refused as not run and both tests of refusals fail.

--- /dev/null
+++ b/tests/integration/test_answers.py
@@ -0,0 +1,153 @@
+"""Requirements 5 and 6: whole own answers, breaks that are visible, and refusals that mean not run."""
+
+import pytest
+
+from builders_integration import (
+    BackgroundCallers,
+    broken_links,
+    caller_of,
+    make_chat,
+    send,
+    small_plan,
+)
+from builders_standins import chat
+from limpetusher_standins.audit import audit
+from limpetusher_standins.caller import Outcome
+from limpetusher_standins.fleet import Fleet
+from limpetusher_standins.proxy import Mode
+
+pytestmark = pytest.mark.integration
+SERVED = 60
+SERVED_SECONDS = 10.0
+TRUNCATED_BYTES = 700
+"""Part of an answer: each event of a stream has about 200 bytes."""
+QUEUE_LIMIT = 4
+TARGET_SILENCE_SECONDS = 2.0
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    """Start two routers whose customers have short queues and little patience."""
+    plan = small_plan(
+        routers=2,
+        slots=4,
+        queue_limit=QUEUE_LIMIT,
+        patience_seconds=4.0,
+        application_options={"delay_seconds": 0.1},
+        router_options={"target_idle_timeout_seconds": TARGET_SILENCE_SECONDS},
+    )
+    with Fleet(plan) as started:
+        yield started
+
+
+def engine_links(fleet: Fleet) -> list[str]:
+    """Return the links of one router to all engines."""
+    return fleet.links_between({"router-1"}, {"engine-1", "engine-2"})
+
+
+def check_truthful(fleet: Fleet, callers: BackgroundCallers) -> None:
+    """Check that no answer is wrong, no refusal untrue, and every break visible."""
+    found = audit(fleet, callers.results)
+    assert found.wrong_answers == []
+    assert found.run_but_told_not_run == []
+    cut = [result for result in callers.results if result.outcome == Outcome.CUT]
+    assert [result for result in cut if result.code is None] == []
+
+
+@pytest.mark.parametrize(
+    ("mode", "options"),
+    [(Mode.TRUNCATE, {"truncate_bytes": TRUNCATED_BYTES}), (Mode.RESET, {}), (Mode.CUT, {})],
+)
+def test_broken_links_to_engines_give_no_part_as_the_whole(fleet, mode, options):
+    """Guards against truncated answers that look complete, and resumed streams with gaps or repeats."""
+    with BackgroundCallers(fleet, make=lambda c, n: make_chat(c, n, tokens=40), label=mode) as callers:
+        fleet.wait_until(lambda: callers.whole_since(0) >= 8, "callers are served", SERVED_SECONDS)
+        for _ in range(3):
+            before = len(callers.results)
+            with broken_links(fleet, engine_links(fleet), mode, **options):
+                fleet.wait_until(
+                    lambda before=before: len(callers.results) >= before + 10,
+                    "requests end while the links are broken",
+                    SERVED_SECONDS,
+                )
+        before = callers.whole_since(0)
+        fleet.wait_until(
+            lambda: callers.whole_since(0) >= before + 10, "callers are served again", SERVED_SECONDS
+        )
+    check_truthful(fleet, callers)
+
+
+def test_late_answers_reach_no_other_caller(fleet):
+    """Guards against answers that arrive after their time-out and are given to the next request."""
+    with BackgroundCallers(fleet, workers=3, label="late") as callers:
+        fleet.wait_until(lambda: callers.whole_since(0) >= 8, "callers are served", SERVED_SECONDS)
+        for _ in range(2):
+            before = len(callers.results)
+            # The bytes that the links hold are delivered when they are restored.
+            with broken_links(fleet, engine_links(fleet), Mode.BLACK_HOLE):
+                fleet.wait_until(
+                    lambda before=before: any(
+                        result.outcome != Outcome.WHOLE for result in callers.results[before:]
+                    ),
+                    "a request ends without an answer",
+                    TARGET_SILENCE_SECONDS + SERVED_SECONDS,
+                )
+        before = callers.whole_since(0)
+        fleet.wait_until(
+            lambda: callers.whole_since(0) >= before + SERVED, "callers are served again", SERVED_SECONDS
+        )
+    check_truthful(fleet, callers)
+
+
+def test_killed_engine_leaves_no_part_as_the_whole(fleet):
+    """Guards against streams that end like whole ones when their engine dies."""
+    with BackgroundCallers(fleet, make=lambda c, n: make_chat(c, n, tokens=60), label="die") as callers:
+        fleet.wait_until(lambda: callers.whole_since(0) >= 8, "callers are served", SERVED_SECONDS)
+        fleet.processes["engine-1"].kill()
+        fleet.wait_until(
+            lambda: any(result.outcome == Outcome.CUT for result in callers.results),
+            "a stream breaks",
+            SERVED_SECONDS,
+        )
+        fleet.processes["engine-1"].start()
+    check_truthful(fleet, callers)
+
+
+def test_answer_of_an_application_that_breaks_is_not_given_as_whole(fleet):
+    """Guards against half of a plain answer that is passed on with status 200."""
+    for replica in ("application-1", "application-2"):
+        fleet.control(replica, "/control", {"failure": "cut_within_answer", "count": 4})
+    caller = caller_of(fleet, "router-1")
+    results = send(*(caller.call_application("crew", "POST", "/dispatch", f"half/{n}") for n in range(4)))
+    ends = {(result.outcome, result.ran) for result in results}
+    assert ends == {(Outcome.REFUSED, "unknown")}
+
+
+def test_refusals_as_not_run_are_true(fleet):
+    """Guards against refusals that say not run for requests that a target got.
+
+    Queues overflow, patience ends, engines refuse connections, and calls fail before, while and after they
+    run, all at the same time.
+    """
+
+    def make(caller, name):
+        if name[-1] in "123":
+            return caller.call_application("crew", "POST", "/dispatch", name)
+        return caller.complete(chat(f"Request {name}", max_tokens=60, stream=name[-1] in "456"))
+
+    failures = ("cut_before_run", "cut_after_run", "cut_within_answer", "error_status")
+    with BackgroundCallers(fleet, workers=20, make=make, label="refuse") as callers:
+        for failure in failures:
+            for replica in ("application-1", "application-2"):
+                fleet.control(replica, "/control", {"failure": failure, "count": 3})
+            before = len(callers.results)
+            with broken_links(fleet, engine_links(fleet), Mode.RESET):
+                fleet.wait_until(
+                    lambda before=before: len(callers.results) >= before + SERVED,
+                    "requests end",
+                    SERVED_SECONDS,
+                )
+    found = audit(fleet, callers.results)
+    assert found.is_clean, found
+    told = {result.ran for result in callers.results if result.outcome == Outcome.REFUSED}
+    assert {"no", "unknown"} <= told
