--- /dev/null
+++ b/tests/integration/test_fairness.py
@@ -0,0 +1,162 @@
+"""Requirements 1 and 2: the gap in service stays bounded, and nobody starves while one customer floods."""
+
+import contextlib
+
+import pytest
+
+from builders_integration import BackgroundCallers, make_chat, small_plan
+from limpetusher_standins.audit import audit
+from limpetusher_standins.fleet import PLATFORM, Fleet
+from limpetusher_standins.load import PROMPT_TOKEN_COST
+
+pytestmark = pytest.mark.integration
+TOKENS = 20
+SLOTS = 4
+ENGINES = 2
+TOKEN_SECONDS = 0.01
+EXCHANGE_SECONDS = 0.25
+DELAY_SECONDS = 0.05
+"""Delay between routers: far above that of loopback addresses, for a loaded machine."""
+FLOOD_WORKERS = 50
+SERVED_SECONDS = 10.0
+LEAST_SHARE = 1.0
+LARGE_SHARE = 4.0
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    """Start four routers and two engines; customer 1 has four times the share of the others."""
+    plan = small_plan(
+        engines=ENGINES,
+        applications=0,
+        customers=4,
+        large_customers=1,
+        large_share=LARGE_SHARE,
+        slots=SLOTS,
+        cold_slots=SLOTS,
+        patience_seconds=30.0,
+        with_proxy=False,
+        engine_options={"token_seconds": TOKEN_SECONDS, "batch_slowdown": 0.0},
+    )
+    with Fleet(plan) as started:
+        yield started
+
+
+def request_cost() -> float:
+    """Return an upper bound of the cost of one request of these tests."""
+    return TOKENS + PROMPT_TOKEN_COST * TOKENS
+
+
+def gap_bound() -> float:
+    """Return the bound of the gap of section 6 of the design, in cost units per share."""
+    slots = ENGINES * SLOTS
+    rate = slots / TOKEN_SECONDS
+    window = (EXCHANGE_SECONDS + DELAY_SECONDS) * rate
+    return (window + (slots + ENGINES) * request_cost()) / LEAST_SHARE
+
+
+def service_per_share(fleet: Fleet, begin: float, end: float) -> dict[str, float]:
+    """Return each customer's service, by the engines' records, of requests that ended in an interval."""
+    shares = {customer.customer_id: customer.share for customer in fleet.customers}
+    service = dict.fromkeys(shares, 0.0)
+    for record in fleet.records("engine").values():
+        for entry in record["requests"]:
+            if entry["ended"] is not None and begin < entry["ended"] <= end:
+                cost = entry["generated_tokens"] + PROMPT_TOKEN_COST * entry["prompt_tokens"]
+                service[entry["customer"]] += cost / shares[entry["customer"]]
+    return service
+
+
+def ended_between(fleet: Fleet, customer: str, begin: float) -> int:
+    """Return how many requests of a customer ended at the engines after a wall-clock time."""
+    entries = [entry for record in fleet.records("engine").values() for entry in record["requests"]]
+    return sum(
+        entry["customer"] == customer and entry["state"] == "complete" and (entry["ended"] or 0.0) > begin
+        for entry in entries
+    )
+
+
+def make(caller, name):
+    """Return a request of the length that the bound is computed with."""
+    return make_chat(caller, name, tokens=TOKENS)
+
+
+def newest_end(fleet: Fleet) -> float:
+    """Return the wall-clock time of the newest end of a request at the engines."""
+    ends = [entry["ended"] for record in fleet.records("engine").values() for entry in record["requests"]]
+    return max((end for end in ends if end is not None), default=0.0)
+
+
+def total_ended(fleet: Fleet, begin: float) -> int:
+    """Return how many requests of all customers ended after a wall-clock time."""
+    return sum(ended_between(fleet, customer.customer_id, begin) for customer in fleet.customers)
+
+
+def test_gap_between_backlogged_customers_stays_below_the_bound(fleet):
+    """Guards against service by the number of waiting requests: one customer has 12 times as many open.
+
+    Each customer calls other routers, so that no router sees the whole demand. The one with the large share
+    has as much backlog for its share as the others.
+    """
+    assert fleet.record(PLATFORM)["versions"]
+    routers = list(fleet.routers)
+    plans = [
+        (0, 8, routers[:2]),
+        (1, 4, routers[1:2]),
+        (2, 4, routers[2:3]),
+        (3, FLOOD_WORKERS, routers[3:]),
+    ]
+    bound = gap_bound()
+    # The interval is long enough for the served work to differ by several times the bound without fairness.
+    enough = int(8 * bound / TOKENS)
+    with contextlib.ExitStack() as stack:
+        callers = [
+            stack.enter_context(
+                BackgroundCallers(
+                    fleet,
+                    workers=workers,
+                    routers=names,
+                    customer=customer,
+                    make=make,
+                    label=f"gap-{customer}",
+                    finish=False,
+                )
+            )
+            for customer, workers, names in plans
+        ]
+        fleet.wait_until(
+            lambda: all(ended_between(fleet, plan.customer_id, 0.0) > 0 for plan in fleet.customers),
+            "all customers are served",
+            SERVED_SECONDS,
+        )
+        begin = newest_end(fleet)
+        fleet.wait_until(lambda: total_ended(fleet, begin) >= enough, "work is done", 2 * SERVED_SECONDS)
+        end = newest_end(fleet)
+    service = service_per_share(fleet, begin, end)
+    assert max(service.values()) - min(service.values()) <= bound, service
+    assert not audit(fleet, [result for group in callers for result in group.results]).wrong_answers
+
+
+def test_small_customer_is_served_while_another_floods_all_routers(fleet):
+    """Guards against starvation: a customer with one open request meets one with 200 at all routers."""
+    with (
+        BackgroundCallers(
+            fleet, workers=FLOOD_WORKERS, customer=3, make=make, label="flood", finish=False
+        ) as flood,
+        BackgroundCallers(
+            fleet, workers=1, routers=["router-1"], customer=1, make=make, label="small"
+        ) as small,
+    ):
+        fleet.wait_until(lambda: flood.whole_since(0) >= FLOOD_WORKERS, "the flood runs", SERVED_SECONDS)
+        begin = newest_end(fleet)
+        fleet.wait_until(
+            lambda: small.whole_since(begin) >= 5, "the small customer is served", SERVED_SECONDS
+        )
+    assert set(small.outcomes()) == {"whole"}
+    entries = [entry for record in fleet.records("engine").values() for entry in record["requests"]]
+    started = {entry["request_id"]: entry["started"] for entry in entries}
+    flooding = fleet.customers[3].customer_id
+    for result in small.results:
+        if result.started_wall > begin:
+            served = service_per_share(fleet, result.started_wall, started[result.request_id])[flooding]
+            assert served <= gap_bound()
