--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -109,18 +109,18 @@
         if connection is not None:
             self.drop(connection)
 
-    def accept(self) -> None:
-        """Accept waiting connections, some at a time so that others are served in between."""
+    def accept(self) -> bool:
+        """Accept some waiting connections, so that others are served in between; return whether to go on."""
         for _ in range(ACCEPTS_PER_EVENT):
             try:
                 sock, _address = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError as error:
                 logger.warning("accepting a connection failed: %s", errno.errorcode.get(error.errno, error))
                 self.poller.removeReader(self.listener)
                 self.deadlines.schedule_in(ACCEPT_PAUSE_SECONDS, Due(), CALLERS)
-                return
+                return False
             prepare(sock)
             connection = CallerConnection(sock)
             if len(self.connections) >= self.settings.max_caller_connections and self.idle:
@@ -132,6 +132,7 @@
                 self.refuse(connection, error)
             else:
                 self.become_idle(connection)
+        return True
 
     def become_idle(self, connection: CallerConnection) -> None:
         """Wait for the first byte of a request."""
@@ -292,7 +293,8 @@
     def on_stop_accepting(self) -> None:
         """Accept what waits and close the listening socket."""
         if self.listener is not None:
-            self.accept()
+            while self.accept():
+                pass
             self.poller.discard(self.listener)
             self.listener.close()
             self.listener = None
--- a/tests/builders_integration.py
+++ b/tests/builders_integration.py
@@ -99,6 +99,8 @@
         Returns a request from a caller and a name that is used once.
     label
         Begin of the names.
+    finish
+        Whether open requests are finished at the end; otherwise the callers disconnect.
     """
 
     def __init__(
@@ -110,7 +112,9 @@
         customer: int = 0,
         make: MakeRequest = make_chat,
         label: str = "load",
+        finish: bool = True,
     ):
+        self.finish = finish
         self.make = make
         self.label = label
         names = list(fleet.routers) if routers is None else routers
@@ -129,7 +133,12 @@
 
     async def run(self) -> None:
         """Run all callers."""
-        await asyncio.gather(*(self.work(number, caller) for number, caller in enumerate(self.callers)))
+        work = [asyncio.create_task(self.work(*each)) for each in enumerate(self.callers)]
+        if not self.finish:
+            await asyncio.to_thread(self.stopping.wait)
+            for task in work:
+                task.cancel()
+        await asyncio.gather(*work, return_exceptions=not self.finish)
 
     async def work(self, number: int, caller: Caller) -> None:
         """Send one request after the other."""
