--- a/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/witness_readiness.py
@@ -85,6 +85,7 @@
         self.left: dict[bytes, LeftList] = {}
         self.exchanges: dict[str, Exchange] = {}
         self.on_list: set[str] = set()
+        self.majority_on_list_at: float | None = None
         self.intact_peers: set[str] = set()
         self.settled_peers: set[str] = set()
         self.witness_cache: dict[bytes, tuple[str, ...]] = {}
@@ -125,6 +126,7 @@
         self.witness_cache.clear()
         self.exchanges.clear()
         self.on_list.clear()
+        self.majority_on_list_at = None
         self.intact_peers.clear()
         self.settled_peers.clear()
 
@@ -133,11 +135,18 @@
         if not self.intact and self.current is not None:
             others = self.current.ids - {self.own_id}
             synchronised = bool(others) and others <= self.settled_peers
-            window_passed = now >= self.started_at + self.settings.idempotency_window_seconds
             # Fewer than a majority of the listed routers could all be new ones, while the others still
-            # use an earlier list that this router has never seen.
-            listed = len(self.on_list & others) + 1 >= majority(len(others) + 1)
-            self.intact = synchronised or (window_passed and listed)
+            # use an earlier list that this router has never seen. Until they change, they go on promising
+            # under it, so the window counts from then.
+            if len(self.on_list & others) + 1 >= majority(len(others) + 1):
+                if self.majority_on_list_at is None:
+                    self.majority_on_list_at = now
+            else:
+                self.majority_on_list_at = None
+            window = self.settings.idempotency_window_seconds
+            since = self.majority_on_list_at
+            window_passed = since is not None and now >= since + window
+            self.intact = synchronised or window_passed
         for digest, left in list(self.left.items()):
             expired = now >= left.left_at + self.settings.idempotency_window_seconds
             if expired and self._is_closed_for_all(left, now):
@@ -185,7 +194,7 @@
         window = self.settings.idempotency_window_seconds
         times = [left.left_at + window for left in self.left.values()]
         if not self.intact:
-            times.append(self.started_at + window)
+            times.append((self.majority_on_list_at or now) + window)
         times = [time for time in times if time >= now]
         for peer in self._needed():
             exchange = self.exchanges.get(peer)
--- a/tests/core/request/test_idempotency.py
+++ b/tests/core/request/test_idempotency.py
@@ -363,6 +363,36 @@
     assert [repeat.answers[-1].code for repeat in repeats] == [RefusalCode.NO_QUORUM] * 3
 
 
+def test_window_counts_from_when_the_others_left_the_earlier_list():
+    """Guards against a new router that takes an old one's restart for the end of its earlier promises."""
+    fleet = WitnessFleet((0,))
+    version = fleet.publish(router(0), router(2))
+    fleet.start("router-2", fleet.restart_settings, version)
+    fleet.advance(fleet.window + 1)
+    fleet.send(admitted_call(fleet, "router-0", "first"))
+    fleet.restart("router-0", version)
+    fleet.advance(fleet.window / 2)
+    repeat = fleet.call("router-2", call("repeat"))
+    fleet.advance(1.0)
+    assert repeat.answers[-1].code is RefusalCode.NO_QUORUM
+
+
+def test_router_that_is_removed_and_listed_again_without_a_restart():
+    """Guards against a second run after the list dropped a running router for a moment."""
+    fleet = WitnessFleet((1,))
+    version = fleet.publish(router(1), router(6))
+    fleet.start("router-6", fleet.restart_settings, version)
+    fleet.isolated = frozenset(["router-1"])
+    fleet.see_list("router-6", fleet.publish(router(6)))
+    fleet.publish(router(1), router(6))
+    fleet.advance(fleet.window + 1)
+    for name in ("router-1", "router-6"):
+        ongoing = fleet.call(name, call(f"at {name}"))
+        fleet.advance(1.0)
+        fleet.send(ongoing)
+    assert not fleet.double_runs()
+
+
 def test_removed_router_does_not_count_as_stopped_beside_one_with_the_earlier_list():
     """Guards against a majority of the earlier list that consists of a late router and a removed one."""
     fleet = WitnessFleet((0, 1, 2, 3, 4))
