Keep a router unready until a peer has confirmed its configuration version

Cause: a router that restarted beside a stale platform became ready with the old version when it read the platform before the first heartbeat (1 failure of tests/integration/test_configuration.py::test_stale_platform_turns_no_router_back on a loaded machine: version 5 in force, 6 published). Rollout.is_confirmed held the rule but nothing called it. Ruled out: the relay itself, which corrected the version within one exchange. The wait without any heartbeat is 2 s. The fixture of tests/core/test_grants.py now has its peer's first heartbeat, because a router with a silent peer is not ready at 0.1 s.

--- a/packages/limpetusher-core/src/limpetusher/core/context.py
+++ b/packages/limpetusher-core/src/limpetusher/core/context.py
@@ -84,9 +84,7 @@
     def ready(self) -> bool:
         """Return whether requests can be accepted."""
         return (
-            self.rollout.configuration is not None
-            and self.membership.version is not None
-            and not self.stopping
+            self.rollout.is_confirmed(self.now) and self.membership.version is not None and not self.stopping
         )
 
 
--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -120,6 +120,7 @@
         self.dispatch_payload = self.on_payload
         self.stop_at = math.inf
         self.stopped = False
+        self.ready_logged = False
         self.dropped_messages = 0
         self.drop_logged_at = -math.inf
 
@@ -204,6 +205,9 @@
         if self.queue.customers_changed:
             self.queue.customers_changed = False
             self.backlog.replace(self.context.own_id, self.queue.customers())
+        if not self.ready_logged and self.context.ready:
+            self.ready_logged = True
+            self.context.log(Event.ROUTER_READY)
         self.dispatcher.fill()
         self.offers.sender.flush()
         if self.context.stopping and not self.lifecycle.records and not self.stopped:
@@ -250,14 +254,13 @@
     @on_input.register
     def _(self, message: HostListReceived) -> None:
         context = self.context
-        was_ready = context.ready
         if not context.rollout.hosts(message.host_list, context.now):
             return
         context.shares.hosts_changed(context.now)
         self.exchange.hosts_changed()
         self.lifecycle.keyed.apply(context.witness.hosts_changed(message.host_list, context.now))
         context.log(Event.HOST_LIST_IN_FORCE, version=message.host_list.version)
-        self.configuration_or_hosts_changed(was_ready=was_ready)
+        self.configuration_or_hosts_changed()
 
     @on_input.register
     def _(self, message: LoadReported) -> None:
@@ -361,7 +364,6 @@
     def offer_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force if it is newer than the present one."""
         context = self.context
-        was_ready = context.ready
         change = context.rollout.offer(configuration, context.now)
         if not change.adopted:
             if change.older:
@@ -373,10 +375,10 @@
         context.log(
             Event.CONFIGURATION_IN_FORCE, version=configuration.version, digest=configuration.digest.hex()
         )
-        self.configuration_or_hosts_changed(was_ready=was_ready)
+        self.configuration_or_hosts_changed()
         self.lifecycle.refuse_unservable()
 
-    def configuration_or_hosts_changed(self, *, was_ready: bool) -> None:
+    def configuration_or_hosts_changed(self) -> None:
         """Bring everything up to date that depends on both, and tell the peers at once."""
         context = self.context
         configuration = context.rollout.configuration
@@ -386,8 +388,6 @@
             self.offers.keep_targets(context.ledger.targets)
         self.exchange.owners_changed()
         self.exchange.tick()
-        if context.ready and not was_ready:
-            context.log(Event.ROUTER_READY)
 
     def drop(self, sender: str, reason: str) -> None:
         """Count a message that is not handled, and log at most one a second."""
--- a/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
+++ b/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
@@ -17,7 +17,7 @@
 WATCHERS_PER_DATA_CENTRE = 2
 WATCHER_SILENCE_SECONDS = 5.0
 REQUEST_REPEAT_SECONDS = 1.0
-CONFIRM_SECONDS = 1.0
+CONFIRM_SECONDS = 2.0
 CONFIRM_AT_MOST_SECONDS = 5.0
 WATCH_RANK_KEY = b"configuration-watch"
 NO_VERSION = (0, b"")
@@ -111,7 +111,7 @@
         """Return whether the configuration in force is as new as what peers have.
 
         A router that restarts may read an old version from a stale replica of the platform. It is not
-        ready before a peer's heartbeat has confirmed the version, or 1 s has passed without any heartbeat.
+        ready before a peer's heartbeat has confirmed the version, or 2 s have passed without any heartbeat.
         A peer that names a newer version but does not deliver it delays readiness by 5 s at most.
         """
         if self.configuration is None or self.first_offer_at is None:
--- a/tests/builders_decision.py
+++ b/tests/builders_decision.py
@@ -20,6 +20,7 @@
 from limpetusher.core.decision import DecisionCore
 from limpetusher.core.inputs import ConfigurationReceived, HostListReceived, LoadReported, RequestArrived
 from limpetusher.core.settings import PolicySettings
+from limpetusher.wire.messages import Heartbeat
 
 MODEL = "chatter"
 BOOKING = "booking"
@@ -145,3 +146,16 @@
     core.handle(make_report("e1"), 0.0)
     core.handle(make_report("p1"), 0.0)
     return core
+
+
+def make_heartbeat(**changes: object) -> Heartbeat:
+    values = {
+        "sequence": 1,
+        "echo": 0,
+        "ready": True,
+        "leaving": False,
+        "configuration_version": 1,
+        "configuration_digest": b"",
+        "host_list_version": 1,
+    }
+    return Heartbeat(**{**values, **changes})
--- a/tests/core/test_decision.py
+++ b/tests/core/test_decision.py
@@ -8,6 +8,7 @@
     make_booking,
     make_configuration,
     make_core,
+    make_heartbeat,
     make_host_list,
     make_lone_core,
     make_report,
@@ -366,3 +367,17 @@
     assert core.context.shares.holders_known_since(target_id, core.context.now) is not None
     core.handle(StopRequested(), core.context.now)
     assert core.context.shares.holders_known_since(target_id, core.context.now) is None
+
+
+def test_restarted_router_is_not_ready_before_a_peer_has_confirmed_its_configuration():
+    """Guards against serving an old version that a stale platform gave to a router without state."""
+    core = make_core("a1", settings=make_settings())
+    hosts = make_host_list(version=1, routers={"a1": "a", "a2": "a"}, engines={"e1": "a"})
+    core.handle(HostListReceived(hosts), 0.0)
+    core.handle(ConfigurationReceived(make_configuration(version=5)), 0.0)
+    assert not core.is_ready
+    newer = make_heartbeat(sequence=1, configuration_version=6)
+    core.handle(PeerMessage("a2", 7, newer), 0.1)
+    assert not core.is_ready
+    core.handle(ConfigurationReceived(make_configuration(version=6)), 0.2)
+    assert core.is_ready
--- a/tests/core/test_grants.py
+++ b/tests/core/test_grants.py
@@ -2,7 +2,15 @@
 
 import pytest
 
-from builders_decision import MODEL, make_configuration, make_core, make_host_list, make_report, make_request
+from builders_decision import (
+    MODEL,
+    make_configuration,
+    make_core,
+    make_heartbeat,
+    make_host_list,
+    make_report,
+    make_request,
+)
 from limpetusher.core.actions import Dispatch, SendToPeer
 from limpetusher.core.inputs import (
     ConfigurationReceived,
@@ -23,6 +31,8 @@
     core = make_core()
     core.handle(HostListReceived(make_host_list(**HOSTS)), 0.0)
     core.handle(ConfigurationReceived(make_configuration(slots=1)), 0.0)
+    # The router is ready once a peer has confirmed its configuration.
+    core.handle(PeerMessage("a2", 5, make_heartbeat()), 0.0)
     for number in range(2):
         core.handle(make_request(f"r{number}"), 0.1)
     return core
