--- a/packages/limpetusher-standins/src/limpetusher_standins/baseline_router.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/baseline_router.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import logging
+import time
 import urllib.parse
 from collections import deque
 from collections.abc import AsyncIterator
@@ -15,6 +16,7 @@
 from limpetusher.configuration.document import load_configuration, load_host_list
 from limpetusher_standins import http_client
 from limpetusher_standins.engine import CUSTOMER_HEADER
+from limpetusher_standins.engine_batch import EngineSettings
 from limpetusher_standins.http_client import AnswerCutError, OpenAnswer
 from limpetusher_standins.http_server import (
     ConnectionCut,
@@ -27,6 +29,7 @@
 CONFIGURATION_WAIT_SECONDS = 10.0
 RETRY_SECONDS = 0.25
 LOAD_POLL_SECONDS = 0.25
+REPORT_AGE_SECONDS = EngineSettings().report_lag_seconds
 PASSED_HEADERS = ("content-type", "idempotency-key")
 
 logger = logging.getLogger(__name__)
@@ -36,7 +39,10 @@
     """How a router chooses targets; each one serves its own requests in order of arrival."""
 
     FIRST_COME = "first-come"
-    """Every router uses all slots, counting what the last load report showed and its own requests since."""
+    """Every router uses all slots of warm targets, correcting the last load report by its own requests since.
+
+    Cold targets fail under more than they can bear, so their slots are split as with `FIXED_SPLIT`.
+    """
     FIXED_SPLIT = "fixed-split"
     """Every slot of a target belongs to one router of the fleet."""
 
@@ -47,9 +53,38 @@
 
     host: Host
     in_flight: int = 0
-    sent_since_report: int = 0
+    changes: deque[tuple[float, int]] = field(default_factory=deque)
+    """Times of the own requests' starts (+1) and ends (-1) that the last load report may not include."""
     reported_running: int = 0
     is_warm: bool = False
+    cold_until: float = 0.0
+    """Time until which reports of a warm target are not believed, because a connection to it failed."""
+
+    def start(self) -> None:
+        """Count an own request."""
+        self.in_flight += 1
+        self.changes.append((time.monotonic(), 1))
+
+    def end(self) -> None:
+        """Count the end of an own request."""
+        self.in_flight -= 1
+        self.changes.append((time.monotonic(), -1))
+
+    def failed(self) -> None:
+        """Count as cold until reports made after this failure arrive."""
+        self.is_warm, self.cold_until = False, time.monotonic() + REPORT_AGE_SECONDS + LOAD_POLL_SECONDS
+
+    def reported(self, running: int, *, warm: bool) -> None:
+        """Take a load report; starts and ends after it was measured still count."""
+        now = time.monotonic()
+        self.reported_running, self.is_warm = running, warm and now >= self.cold_until
+        while self.changes and self.changes[0][0] < now - REPORT_AGE_SECONDS:
+            self.changes.popleft()
+
+    @property
+    def expected_running(self) -> int:
+        """Return what probably runs now."""
+        return max(self.in_flight, self.reported_running + sum(step for _, step in self.changes))
 
 
 @dataclass(slots=True, eq=False)
@@ -57,6 +92,7 @@
     """A request that waits for a slot of a target that serves `service`."""
 
     service: str
+    request: HttpRequest
     granted: asyncio.Future = field(default_factory=lambda: asyncio.get_running_loop().create_future())
 
 
@@ -137,11 +173,10 @@
         try:
             answer = await http_client.request(view.host.address, "GET", "/load")
         except (OSError, AnswerCutError):
-            view.is_warm = False
+            view.failed()
             return
         report = answer.json()
-        view.reported_running, view.is_warm = report["running"], report["warm"]
-        view.sent_since_report = 0
+        view.reported(report["running"], warm=report["warm"])
 
     def has_room(self, view: TargetView, service: str) -> bool:
         """Return whether this router may send a request for `service` to a target now."""
@@ -152,9 +187,9 @@
         if configuration.data_centres[host.data_centre] != "in":
             return False
         limit = target_class.slots if view.is_warm else target_class.cold_slots
-        if self.policy == BaselinePolicy.FIXED_SPLIT:
+        if self.policy == BaselinePolicy.FIXED_SPLIT or not view.is_warm:
             return view.in_flight < self.own_slots(host, limit)
-        return max(view.in_flight, view.reported_running + view.sent_since_report) < limit
+        return view.expected_running < limit
 
     def own_slots(self, target: Host, limit: int) -> int:
         """Return how many of a target's slots belong to this router.
@@ -171,21 +206,24 @@
         if self.configuration is None or self.host_list is None:
             return
         for request in list(self.waiting):
+            if request.request.is_disconnected:
+                self.waiting.remove(request)
+                request.granted.set_exception(ConnectionCut())
+                continue
             free = [view for view in self.targets.values() if self.has_room(view, request.service)]
             if not free:
                 continue
-            view = min(
-                free, key=lambda view: (view.reported_running + view.sent_since_report, view.in_flight)
-            )
-            view.in_flight += 1
-            view.sent_since_report += 1
+            view = min(free, key=lambda view: (view.expected_running, view.in_flight))
+            view.start()
             self.waiting.remove(request)
             request.granted.set_result(view)
 
     @contextlib.asynccontextmanager
-    async def slot(self, service: str, patience_seconds: float) -> AsyncIterator[TargetView]:
+    async def slot(
+        self, service: str, patience_seconds: float, caller_request: HttpRequest
+    ) -> AsyncIterator[TargetView]:
         """Wait for a slot and hold it."""
-        request = WaitingRequest(service)
+        request = WaitingRequest(service, caller_request)
         self.waiting.append(request)
         self.grant()
         try:
@@ -203,7 +241,7 @@
 
     def release(self, view: TargetView) -> None:
         """Give a slot back."""
-        view.in_flight -= 1
+        view.end()
         self.grant()
 
     async def handle_admin(self, request: HttpRequest) -> HttpResponse:
@@ -250,10 +288,10 @@
         if request.query:
             path += "?" + urllib.parse.urlencode(request.query)
         patience = self.configuration.customers[customer].patience_for(service)
-        begun = False
+        begun, view = False, None
         try:
             async with (
-                self.slot(service, patience) as view,
+                self.slot(service, patience, request) as view,
                 http_client.open_request(
                     view.host.address, request.method, path, body=request.body, headers=headers
                 ) as answer,
@@ -267,6 +305,8 @@
         except TimeoutError:
             yield refusal(504, "deadline", request_id)
         except (AnswerCutError, OSError) as error:
+            if view is not None:
+                view.failed()
             if begun:
                 raise ConnectionCut from error
             yield refusal(502, "target_failed", request_id, ran="unknown")
--- a/packages/limpetusher-standins/src/limpetusher_standins/figures.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/figures.py
@@ -3,10 +3,12 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from limpetusher.core.settings import PolicySettings
 from limpetusher_standins.deployment import CustomerPlan
-from limpetusher_standins.load import PROMPT_TOKEN_COST
+from limpetusher_standins.load import PROMPT_TOKEN_COST, LoadRun
 
 SAMPLE_SECONDS = 0.1
+EXCHANGE_SECONDS = PolicySettings().exchange_interval_seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,19 +51,31 @@
 
     All customers must be backlogged from `begin` to `end`. A request counts as served evenly over its time.
     """
-    by_customer = defaultdict(list)
-    for interval in work:
-        if interval.ended > begin and interval.started < end:
-            by_customer[interval.customer].append(interval)
-    largest = 0.0
-    for time in sample_times(begin, end):
-        served = [
-            sum(i.cost * (i.share_before(time) - i.share_before(begin)) for i in by_customer[c.customer_id])
-            / c.share
-            for c in customers
-        ]
-        largest = max(largest, max(served) - min(served))
-    return largest
+    series = [service_by_share(work, customer, begin, end) for customer in customers]
+    return max(max(served) - min(served) for served in zip(*series, strict=True))
+
+
+def service_by_share(work: list[Interval], customer: CustomerPlan, begin: float, end: float) -> list[float]:
+    """Return the service of a customer since `begin`, by share, at each sample time."""
+    own = [i for i in work if i.customer == customer.customer_id and i.ended > begin and i.started < end]
+    return [
+        sum(i.cost * (i.share_before(time) - i.share_before(begin)) for i in own) / customer.share
+        for time in sample_times(begin, end)
+    ]
+
+
+def waiting_spans(run: LoadRun, records: dict[str, dict]) -> list[tuple[float, float]]:
+    """Return from when to when each request of a run waited for a slot, in wall-clock seconds.
+
+    A request that no engine admitted waited until its caller had an answer or left.
+    """
+    admitted = {
+        entry["request_id"]: entry["admitted"] for record in records.values() for entry in record["requests"]
+    }
+    return [
+        (result.started_wall, admitted.get(result.request_id) or result.started_wall + result.seconds)
+        for result in [*run.results, *run.abandoned]
+    ]
 
 
 def utilisation(work: list[Interval], engines: int, slots: int, begin: float, end: float) -> float:
@@ -76,6 +90,65 @@
     return used / (len(times) * engines * slots)
 
 
+def idle_while_waiting(
+    work: list[Interval],
+    waiting: list[tuple[float, float]],
+    *,
+    engines: int,
+    slots: int,
+    begin: float,
+    end: float,
+) -> float:
+    """Return the slot-seconds that slots were idle for longer than an exchange interval while work waited.
+
+    `waiting` has the times between which each request waited for a slot; every request must fit every engine.
+    An idle span counts whole when it is longer than the interval, and not at all otherwise.
+    """
+    waited = merge([(max(begin, start), min(end, stop)) for start, stop in waiting])
+    by_engine = defaultdict(list)
+    for interval in work:
+        by_engine[interval.engine].append((interval.started, interval.ended))
+    spans = [part for runs in by_engine.values() for part in idle_spans(runs, slots, begin, end)]
+    spans += [(begin, end)] * slots * (engines - len(by_engine))
+    parts = (
+        min(stop, waited_stop) - max(start, waited_start)
+        for start, stop in spans
+        for waited_start, waited_stop in waited
+    )
+    return sum(part for part in parts if part > EXCHANGE_SECONDS)
+
+
+def merge(spans: list[tuple[float, float]]) -> list[tuple[float, float]]:
+    """Return the union of spans of time, in order."""
+    merged: list[tuple[float, float]] = []
+    for start, stop in sorted(span for span in spans if span[0] < span[1]):
+        if merged and start <= merged[-1][1]:
+            merged[-1] = (merged[-1][0], max(stop, merged[-1][1]))
+        else:
+            merged.append((start, stop))
+    return merged
+
+
+def idle_spans(
+    runs: list[tuple[float, float]], slots: int, begin: float, end: float
+) -> list[tuple[float, float]]:
+    """Return the spans in which each slot of an engine was idle; slot k while fewer than k requests ran."""
+    changes = [(start, 1) for start, _ in runs] + [(stop, -1) for _, stop in runs]
+    idle_since: list[float | None] = [begin] * slots
+    spans, running = [], 0
+    for time, step in sorted(changes):
+        if time >= end:
+            break
+        time, running = max(time, begin), running + step
+        if step > 0 and running <= slots:
+            spans.append((idle_since[running - 1], time))
+            idle_since[running - 1] = None
+        elif step < 0 and running < slots:
+            idle_since[running] = time
+    spans += [(since, end) for since in idle_since if since is not None]
+    return [span for span in spans if span[0] < span[1]]
+
+
 def fairness_bound(
     *,
     exchange_seconds: float,
--- a/packages/limpetusher-standins/src/limpetusher_standins/load.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/load.py
@@ -1,6 +1,7 @@
 """Command `load`: seeded load from many customers, with a check of every answer."""
 
 import asyncio
+import contextlib
 import random
 import statistics
 import time
@@ -42,13 +43,19 @@
     maximum_open: int = 2_000
     """Open requests of all customers; arrivals of an open loop beyond it are counted and not sent."""
     answer_seconds: float = 120.0
+    abandon_open: bool = False
+    """Whether callers of a closed loop leave at the end instead of waiting for their answers."""
 
 
 @dataclass(slots=True)
 class LoadRun:
-    """Results of a run; `skipped` counts the arrivals that were not sent."""
+    """Results of a run; `skipped` counts the arrivals that were not sent.
+
+    `abandoned` holds the requests that were still open when their callers left.
+    """
 
     results: list[CallResult] = field(default_factory=list)
+    abandoned: list[CallResult] = field(default_factory=list)
     started: int = 0
     open: int = 0
     skipped: int = 0
@@ -95,6 +102,7 @@
         self.run.started += 1
         self.run.open += 1
         address = self.random.choices(self.routers, self.weights)[0]
+        began = CallResult(self.customer.customer_id, "", detail="abandoned")
         caller = Caller(address, self.customer.customer_id, self.customer.authorization)
         try:
             request = self.draw(caller)
@@ -102,6 +110,10 @@
         except TimeoutError:
             late = CallResult(self.customer.customer_id, "", detail="no answer in time")
             self.run.results.append(late)
+        except asyncio.CancelledError:
+            began.seconds = time.monotonic() - began.started
+            self.run.abandoned.append(began)
+            raise
         finally:
             self.run.open -= 1
 
@@ -164,7 +176,14 @@
             share = customer.share if settings.workers_by_share else 1.0
             count = round(settings.workers * share * factor)
             work += [load.send_closed(deadline) for _ in range(count)]
-    await asyncio.gather(*work)
+    everything = asyncio.gather(*work)
+    if settings.abandon_open:
+        await asyncio.wait([everything], timeout=settings.seconds)
+        everything.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await everything
+    else:
+        await everything
     run.seconds = time.monotonic() - began
     return run
 
--- a/tests/standins/test_baseline_router.py
+++ b/tests/standins/test_baseline_router.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from limpetusher_standins import baseline_router
 from limpetusher_standins.audit import audit, name_targets
 from limpetusher_standins.caller import Caller, Outcome
 from limpetusher_standins.deployment import SMALL, with_baseline
@@ -32,6 +33,39 @@
     assert {result.target for result in run.results} == set(fleet.targets)
 
 
+def test_own_requests_since_the_report_count(monkeypatch):
+    """Guards against a first-come baseline that sends more than the slots because its reports lag."""
+    clock = [100.0]
+    monkeypatch.setattr(baseline_router.time, "monotonic", lambda: clock[0])
+    view = baseline_router.TargetView(host=None)
+    view.reported(2, warm=True)
+    for _ in range(3):
+        view.start()
+    assert view.expected_running == 5
+    view.end()
+    assert view.expected_running == 4
+    # The report was measured before the requests started, so it does not include them.
+    clock[0] += 0.1
+    view.reported(2, warm=True)
+    assert view.expected_running == 4
+    clock[0] += baseline_router.REPORT_AGE_SECONDS
+    view.reported(4, warm=True)
+    assert view.expected_running == 4
+
+
+def test_failed_target_is_cold_until_a_newer_report(monkeypatch):
+    """Guards against a baseline that floods a restarted engine because of a report from before."""
+    clock = [100.0]
+    monkeypatch.setattr(baseline_router.time, "monotonic", lambda: clock[0])
+    view = baseline_router.TargetView(host=None)
+    view.failed()
+    view.reported(0, warm=True)
+    assert not view.is_warm
+    clock[0] += 1.0
+    view.reported(0, warm=True)
+    assert view.is_warm
+
+
 def test_unknown_key_is_refused_and_reported():
     """Guards against a caller that counts a refusal as an answer."""
     with Fleet(with_baseline(FAST, "first-come")) as fleet:
--- a/tests/standins/test_figures.py
+++ b/tests/standins/test_figures.py
@@ -4,14 +4,19 @@
 
 import pytest
 
+from limpetusher_standins.caller import CallResult
 from limpetusher_standins.deployment import SMALL
 from limpetusher_standins.figures import (
     Interval,
     fairness_bound,
     fairness_gap,
+    idle_while_waiting,
     intervals,
+    service_by_share,
     utilisation,
+    waiting_spans,
 )
+from limpetusher_standins.load import LoadRun
 
 LARGE, NORMAL = SMALL.customer_plans()[:2]
 
@@ -62,3 +67,54 @@
         smallest_share=2,
     )
     assert bound == pytest.approx((0.3 * 1000 + 18 * 100) / 2)
+
+
+def idle(
+    work: list[Interval], waiting: list[tuple[float, float]], *, engines: int = 1, slots: int = 2
+) -> float:
+    return idle_while_waiting(work, waiting, engines=engines, slots=slots, begin=0, end=10)
+
+
+def test_idle_slots_count_only_while_work_waits():
+    """Guards against idle time that counts without waiting work, or is missed beside a busy slot."""
+    work = [interval("a", 0, 10, 1), interval("a", 0, 4, 1), interval("a", 6, 10, 1)]
+    assert idle(work, [(3, 5), (4.5, 5.5), (9, 12)]) == pytest.approx(1.5)
+    assert idle(work, []) == 0
+    assert idle(work, [(0, 10)]) == pytest.approx(2)
+
+
+def test_idle_time_up_to_an_exchange_interval_is_allowed():
+    """Guards against counting the time that the exchange itself takes."""
+    work = [interval("a", 0, 4, 1), interval("a", 4.25, 10, 1)]
+    assert idle(work, [(0, 10)], slots=1) == 0
+    later = [interval("a", 0, 4, 1), interval("a", 4.3, 10, 1)]
+    assert idle(later, [(0, 10)], slots=1) == pytest.approx(0.3)
+
+
+def test_idle_time_of_engines_without_any_request():
+    """Guards against an engine that never got work and is left out."""
+    work = [interval("a", 0, 10, 1), interval("a", 0, 10, 1)]
+    assert idle(work, [(2, 4)], engines=2) == pytest.approx(4)
+
+
+def test_requests_beyond_the_slots_do_not_hide_idle_time():
+    """Guards against a count of running requests above the slots that breaks the idle spans."""
+    work = [interval("a", 0, 3, 1) for _ in range(4)]
+    assert idle(work, [(0, 5)]) == pytest.approx(4)
+
+
+def test_waiting_ends_with_admission_or_with_the_caller():
+    """Guards against requests that are held to wait while they run, or never to have waited."""
+    run = LoadRun(
+        results=[CallResult("c", "m", request_id="r1", started_wall=1.0, seconds=9.0)],
+        abandoned=[CallResult("c", "", started_wall=2.0, seconds=3.0)],
+    )
+    records = {"engine-1": {"requests": [{"request_id": "r1", "admitted": 4.0}]}}
+    assert waiting_spans(run, records) == [(1.0, 4.0), (2.0, 5.0)]
+
+
+def test_service_series_starts_at_zero_and_counts_by_share():
+    """Guards against service before the begin that enters the plot."""
+    series = service_by_share([interval(LARGE.customer_id, 0, 10, 400)], LARGE, 5, 10)
+    assert series[0] == 0
+    assert series[-1] == pytest.approx(200 / LARGE.share)
--- a/tests/standins/test_load.py
+++ b/tests/standins/test_load.py
@@ -66,3 +66,29 @@
     values = percentiles([float(value) for value in range(101)])
     assert (values["p50"], values["p99"], values["maximum"]) == (50.0, 99.0, 100.0)
     assert percentiles([]) == {}
+
+
+def test_callers_leave_at_the_end():
+    """Guards against a load whose waiting requests outlast it and disturb the next phase of a measurement."""
+
+    async def run() -> LoadRun:
+        async def never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()
+            closed.append(True)
+            writer.close()
+
+        closed: list[bool] = []
+        server = await asyncio.start_server(never_answer, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        settings = LoadSettings(seconds=0.2, workers=2, flood_factor=1.0, abandon_open=True)
+        found = await asyncio.wait_for(
+            run_load(CONSORTIUM, CONSORTIUM.customer_plans()[:3], [address], settings), 5
+        )
+        while len(closed) < 6:
+            await asyncio.sleep(0.01)
+        server.close()
+        return found
+
+    found = asyncio.run(asyncio.wait_for(run(), 10))
+    assert (len(found.abandoned), found.results, found.open) == (6, [], 0)
+    assert all(0.1 < result.seconds < 2.0 for result in found.abandoned)
