Add the capacity command

It measures the decision core among synthetic peers in one process: processor time by input, message sizes and memory at four or more sizes on each axis, and works out the control cost of several designs at the target size.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-# Targets: run, demo, test, measure (QUICK=1 for the short form), lint, format, clean.
+# Targets: run, demo, test, measure (QUICK=1 for the short form), capacity, lint, format, clean.
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed.stamp
 PACKAGES := core router operator standins
 
-.PHONY: run demo test measure lint format clean install
+.PHONY: run demo test measure capacity lint format clean install
 
 install: $(STAMP)
 
@@ -24,6 +24,9 @@
 measure: $(STAMP)
 	$(BIN)/python -m limpetusher_standins measure $(if $(QUICK),--quick)
 
+capacity: $(STAMP)
+	$(BIN)/python -m limpetusher_standins capacity
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/packages/limpetusher-standins/src/limpetusher_standins/capacity.py
@@ -0,0 +1,227 @@
+"""Command `capacity`: slopes of the decision core's cost by size, in one process without sockets."""
+
+import gc
+import json
+import os
+import statistics
+import time
+import tracemalloc
+from dataclasses import dataclass, field, replace
+
+from limpetusher_standins.capacity_model import UnitCosts, design_table, message_sizes
+from limpetusher_standins.capacity_world import World, WorldSize
+
+BUDGET_SECONDS = 110.0
+"""Time after which no further size is measured; the command ends in about two minutes."""
+INTERVALS = 16
+REQUESTS = 80
+BASE = WorldSize()
+TARGET = WorldSize(
+    members=410,
+    customers=3600,
+    backlogged=360,
+    changed=176,
+    targets=820,
+    running=177,
+    requests_per_second=18.8,
+    slots=88,
+)
+"""A router at the target size: 7,700 requests/s and 72,600 streams over 410 routers (docs/CAPACITY.md)."""
+AXES: dict[str, tuple[float, ...]] = {
+    "members": (12, 24, 72, 144, 288),
+    "backlogged": (10, 40, 120, 240, 360),
+    "changed": (4, 12, 24, 40),
+    "targets": (24, 48, 192, 820),
+    "running": (16, 44, 88, 177),
+    "requests_per_second": (8, 20, 40, 80),
+}
+MEMORY_AXES: dict[str, tuple[int, ...]] = {
+    "customers": (200, 400, 1200, 3600),
+    "members": (12, 24, 72, 144),
+    "targets": (24, 48, 192, 820),
+}
+
+
+@dataclass(slots=True)
+class CapacityReport:
+    """Figures by size on each axis, their slopes, and the figures at the target size."""
+
+    figures: dict[str, dict[float, dict[str, float]]] = field(default_factory=dict)
+    slopes: dict[str, dict[str, float]] = field(default_factory=dict)
+    memory: dict[str, dict[int, float]] = field(default_factory=dict)
+    memory_slopes: dict[str, float] = field(default_factory=dict)
+    target: dict[str, float] = field(default_factory=dict)
+    skipped: list[str] = field(default_factory=list)
+    conditions: str = ""
+
+    def document(self) -> dict:
+        """Return the report as a JSON document."""
+        return {
+            "conditions": self.conditions,
+            "figures": {
+                axis: {str(size): row for size, row in rows.items()} for axis, rows in self.figures.items()
+            },
+            "slopes": self.slopes,
+            "memory_bytes": {
+                axis: {str(size): n for size, n in rows.items()} for axis, rows in self.memory.items()
+            },
+            "memory_slopes": self.memory_slopes,
+            "target": self.target,
+            "skipped": self.skipped,
+        }
+
+
+def run_capacity() -> int:
+    """Measure, print the table that docs/CAPACITY.md includes, and end with one JSON object."""
+    report = measure_capacity(BUDGET_SECONDS)
+    print(markdown(report))
+    print(design_table(unit_costs(report)))
+    print(json.dumps(report.document()))
+    return 0
+
+
+def measure_capacity(budget_seconds: float) -> CapacityReport:
+    """Measure the target size, then all axes from the base size, until the time is over."""
+    began = time.monotonic()
+    report = CapacityReport()
+    report.conditions = f"load average {os.getloadavg()[0]:.1f} at the start, {os.cpu_count()} processors"
+    report.target = measure(TARGET)
+    report.target["allocated_mb"] = round(core_bytes(TARGET) / 1e6, 1)
+    for axis, sizes in AXES.items():
+        rows = report.figures.setdefault(axis, {})
+        for size in sizes:
+            if time.monotonic() - began > budget_seconds:
+                report.skipped.append(f"{axis} {size}")
+                continue
+            rows[size] = measure(replace(BASE, **{axis: size}))
+        report.slopes[axis] = slopes(rows)
+    for axis, sizes in MEMORY_AXES.items():
+        found = report.memory.setdefault(axis, {})
+        for size in sizes:
+            if time.monotonic() - began > budget_seconds:
+                report.skipped.append(f"memory {axis} {size}")
+                continue
+            found[size] = core_bytes(replace(BASE, **{axis: size}))
+        if len(found) > 1:
+            report.memory_slopes[axis] = slope(list(found), list(found.values()))
+    return report
+
+
+def measure(size: WorldSize) -> dict[str, float]:
+    """Return the cost of each kind of input at one size: processor microseconds and bytes."""
+    world = World(size)
+    world.add_backlog()
+    world.running = world.run_requests(size.running)
+    # The costs of steady work only: what was noted so far belongs to the build-up.
+    world.samples.__init__()
+    for _ in range(INTERVALS):
+        world.exchange()
+        world.progress()
+    ticks = world.samples
+    figures = {
+        "tick_us": ticks.median("tick"),
+        "heartbeat_received_us": ticks.median("heartbeat"),
+        "heartbeat_encode_us": ticks.median("encode Heartbeat"),
+        "heartbeat_decode_us": ticks.median("decode Heartbeat"),
+        "heartbeat_bytes": ticks.mean_size("Heartbeat"),
+        "demands_per_tick": ticks.messages["Demand"] / INTERVALS,
+        "progress_us": ticks.median("progress") if world.running else 0.0,
+    }
+    world.samples.__init__()
+    count = max(1, round(size.requests_per_second * world.core.context.settings.exchange_interval_seconds))
+    repeats = max(1, round(REQUESTS / count))
+    done = 0
+    for _ in range(repeats):
+        requests = world.run_requests(count)
+        world.end(requests)
+        done += len(requests)
+        world.exchange()
+    requests = world.samples
+    parts = ("arrival", "spread", "grant", "started", "end")
+    figures |= {
+        "request_us": sum(sum(requests.microseconds.get(part, ())) for part in parts) / max(1, done),
+        "demand_bytes": requests.mean_size("Demand"),
+        "demands_per_request": requests.messages["Demand"] / max(1, done),
+        "release_bytes": requests.mean_size("Release"),
+    }
+    world.samples.__init__()
+    world.serve_peers(REQUESTS)
+    owner = world.samples.microseconds.get("release and grant")
+    figures["owner_request_us"] = statistics.median(owner) if owner else 0.0
+    return {name: round(value, 2) for name, value in figures.items()}
+
+
+def unit_costs(report: CapacityReport) -> UnitCosts:
+    """Return the costs by message and by entry that the designs are worked out from."""
+    base = report.figures["members"][BASE.members]
+    waiting, changed = report.slopes["backlogged"], report.slopes["changed"]
+    steps = ("heartbeat_received_us", "heartbeat_encode_us", "heartbeat_decode_us")
+    by_waiting = sum(waiting[step] for step in steps)
+    by_charge = sum(changed[step] for step in steps)
+    by_target = report.slopes["targets"]["tick_us"]
+    return UnitCosts(
+        sizes=message_sizes(),
+        message_us=sum(base[step] for step in steps)
+        - by_waiting * BASE.backlogged
+        - by_charge * BASE.changed,
+        waiting_us=by_waiting,
+        charge_us=by_charge,
+        tick_peer_us=report.slopes["members"]["tick_us"],
+        tick_target_us=by_target,
+        progress_us=report.target["progress_us"],
+        request_us=report.target["request_us"] + base["owner_request_us"],
+    )
+
+
+def core_bytes(size: WorldSize) -> float:
+    """Return the bytes that Python has allocated for one core and its peers' messages after an exchange."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        world = World(size)
+        world.samples.__init__()
+        gc.collect()
+        return tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
+def slope(sizes: list[float], values: list[float]) -> float:
+    """Return the least-squares slope of values by size."""
+    return statistics.linear_regression(sizes, values).slope
+
+
+def slopes(rows: dict[float, dict[str, float]]) -> dict[str, float]:
+    """Return the slope of each figure; nothing when there are fewer than two sizes."""
+    if len(rows) < 2:
+        return {}
+    names = next(iter(rows.values()))
+    return {name: round(slope(list(rows), [row[name] for row in rows.values()]), 4) for name in names}
+
+
+def markdown(report: CapacityReport) -> str:
+    """Return the tables of docs/CAPACITY.md: figures by size, their slopes, memory, and the target size."""
+    lines = [f"Conditions: {report.conditions}.", ""]
+    for axis, rows in report.figures.items():
+        sizes = list(rows)
+        lines += [f"By `{axis}` (others as in the base size):", ""]
+        lines.append(f"| figure | {' | '.join(map(str, sizes))} | slope | at target size |")
+        lines.append("| --- |" + " ---: |" * (len(sizes) + 2))
+        for name in next(iter(rows.values()), ()):
+            values = " | ".join(str(rows[size][name]) for size in sizes)
+            lines.append(
+                f"| {name} | {values} | {report.slopes[axis].get(name, '-')} | {report.target[name]} |"
+            )
+        lines.append("")
+    lines += [
+        "Bytes allocated (tracemalloc):",
+        "",
+        "| axis | bytes by size | bytes by unit |",
+        "| --- | --- | ---: |",
+    ]
+    for axis, found in report.memory.items():
+        sizes = ", ".join(f"{size}: {value:,.0f}" for size, value in found.items())
+        lines.append(f"| {axis} | {sizes} | {report.memory_slopes.get(axis, 0.0):,.0f} |")
+    if report.skipped:
+        lines += ["", f"Not measured for lack of time: {', '.join(report.skipped)}."]
+    return "\n".join(lines)
--- a/packages/limpetusher-standins/src/limpetusher_standins/command.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/command.py
@@ -144,6 +144,14 @@
     return run_measure(quick=quick)
 
 
+@app.command
+def capacity() -> int:
+    """Measure how the cost of the decision core grows with sizes; prints the tables of docs/CAPACITY.md."""
+    from limpetusher_standins.capacity import run_capacity
+
+    return run_capacity()
+
+
 def main() -> int:
     """Run the command line and return the exit status."""
     # SIGTERM is handled like Ctrl-C, so that the processes of a fleet are ended in both cases. SIGINT is set
