Test pairs of faults with real processes

Without the drain check, the drain during a partition fails with work later than 5 s. Without registration of keys, a call runs 8 times while one router is paused and another cut off. The engine that turns cold while its owner is paused is also protected by load reports: with "a broken connection makes a target cold" switched off, the test still passes.

--- /dev/null
+++ b/tests/integration/test_pairs_of_faults.py
@@ -0,0 +1,165 @@
+"""Two faults at a time (requirements 3, 4, 5, 7 and 10)."""
+
+import pytest
+
+from builders_integration import (
+    CONFIGURATION_SECONDS,
+    DRAIN_SECONDS,
+    TAKEOVER_SECONDS,
+    BackgroundCallers,
+    broken_links,
+    make_chat,
+    make_mixed,
+    owned_target,
+    owner_of,
+    paused,
+    runs_of_calls,
+    small_plan,
+    started_times,
+    status,
+    wait_for_wall_time,
+)
+from limpetusher_standins.audit import audit
+from limpetusher_standins.caller import Outcome
+from limpetusher_standins.fleet import PLATFORM, Fleet
+from limpetusher_standins.proxy import Mode
+
+pytestmark = pytest.mark.integration
+ENGINE = "engine-1"
+COLD_SLOTS = 3
+SLOTS = 6
+COLD_SECONDS = 5.0
+SERVED = 40
+SERVED_SECONDS = 10.0
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    """Start four routers in two data centres."""
+    with Fleet(small_plan(cold_slots=6)) as started:
+        yield started
+
+
+def make_longer(caller, name):
+    """Return a request that runs for about 0.2 s."""
+    return make_chat(caller, name, tokens=20)
+
+
+def test_engine_turns_cold_while_its_owner_is_paused():
+    """Guards against an owner that wakes and uses the limit from before the engine turned cold.
+
+    Meanwhile another owner uses the slots that the other routers carry.
+    """
+    plan = small_plan(
+        data_centres=("north",),
+        routers=3,
+        engines=1,
+        applications=0,
+        slots=SLOTS,
+        cold_slots=COLD_SLOTS,
+        cold_seconds=COLD_SECONDS,
+        with_proxy=False,
+    )
+    with (
+        Fleet(plan) as fleet,
+        BackgroundCallers(fleet, workers=6, make=make_longer, finish=False) as callers,
+    ):
+        owner = owner_of(fleet, ENGINE)
+        others = [router for router in fleet.routers if router != owner]
+
+        def uses(router: str, slots: int) -> bool:
+            target = owned_target(fleet, router, ENGINE)
+            return target is not None and target["granted"] >= slots
+
+        fleet.wait_until(
+            lambda: uses(owner, SLOTS), "the engine is fully used", COLD_SECONDS + TAKEOVER_SECONDS
+        )
+        with paused(fleet, owner):
+            fleet.control(ENGINE, "/control/cold", {})
+            second = owner_of(fleet, ENGINE, others)
+            fleet.wait_until(
+                lambda: uses(second, COLD_SLOTS - 1), "the second owner uses its slots", TAKEOVER_SECONDS
+            )
+        fleet.wait_until(lambda: uses(owner, COLD_SLOTS), "the owner is back", TAKEOVER_SECONDS)
+        assert fleet.record(ENGINE)["overloads"] == []
+    assert not [result for result in callers.results if result.outcome == Outcome.WRONG]
+
+
+def test_data_centre_is_drained_while_it_is_partitioned_from_the_other(fleet):
+    """Guards against a drain that needs the other data centre, or is lost when the partition ends."""
+    routers = set(fleet.routers)
+    north = fleet.hosts_in("north")
+    targets = sorted(north & set(fleet.targets))
+    with BackgroundCallers(fleet, make=make_chat, label="split") as callers:
+        fleet.wait_until(lambda: callers.whole_since(0) >= SERVED, "callers are served", SERVED_SECONDS)
+        split = fleet.links_between(north & routers, fleet.hosts_in("east") & routers)
+        with broken_links(fleet, split, Mode.BLACK_HOLE):
+            fleet.set_out("north")
+            limit = fleet.record(PLATFORM)["versions"][-1]["at"] + DRAIN_SECONDS
+            wait_for_wall_time(fleet, limit)
+            before = callers.whole_since(limit)
+            fleet.wait_until(
+                lambda: callers.whole_since(limit) > before, "callers are served", SERVED_SECONDS
+            )
+        fleet.wait_until(
+            lambda: callers.whole_since(limit) >= SERVED, "callers are served again", SERVED_SECONDS
+        )
+        late = [at - limit for name in targets for at in started_times(fleet, name) if at > limit]
+        assert late == []
+    fleet.set_out()
+    found = audit(fleet, callers.results)
+    assert found.is_clean, found
+    assert {result.outcome for result in callers.results} <= {Outcome.WHOLE, Outcome.REFUSED}
+
+
+def test_router_is_killed_while_the_platform_is_down(fleet):
+    """Guards against survivors that need the platform to take over, and a restart that stays unready."""
+    version = status(fleet, "router-1")["configuration_version"]
+    dead, *alive = sorted(fleet.routers)
+    with BackgroundCallers(fleet, routers=alive, make=make_mixed, label="down") as callers:
+        fleet.wait_until(lambda: callers.whole_since(0) >= SERVED, "callers are served", SERVED_SECONDS)
+        fleet.switch_platform(down=True)
+        fleet.processes[dead].kill()
+        for engine in ("engine-1", "engine-2"):
+            owner_of(fleet, engine, alive)
+        before = callers.whole_since(0)
+        fleet.wait_until(lambda: callers.whole_since(0) >= before + SERVED, "survivors serve", SERVED_SECONDS)
+        fleet.switch_platform(down=False)
+        fleet.processes[dead].start()
+        fleet.wait_until_ready((dead,))
+    assert status(fleet, dead)["configuration_version"] >= version
+    found = audit(fleet, callers.results)
+    assert found.is_clean, found
+    wrong = [result for result in callers.results if result.outcome not in (Outcome.WHOLE, Outcome.REFUSED)]
+    assert wrong == []
+
+
+def test_keyed_calls_run_once_while_one_router_is_paused_and_another_is_cut_off(fleet):
+    """Guards against a majority of witnesses that forgets a key when two routers fail at once."""
+    before = runs_of_calls(fleet)
+    sleeper, lonely = "router-1", "router-2"
+    others = set(fleet.routers) - {lonely}
+    with BackgroundCallers(fleet, workers=2, make=make_same_call, label="pair") as callers:
+        fleet.wait_until(lambda: callers.whole_since(0) >= 4, "calls run", SERVED_SECONDS)
+        with (
+            paused(fleet, sleeper),
+            broken_links(fleet, fleet.links_between({lonely}, others), Mode.BLACK_HOLE),
+        ):
+            count = len(callers.results)
+            owner_of(fleet, "application-1", ["router-3", "router-4"])
+            fleet.wait_until(
+                lambda: len(callers.results) >= count + SERVED, "calls are answered", SERVED_SECONDS
+            )
+        done = callers.whole_since(0)
+        fleet.wait_until(lambda: callers.whole_since(0) >= done + 4, "calls run again", CONFIGURATION_SECONDS)
+    runs = runs_of_calls(fleet) - before
+    assert max(runs.values()) == 1
+    found = audit(fleet, callers.results)
+    assert found.is_clean, found
+
+
+def make_same_call(caller, name):
+    """Return a call whose key is also used by the callers at the other routers."""
+    _label, _worker, count = name.split("/")
+    call_id = f"same/{count}"
+    return caller.call_application("crew", "POST", "/dispatch", call_id, idempotency_key=call_id)
