--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -11,7 +11,6 @@
 
 from limpetusher.core.actions import RefusalCode
 from limpetusher_router.connection.caller_connection import (
-    BODYLESS_STATUSES,
     CallerConnection,
     CallerState,
     listen,
@@ -240,8 +239,7 @@
         if connection is None:
             return
         self.write_head(connection, status, headers, len(body))
-        if connection.head.method != "HEAD" and status not in BODYLESS_STATUSES:
-            connection.add_output(body)
+        connection.add_output(body if connection.takes_body(status) else b"")
         self.finish(connection)
 
     @handler("SendHead")
@@ -293,14 +291,18 @@
 
     @handler("StopAccepting")
     def on_stop_accepting(self) -> None:
-        """Accept no more; connections stay open, because a request may be on its way on a new one."""
-        if self.listener is None:
-            return
-        while self.accept():
-            pass
-        self.poller.discard(self.listener)
-        self.listener.close()
-        self.listener = None
+        """Accept what waits and close the listening socket."""
+        if self.listener is not None:
+            while self.accept():
+                pass
+            self.poller.discard(self.listener)
+            self.listener.close()
+            self.listener = None
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is in progress or an answer is not written yet."""
+        return any(connection.is_busy for connection in self.connections.values())
 
     def finish(self, connection: CallerConnection) -> None:
         """Go on to the caller's next request, or close the connection, after an answer was queued."""
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -131,7 +131,7 @@
 
 
 class StopAccepting(Message):
-    """Accept no more caller connections; those that are open may still send a request."""
+    """Accept no more connections; requests that still arrive on open ones are answered."""
 
 
 class StartAttempt(Message):
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
@@ -110,7 +110,7 @@
         trace = self.tracing.begin(head.headers, request_id)
         exchange = Exchange(request_id, head, body, customer, request, self.clock.monotonic(), trace)
         self.exchanges[request_id] = exchange
-        self.metrics.waiting.inc({})
+        self.metrics.waiting_requests += 1
         trace.begin_queue()
         return exchange
 
@@ -147,8 +147,8 @@
         exchange.attempt = TargetAttempt(action.attempt, action.target_id, action.address, now)
         exchange.blocked = False
         self.metrics.queue_wait.observe({}, now - exchange.arrived_at)
-        self.metrics.waiting.dec({})
-        self.metrics.running.inc({})
+        self.metrics.waiting_requests -= 1
+        self.metrics.running_requests += 1
         traceparent = exchange.trace.begin_attempt(action.target_id)
         attempt = Attempt(
             key=(action.request_id, action.attempt),
@@ -186,7 +186,7 @@
         exchange = self.exchanges.get(request_id)
         if exchange is None or not exchange.answer_begun:
             self.fire(error_answer(request_id, error), CALLERS)
-        elif exchange.request.stream:
+        elif exchange.stream_begun:
             self.metrics.cut_answers.inc({})
             self.fire(SendPart(request_id, error_event(request_id, error)), CALLERS)
             self.fire(SendEnd(request_id), CALLERS)
@@ -260,6 +260,7 @@
         relay = exchange.attempt.relay
         if not exchange.answer_begun:
             exchange.answer_begun = True
+            exchange.stream_begun = relay.is_stream
             length = None if relay.is_stream else relay.head.content_length
             headers = exchange.answer_headers(relay)
             self.fire(SendHead(exchange.request_id, relay.head.status, headers, length), CALLERS)
@@ -348,8 +349,8 @@
         attempt = exchange.attempt
         exchange.attempt = None
         exchange.trace.end_attempt(outcome)
-        self.metrics.running.dec({})
-        self.metrics.waiting.inc({})
+        self.metrics.running_requests -= 1
+        self.metrics.waiting_requests += 1
         self.metrics.attempts.inc({"outcome": outcome.value})
         ended = ResponseEnded(
             exchange.request_id, attempt.number, outcome, cost, status, kept.content_type, kept.body
@@ -378,9 +379,9 @@
             return
         if exchange.attempt is not None:
             self.fire(StopAttempt((exchange.request_id, exchange.attempt.number), REQUESTS), TARGETS)
-            self.metrics.running.dec({})
+            self.metrics.running_requests -= 1
         else:
-            self.metrics.waiting.dec({})
+            self.metrics.waiting_requests -= 1
         exchange.trace.end(status)
 
     @handler("FailRequest")
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -141,6 +141,7 @@
         self.calls: list[Call] = []
         self.runs: dict[str, list[Call]] = {}
         self.starts = 0
+        self.removed_at: dict[str, float] = {}
         for number in numbers:
             self.start(f"router-{number}", self.settings, 1)
 
@@ -186,6 +187,10 @@
     def publish(self, *hosts: Host) -> int:
         """Publish a host list and return its version."""
         version = len(self.lists) + 1
+        listed = {host.host_id for host in hosts}
+        self.removed_at = {
+            name: self.removed_at.get(name, self.now) for name in self.nodes if name not in listed
+        }
         self.lists.append(host_list(version, *hosts))
         return version
 
@@ -207,6 +212,8 @@
     def send(self, ongoing: Call) -> bool:
         """Let the process send an admitted request, if it still may; return whether it did."""
         node = self.nodes[ongoing.node]
+        if not node.alive:
+            return False
         limit = node.witness.send_before(ongoing.request.request_id)
         if ongoing.ended or limit is None or self.local(node) >= limit:
             return False
@@ -215,12 +222,12 @@
         self.runs.setdefault(ongoing.request.idempotency_key, []).append(ongoing)
         return True
 
-    def finish(self, ongoing: Call, ran: Ran) -> None:
+    def finish(self, ongoing: Call, ran: Ran, body: bytes = b"answer") -> None:
         """Let the process report how a request ended."""
         node = self.nodes[ongoing.node]
         ongoing.ended = True
         results = node.witness.finished(
-            ongoing.request.request_id, ran, self.local(node), http_status=200, body=b"answer"
+            ongoing.request.request_id, ran, self.local(node), http_status=200, body=body
         )
         self.carry_out(node, results)
 
@@ -256,6 +263,17 @@
             if not self.deliver(index):
                 index += 1
 
+    def exchange(self, names: set[str], *, lose_others: bool = False) -> None:
+        """Deliver the messages between some routers; the others' are delayed or lost."""
+        held, index = [], 0
+        while index < len(self.flight):
+            if {self.flight[index][0], self.flight[index][1]} <= names:
+                if not self.deliver(index):
+                    index += 1
+            else:
+                held.append(self.flight.pop(index))
+        self.flight += [] if lose_others else held
+
     def advance(self, seconds: float, *, deliver: bool = True) -> None:
         """Let time pass; timers run, and messages arrive unless they are delayed."""
         end = self.now + seconds
@@ -267,11 +285,19 @@
             if first > end:
                 break
             self.now = first
+            self.stop_removed()
             for name in due_at:
-                if due_at[name] <= first:
-                    node = self.nodes[name]
+                node = self.nodes[name]
+                if due_at[name] <= first and node.alive:
                     self.carry_out(node, node.witness.due(self.local(node)))
         self.now = end
+        self.stop_removed()
+
+    def stop_removed(self) -> None:
+        """Stop routers that were removed half a window ago, as the platform promises."""
+        for name, removed_at in self.removed_at.items():
+            if self.now >= removed_at + self.window / 2:
+                self.nodes[name].alive = False
 
     def due_at(self, node: WitnessNode) -> float:
         """Return when a router's timer is due, at least 1 ms from now so that time passes."""
--- a/tests/core/request/test_idempotency.py
+++ b/tests/core/request/test_idempotency.py
@@ -6,19 +6,28 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from builders_versions import WitnessFleet, call, router
+from limpetusher.configuration.compiled import Host
 from limpetusher.core.actions import Ran, RefusalCode
 from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, WitnessSend, key_of
-from limpetusher.wire.messages import KeyOutcome, Register
-
-KEYS = st.sampled_from(["key-1", "key-1", "key-2"])
-PAUSES = st.sampled_from([0.01, 0.1, 0.26, 0.51, 2.0, 31.0, 61.0, 119.0, 125.0])
-NUMBERS = st.integers(0, 6)
+from limpetusher.core.request.replays import MAXIMUM_KEPT_ANSWER_BYTES
+from limpetusher.wire.messages import KeyOutcome, Register, Registered
+
+PAUSES = st.sampled_from([0.01, 0.26, 0.51, 1.1, 31.0, 61.0, 119.0, 121.0])
+NUMBERS = st.integers(0, 5)
+GROUPS = st.sets(NUMBERS, min_size=1).map(lambda numbers: {f"router-{number}" for number in numbers})
+
+STEPS = st.sampled_from(
+    [
+        *("call", "call", "call", "call", "send", "finish", "advance", "advance", "exchange", "exchange"),
+        *("split", "pause", "restart", "change", "see"),
+    ]
+)
 
 
 class IdempotencyMachine(RuleBasedStateMachine):
-    """Callers repeat keys at any router while messages and processes misbehave."""
+    """Callers repeat one key at any router while messages and processes misbehave."""
 
-    @initialize(count=st.integers(1, 6))
+    @initialize(count=st.sampled_from([1, 2, 3, 3, 4, 5, 6]))
     def start(self, count: int):
         self.fleet = WitnessFleet(tuple(range(count)))
         self.requests = 0
@@ -26,99 +35,79 @@
     def pick(self, number: int, items: list):
         return items[number % len(items)] if items else None
 
-    @rule(number=NUMBERS, key=KEYS)
-    def call(self, number: int, key: str):
+    def open_calls(self) -> list:
+        """Return the calls that a running process may act on."""
+        running = {node.name for node in self.fleet.running()}
+        return [one for one in self.fleet.calls if one.admitted and one.node in running]
+
+    # Hypothesis leaves out some rules in each run, and then calls were too rare for two of them to meet.
+    # Therefore all steps are one rule.
+    @rule(step=STEPS, number=NUMBERS, group=GROUPS, seconds=PAUSES, flag=st.booleans())
+    def step(self, step: str, number: int, group: set[str], seconds: float, flag: bool):
+        """Take one step; `flag` chooses between two forms of it."""
+        match step:
+            case "call":
+                self.call(number, group, lose_others=flag)
+            case "send":
+                waiting = [one for one in self.open_calls() if one.sent_at is None]
+                if waiting:
+                    self.fleet.send(self.pick(number, waiting))
+            case "finish":
+                ongoing = self.pick(number, self.open_calls())
+                if ongoing:
+                    ran = Ran.YES if flag else Ran.UNKNOWN
+                    self.fleet.finish(ongoing, Ran.NO if ongoing.sent_at is None else ran)
+            case "advance":
+                self.fleet.advance(seconds, deliver=flag)
+            case "exchange":
+                self.fleet.exchange(group, lose_others=flag)
+            case "split":
+                self.fleet.isolated = frozenset(group) if flag else frozenset()
+            case "pause":
+                for node in self.fleet.nodes.values():
+                    node.paused = flag and node.name in group
+            case "restart":
+                for node in [one for one in self.fleet.nodes.values() if one.alive and one.name in group]:
+                    name = node.name
+                    self.fleet.restart(name, len(self.fleet.lists) if flag else node.version)
+            case "change":
+                self.change_hosts(router(number))
+            case "see":
+                for node in self.fleet.running():
+                    if flag or node.name in group:
+                        self.fleet.see_list(node.name, len(self.fleet.lists))
+
+    def call(self, number: int, group: set[str], lose_others: bool):
+        """Call a router that can exchange messages with some routers only, and send if admitted."""
         node = self.pick(number, self.fleet.running())
         if node:
             self.requests += 1
-            self.fleet.call(node.name, call(f"request-{self.requests}", key))
-
-    @rule(number=NUMBERS)
-    def send(self, number: int):
-        waiting = [one for one in self.on_running() if one.sent_at is None]
-        if waiting:
-            self.fleet.send(self.pick(number, waiting))
-
-    @rule(number=NUMBERS, ran=st.sampled_from([Ran.YES, Ran.UNKNOWN]))
-    def finish(self, number: int, ran: Ran):
-        ongoing = self.pick(number, self.on_running())
-        if ongoing:
-            self.fleet.finish(ongoing, Ran.NO if ongoing.sent_at is None else ran)
-
-    @rule(seconds=PAUSES, deliver=st.booleans())
-    def advance(self, seconds: float, deliver: bool):
-        self.fleet.advance(seconds, deliver=deliver)
-
-    @rule(number=st.integers(0, 50))
-    def deliver_one(self, number: int):
-        if self.fleet.flight:
-            self.fleet.deliver(number % len(self.fleet.flight))
-
-    @rule()
-    def deliver_all(self):
-        self.fleet.deliver_all()
-
-    @rule(number=st.integers(0, 50))
-    def lose_one(self, number: int):
-        if self.fleet.flight:
-            del self.fleet.flight[number % len(self.fleet.flight)]
-
-    @rule(number=NUMBERS)
-    def pause(self, number: int):
-        node = self.pick(number, self.fleet.running())
-        if node:
-            node.paused = True
-
-    @rule()
-    def resume_all(self):
-        for node in self.fleet.nodes.values():
-            node.paused = False
-
-    @rule(number=NUMBERS, newest=st.booleans())
-    def restart(self, number: int, newest: bool):
-        node = self.pick(number, list(self.fleet.nodes.values()))
-        self.fleet.restart(node.name, len(self.fleet.lists) if newest else node.version)
-
-    @rule(number=NUMBERS)
-    def change_hosts(self, number: int):
-        """Add or remove one router; the others see it later."""
-        present = {host.host_id: host for host in self.fleet.lists[-1].hosts}
-        host = router(number)
+            ongoing = self.fleet.call(node.name, call(f"request-{self.requests}"))
+            self.fleet.exchange(group | {node.name}, lose_others=lose_others)
+            if ongoing.admitted and number < 4:
+                self.fleet.send(ongoing)
+
+    def change_hosts(self, host: Host):
+        """Publish a list with one router more or less, which the routers see later."""
+        present = {one.host_id: one for one in self.fleet.lists[-1].hosts}
         if host.host_id not in present:
             present[host.host_id] = host
         elif len(present) > 1:
             del present[host.host_id]
         version = self.fleet.publish(*present.values())
-        if host.host_id in present and host.host_id not in self.fleet.nodes:
+        node = self.fleet.nodes.get(host.host_id)
+        if host.host_id in present and not (node and node.alive):
             self.fleet.start(host.host_id, self.fleet.restart_settings, version)
 
-    @rule(number=NUMBERS)
-    def see_hosts(self, number: int):
-        node = self.pick(number, self.fleet.running())
-        if node:
-            self.fleet.see_list(node.name, len(self.fleet.lists))
-
-    @rule()
-    def all_see_hosts(self):
-        for node in self.fleet.running():
-            self.fleet.see_list(node.name, len(self.fleet.lists))
-
-    @rule(numbers=st.sets(NUMBERS))
-    def split_network(self, numbers: set[int]):
-        self.fleet.isolated = frozenset(f"router-{number}" for number in numbers)
-
     @precondition(lambda self: hasattr(self, "fleet"))
     @invariant()
     def no_key_runs_twice_within_its_window(self):
         doubles = self.fleet.double_runs()
         assert not doubles, [(one.node, one.arrived_at, one.sent_at) for pair in doubles for one in pair]
 
-    def on_running(self):
-        return [one for one in self.fleet.calls if one.admitted and not self.fleet.nodes[one.node].paused]
-
 
 IdempotencyMachine.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
 )
 
 
@@ -232,6 +221,46 @@
     assert isinstance(ongoing.answers[-1], Rejected)
 
 
+def test_answers_that_are_handled_too_late_do_not_count():
+    """Guards against a majority of answers by witnesses that may have restarted in the meantime."""
+    fleet = WitnessFleet()
+    chosen = fleet.nodes["router-0"].witness.readiness.witnesses(key_of(call("first")))
+    holder = next(name for name in fleet.nodes if name not in chosen)
+    ongoing = fleet.call(holder, call("first"))
+    fleet.nodes[holder].paused = True
+    fleet.deliver_all()
+    fleet.advance(fleet.settings.register_timeout_seconds, deliver=False)
+    fleet.nodes[holder].paused = False
+    fleet.deliver_all()
+    assert not ongoing.admitted
+
+
+def test_answers_to_an_earlier_registration_do_not_renew_the_promise():
+    """Guards against a promise that is counted from a registration that no witness has answered."""
+    fleet = WitnessFleet()
+    chosen = fleet.nodes["router-0"].witness.readiness.witnesses(key_of(call("first")))
+    holder = next(name for name in fleet.nodes if name not in chosen)
+    ongoing = fleet.call(holder, call("first"))
+    fleet.exchange({holder, chosen[0], chosen[1]})
+    repeated = [Registered(key_of(call("first")), ongoing.answers[-1].attempt_id, "recorded", round=1)] * 2
+    fleet.isolated = frozenset([holder])
+    fleet.advance(30.2)
+    node = fleet.nodes[holder]
+    assert node.witness.holder.by_request["first"].round == 2
+    promised = node.witness.send_before("first")
+    for witness, answer in zip(chosen, repeated, strict=False):
+        node.witness.handle(witness, answer, fleet.local(node))
+    assert node.witness.send_before("first") == promised
+
+
+def test_registration_under_another_host_list_is_refused():
+    """Guards against majorities of two lists that do not overlap."""
+    fleet = WitnessFleet((0,))
+    message = Register(b"key", "router-1:attempt", b"", b"digest of another list")
+    (answer,) = fleet.nodes["router-0"].witness.handle("router-1", message, 2000.0)
+    assert answer.payload.status == "other_hosts"
+
+
 def test_waiting_request_stays_admitted_beyond_the_window():
     """Guards against patient callers being refused although all witnesses are reachable."""
     fleet = WitnessFleet()
@@ -320,6 +349,69 @@
     admitted_call(fleet, "router-3", "late")
 
 
+def test_new_routers_do_not_promise_while_the_others_may_use_an_earlier_list():
+    """Guards against a second run by new routers that have never seen the list that the others still use."""
+    fleet = WitnessFleet((0, 1, 2))
+    version = fleet.publish(*(router(number) for number in range(6)))
+    for number in (3, 4, 5):
+        fleet.start(f"router-{number}", fleet.restart_settings, version)
+    fleet.isolated = frozenset(["router-3", "router-4", "router-5"])
+    fleet.advance(3 * fleet.window)
+    fleet.send(admitted_call(fleet, "router-0", "first"))
+    repeats = [fleet.call(f"router-{number}", call(f"repeat-{number}")) for number in (3, 4, 5)]
+    fleet.advance(1.0)
+    assert [repeat.answers[-1].code for repeat in repeats] == [RefusalCode.NO_QUORUM] * 3
+
+
+def test_window_counts_from_when_the_others_left_the_earlier_list():
+    """Guards against a new router that takes an old one's restart for the end of its earlier promises."""
+    fleet = WitnessFleet((0,))
+    version = fleet.publish(router(0), router(2))
+    fleet.start("router-2", fleet.restart_settings, version)
+    fleet.advance(fleet.window + 1)
+    fleet.send(admitted_call(fleet, "router-0", "first"))
+    fleet.restart("router-0", version)
+    fleet.advance(fleet.window / 2)
+    repeat = fleet.call("router-2", call("repeat"))
+    fleet.advance(1.0)
+    assert repeat.answers[-1].code is RefusalCode.NO_QUORUM
+
+
+def test_router_that_is_removed_and_listed_again_without_a_restart():
+    """Guards against a second run after the list dropped a running router for a moment."""
+    fleet = WitnessFleet((1,))
+    version = fleet.publish(router(1), router(6))
+    fleet.start("router-6", fleet.restart_settings, version)
+    fleet.isolated = frozenset(["router-1"])
+    fleet.see_list("router-6", fleet.publish(router(6)))
+    fleet.publish(router(1), router(6))
+    fleet.advance(fleet.window + 1)
+    for name in ("router-1", "router-6"):
+        ongoing = fleet.call(name, call(f"at {name}"))
+        fleet.advance(1.0)
+        fleet.send(ongoing)
+    assert not fleet.double_runs()
+
+
+def test_removed_router_does_not_count_as_stopped_beside_one_with_the_earlier_list():
+    """Guards against a majority of the earlier list that consists of a late router and a removed one."""
+    fleet = WitnessFleet((0, 1, 2, 3, 4))
+    first, second, removed = fleet.nodes["router-0"].witness.readiness.witnesses(key_of(call("first")))
+    staying = [host for host in fleet.lists[0].hosts if host.host_id != removed]
+    version = fleet.publish(*staying)
+    fleet.removed_at.clear()
+    late = frozenset([second, removed])
+    fleet.isolated = late
+    for host in staying:
+        if host.host_id != second:
+            fleet.see_list(host.host_id, version)
+    fleet.advance(2 * fleet.window)
+    fleet.send(admitted_call(fleet, second, "first"))
+    repeat = fleet.call(first, call("repeat"))
+    fleet.advance(1.0)
+    assert repeat.answers[-1].code is RefusalCode.NO_QUORUM
+
+
 def test_full_witness_refuses_rather_than_forgets():
     """Guards against unbounded memory, and against making room by forgetting a recorded run."""
     fleet = WitnessFleet((0,))
@@ -380,3 +472,29 @@
         return [result for result in results if isinstance(result, WitnessSend)]
 
     assert first_messages() == first_messages()
+
+
+def test_kept_answers_are_bounded():
+    """Guards against answers that fill the memory: the oldest is dropped, its run stays known."""
+    fleet = WitnessFleet((0,))
+    replays = fleet.nodes["router-0"].witness.holder.replays
+    size = fleet.settings.kept_answer_bytes
+    for number in range(MAXIMUM_KEPT_ANSWER_BYTES // size + 1):
+        ongoing = admitted_call(fleet, "router-0", f"request-{number}", key=f"key-{number}")
+        fleet.send(ongoing)
+        fleet.finish(ongoing, Ran.YES, body=b"x" * size)
+    assert replays.kept_bytes <= MAXIMUM_KEPT_ANSWER_BYTES
+    first = fleet.call("router-0", call("first", "key-0"))
+    last = fleet.call("router-0", call("last", f"key-{number}"))
+    assert first.answers[-1].code is RefusalCode.ALREADY_RUN
+    assert isinstance(last.answers[-1], Replayed)
+
+
+def test_too_long_answer_is_not_kept():
+    """Guards against one long answer that takes the place of many, and against replaying a cut one."""
+    fleet = WitnessFleet((0,))
+    ongoing = admitted_call(fleet, "router-0", "first")
+    fleet.send(ongoing)
+    fleet.finish(ongoing, Ran.YES, body=b"x" * (fleet.settings.kept_answer_bytes + 1))
+    repeat = fleet.call("router-0", call("repeat"))
+    assert repeat.answers[-1].code is RefusalCode.ALREADY_RUN
