--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -83,7 +83,7 @@
         if now >= self.next_orders:
             self.next_orders = now + ORDER_INTERVAL_SECONDS
             self.order()
-        self.lifecycle.refuse_hopeless()
+        self.lifecycle.refuse_unmeetable()
         self.offers.sender.repeat()
         self.wake_targets()
 
--- a/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
@@ -126,10 +126,10 @@
             self.offers.removed(record)
             self.refuse(record, deadline_passed(self.queue.retry_after(record.bucket, now)))
 
-    def refuse_hopeless(self) -> None:
+    def refuse_unmeetable(self) -> None:
         """Refuse the newest requests that can't be served before their deadline."""
         now = self.context.now
-        for record in self.queue.hopeless(now):
+        for record in self.queue.unmeetable(now):
             self.offers.removed(record)
             self.refuse(record, no_capacity_in_time(self.queue.retry_after(record.bucket, now)))
 
--- a/packages/limpetusher-core/src/limpetusher/core/request/queue.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/queue.py
@@ -197,7 +197,7 @@
                 expired.append(record)
         return expired
 
-    def hopeless(self, now: float) -> list[RequestRecord]:
+    def unmeetable(self, now: float) -> list[RequestRecord]:
         """Remove and return the newest requests that can't be served before their deadline.
 
         Only the ends of the queues are looked at, so that the work is bounded by the number of customers.
