Relay the host list between routers

Cause: each router read the host list from the platform only. Routers that could not read it went on sending their callers' requests to leaving targets without limit, and carriers that gained slots by a new list waited for their confirmation. Ruled out: the drain check itself, which holds for routers with the new list. A router asks a peer only when its list has been behind for 2 s, so that a change does not cause questions between routers that poll the platform. The adoption of configurations and host lists moves to a module of its own.

--- a/packages/limpetusher-core/src/limpetusher/core/decision.py
+++ b/packages/limpetusher-core/src/limpetusher/core/decision.py
@@ -4,7 +4,6 @@
 import random
 from functools import singledispatchmethod
 
-from limpetusher.configuration.compiled import Configuration
 from limpetusher.configuration.document import load_configuration
 from limpetusher.core.actions import Action, Stopped
 from limpetusher.core.context import create_context
@@ -35,6 +34,7 @@
 from limpetusher.core.request.queue import RequestQueue
 from limpetusher.core.settings import PolicySettings
 from limpetusher.core.status import CoreStatus, customer_statuses, target_statuses
+from limpetusher.core.version.adoption import Adoption
 from limpetusher.errors import ConfigurationError, PolicyError
 from limpetusher.events import Event
 from limpetusher.wire.messages import (
@@ -46,6 +46,8 @@
     Grant,
     GrantReturned,
     Heartbeat,
+    HostListDocument,
+    HostListRequest,
     KeyOutcome,
     KeySync,
     KeySyncRequest,
@@ -115,6 +117,13 @@
             started_at=started_at,
             wall_offset_seconds=wall_offset_seconds,
         )
+        self.adoption = Adoption(
+            self.context,
+            exchange=self.exchange,
+            dispatcher=self.dispatcher,
+            offers=self.offers,
+            lifecycle=self.lifecycle,
+        )
         # Bound once, because access to a singledispatchmethod builds a new function each time.
         self.dispatch_input = self.on_input
         self.dispatch_payload = self.on_payload
@@ -249,18 +258,11 @@
 
     @on_input.register
     def _(self, message: ConfigurationReceived) -> None:
-        self.offer_configuration(message.configuration)
+        self.adoption.offer_configuration(message.configuration)
 
     @on_input.register
     def _(self, message: HostListReceived) -> None:
-        context = self.context
-        if not context.rollout.hosts(message.host_list, context.now):
-            return
-        context.shares.hosts_changed(context.now)
-        self.exchange.hosts_changed()
-        self.lifecycle.keyed.apply(context.witness.hosts_changed(message.host_list, context.now))
-        context.log(Event.HOST_LIST_IN_FORCE, version=message.host_list.version)
-        self.configuration_or_hosts_changed()
+        self.adoption.offer_hosts(message.host_list)
 
     @on_input.register
     def _(self, message: LoadReported) -> None:
@@ -347,7 +349,17 @@
         except ConfigurationError as error:
             self.context.log(Event.CONFIGURATION_REFUSED, peer=sender, problems=str(error))
             return
-        self.offer_configuration(configuration)
+        self.adoption.offer_configuration(configuration)
+
+    @on_payload.register
+    def _(self, payload: HostListRequest, sender: str, incarnation: int) -> None:
+        document = self.context.rollout.hosts_document()
+        if document is not None:
+            self.context.send(sender, document)
+
+    @on_payload.register
+    def _(self, payload: HostListDocument, sender: str, incarnation: int) -> None:
+        self.adoption.offer_hosts(payload.host_list)
 
     @on_payload.register(Register)
     @on_payload.register(Registered)
@@ -359,36 +371,6 @@
     def _(self, payload: PeerPayload, sender: str, incarnation: int) -> None:
         self.lifecycle.keyed.handle(sender, payload)
 
-    # Changes of configuration and host list
-
-    def offer_configuration(self, configuration: Configuration) -> None:
-        """Put a configuration in force if it is newer than the present one."""
-        context = self.context
-        change = context.rollout.offer(configuration, context.now)
-        if not change.adopted:
-            if change.older:
-                context.log(Event.CONFIGURATION_OLDER_IGNORED, version=configuration.version)
-            return
-        context.fairness.set_shares(configuration.customers)
-        context.fairness.set_services(configuration.services)
-        context.retries.keep_customers(set(configuration.customers))
-        context.log(
-            Event.CONFIGURATION_IN_FORCE, version=configuration.version, digest=configuration.digest.hex()
-        )
-        self.configuration_or_hosts_changed()
-        self.lifecycle.refuse_unservable()
-
-    def configuration_or_hosts_changed(self) -> None:
-        """Bring everything up to date that depends on both, and tell the peers at once."""
-        context = self.context
-        configuration = context.rollout.configuration
-        if configuration is not None:
-            context.ledger.configure(context.membership.targets(), configuration.target_classes)
-            self.dispatcher.keep_targets(context.ledger.targets)
-            self.offers.keep_targets(context.ledger.targets)
-        self.exchange.owners_changed()
-        self.exchange.tick()
-
     def drop(self, sender: str, reason: str) -> None:
         """Count a message that is not handled, and log at most one a second."""
         self.dropped_messages += 1
--- a/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
+++ b/packages/limpetusher-core/src/limpetusher/core/process/exchange.py
@@ -280,15 +280,23 @@
         self.dispatcher.confirm_demand(sender, message)
         self.offers.free_slots.update(message.free_slots)
         context.orders.heard(message.fencing)
-        ask = context.rollout.peer_version(
-            sender, message.configuration_version, message.configuration_digest, now
-        )
-        if ask is not None:
-            context.send(ask.peer, ask.payload)
+        self.ask_for_newer(sender, message)
         if change.became_reachable or change.restarted or was_leaving != message.leaving:
             self.owners_may_change()
         context.dirty_targets.update(dict.fromkeys(message.lent_targets))
 
+    def ask_for_newer(self, sender: str, message: Heartbeat) -> None:
+        """Ask a peer for its configuration or host list when it is newer than the own one."""
+        context, now = self.context, self.context.now
+        version, digest = message.configuration_version, message.configuration_digest
+        asks = (
+            context.rollout.peer_version(sender, version, digest, now),
+            context.rollout.peer_host_list(sender, message.host_list_version, now),
+        )
+        for ask in asks:
+            if ask is not None:
+                context.send(ask.peer, ask.payload)
+
     def found(self, peer: str) -> None:
         """Note that a peer is reachable."""
         self.unheard_since.pop(peer, None)
--- a/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
+++ b/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
@@ -8,7 +8,12 @@
 from limpetusher.configuration.compiled import Configuration, DataCentreState, HostList, HostRole, HostState
 from limpetusher.core.settings import PolicySettings
 from limpetusher.errors import PolicyError
-from limpetusher.wire.messages import ConfigurationDocument, ConfigurationRequest
+from limpetusher.wire.messages import (
+    ConfigurationDocument,
+    ConfigurationRequest,
+    HostListDocument,
+    HostListRequest,
+)
 
 if TYPE_CHECKING:
     from limpetusher.core.connection.peers import Peers
@@ -19,6 +24,8 @@
 REQUEST_REPEAT_SECONDS = 1.0
 CONFIRM_SECONDS = 2.0
 CONFIRM_AT_MOST_SECONDS = 5.0
+HOST_LIST_WAIT_SECONDS = 2.0
+"""A router reads a new host list from the platform within about 1 s; only then it asks a peer."""
 WATCH_RANK_KEY = b"configuration-watch"
 NO_VERSION = (0, b"")
 
@@ -37,11 +44,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigurationAsk:
-    """Ask `peer` for its configuration document."""
+class Ask:
+    """Ask `peer` for its configuration document or host list."""
 
     peer: str
-    payload: ConfigurationRequest
+    payload: ConfigurationRequest | HostListRequest
 
 
 class Rollout:
@@ -72,6 +79,8 @@
         """The first other routers of `ranked`."""
         self.asked_order = NO_VERSION
         self.asked_at = float("-inf")
+        self.host_list_behind_since: float | None = None
+        self.host_list_asked_at = float("-inf")
         self.watcher_heard_at: float | None = None
         self.peer_heard = False
         self.highest_peer_order = NO_VERSION
@@ -101,6 +110,7 @@
         if host_list.version <= self.host_list_version:
             return False
         self.host_list = host_list
+        self.host_list_behind_since = None
         self.membership.update(host_list, now)
         self.ranked = self._rank()
         others = [router for router in self.ranked if router != self.own_id]
@@ -136,7 +146,7 @@
         state = self.configuration.data_centres.get(host.data_centre, DataCentreState.IN_SERVICE)
         return host.state is HostState.LEAVING or state is DataCentreState.OUT_OF_SERVICE
 
-    def peer_version(self, peer: str, version: int, digest: bytes, now: float) -> ConfigurationAsk | None:
+    def peer_version(self, peer: str, version: int, digest: bytes, now: float) -> Ask | None:
         """Take note of a peer's configuration, and ask for the document if it is newer.
 
         A document that was asked for is not asked for again from any peer for 1 s, unless a still newer
@@ -152,7 +162,26 @@
         if order <= self.asked_order and now < self.asked_at + REQUEST_REPEAT_SECONDS:
             return None
         self.asked_order, self.asked_at = order, now
-        return ConfigurationAsk(peer, ConfigurationRequest())
+        return Ask(peer, ConfigurationRequest())
+
+    def peer_host_list(self, peer: str, version: int, now: float) -> Ask | None:
+        """Take note of the version of a peer's host list, and ask for it if the own one stays behind.
+
+        Routers that can't read the platform learn of leaving hosts in this way.
+        """
+        if version <= self.host_list_version:
+            return None
+        if self.host_list_behind_since is None:
+            self.host_list_behind_since = now
+        asked_lately = now < self.host_list_asked_at + REQUEST_REPEAT_SECONDS
+        if asked_lately or now < self.host_list_behind_since + HOST_LIST_WAIT_SECONDS:
+            return None
+        self.host_list_asked_at = now
+        return Ask(peer, HostListRequest())
+
+    def hosts_document(self) -> HostListDocument | None:
+        """Return the message that relays the host list in force, None without one."""
+        return HostListDocument(self.host_list) if self.host_list else None
 
     def document(self) -> ConfigurationDocument | None:
         """Return the message that relays the configuration in force, None without one."""
--- a/packages/limpetusher-core/src/limpetusher/wire/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/wire/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from limpetusher.configuration.compiled import HostList
+
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True, omit_defaults=False):
     """Base of all messages between routers."""
@@ -130,6 +132,16 @@
     document: bytes
 
 
+class HostListRequest(Message, frozen=True, tag="hq"):
+    """Asks for the addressee's host list."""
+
+
+class HostListDocument(Message, frozen=True, tag="hd"):
+    """The newest host list that the sender has seen."""
+
+    host_list: HostList
+
+
 class Register(Message, frozen=True, tag="kr"):
     """Asks a witness to record an attempt for an idempotency key.
 
@@ -251,6 +263,8 @@
     | View
     | ConfigurationRequest
     | ConfigurationDocument
+    | HostListRequest
+    | HostListDocument
     | Register
     | Registered
     | KeyOutcome
--- a/tests/core/version/test_rollout.py
+++ b/tests/core/version/test_rollout.py
@@ -12,6 +12,7 @@
 from limpetusher.core.process.membership import Membership
 from limpetusher.core.settings import PolicySettings
 from limpetusher.core.version.rollout import WATCHER_SILENCE_SECONDS, Rollout
+from limpetusher.wire.messages import HostListRequest
 
 ROUTERS = 4
 NODES = st.integers(0, ROUTERS - 1)
@@ -224,3 +225,17 @@
     rollout.offer(configuration(1, data_centres=states), 0.0)
     rollout.hosts(host_list(2, router(0), target(1, data_centre, state)), 0.0)
     assert rollout.is_drained(listed) is drained
+
+
+def test_host_list_is_asked_for_only_after_the_platform_had_time():
+    """Guards against leaving hosts that stay unknown, and questions to peers at each change."""
+    rollout = started()
+    present = rollout.host_list_version
+    assert rollout.peer_host_list("router-1", present, 0.0) is None
+    assert rollout.peer_host_list("router-1", present + 1, 1.0) is None
+    assert rollout.peer_host_list("router-1", present + 1, 2.9) is None
+    ask = rollout.peer_host_list("router-2", present + 1, 3.0)
+    assert ask is not None
+    assert (ask.peer, ask.payload) == ("router-2", HostListRequest())
+    assert rollout.peer_host_list("router-1", present + 1, 3.5) is None
+    assert rollout.peer_host_list("router-1", present + 1, 4.0) is not None
--- a/tests/integration/test_drains.py
+++ b/tests/integration/test_drains.py
@@ -119,3 +119,21 @@
     for target in states:
         fleet.set_host_state(target, "live")
     check_answers(fleet, callers)
+
+
+def test_routers_without_the_platform_learn_of_leaving_targets(fleet):
+    """Guards against late work from routers that can't read the host list; the others relay it to them."""
+    targets = sorted(fleet.hosts_in("north") & set(fleet.targets))
+    far = fleet.hosts_in("north") & set(fleet.routers)
+    with BackgroundCallers(fleet, make=make_mixed, label="relay") as callers:
+        began = time.time()
+        fleet.wait_until(lambda: works(fleet, targets, began), "the targets have work", CONFIGURATION_SECONDS)
+        with broken_links(fleet, fleet.links_between(far, {PLATFORM}), Mode.BLACK_HOLE):
+            for target in targets:
+                fleet.set_host_state(target, "leaving")
+            limit = time.time() + DRAIN_SECONDS
+            serve_past(fleet, callers, limit)
+            assert late_work(fleet, targets, limit) == []
+    for target in targets:
+        fleet.set_host_state(target, "live")
+    check_answers(fleet, callers)
