--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -10,11 +10,7 @@
 from circuits.core.pollers import EPoll
 
 from limpetusher.core.actions import RefusalCode
-from limpetusher_router.connection.caller_connection import (
-    CallerConnection,
-    CallerState,
-    listen,
-)
+from limpetusher_router.connection.caller_connection import CallerConnection, CallerState, listen
 from limpetusher_router.connection.framing import BodyReader, find_head, parse_request_head
 from limpetusher_router.connection.keepalive import prepare
 from limpetusher_router.connection.timeouts import Timeouts
--- a/packages/limpetusher-router/src/limpetusher_router/errors.py
+++ b/packages/limpetusher-router/src/limpetusher_router/errors.py
@@ -8,13 +8,13 @@
     """Base class of the errors of the router process."""
 
 
-class FramingError(RouterError):
-    """Bytes from a caller or a target that are not a well-formed and bounded HTTP/1.1 message.
+class RefusalError(RouterError):
+    """A request that is refused before the core sees it, so it did not run.
 
     Parameters
     ----------
     status
-        Status code with which a caller is answered.
+        Status code of the answer.
     code
         Machine-readable reason in the error answer.
     message
@@ -33,29 +33,12 @@
         super().__init__(message)
 
 
-class RequestError(RouterError):
-    """A well-formed request that is refused before the core sees it, so it did not run.
-
-    Parameters
-    ----------
-    status
-        Status code of the answer.
-    code
-        Machine-readable reason in the error answer.
-    message
-        What is wrong and what is allowed.
-    retry_after_seconds
-        When the caller may try again, None where that does not help.
-    """
+class FramingError(RefusalError):
+    """Bytes from a caller or a target that are not a well-formed and bounded HTTP/1.1 message."""
 
-    ran = Ran.NO
 
-    def __init__(self, status: int, code: str, message: str, retry_after_seconds: float | None = None):
-        self.status = status
-        self.code = code
-        self.message = message
-        self.retry_after_seconds = retry_after_seconds
-        super().__init__(message)
+class RequestError(RefusalError):
+    """A well-formed request that is refused before the core sees it."""
 
 
 class InternalError(RouterError):
