--- a/packages/limpetusher-core/src/limpetusher/core/request/idempotency.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/idempotency.py
@@ -20,7 +20,6 @@
 from limpetusher.core.request.witness_results import (
     Admitted,
     Rejected,
-    Replayed,
     Result,
     WitnessReady,
     WitnessSend,
@@ -45,7 +44,6 @@
 __all__ = [
     "Admitted",
     "Rejected",
-    "Replayed",
     "Result",
     "Witness",
     "WitnessReady",
@@ -77,7 +75,7 @@
     """Both sides of idempotency keys at one router.
 
     `register` asks a majority of the key's witnesses to record an attempt; the answer is an `Admitted`,
-    `Rejected` or `Replayed`, now or later. An admitted request may be sent before `send_before`; `sent`,
+    `Rejected` or `Replay`, now or later. An admitted request may be sent before `send_before`; `sent`,
     `not_sent` and `finished` tell what became of it. A request that is admitted and then rejected must not
     be sent any more.
 
--- a/packages/limpetusher-core/src/limpetusher/core/request/keyed.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/keyed.py
@@ -10,7 +10,6 @@
 from limpetusher.core.request.idempotency import (
     Admitted,
     Rejected,
-    Replayed,
     Result,
     WitnessReady,
     WitnessSend,
@@ -57,10 +56,8 @@
                         result.status, result.code, result.message, result.ran, result.retry_after_seconds
                     )
                     self.refuse(result.request_id, refusal)
-                case Replayed():
-                    context.actions.append(
-                        Replay(result.request_id, result.status, result.content_type, result.body)
-                    )
+                case Replay():
+                    context.actions.append(result)
                     self.forget(result.request_id)
                 case WitnessReady():
                     context.log(Event.WITNESS_READY)
--- a/packages/limpetusher-core/src/limpetusher/core/request/replays.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/replays.py
@@ -4,10 +4,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from limpetusher.core.actions import Replay
 from limpetusher.core.request import refusals
 from limpetusher.core.request.key_records import STATE_ORDER
 from limpetusher.core.request.registration import KeptAnswer
-from limpetusher.core.request.witness_results import Replayed, Result, WitnessSend
+from limpetusher.core.request.witness_results import Result, WitnessSend
 from limpetusher.core.settings import PolicySettings
 from limpetusher.wire.messages import AnswerCopy, AnswerRequest
 
@@ -93,7 +94,7 @@
     ) -> list[Result]:
         """Replay an own answer, or ask the holder of the attempt for a copy."""
         if self.has_body(own):
-            return [Replayed(request_id, own.http_status, own.content_type, own.body)]
+            return [Replay(request_id, own.http_status, own.content_type, own.body)]
         if known.holder == self.own_id or len(self.waiting) >= MAXIMUM_WAITING_REPLAYS:
             return [refusals.already_run(request_id)]
         times_out_at = now + self.settings.register_timeout_seconds
@@ -113,7 +114,7 @@
         for waiting in matching:
             del self.waiting[waiting.request_id]
             if copy.available:
-                results.append(Replayed(waiting.request_id, copy.http_status, copy.content_type, copy.body))
+                results.append(Replay(waiting.request_id, copy.http_status, copy.content_type, copy.body))
             else:
                 results.append(refusals.already_run(waiting.request_id))
         return results
--- a/packages/limpetusher-core/src/limpetusher/core/request/witness_results.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/witness_results.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from limpetusher.core.actions import Ran, RefusalCode
+from limpetusher.core.actions import Ran, RefusalCode, Replay
 from limpetusher.wire.messages import PeerPayload
 
 
@@ -38,19 +38,9 @@
     retry_after_seconds: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Replayed:
-    """The request must not be sent; answer the caller with the answer of the earlier attempt."""
-
-    request_id: str
-    status: int
-    content_type: str
-    body: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class WitnessReady:
     """The router may now act as a witness of every key."""
 
 
-Result = WitnessSend | Admitted | Rejected | Replayed | WitnessReady
+Result = WitnessSend | Admitted | Rejected | Replay | WitnessReady
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -7,11 +7,11 @@
 
 from limpetusher.configuration.compiled import Configuration, Host, HostList, HostRole, HostState
 from limpetusher.configuration.document import load_configuration
-from limpetusher.core.actions import Ran
+from limpetusher.core.actions import Ran, Replay
 from limpetusher.core.connection.peers import Peers
 from limpetusher.core.inputs import RequestArrived
 from limpetusher.core.process.membership import Membership
-from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, Witness, WitnessSend
+from limpetusher.core.request.idempotency import Admitted, Rejected, Witness, WitnessSend
 from limpetusher.core.settings import PolicySettings
 
 DATA_CENTRES = ("north", "east", "south", "west")
@@ -109,7 +109,7 @@
     node: str
     witness: Witness
     arrived_at: float
-    answers: list[Admitted | Rejected | Replayed] = field(default_factory=list)
+    answers: list[Admitted | Rejected | Replay] = field(default_factory=list)
     sent_at: float | None = None
     ended: bool = False
 
@@ -237,7 +237,7 @@
             if isinstance(result, WitnessSend):
                 if result.peer in self.listed(node):
                     self.flight.append((node.name, result.peer, result.payload))
-            elif isinstance(result, Admitted | Rejected | Replayed):
+            elif isinstance(result, Admitted | Rejected | Replay):
                 for ongoing in self.calls:
                     if ongoing.request.request_id == result.request_id:
                         ongoing.answers.append(result)
--- a/tests/core/request/test_idempotency.py
+++ b/tests/core/request/test_idempotency.py
@@ -7,8 +7,8 @@
 
 from builders_versions import WitnessFleet, call, router
 from limpetusher.configuration.compiled import Host
-from limpetusher.core.actions import Ran, RefusalCode
-from limpetusher.core.request.idempotency import Admitted, Rejected, Replayed, WitnessSend, key_of
+from limpetusher.core.actions import Ran, RefusalCode, Replay
+from limpetusher.core.request.idempotency import Admitted, Rejected, WitnessSend, key_of
 from limpetusher.core.request.replays import MAXIMUM_KEPT_ANSWER_BYTES
 from limpetusher.wire.messages import KeyOutcome, Register, Registered
 
@@ -143,7 +143,7 @@
     fleet.deliver_all()
     repeat = fleet.call(repeated_at, call("repeat"))
     fleet.deliver_all()
-    assert repeat.answers == [Replayed("repeat", 200, "", b"answer")]
+    assert repeat.answers == [Replay("repeat", 200, "", b"answer")]
 
 
 def test_repeat_is_told_that_it_ran_when_the_holder_is_gone():
@@ -487,7 +487,7 @@
     first = fleet.call("router-0", call("first", "key-0"))
     last = fleet.call("router-0", call("last", f"key-{number}"))
     assert first.answers[-1].code is RefusalCode.ALREADY_RUN
-    assert isinstance(last.answers[-1], Replayed)
+    assert isinstance(last.answers[-1], Replay)
 
 
 def test_too_long_answer_is_not_kept():
