--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/rates.py
@@ -0,0 +1,40 @@
+"""How fast engines read prompts, measured from the time to the first output."""
+
+from limpetusher.fleet.settings import FleetSettings
+
+SAMPLE_WEIGHT = 0.1
+LEAST_SAMPLE_TOKENS = 1_000
+"""Shorter prompts measure the engine's step time and not its reading."""
+LEAST_SAMPLE_SECONDS = 0.005
+SLOWEST_PART_OF_PRIOR = 0.05
+FASTEST_PART_OF_PRIOR = 10.0
+
+
+class ReadingRates:
+    """Prompt tokens a second by engine; an engine without measurements has its service's rate."""
+
+    def __init__(self, settings: FleetSettings):
+        self.settings = settings
+        self.by_service: dict[str, float] = {}
+        self.by_target: dict[str, float] = {}
+
+    def rate(self, service: str, target_id: str) -> float:
+        """Return prompt tokens a second."""
+        return self.by_target.get(target_id) or self.by_service.get(service, self.settings.prior_reading_rate)
+
+    def sample(self, service: str, target_id: str, tokens: int, seconds: float) -> None:
+        """Take the time in which an engine came to the end of the unread prompts in front of it."""
+        if tokens < LEAST_SAMPLE_TOKENS:
+            return
+        prior = self.settings.prior_reading_rate
+        measured = tokens / max(seconds, LEAST_SAMPLE_SECONDS)
+        measured = min(max(measured, prior * SLOWEST_PART_OF_PRIOR), prior * FASTEST_PART_OF_PRIOR)
+        for rates, key, first in (
+            (self.by_service, service, prior),
+            (self.by_target, target_id, self.by_service.get(service, prior)),
+        ):
+            rates[key] = rates.get(key, first) + SAMPLE_WEIGHT * (measured - rates.get(key, first))
+
+    def forget(self, target_id: str) -> None:
+        """Forget a target that is gone."""
+        self.by_target.pop(target_id, None)
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/fleet/version/mirror.py
@@ -0,0 +1,82 @@
+"""Copy of the platform's store, built from reads, watches and the copies of peers."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class StoredItem:
+    """A value and the store's revision of its last change."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change of the copy; `item` is None where the key is gone."""
+
+    key: str
+    item: StoredItem | None
+
+
+class StoreMirror:
+    """Newest known value of each key. Revisions only grow, so sources may be merged in any order.
+
+    Attributes
+    ----------
+    revision
+        Every change up to this revision is contained.
+    """
+
+    def __init__(self):
+        self.items: dict[str, StoredItem] = {}
+        self.removed: dict[str, int] = {}
+        """Revision at which a key was removed, so that an older copy can't bring it back."""
+        self.revision = 0
+
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether the copy has been complete once."""
+        return self.revision > 0
+
+    def put(self, item: StoredItem) -> Change | None:
+        """Take a value unless a newer one is known; return the change, None where there is none."""
+        known = self.items.get(item.key)
+        if known is not None and known.revision >= item.revision:
+            return None
+        if self.removed.get(item.key, -1) >= item.revision:
+            return None
+        self.items[item.key] = item
+        self.removed.pop(item.key, None)
+        return Change(item.key, item)
+
+    def remove(self, key: str, revision: int) -> Change | None:
+        """Remove a key unless a newer value is known."""
+        known = self.items.get(key)
+        if known is not None and known.revision >= revision:
+            return None
+        if self.removed.get(key, -1) < revision:
+            self.removed[key] = revision
+        if known is None:
+            return None
+        del self.items[key]
+        return Change(key, None)
+
+    def advance(self, revision: int) -> None:
+        """Note that every change up to `revision` is contained."""
+        self.revision = max(self.revision, revision)
+
+    def replace(self, items: list[StoredItem], revision: int) -> list[Change]:
+        """Take a complete copy as of `revision` and return what changed.
+
+        Keys that the copy lacks are removed unless they are newer than it. An older copy only adds.
+        """
+        changes = [change for item in items if (change := self.put(item)) is not None]
+        if revision >= self.revision:
+            present = {item.key for item in items}
+            gone = [key for key in self.items if key not in present]
+            changes += [change for key in gone if (change := self.remove(key, revision)) is not None]
+            self.removed = {key: at for key, at in self.removed.items() if at >= revision}
+        self.advance(revision)
+        return changes
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -44,8 +44,9 @@
 class CallerServer(BaseComponent):
     """Reads requests from callers and writes answers to them.
 
-    Requests of one connection are handed on one at a time. Bytes of later requests stay in the connection's
-    buffer, or in the socket once the buffer is full, and are read when the answer before them is finished.
+    Requests of one connection are handed on one at a time, on `requests_channel`. Bytes of later requests stay
+    in the connection's buffer, or in the socket once the buffer is full, and are read when the answer before
+    them is finished.
     """
 
     channel = CALLERS
@@ -58,11 +59,15 @@
         poller: EPoll,
         identifiers: RequestIdentifiers,
         metrics: Metrics,
+        channel: str = CALLERS,
+        requests_channel: str = REQUESTS,
+        address: str | None = None,
     ):
-        super().__init__()
+        super().__init__(channel=channel)
         self.settings = settings
+        self.requests_channel = requests_channel
         self.deadlines = deadlines
-        self.timeouts = Timeouts(deadlines, CALLERS)
+        self.timeouts = Timeouts(deadlines, channel)
         self.poller = poller
         self.identifiers = identifiers
         self.metrics = metrics
@@ -71,7 +76,7 @@
         self.idle: dict[CallerConnection, None] = {}
         """Connections that wait for the first byte of a request, longest idle first."""
         self.stopping = False
-        self.listener: socket.socket | None = listen(settings.caller_address)
+        self.listener: socket.socket | None = listen(address or settings.caller_address)
         poller.addReader(self, self.listener)
 
     @handler("_read")
@@ -115,7 +120,7 @@
             except OSError as error:
                 logger.warning("accepting a connection failed: %s", errno.errorcode.get(error.errno, error))
                 self.poller.removeReader(self.listener)
-                self.deadlines.schedule_in(ACCEPT_PAUSE_SECONDS, Due(), CALLERS)
+                self.deadlines.schedule_in(ACCEPT_PAUSE_SECONDS, Due(), self.channel)
                 return False
             prepare(sock)
             connection = CallerConnection(sock)
@@ -202,7 +207,7 @@
             self.in_progress[connection.request_id] = connection
             whole = b"".join(connection.body_parts)
             connection.body_parts = []
-            self.fire(RequestReceived(connection.request_id, connection.head, whole), REQUESTS)
+            self.fire(RequestReceived(connection.request_id, connection.head, whole), self.requests_channel)
         elif connection.body_since_reset >= BODY_PROGRESS_BYTES:
             # A body must make some progress in the idle time, so that single bytes can't hold a connection.
             connection.body_since_reset = 0
@@ -280,6 +285,11 @@
             connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             self.drop(connection)
 
+    @handler("SettingsChanged")
+    def on_settings(self, settings: RouterSettings) -> None:
+        """Use other limits for connections from now on."""
+        self.settings = settings
+
     @handler("CloseAfterAnswers")
     def on_close_after_answers(self) -> None:
         """Announce with each answer from now on that the connection closes."""
@@ -352,10 +362,10 @@
         limit = self.settings.caller_buffer_bytes
         if not connection.reader_blocked and connection.out_bytes > limit:
             connection.reader_blocked = True
-            self.fire(CallerBlocked(connection.request_id), REQUESTS)
+            self.fire(CallerBlocked(connection.request_id), self.requests_channel)
         elif connection.reader_blocked and connection.out_bytes <= limit // 2:
             connection.reader_blocked = False
-            self.fire(CallerUnblocked(connection.request_id), REQUESTS)
+            self.fire(CallerUnblocked(connection.request_id), self.requests_channel)
 
     def linger(self, connection: CallerConnection) -> None:
         """Close the sending side; a close with unread bytes would reset the answer on its way."""
@@ -376,7 +386,7 @@
         if connection.deadline is not None:
             connection.deadline.cancel()
         if self.in_progress.pop(connection.request_id, None) is not None:
-            self.fire(CallerLost(connection.request_id), REQUESTS)
+            self.fire(CallerLost(connection.request_id), self.requests_channel)
 
     @handler("Due")
     def on_due(self, connection: CallerConnection | None) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
@@ -18,6 +18,7 @@
 STATUS_LINE_PATTERN = re.compile(rb"(HTTP/1\.[01] [1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?")
 LENGTH_PATTERN = re.compile(r"[0-9]{1,15}")
 CHUNK_LINE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,12})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
+KEEP_ALIVE_PATTERN = re.compile(r"\btimeout=([0-9]{1,6})")
 CHUNK_LINE_LIMIT_BYTES = 256
 TRAILER_LIMIT_BYTES = 8_192
 REQUEST_KIND = 0
@@ -26,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
-    """Head of a request. Header names are in lower case."""
+    """Head of a request. Header names are in lower case; `target` is the request target as it was sent."""
 
     method: str
     path: str
@@ -36,6 +37,7 @@
     content_length: int
     chunked: bool
     keep_alive: bool
+    target: str = ""
 
     @property
     def expects_continue(self) -> bool:
@@ -53,6 +55,12 @@
     chunked: bool
     keep_alive: bool
 
+    @property
+    def kept_seconds(self) -> float | None:
+        """Return how long the sender keeps the connection idle, None if it does not say."""
+        match = KEEP_ALIVE_PATTERN.search(self.headers.get("keep-alive", ""))
+        return float(match[1]) if match is not None else None
+
     @property
     def content_type(self) -> str:
         """Return the media type without parameters."""
@@ -107,6 +115,7 @@
         content_length=length or 0,
         chunked=chunked,
         keep_alive=stays_open(headers, version),
+        target=line.split(b" ")[1].decode("latin-1"),
     )
 
 
--- a/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
@@ -30,6 +30,7 @@
         "due_at",
         "ends_with_connection",
         "head",
+        "is_foreign",
         "paused",
         "received",
         "reused",
@@ -66,6 +67,8 @@
         self.head: AnswerHead | None = None
         self.body: BodyReader | None = None
         self.ends_with_connection = False
+        self.is_foreign = False
+        """Whether the present answer belongs to another request."""
 
     @property
     def is_clean(self) -> bool:
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -10,7 +10,7 @@
 from circuits.core.pollers import EPoll
 
 from limpetusher.clock import Clock
-from limpetusher_router.connection.framing import BodyReader, find_head, parse_answer_head
+from limpetusher_router.connection.framing import AnswerHead, BodyReader, find_head, parse_answer_head
 from limpetusher_router.connection.keepalive import prepare
 from limpetusher_router.connection.target_connection import TargetConnection, TargetState
 from limpetusher_router.connection.timeouts import Timeouts
@@ -31,7 +31,9 @@
 READ_BYTES = 16_384
 CONNECT_PART_OF_GRANT = 0.8
 KEPT_SECONDS = 15.0
-KEPT_PER_ADDRESS = 16
+KEPT_PART_OF_ANNOUNCED = 0.7
+"""Part of the time that a target announces to keep a connection; the rest covers the way there."""
+KEPT_PER_ADDRESS = 64
 BODYLESS_STATUSES = frozenset({204, 304})
 INTERIM_STATUSES = range(100, 200)
 
@@ -64,7 +66,8 @@
     def on_start(self, attempt: Attempt) -> None:
         """Begin an exchange on a kept or a new connection."""
         try:
-            connection = self.take_kept(attempt) if attempt.repeatable else None
+            reuse = attempt.repeatable if attempt.reuse is None else attempt.reuse
+            connection = self.take_kept(attempt) if reuse else None
             if connection is None:
                 self.connect(attempt)
             else:
@@ -234,11 +237,25 @@
             self.fail(connection)
             return
         connection.buffer[:] = rest
+        if connection.is_foreign:
+            self.skip_foreign(connection)
+            return
         if payload:
             self.fire(AnswerPart(attempt.key, payload), attempt.channel)
         if connection.body.complete:
             self.end(connection, AttemptEnd.COMPLETE)
 
+    def skip_foreign(self, connection: TargetConnection) -> None:
+        """Go on to the next answer after one that belongs to another request."""
+        if not connection.body.complete:
+            return
+        connection.head = None
+        connection.is_foreign = False
+        rest = bytes(connection.buffer)
+        connection.buffer.clear()
+        if rest:
+            self.receive(connection, rest)
+
     def receive_head(self, connection: TargetConnection) -> bytes:
         """Parse the head once it is complete, skip interim ones, and return the bytes after it."""
         buffer = connection.buffer
@@ -257,11 +274,23 @@
         connection.body = BodyReader(
             length=0 if empty else head.content_length, chunked=head.chunked and not empty
         )
-        self.fire(AnswerStarted(attempt.key, head), attempt.channel)
+        connection.is_foreign = self.is_foreign(attempt, head)
+        if connection.is_foreign:
+            self.metrics.unrequested_answers.inc({})
+            logger.warning("an answer to another request from %s", connection.address)
+        else:
+            self.fire(AnswerStarted(attempt.key, head), attempt.channel)
         rest = bytes(buffer)
         buffer.clear()
         return rest
 
+    def is_foreign(self, attempt: Attempt, head: AnswerHead) -> bool:
+        """Return whether an answer names another request than the one that was sent."""
+        if attempt.answer_id is None:
+            return False
+        name, value = attempt.answer_id
+        return head.headers.get(name, value) != value
+
     @handler("_disconnect", "_error")
     def on_disconnect(self, sock: socket.socket, *_: object) -> None:
         """Take note of a connection that the poller reports as broken."""
@@ -278,7 +307,9 @@
             self.close(connection)
         elif not connection.sent:
             self.retry_or_end(connection, AttemptEnd.UNREACHABLE, detail)
-        elif connection.ends_with_connection and detail == "closed by the target":
+        elif (
+            connection.ends_with_connection and detail == "closed by the target" and not connection.is_foreign
+        ):
             self.end(connection, AttemptEnd.CLOSED)
         elif connection.received or attempt is None:
             self.end(connection, AttemptEnd.CUT, detail)
@@ -325,6 +356,7 @@
         if len(kept) >= KEPT_PER_ADDRESS:
             self.close(connection)
             return
+        announced = connection.head.kept_seconds if connection.head is not None else None
         connection.begin(None)
         connection.state = TargetState.IDLE
         connection.reused = False
@@ -332,7 +364,10 @@
         if connection.paused:
             connection.paused = False
             self.poller.addReader(self, connection.sock)
-        self.timeouts.set(connection, KEPT_SECONDS)
+        seconds = KEPT_SECONDS
+        if announced is not None:
+            seconds = min(seconds, announced * KEPT_PART_OF_ANNOUNCED)
+        self.timeouts.set(connection, seconds)
 
     def close(self, connection: TargetConnection) -> None:
         """Close a connection."""
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -18,6 +18,10 @@
 PEERS = "peers"
 REQUESTS = "requests"
 CORE = "core"
+STORE = "store"
+REPORTS = "reports"
+READINESS = "readiness"
+PAGES = "pages"
 CONFIGURATION = "configuration"
 HOSTS = "hosts"
 LOADS = "loads"
@@ -57,6 +61,10 @@
     repeatable: bool = True
     without_body: bool = False
     idle_seconds: float | None = None
+    reuse: bool | None = None
+    """Whether a kept connection may carry the exchange; None for repeatable exchanges only."""
+    answer_id: tuple[str, str] | None = None
+    """Header name and value that mark the answer as belonging to this exchange, where targets echo one."""
 
 
 class Message(Event):
@@ -126,6 +134,13 @@
         super().__init__(request_id)
 
 
+class SettingsChanged(Message):
+    """Use other settings from now on: (settings)."""
+
+    def __init__(self, settings: object):
+        super().__init__(settings)
+
+
 class CloseAfterAnswers(Message):
     """Close each caller's connection after its next answer."""
 
@@ -211,6 +226,20 @@
         super().__init__(subject)
 
 
+class StoreRead(Message):
+    """The copy of the platform's store has changed: (changes)."""
+
+    def __init__(self, changes: list):
+        super().__init__(changes)
+
+
+class PeerReported(Message):
+    """A peer's load report has arrived: (address, report)."""
+
+    def __init__(self, address: str, report: object):
+        super().__init__(address, report)
+
+
 class StopProcess(Message):
     """All work is finished and the process may exit."""
 
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/command.py
@@ -0,0 +1,32 @@
+"""Start of the router on a platform host, whose settings file is named by the environment."""
+
+import sys
+
+from limpetusher.errors import ConfigurationError
+from limpetusher_router.errors import RouterError
+
+FAILURE_STATUS = 1
+USAGE_ERROR_STATUS = 2
+
+
+def main() -> int:
+    """Run the router and return the exit status."""
+    from limpetusher_router.fleet.process import router_settings, run_fleet_router
+    from limpetusher_router.platform.settings_file import read_settings, settings_path
+    from limpetusher_router.process.logs import set_up_logging
+
+    try:
+        path = settings_path()
+        host = read_settings(path)
+        set_up_logging(router_settings(host))
+        return run_fleet_router(path, host)
+    except ConfigurationError as error:
+        return report(str(error), USAGE_ERROR_STATUS)
+    except RouterError as error:
+        return report(str(error), FAILURE_STATUS)
+
+
+def report(line: str, status: int) -> int:
+    """Write a line about what prevents the start and return the exit status."""
+    print(f"limpetusher-router: {line}", file=sys.stderr)  # noqa: T201 - logging may not be set up yet
+    return status
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -0,0 +1,59 @@
+"""State of one caller's request."""
+
+from dataclasses import dataclass, field
+
+from limpetusher.fleet.model import Work
+from limpetusher.fleet.process.loads import OpenWork
+from limpetusher.fleet.process.placement import Placed
+from limpetusher_router.connection.framing import AnswerHead, RequestHead
+from limpetusher_router.fleet.relay import EventRelay
+from limpetusher_router.platform.requests import RequestFields
+from limpetusher_router.process.deadlines import Deadline
+
+EVENT_STREAM = "text/event-stream"
+
+
+@dataclass(slots=True)
+class TargetAttempt:
+    """One attempt at a target; times are readings of the monotonic clock."""
+
+    number: int
+    placed: Placed
+    started_at: float
+    heard_at: float
+    """When the target last sent something; at first when the attempt started."""
+    work: OpenWork
+    """What still counts as open at the target."""
+    head: AnswerHead | None = None
+    has_output: bool = False
+    held: bytearray = field(default_factory=bytearray)
+
+
+@dataclass(slots=True)
+class Exchange:
+    """A caller's request and its attempts."""
+
+    request_id: str
+    head: RequestHead
+    body: bytes
+    fields: RequestFields
+    work: Work
+    customer: str | None
+    relay: EventRelay = field(default_factory=EventRelay)
+    attempt: TargetAttempt | None = None
+    sends: int = 0
+    possible_runs: int = 0
+    """Attempts of which it is not known that they did not run."""
+    answer_begun: bool = False
+    deadline: Deadline | None = None
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the present answer is a stream of events."""
+        head = self.attempt.head
+        return head.status == 200 and head.content_type == EVENT_STREAM
+
+    @property
+    def last_event_id(self) -> str | None:
+        """Return the event after which the next attempt goes on."""
+        return self.relay.last_event_id or self.fields.last_event_id
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -0,0 +1,289 @@
+"""The router process of a platform host: its components, its start and its stop."""
+
+import gc
+import logging
+import signal
+import types
+from dataclasses import replace
+from pathlib import Path
+
+from circuits.core import BaseComponent, handler
+from circuits.core.events import signal as signal_event
+from circuits.core.pollers import EPoll
+
+from limpetusher.clock import Clock, SystemClock
+from limpetusher.errors import ConfigurationError
+from limpetusher.events import Event
+from limpetusher.fleet.process.budgets import RetryBudgetSettings
+from limpetusher.fleet.settings import FleetSettings
+from limpetusher.fleet.version.mirror import Change
+from limpetusher_router.connection.callers import CallerServer
+from limpetusher_router.connection.targets import TargetClient
+from limpetusher_router.events import (
+    CALLERS,
+    PAGES,
+    PROCESS,
+    READINESS,
+    REQUESTS,
+    STORE,
+    TARGETS,
+    CloseAfterAnswers,
+    Due,
+    FailRequest,
+    SettingsChanged,
+    StopAccepting,
+)
+from limpetusher_router.fleet.exchange_reports import PeerReports
+from limpetusher_router.fleet.pages import Pages
+from limpetusher_router.fleet.reports import ReportSocket
+from limpetusher_router.fleet.requests import FleetRequests
+from limpetusher_router.fleet.state import FleetState
+from limpetusher_router.fleet.store_reader import StoreReader
+from limpetusher_router.platform.settings_file import HostSettings, read_settings
+from limpetusher_router.process.deadlines import Deadlines
+from limpetusher_router.process.failures import request_id_of
+from limpetusher_router.process.logs import log_event
+from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.request.identifiers import RequestIdentifiers
+from limpetusher_router.settings import RouterSettings
+
+CHAINED_STEPS = 10
+CONNECT_SECONDS = 0.3
+"""Time for connecting inside the deployment, where a connection takes a few milliseconds."""
+STOP_ACCEPTING_SECONDS = 3.5
+"""The platform takes a router out after two missed questions, one a second, and callers a little later."""
+STOP_MARGIN_SECONDS = 0.6
+FLUSH_POLL_SECONDS = 0.05
+SETTINGS_POLL_SECONDS = 1.0
+RESERVED_DESCRIPTORS = 700
+"""Descriptors for targets, peers, the store and the interpreter."""
+IDLE_MARGIN = 1.2
+"""Factor on the announced idle limit, so that a connection is not closed while a request is on its way."""
+
+logger = logging.getLogger(__name__)
+
+
+class StopSignal(signal_event):
+    """SIGTERM or SIGINT arrived; a subclass of circuits' event because only that wakes the poller."""
+
+
+class ReloadSignal(signal_event):
+    """SIGHUP arrived."""
+
+
+def router_settings(host: HostSettings) -> RouterSettings:
+    """Return the settings of the connections."""
+    return RouterSettings(
+        host_id=host.host_id,
+        data_centre=host.data_centre,
+        caller_address=host.caller_address,
+        connect_timeout_seconds=CONNECT_SECONDS,
+        max_caller_connections=max(64, host.maximum_descriptors - RESERVED_DESCRIPTORS),
+    )
+
+
+def fleet_settings(host: HostSettings) -> FleetSettings:
+    """Return the constants of the policy for a host."""
+    bounds = host.bounds
+    budget = RetryBudgetSettings(
+        ratio=bounds.retry_ratio, extra=bounds.retry_extra, window_seconds=bounds.retry_window_seconds
+    )
+    return FleetSettings(retry_budget=budget)
+
+
+class FleetProcess(BaseComponent):
+    """Root of the component tree.
+
+    Parameters
+    ----------
+    path
+        Path of the settings file.
+    host
+        Its content.
+    clock
+        Source of time.
+    """
+
+    channel = PROCESS
+
+    def __init__(self, path: Path, host: HostSettings, *, clock: Clock):
+        super().__init__()
+        self.path = path
+        self.host = host
+        self.clock = clock
+        self.metrics = Metrics()
+        self.finished = False
+        self.stopped_at: float | None = None
+        self.settings = router_settings(host)
+        self.state = FleetState(host, fleet_settings(host), clock=clock)
+        self.use_seeds(host)
+        self.poller = EPoll().register(self)
+        self.deadlines = Deadlines(clock).register(self)
+        shared = {"deadlines": self.deadlines, "poller": self.poller, "metrics": self.metrics}
+        identifiers = RequestIdentifiers(host.host_id, int(clock.wall() * 1_000))
+        self.callers = CallerServer(self.settings, identifiers=identifiers, **shared).register(self)
+        TargetClient(self.settings, clock=clock, **shared).register(self)
+        self.store = StoreReader(host, mirror=self.state.mirror, deadlines=self.deadlines).register(self)
+        self.requests = FleetRequests(
+            self.state, clock=clock, deadlines=self.deadlines, metrics=self.metrics
+        ).register(self)
+        self.reports = ReportSocket(host.ip, host.report_port, poller=self.poller).register(self)
+        self.peers = PeerReports(
+            self.state,
+            reports=self.reports,
+            requests=self.requests,
+            store=self.store,
+            clock=clock,
+            deadlines=self.deadlines,
+        ).register(self)
+        copies = f"{host.ip}:{host.copy_port}"
+        for name, address in ((READINESS, host.ready_address), (PAGES, copies)):
+            pages = f"{name}-pages"
+            server = CallerServer(
+                self.settings,
+                identifiers=identifiers,
+                channel=name,
+                requests_channel=pages,
+                address=address,
+                **shared,
+            )
+            server.register(self)
+            Pages(
+                channel=pages,
+                answers_channel=name,
+                is_ready=self.is_ready,
+                copy=self.store.copy,
+                metrics=self.metrics,
+            ).register(self)
+
+    def is_ready(self) -> bool:
+        """Return whether the router should get requests."""
+        return self.stopped_at is None and self.state.configuration is not None
+
+    def use_seeds(self, host: HostSettings) -> None:
+        """Take the addresses at which the fleet is found."""
+        self.state.members.set_seeds(tuple(seed.rpartition(":")[0] for seed in host.seeds))
+
+    def _signal_handler(self, signo: int, stack: types.FrameType | None) -> None:
+        # Replaces circuits' event, at which its web server would end the process after 3 s.
+        event = ReloadSignal if signo == signal.SIGHUP else StopSignal
+        self.fire(event(signo, None), PROCESS)
+
+    def tick(self, timeout: float = -1) -> None:
+        """Handle the messages that follow from each other before the poller is asked again."""
+        for _ in range(CHAINED_STEPS):
+            if not len(self):
+                break
+            self.flush()
+        super().tick(timeout)
+
+    @handler("started", channel="*")
+    def on_started(self, _component: object) -> None:
+        """Begin to read the store and to report."""
+        signal.signal(signal.SIGHUP, self._signal_handler)
+        log_event(Event.ROUTER_STARTED, data_centre=self.host.data_centre, seeds=list(self.host.seeds))
+        self.fire(Due(), STORE)
+        self.fire(Due(), "exchange")
+        self.deadlines.schedule_in(SETTINGS_POLL_SECONDS, Due("settings"), PROCESS)
+
+    @handler("StoreRead", channel=REQUESTS)
+    def on_store_read(self, changes: list[Change]) -> None:
+        """Take what changed in the store."""
+        before = self.state.configuration
+        for change in changes:
+            self.state.apply(change)
+        configuration = self.state.configuration
+        if configuration is not None and configuration is not before:
+            if before is None:
+                log_event(Event.ROUTER_READY, configuration=configuration.version)
+            self.use_limits()
+        self.requests.place()
+
+    def use_limits(self) -> None:
+        """Let the connections use the limits of the configuration."""
+        limits = self.state.configuration.limits
+        # Callers that were told a longer limit before still count on it.
+        idle = max(limits.idle_seconds * IDLE_MARGIN, self.settings.idle_timeout_seconds)
+        self.settings = replace(
+            self.settings,
+            max_header_bytes=limits.header_bytes,
+            max_body_bytes=limits.body_bytes,
+            header_timeout_seconds=limits.header_seconds,
+            idle_timeout_seconds=idle,
+        )
+        self.fire(SettingsChanged(self.settings), CALLERS, TARGETS)
+
+    @handler("ReloadSignal")
+    def on_reload(self, _number: int, _stack: object) -> None:
+        """Read the settings file again."""
+        self.reload()
+
+    def reload(self) -> None:
+        """Use the settings file if it has changed."""
+        try:
+            host = read_settings(self.path)
+        except ConfigurationError as error:
+            log_event(Event.SETTINGS_REFUSED, reason=str(error))
+            return
+        if host != self.host:
+            self.host = host
+            self.use_seeds(host)
+            log_event(Event.SETTINGS_RELOADED, seeds=list(host.seeds))
+
+    @handler("StopSignal")
+    def on_stop_signal(self, number: int, _stack: object) -> None:
+        """Become unready and close connections after their answers; work in progress is finished first."""
+        if self.stopped_at is not None:
+            return
+        self.stopped_at = self.clock.monotonic()
+        self.peers.is_stopping = True
+        log_event(
+            Event.ROUTER_STOPPING, signal=signal.Signals(number).name, open=len(self.requests.exchanges)
+        )
+        self.fire(CloseAfterAnswers(), CALLERS)
+        self.deadlines.schedule_in(STOP_ACCEPTING_SECONDS, Due("stop"), PROCESS)
+
+    @handler("Due")
+    def on_due(self, subject: object) -> None:
+        """Look at the settings file, or go on with the stop."""
+        if subject == "settings":
+            self.reload()
+            self.deadlines.schedule_in(SETTINGS_POLL_SECONDS, Due("settings"), PROCESS)
+            return
+        if subject == "stop":
+            self.fire(StopAccepting(), CALLERS)
+        latest = self.stopped_at + self.host.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
+        if self.callers.is_busy and self.clock.monotonic() < latest:
+            self.deadlines.schedule_in(FLUSH_POLL_SECONDS, Due("flush"), PROCESS)
+            return
+        log_event(Event.ROUTER_STOPPED, open=len(self.requests.exchanges))
+        self.finished = True
+        self.stop()
+
+    @handler("exception", channel="*")
+    def on_exception(
+        self,
+        error_type: type[BaseException],
+        error: BaseException,
+        traceback: object,
+        handler: object = None,
+        fevent: object = None,
+    ) -> None:
+        """Log an exception of a handler, and answer the request that it concerned."""
+        request_id = request_id_of(fevent)
+        name = getattr(fevent, "name", "unknown")
+        logger.error("exception in a handler of %s, request %s", name, request_id, exc_info=error)
+        self.metrics.handler_errors.inc({})
+        if request_id is not None and not isinstance(fevent, FailRequest):
+            self.fire(FailRequest(request_id), REQUESTS)
+
+
+def run_fleet_router(path: Path, host: HostSettings) -> int:
+    """Run a router until it is stopped, and return the exit status."""
+    process = FleetProcess(path, host, clock=SystemClock())
+    # What exists now lives as long as the process, so later collections need not visit it.
+    gc.collect()
+    gc.freeze()
+    process.run()
+    process.reports.close()
+    return 0 if process.finished else 1
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/reports.py
@@ -0,0 +1,103 @@
+"""Load reports between routers, as datagrams: only the newest one counts, so none is sent again."""
+
+import logging
+import socket
+
+import msgspec
+from circuits.core import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from limpetusher.fleet.process.loads import OpenWork, PeerLoad
+from limpetusher_router.errors import RouterError
+from limpetusher_router.events import REPORTS, REQUESTS, PeerReported
+
+PROTOCOL_VERSION = 1
+MAXIMUM_DATAGRAM_BYTES = 60_000
+RECEIVES_PER_EVENT = 256
+
+logger = logging.getLogger(__name__)
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+    """What one router tells the others.
+
+    `work` is open requests, unread tokens and memory tokens by target, `served` decayed served tokens
+    by customer,
+    `waiting` prompt tokens that wait by service, `revision` that of the copy of the store, `peers` the IP
+    addresses of the routers it hears, `is_stopping` whether it is about to exit.
+    """
+
+    version: int
+    revision: int
+    work: dict[str, tuple[int, int, int]]
+    served: dict[str, int]
+    waiting: dict[str, int]
+    peers: list[str]
+    is_stopping: bool = False
+
+    def load(self, now: float) -> PeerLoad:
+        """Return the report as the decisions see it."""
+        work = {target_id: OpenWork(*counts) for target_id, counts in self.work.items()}
+        return PeerLoad(now, work, self.served, self.waiting)
+
+
+class ReportSocket(BaseComponent):
+    """Sends and receives load reports. Peers are named by IP address; all use the same port.
+
+    Parameters
+    ----------
+    ip
+        Own address.
+    port
+        Port of all routers.
+    poller
+        Poller of the process.
+    """
+
+    channel = REPORTS
+
+    def __init__(self, ip: str, port: int, *, poller: EPoll):
+        super().__init__()
+        self.port = port
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(LoadReport)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        try:
+            self.sock.bind((ip, port))
+        except OSError as error:
+            raise RouterError(f"can't listen for reports on {ip}:{port}: {error.strerror}") from error
+        poller.addReader(self, self.sock)
+
+    @handler("_read")
+    def on_readable(self, _sock: socket.socket) -> None:
+        """Receive what waits."""
+        for _ in range(RECEIVES_PER_EVENT):
+            try:
+                data, (ip, _port) = self.sock.recvfrom(MAXIMUM_DATAGRAM_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                # An ICMP answer to an earlier datagram; the peer is noticed by its silence.
+                logger.debug("receiving a report failed: %s", error)
+                return
+            try:
+                report = self.decoder.decode(data)
+            except (msgspec.DecodeError, UnicodeDecodeError):
+                logger.warning("a malformed report of %d bytes from %s", len(data), ip)
+                continue
+            if report.version == PROTOCOL_VERSION:
+                self.fire(PeerReported(ip, report), REQUESTS)
+
+    def send(self, report: LoadReport, addresses: list[str]) -> None:
+        """Send a report to peers; one that can't be sent is replaced by the next."""
+        data = self.encoder.encode(report)
+        for ip in addresses:
+            try:
+                self.sock.sendto(data, (ip, self.port))
+            except OSError as error:
+                logger.debug("sending a report to %s failed: %s", ip, error)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.sock.close()
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -0,0 +1,572 @@
+"""The life of callers' requests: from the route to the last byte of the answer."""
+
+import logging
+from functools import singledispatchmethod
+
+from circuits.core import BaseComponent, handler
+
+from limpetusher.clock import Clock
+from limpetusher.core.actions import Ran
+from limpetusher.events import Event
+from limpetusher.fleet.model import RequestKind, Route, Work
+from limpetusher.fleet.process.budgets import RetryBudget
+from limpetusher.fleet.process.loads import OpenWork
+from limpetusher.fleet.request.waiting import Refusal, Start
+from limpetusher.fleet.version.routing import choose_service
+from limpetusher_router.connection.framing import AnswerHead, RequestHead
+from limpetusher_router.events import (
+    CALLERS,
+    REQUESTS,
+    TARGETS,
+    AbortAnswer,
+    Attempt,
+    AttemptEnd,
+    ContinueAttempt,
+    Due,
+    PauseAttempt,
+    SendAnswer,
+    SendEnd,
+    SendHead,
+    SendPart,
+    StartAttempt,
+    StopAttempt,
+)
+from limpetusher_router.fleet.exchange import Exchange, TargetAttempt
+from limpetusher_router.fleet.refusals import (
+    BAD_GATEWAY,
+    GATEWAY_TIMEOUT,
+    UNAVAILABLE,
+    FleetRefusal,
+    error_answer,
+)
+from limpetusher_router.fleet.state import FleetState
+from limpetusher_router.platform import names
+from limpetusher_router.platform.requests import (
+    RequestFields,
+    decode_request,
+    encode_target_request,
+    is_sealed,
+    passed_headers,
+    says_not_run,
+)
+from limpetusher_router.process.deadlines import Deadline, Deadlines
+from limpetusher_router.process.logs import log_event
+from limpetusher_router.process.metrics import Metrics
+
+NOT_READY_RETRY_SECONDS = 0.5
+WAITING_POLL_SECONDS = 0.02
+"""Time between two looks at the waiting requests, as reports and cold limits free room without an event."""
+CHECK_SECONDS = 0.1
+SILENT_GOALS = 1.0
+"""Goals after which a repeatable request without any output goes to another target."""
+LEAST_SILENT_SECONDS = 0.25
+STREAM_PAUSE_SECONDS = 1.5
+"""Pause after which a resumable stream goes on at another target; callers abandon a stream after 2 s."""
+MAXIMUM_SENDS = 4
+HELD_ANSWER_BYTES = 65_536
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+SERVER_ERRORS = range(500, 600)
+
+logger = logging.getLogger(__name__)
+
+AttemptKey = tuple[str, int]
+
+
+class FleetRequests(BaseComponent):
+    """Carries out what the placement decides about callers' requests.
+
+    Parameters
+    ----------
+    state
+        What the router knows of the fleet.
+    clock
+        Source of time.
+    deadlines
+        Heap of deadlines.
+    metrics
+        Metrics of the process.
+    """
+
+    channel = REQUESTS
+
+    def __init__(self, state: FleetState, *, clock: Clock, deadlines: Deadlines, metrics: Metrics):
+        super().__init__()
+        self.state = state
+        self.clock = clock
+        self.deadlines = deadlines
+        self.metrics = metrics
+        self.exchanges: dict[str, Exchange] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.wakeup: Deadline | None = None
+
+    @handler("RequestReceived")
+    def on_request(self, request_id: str, head: RequestHead, body: bytes) -> None:
+        """Find the route of a request and let it wait for a target."""
+        fields = decode_request(head)
+        opened = self.open(request_id, head, body, fields)
+        if isinstance(opened, FleetRefusal):
+            log_event(Event.REQUEST_REFUSED, request=fields.caller_request_id, reason=opened.message)
+            self.fire(error_answer(request_id, fields.caller_request_id, opened), CALLERS)
+            return
+        now = self.clock.monotonic()
+        self.exchanges[request_id] = opened
+        self.metrics.waiting_requests += 1
+        opened.deadline = self.deadlines.schedule(opened.work.give_up_at, Due(request_id), REQUESTS)
+        self.budget(opened.work.service).earn(self.router_count, now)
+        self.state.waiting.add(opened.work)
+        self.place()
+
+    def open(
+        self, request_id: str, head: RequestHead, body: bytes, fields: RequestFields
+    ) -> Exchange | FleetRefusal:
+        """Return the exchange of an allowed request, or why it is refused."""
+        configuration = self.state.configuration
+        if configuration is None:
+            return FleetRefusal(
+                UNAVAILABLE,
+                "not_ready",
+                "this router has no configuration yet",
+                ran=Ran.NO,
+                retry_after_seconds=NOT_READY_RETRY_SECONDS,
+            )
+        route = self.state.routes.find(fields.host, fields.path)
+        if route is None:
+            return FleetRefusal(NOT_FOUND, "no_route", f"no route for {fields.host}{fields.path}", ran=Ran.NO)
+        customer = configuration.customers_by_key.get(fields.api_key or "")
+        if customer is None and configuration.has_customers and not route.is_public:
+            return FleetRefusal(UNAUTHORIZED, "unknown_key", "the API key is not known", ran=Ran.NO)
+        work = self.make_work(request_id, route, fields, customer or "")
+        return Exchange(request_id, head, body, fields, work, customer)
+
+    def make_work(self, request_id: str, route: Route, fields: RequestFields, customer: str) -> Work:
+        """Return the request as the placement sees it."""
+        now = self.clock.monotonic()
+        seconds = route.timeout_seconds
+        if fields.seconds_left is not None:
+            seconds = min(seconds, fields.seconds_left)
+        work = Work(
+            request_id=request_id,
+            customer=customer,
+            service="",
+            route=route,
+            arrived_at=now,
+            queued_at=now,
+            give_up_at=now + seconds,
+            prompt_tokens=fields.prompt_tokens,
+            output_tokens=fields.output_tokens,
+            parts=fields.parts,
+        )
+        work.service = choose_service(route, work.session or fields.caller_request_id)
+        return work
+
+    @property
+    def router_count(self) -> int:
+        """Return how many routers share the fleet's limits."""
+        return len(self.state.placement.routers)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the budget for repeated sends to a service."""
+        if service not in self.budgets:
+            self.budgets[service] = RetryBudget(self.state.settings.retry_budget)
+        return self.budgets[service]
+
+    def place(self) -> None:
+        """Start and refuse waiting requests."""
+        for decision in self.state.waiting.decide(self.clock.monotonic()):
+            self.carry_out(decision)
+        if self.state.waiting.by_service and self.wakeup is None:
+            self.wakeup = self.deadlines.schedule_in(WAITING_POLL_SECONDS, Due(), REQUESTS)
+
+    @handler("Due")
+    def on_due(self, request_id: str | None) -> None:
+        """Look at the waiting requests again, or end a request whose time is over."""
+        if request_id is None:
+            self.wakeup = None
+            self.place()
+        elif request_id in self.exchanges:
+            self.time_out(self.exchanges[request_id])
+
+    @singledispatchmethod
+    def carry_out(self, decision: object) -> None:
+        """Carry out a decision about a waiting request."""
+        raise TypeError(f"no such decision: {decision!r}")
+
+    @carry_out.register
+    def refuse(self, decision: Refusal) -> None:
+        """Refuse a request that can't start in time."""
+        exchange = self.exchanges[decision.work.request_id]
+        refusal = FleetRefusal(
+            UNAVAILABLE,
+            "no_capacity",
+            decision.reason,
+            ran=Ran.NO,
+            retry_after_seconds=decision.retry_after_seconds,
+        )
+        self.fail(
+            exchange,
+            refusal,
+            waited=round(decision.waited_seconds, 3),
+            backlog=round(decision.backlog_seconds, 3),
+        )
+
+    @carry_out.register
+    def send(self, decision: Start) -> None:
+        """Send a request to a target."""
+        exchange = self.exchanges[decision.work.request_id]
+        now = self.clock.monotonic()
+        placed = decision.placed
+        exchange.sends += 1
+        exchange.possible_runs += 1
+        work = placed.work
+        exchange.attempt = TargetAttempt(
+            exchange.sends,
+            placed,
+            now,
+            now,
+            OpenWork(work.requests, work.unread_tokens, work.memory_tokens),
+        )
+        exchange.relay.restart()
+        self.metrics.queue_wait.observe({}, now - exchange.work.queued_at)
+        self.metrics.waiting_requests -= 1
+        self.metrics.running_requests += 1
+        left = exchange.work.give_up_at - now
+        request = encode_target_request(
+            exchange.head,
+            exchange.body,
+            target=placed.target,
+            customer=exchange.customer,
+            seconds_left=left,
+            last_event_id=exchange.last_event_id,
+        )
+        attempt = Attempt(
+            key=(exchange.request_id, exchange.sends),
+            channel=REQUESTS,
+            address=placed.target.address,
+            request=request,
+            repeatable=False,
+            reuse=exchange.work.route.kind is not RequestKind.UNSAFE,
+            without_body=exchange.head.method == "HEAD",
+            idle_seconds=left,
+            answer_id=(names.REQUEST_ID, exchange.fields.caller_request_id),
+        )
+        log_event(
+            Event.REQUEST_SENT,
+            request=exchange.fields.caller_request_id,
+            target=placed.target.target_id,
+            attempt=exchange.sends,
+            customer=exchange.customer,
+            waited=round(now - exchange.work.arrived_at, 3),
+            unread_ahead=placed.unread_ahead,
+            cold=placed.is_cold,
+            configuration=self.state.configuration.version,
+        )
+        self.fire(StartAttempt(attempt), TARGETS)
+
+    def find(self, key: AttemptKey) -> Exchange | None:
+        """Return the exchange whose present attempt has the key."""
+        exchange = self.exchanges.get(key[0])
+        if exchange is None or exchange.attempt is None or exchange.attempt.number != key[1]:
+            return None
+        return exchange
+
+    @handler("AnswerStarted")
+    def on_answer_started(self, key: AttemptKey, head: AnswerHead) -> None:
+        """Take the head of an answer."""
+        exchange = self.find(key)
+        if exchange is None:
+            return
+        attempt = exchange.attempt
+        attempt.head = head
+        attempt.heard_at = self.clock.monotonic()
+        self.state.placement.health_of(attempt.placed.target.target_id).reached(
+            self.state.settings, attempt.heard_at
+        )
+
+    @handler("AnswerPart")
+    def on_answer_part(self, key: AttemptKey, data: bytes) -> None:
+        """Pass a part of an answer on."""
+        exchange = self.find(key)
+        if exchange is None:
+            return
+        attempt = exchange.attempt
+        attempt.heard_at = self.clock.monotonic()
+        if exchange.is_stream and is_sealed(attempt.head):
+            self.note_output(exchange)
+            part = exchange.relay.feed(data)
+            if part:
+                self.pass_on(exchange, part)
+        elif exchange.answer_begun and not exchange.relay.events:
+            self.pass_on(exchange, data)
+        else:
+            attempt.held += data
+            if len(attempt.held) > HELD_ANSWER_BYTES and self.may_pass(exchange):
+                self.pass_on(exchange, bytes(attempt.held))
+                attempt.held.clear()
+
+    def may_pass(self, exchange: Exchange) -> bool:
+        """Return whether an answer may go to the caller."""
+        head = exchange.attempt.head
+        return not exchange.answer_begun and not says_not_run(head) and is_sealed(head)
+
+    def note_output(self, exchange: Exchange) -> None:
+        """Note that the engine has read the prompt."""
+        attempt = exchange.attempt
+        if attempt.has_output:
+            return
+        attempt.has_output = True
+        placement = self.state.placement
+        target = attempt.placed.target
+        placement.loads.read(target.target_id, attempt.work.unread_tokens)
+        attempt.work.unread_tokens = 0
+        placement.rates.sample(
+            target.service,
+            target.target_id,
+            attempt.placed.unread_ahead,
+            attempt.heard_at - attempt.started_at,
+        )
+        self.place()
+
+    def pass_on(self, exchange: Exchange, part: bytes) -> None:
+        """Send a part of the answer to the caller."""
+        self.begin_answer(exchange)
+        self.fire(SendPart(exchange.request_id, part), CALLERS)
+
+    def begin_answer(self, exchange: Exchange) -> None:
+        """Send the head of the first attempt that answers; a later one only goes on with the content."""
+        if exchange.answer_begun:
+            return
+        exchange.answer_begun = True
+        head = exchange.attempt.head
+        length = None if exchange.is_stream else head.content_length
+        self.fire(SendHead(exchange.request_id, head.status, passed_headers(head.headers), length), CALLERS)
+
+    @handler("AnswerEnded")
+    def on_answer_ended(self, key: AttemptKey, end: AttemptEnd, detail: str = "") -> None:
+        """Finish an answer, or go on after a failed attempt."""
+        exchange = self.find(key)
+        if exchange is None:
+            return
+        attempt = exchange.attempt
+        head = attempt.head
+        self.close_attempt(exchange)
+        health = self.state.placement.health_of(attempt.placed.target.target_id)
+        now = self.clock.monotonic()
+        if end in (AttemptEnd.UNREACHABLE, AttemptEnd.EXPIRED):
+            health.unreachable(self.state.settings, now)
+            self.failed(exchange, attempt, f"not sent: {detail}", may_have_run=False, arrived=False)
+        elif end is AttemptEnd.CUT or head is None:
+            health.answered(is_error=True)
+            if head is None:
+                health.unreachable(self.state.settings, now)
+            self.failed(exchange, attempt, f"cut: {detail}", may_have_run=True)
+        elif says_not_run(head):
+            health.answered(is_error=True)
+            self.failed(exchange, attempt, f"rejected with {head.status}", may_have_run=False)
+        elif not is_sealed(head) and head.status < SERVER_ERRORS.start:
+            health.answered(is_error=True)
+            self.failed(exchange, attempt, "answer without seal", may_have_run=True)
+        else:
+            health.answered(is_error=head.status in SERVER_ERRORS)
+            self.complete(exchange, attempt)
+        self.place()
+
+    def complete(self, exchange: Exchange, attempt: TargetAttempt) -> None:
+        """Finish a whole answer, or replace a repeatable one that is an error."""
+        head = attempt.head
+        if head.status in SERVER_ERRORS and (exchange.answer_begun or self.can_repeat(exchange)):
+            self.failed(exchange, attempt, f"status {head.status}", may_have_run=True)
+            return
+        self.end(exchange)
+        if exchange.answer_begun:
+            rest = exchange.relay.rest()
+            if rest:
+                self.fire(SendPart(exchange.request_id, rest), CALLERS)
+            self.fire(SendEnd(exchange.request_id), CALLERS)
+        else:
+            body = bytes(attempt.held) or exchange.relay.rest()
+            answer = SendAnswer(exchange.request_id, head.status, passed_headers(head.headers), body)
+            self.fire(answer, CALLERS)
+        self.log_end(Event.REQUEST_FINISHED, exchange, status=head.status)
+
+    def can_repeat(self, exchange: Exchange) -> bool:
+        """Return whether a request that may have run may be sent again, apart from the budget."""
+        route = exchange.work.route
+        return (
+            route.is_idempotent
+            and exchange.possible_runs < route.attempts
+            and exchange.sends < MAXIMUM_SENDS
+            and (not exchange.answer_begun or route.is_resumable)
+        )
+
+    def failed(
+        self,
+        exchange: Exchange,
+        attempt: TargetAttempt,
+        reason: str,
+        *,
+        may_have_run: bool,
+        arrived: bool = True,
+    ) -> None:
+        """Send a request again where that is allowed, otherwise end it with an error."""
+        now = self.clock.monotonic()
+        target_id = attempt.placed.target.target_id
+        log_event(
+            Event.ATTEMPT_FAILED,
+            request=exchange.fields.caller_request_id,
+            target=target_id,
+            attempt=attempt.number,
+            reason=reason,
+            may_have_run=may_have_run,
+            after=round(now - attempt.started_at, 3),
+        )
+        if not may_have_run:
+            exchange.possible_runs -= 1
+        allowed = self.can_repeat(exchange) if may_have_run else exchange.sends < MAXIMUM_SENDS
+        if allowed and exchange.possible_runs:
+            allowed = exchange.work.route.is_idempotent
+        if allowed and arrived:
+            allowed = self.budget(exchange.work.service).spend(self.router_count, now)
+        if allowed:
+            exchange.work.excluded.add(target_id)
+            exchange.work.queued_at = now
+            self.metrics.waiting_requests += 1
+            self.state.waiting.add(exchange.work)
+            return
+        if exchange.possible_runs:
+            refusal = FleetRefusal(BAD_GATEWAY, "target_failed", reason, ran=Ran.UNKNOWN)
+        else:
+            refusal = FleetRefusal(
+                UNAVAILABLE,
+                "no_capacity",
+                reason,
+                ran=Ran.NO,
+                retry_after_seconds=exchange.work.route.goal_seconds / 2,
+            )
+        self.metrics.waiting_requests += 1
+        self.fail(exchange, refusal)
+
+    def close_attempt(self, exchange: Exchange) -> None:
+        """Forget the present attempt."""
+        attempt = exchange.attempt
+        exchange.attempt = None
+        self.metrics.running_requests -= 1
+        self.state.placement.loads.end(attempt.placed.target.target_id, attempt.work)
+
+    def stop_attempt(self, exchange: Exchange) -> TargetAttempt:
+        """Cancel the present attempt at its target."""
+        attempt = exchange.attempt
+        self.fire(StopAttempt((exchange.request_id, attempt.number), REQUESTS), TARGETS)
+        self.close_attempt(exchange)
+        return attempt
+
+    def fail(self, exchange: Exchange, refusal: FleetRefusal, **inputs: object) -> None:
+        """End a request that waits, with an error or by breaking off its answer."""
+        self.metrics.waiting_requests -= 1
+        self.end(exchange)
+        if exchange.answer_begun:
+            self.metrics.cut_answers.inc({})
+            self.fire(AbortAnswer(exchange.request_id), CALLERS)
+        else:
+            if refusal.status == UNAVAILABLE and exchange.possible_runs:
+                refusal = FleetRefusal(BAD_GATEWAY, refusal.code, refusal.message, ran=Ran.UNKNOWN)
+            answer = error_answer(exchange.request_id, exchange.fields.caller_request_id, refusal)
+            self.fire(answer, CALLERS)
+        event = Event.REQUEST_REFUSED if refusal.ran is Ran.NO else Event.REQUEST_FAILED
+        self.log_end(event, exchange, status=refusal.status, reason=refusal.message, **inputs)
+
+    def end(self, exchange: Exchange) -> None:
+        """Forget a request."""
+        del self.exchanges[exchange.request_id]
+        if exchange.deadline is not None:
+            exchange.deadline.cancel()
+        self.state.waiting.remove(exchange.work)
+
+    def log_end(self, event: Event, exchange: Exchange, **inputs: object) -> None:
+        """Write how a request ended."""
+        log_event(
+            event,
+            request=exchange.fields.caller_request_id,
+            route=exchange.work.route.name,
+            customer=exchange.customer,
+            sends=exchange.sends,
+            events=exchange.relay.events,
+            seconds=round(self.clock.monotonic() - exchange.work.arrived_at, 3),
+            **inputs,
+        )
+
+    def time_out(self, exchange: Exchange) -> None:
+        """End a request whose deadline or route timeout has come."""
+        if exchange.attempt is not None:
+            self.stop_attempt(exchange)
+            self.metrics.waiting_requests += 1
+        if exchange.possible_runs:
+            refusal = FleetRefusal(GATEWAY_TIMEOUT, "timeout", "no answer in time", ran=Ran.UNKNOWN)
+        else:
+            refusal = FleetRefusal(UNAVAILABLE, "timeout", "no target in time", ran=Ran.NO)
+        self.fail(exchange, refusal)
+        self.place()
+
+    @handler("CallerLost")
+    def on_caller_lost(self, request_id: str) -> None:
+        """Cancel a request that nobody waits for any more."""
+        exchange = self.exchanges.get(request_id)
+        if exchange is None:
+            return
+        if exchange.attempt is not None:
+            self.stop_attempt(exchange)
+        else:
+            self.metrics.waiting_requests -= 1
+        self.end(exchange)
+        self.log_end(Event.CALLER_GONE, exchange)
+        self.place()
+
+    @handler("CallerBlocked")
+    def on_caller_blocked(self, request_id: str) -> None:
+        """Stop reading an answer for a slow caller."""
+        exchange = self.exchanges.get(request_id)
+        if exchange is not None and exchange.attempt is not None:
+            self.fire(PauseAttempt((request_id, exchange.attempt.number), REQUESTS), TARGETS)
+
+    @handler("CallerUnblocked")
+    def on_caller_unblocked(self, request_id: str) -> None:
+        """Go on reading an answer."""
+        exchange = self.exchanges.get(request_id)
+        if exchange is not None and exchange.attempt is not None:
+            self.fire(ContinueAttempt((request_id, exchange.attempt.number), REQUESTS), TARGETS)
+
+    @handler("FailRequest")
+    def on_fail(self, request_id: str) -> None:
+        """Answer a request whose handler raised an exception."""
+        exchange = self.exchanges.get(request_id)
+        if exchange is None:
+            return
+        if exchange.attempt is not None:
+            self.stop_attempt(exchange)
+            self.metrics.waiting_requests += 1
+        ran = Ran.UNKNOWN if exchange.possible_runs else Ran.NO
+        self.fail(exchange, FleetRefusal(BAD_GATEWAY, "internal_error", "internal error", ran=ran))
+
+    def check_silence(self) -> None:
+        """Send repeatable requests to another target when theirs is silent."""
+        now = self.clock.monotonic()
+        for exchange in list(self.exchanges.values()):
+            attempt = exchange.attempt
+            if attempt is None or not self.can_repeat(exchange):
+                continue
+            limit = self.silence_limit(exchange)
+            if now - attempt.heard_at < limit:
+                continue
+            self.stop_attempt(exchange)
+            health = self.state.placement.health_of(attempt.placed.target.target_id)
+            health.answered(is_error=True)
+            if attempt.head is None:
+                health.unreachable(self.state.settings, now)
+            self.failed(exchange, attempt, f"silent for {limit:.2f} s", may_have_run=True)
+        self.place()
+
+    def silence_limit(self, exchange: Exchange) -> float:
+        """Return how long the target of an exchange may be silent, in seconds."""
+        if exchange.attempt.has_output:
+            return STREAM_PAUSE_SECONDS
+        return max(LEAST_SILENT_SECONDS, SILENT_GOALS * exchange.work.route.goal_seconds)
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -0,0 +1,107 @@
+"""What a router knows of the fleet: configuration, targets, peers and its own open work."""
+
+from limpetusher.clock import Clock
+from limpetusher.errors import ConfigurationError
+from limpetusher.events import Event
+from limpetusher.fleet.model import FleetConfiguration
+from limpetusher.fleet.process.fairness import ServedTokens
+from limpetusher.fleet.process.members import Members
+from limpetusher.fleet.process.placement import Placement
+from limpetusher.fleet.request.waiting import WaitingRequests
+from limpetusher.fleet.settings import FleetSettings
+from limpetusher.fleet.version.mirror import Change, StoreMirror
+from limpetusher.fleet.version.routing import RouteTable
+from limpetusher_router.platform import names
+from limpetusher_router.platform.documents import decode_configuration, decode_target
+from limpetusher_router.platform.settings_file import HostSettings
+from limpetusher_router.process.logs import log_event
+
+
+class FleetState:
+    """Takes the changes of the platform's store and holds the parts that decide.
+
+    Parameters
+    ----------
+    host
+        Settings of the host.
+    settings
+        Constants of the policy.
+    clock
+        Source of time.
+    """
+
+    def __init__(self, host: HostSettings, settings: FleetSettings, *, clock: Clock):
+        self.settings = settings
+        self.clock = clock
+        self.mirror = StoreMirror()
+        self.configuration: FleetConfiguration | None = None
+        self.routes: RouteTable | None = None
+        self.members = Members(host.ip)
+        self.placement = Placement(settings, own_id=host.ip, data_centre=host.data_centre)
+        self.served = ServedTokens()
+        self.waiting = WaitingRequests(settings, self.placement, self.served)
+
+    def apply(self, change: Change) -> None:
+        """Take one change of the store."""
+        if change.key == names.CONFIGURATION_KEY:
+            if change.item is not None:
+                self.use_configuration(change.item.value)
+        elif change.key.startswith(names.EVACUATION_PREFIX):
+            self.evacuate(change.key.removeprefix(names.EVACUATION_PREFIX), change.item is not None)
+        elif change.key.startswith(names.TARGET_PREFIX):
+            self.use_target(change.key.removeprefix(names.TARGET_PREFIX), change)
+
+    def use_configuration(self, value: bytes) -> None:
+        """Use a newer configuration; an older or malformed one changes nothing."""
+        try:
+            configuration = decode_configuration(value)
+        except ConfigurationError as error:
+            log_event(Event.CONFIGURATION_REFUSED, reason=str(error))
+            return
+        if self.configuration is not None and configuration.version <= self.configuration.version:
+            log_event(Event.CONFIGURATION_OLDER_IGNORED, version=configuration.version)
+            return
+        self.configuration = configuration
+        self.routes = RouteTable(configuration)
+        self.placement.services = configuration.services
+        goals: dict[str, float] = {}
+        for route in configuration.routes:
+            for destination in route.destinations:
+                goal = goals.get(destination.service, route.goal_seconds)
+                goals[destination.service] = min(goal, route.goal_seconds)
+        self.placement.goals = goals
+        log_event(Event.CONFIGURATION_IN_FORCE, version=configuration.version)
+
+    def evacuate(self, data_centre: str, is_evacuated: bool) -> None:
+        """Note that a data centre is taken out of service, or is back."""
+        if is_evacuated:
+            self.placement.evacuated.add(data_centre)
+            log_event(Event.DATA_CENTRE_EVACUATED, data_centre=data_centre)
+        else:
+            self.placement.evacuated.discard(data_centre)
+            log_event(Event.DATA_CENTRE_RETURNED, data_centre=data_centre)
+
+    def use_target(self, target_id: str, change: Change) -> None:
+        """Take a target's newest entry."""
+        if change.item is None:
+            self.placement.remove_target(target_id)
+            log_event(Event.TARGET_UNLISTED, target=target_id)
+            return
+        try:
+            target = decode_target(
+                target_id, change.item.value, revision=change.item.revision, now=self.clock.monotonic()
+            )
+        except ConfigurationError as error:
+            self.placement.remove_target(target_id)
+            log_event(Event.STORE_ENTRY_UNUSABLE, target=target_id, reason=str(error))
+            return
+        self.placement.put_target(target)
+        log_event(
+            Event.TARGET_LISTED,
+            target=target_id,
+            service=target.service,
+            address=target.address,
+            draining=target.is_draining,
+            cold=round(max(0.0, target.cold_until - self.clock.monotonic()), 3),
+            revision=target.revision,
+        )
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
@@ -0,0 +1,178 @@
+"""Values of the platform's store, decoded into the fleet's types."""
+
+from typing import Literal
+
+import msgspec
+
+from limpetusher.errors import ConfigurationError
+from limpetusher.fleet.model import (
+    CallerLimits,
+    Destination,
+    Engine,
+    FleetConfiguration,
+    RequestKind,
+    Route,
+    Service,
+    Target,
+)
+
+MILLISECONDS = 1_000.0
+
+
+class _Destination(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    host: str
+    prefix: str
+    kind: Literal["safe", "unsafe", "streaming"]
+    timeout_ms: float
+    attempts: int
+    goal_ms: float = 1_000.0
+    priority: int = 0
+    service: str | None = None
+    split: tuple[_Destination, ...] = ()
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float | None = None
+
+    def decode(self) -> Route:
+        destinations = tuple(Destination(entry.service, entry.weight) for entry in self.split)
+        if not destinations and self.service is not None:
+            destinations = (Destination(self.service, 1.0),)
+        if not destinations:
+            raise ConfigurationError([f"route {self.name} has no service; `service` or `split` is required"])
+        return Route(
+            name=self.name,
+            host=self.host,
+            prefix=self.prefix,
+            kind=RequestKind(self.kind),
+            timeout_seconds=self.timeout_ms / MILLISECONDS,
+            goal_seconds=self.goal_ms / MILLISECONDS,
+            destinations=destinations,
+            attempts=self.attempts,
+            priority=self.priority,
+            is_public=self.public,
+            is_resumable=self.resumable,
+            pause_goal_seconds=self.gap_aim_ms / MILLISECONDS if self.gap_aim_ms is not None else None,
+        )
+
+
+class _Engine(msgspec.Struct, frozen=True, rename="camel"):
+    slots: int
+    kv_capacity: int
+
+
+class _Service(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    health_path: str = "/healthz"
+    max_conns: int = 1_000
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+    def decode(self) -> Service:
+        return Service(
+            name=self.name,
+            health_path=self.health_path,
+            maximum_connections=self.max_conns,
+            cold_seconds=self.cold_s,
+            cold_per_second=self.cold_per_s,
+            engine=Engine(self.engine.slots, self.engine.kv_capacity) if self.engine is not None else None,
+        )
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+    tokens_per_s: float | None = None
+
+
+class _Customer(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+    tenants: tuple[_Customer, ...] | None = None
+
+
+class _Target(msgspec.Struct, frozen=True, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: Literal["ready", "draining"]
+    cold_left_ms: float
+    # Some deployments leave the start time out.
+    born: int = 0
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_target_decoder = msgspec.json.Decoder(_Target)
+
+
+def decode_configuration(data: bytes) -> FleetConfiguration:
+    """Return the operator's configuration.
+
+    Raises
+    ------
+    ConfigurationError
+        If the document is malformed.
+    """
+    try:
+        document = _configuration_decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigurationError([f"configuration: {error}"]) from error
+    customers = document.tenants or ()
+    return FleetConfiguration(
+        version=document.version,
+        routes=tuple(route.decode() for route in document.routes),
+        services={service.name: service.decode() for service in document.services},
+        limits=CallerLimits(
+            header_bytes=document.limits.max_header_bytes,
+            body_bytes=document.limits.max_body_bytes,
+            header_seconds=document.limits.header_timeout_ms / MILLISECONDS,
+            idle_seconds=document.limits.idle_timeout_ms / MILLISECONDS,
+            tokens_per_second=document.limits.tokens_per_s,
+        ),
+        customers_by_key={key: customer.name for customer in customers for key in customer.api_keys},
+        has_customers=bool(customers),
+    )
+
+
+def decode_target(target_id: str, data: bytes, *, revision: int, now: float) -> Target:
+    """Return an announced target. `now` is a reading of the monotonic clock.
+
+    Raises
+    ------
+    ConfigurationError
+        If the entry is malformed; it then names no target.
+    """
+    try:
+        entry = _target_decoder.decode(data)
+        host, _, port = entry.address.rpartition(":")
+        if not host or not port.isdigit():
+            raise ConfigurationError([f"target {target_id}: address {entry.address!r}; allowed: ip:port"])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigurationError([f"target {target_id}: {error}"]) from error
+    return Target(
+        target_id=target_id,
+        service=entry.service,
+        address=entry.address,
+        data_centre=entry.zone,
+        slots=entry.slots,
+        is_draining=entry.state == "draining",
+        cold_until=now + entry.cold_left_ms / MILLISECONDS,
+        revision=revision,
+        started_at_milliseconds=entry.born,
+    )
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/names.py
@@ -0,0 +1,27 @@
+"""Header names and keys of the platform. Header names are in lower case, as the parser returns them."""
+
+REQUEST_ID = "x-request-id"
+DEADLINE = "x-deadline-ms"
+PROMPT_PARTS = "x-prompt-prefix"
+LAST_EVENT_ID = "last-event-id"
+SEAL = "x-server-seal"
+CUSTOMER = "x-tenant"
+TARGET_ID = "x-target-instance"
+NOT_RUN = "x-not-executed"
+RETRY_AFTER = "retry-after"
+COLD_MILLISECONDS = "x-cold-ms"
+MODEL = "x-model"
+TOKENS = "x-token-usage"
+API_KEY = "x-credential"
+
+SET_BY_ROUTER_ONLY = frozenset(
+    {CUSTOMER, TARGET_ID, API_KEY, "x-hold", "x-pin-ms", "x-kv-backup", "kv-from", "kv-fetch"}
+)
+"""Headers that are never passed on as a caller sent them."""
+
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+TARGET_PREFIX = "servers/"
+READY_PATH = "/readyz"
+MISDIRECTED_STATUS = 421
+"""Another target has the address now; the request did not run."""
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/store.py
@@ -0,0 +1,114 @@
+"""Calls to the platform's store and their answers."""
+
+import base64
+import binascii
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+import msgspec
+
+from limpetusher.errors import CodecError
+from limpetusher.fleet.version.mirror import StoredItem
+
+EVERYTHING = ""
+"""Prefix that all keys begin with."""
+COMPACTED_STATUS = 410
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str
+    rev: int
+    value: str | None = None
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct, frozen=True, rename="camel"):
+    items: list[_Item]
+    current_rev: int
+    has_more: bool = False
+
+
+class _Watch(msgspec.Struct, frozen=True, rename="camel"):
+    events: list[_Item]
+    current_rev: int
+
+
+@dataclass(frozen=True, slots=True)
+class RangePage:
+    """One page of a read. `revision` is the store's revision at that moment."""
+
+    items: list[StoredItem]
+    revision: int
+    has_more: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WatchedChanges:
+    """Changes after the revision that the watch named. `removed` are keys with their revision."""
+
+    items: list[StoredItem]
+    removed: list[tuple[str, int]]
+    revision: int
+
+
+_range_decoder = msgspec.json.Decoder(_Range)
+_watch_decoder = msgspec.json.Decoder(_Watch)
+
+
+def get_request(address: str, path: str, **query: object) -> bytes:
+    """Return the bytes of a GET request."""
+    text = urlencode(query)
+    return f"GET {path}{'?' if text else ''}{text} HTTP/1.1\r\nhost: {address}\r\n\r\n".encode("latin-1")
+
+
+def range_request(address: str, *, after: str | None) -> bytes:
+    """Return the request for a page of all items, after a key."""
+    query = {"prefix": EVERYTHING}
+    if after is not None:
+        query["after"] = after
+    return get_request(address, "/kv-range", **query)
+
+
+def watch_request(address: str, *, after: int, wait_seconds: float) -> bytes:
+    """Return the request for all changes after a revision."""
+    return get_request(address, "/kv-watch", prefix=EVERYTHING, after=after, waitMs=int(wait_seconds * 1_000))
+
+
+def _stored(item: _Item) -> StoredItem:
+    try:
+        return StoredItem(item.key, base64.b64decode(item.value or "", validate=True), item.rev)
+    except (binascii.Error, ValueError):
+        # The value names nothing usable, but the key and its revision hold.
+        return StoredItem(item.key, b"", item.rev)
+
+
+def decode_range(body: bytes) -> RangePage:
+    """Return a page of a read.
+
+    Raises
+    ------
+    CodecError
+        If the answer is malformed.
+    """
+    try:
+        page = _range_decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise CodecError("malformed range") from error
+    return RangePage([_stored(item) for item in page.items], page.current_rev, page.has_more)
+
+
+def decode_watch(body: bytes) -> WatchedChanges:
+    """Return the changes that a watch has seen.
+
+    Raises
+    ------
+    CodecError
+        If the answer is malformed.
+    """
+    try:
+        watch = _watch_decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise CodecError("malformed watch") from error
+    items = [_stored(event) for event in watch.events if not event.deleted]
+    removed = [(event.key, event.rev) for event in watch.events if event.deleted]
+    return WatchedChanges(items, removed, watch.current_rev)
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/process/failures.py
@@ -0,0 +1,14 @@
+"""Finds the request that a failed handler was working on."""
+
+from limpetusher_router.events import REQUESTS
+
+
+def request_id_of(event: object) -> str | None:
+    """Return the request that a message is about, None when it is about none."""
+    if REQUESTS not in getattr(event, "channels", ()) or not event.args:
+        return None
+    subject = event.args[0]
+    subject = getattr(subject, "request_id", subject)
+    if isinstance(subject, tuple):
+        subject = subject[0]
+    return subject if isinstance(subject, str) else None
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -33,6 +33,7 @@
 from limpetusher_router.process.admin_guard import AdminGuard
 from limpetusher_router.process.core import make_core, owned_addresses
 from limpetusher_router.process.deadlines import Deadlines
+from limpetusher_router.process.failures import request_id_of
 from limpetusher_router.process.loads import LoadReader
 from limpetusher_router.process.logs import log_event, set_up_logging
 from limpetusher_router.process.metrics import Metrics
@@ -175,17 +176,6 @@
             self.fire(FailRequest(request_id), REQUESTS)
 
 
-def request_id_of(event: object) -> str | None:
-    """Return the request that a message is about, None when it is about none."""
-    if REQUESTS not in getattr(event, "channels", ()) or not event.args:
-        return None
-    subject = event.args[0]
-    subject = getattr(subject, "request_id", subject)
-    if isinstance(subject, tuple):
-        subject = subject[0]
-    return subject if isinstance(subject, str) else None
-
-
 def allow_connections() -> None:
     """Allow as many open files as the system lets this process have."""
     _soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
