Send prompts in bursts, wait for the session's engine, order waiting requests by service and urgency

Cause: while prompts wait at an engine, each step takes a whole chunk, so streams missed their pause goal (median longest pause of chats 0.48 s against 0.5 s); requests spilled to other engines as soon as theirs was busy.

--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -20,8 +20,9 @@
     STORE_COPY_TAKEN = (1107, logging.INFO, "copy of the store taken from a peer")
     STORE_ENTRY_UNUSABLE = (1108, logging.WARNING, "store entry is unusable")
     SETTINGS_RELOADED = (1109, logging.INFO, "settings file reloaded")
-    SETTINGS_REFUSED = (1110, logging.ERROR, "settings file refused, the settings in force stay")
+    STORE_HISTORY_LOST = (1110, logging.INFO, "store history lost, everything is read again")
     HOST_LIST_IN_FORCE = (1111, logging.INFO, "host list in force")
+    SETTINGS_REFUSED = (1112, logging.ERROR, "settings file refused, the settings in force stay")
     PEER_REACHABLE = (1201, logging.INFO, "peer reachable")
     PEER_UNREACHABLE = (1202, logging.WARNING, "peer unreachable")
     PEER_MESSAGE_DROPPED = (1203, logging.WARNING, "peer message dropped")
@@ -44,8 +45,8 @@
     ATTEMPT_FAILED = (1406, logging.INFO, "attempt failed")
     REQUEST_FAILED = (1407, logging.WARNING, "request failed")
     CALLER_GONE = (1408, logging.INFO, "caller left before the answer was complete")
-    LOG_LINES_DROPPED = (1601, logging.WARNING, "log lines dropped")
     WITNESS_READY = (1501, logging.INFO, "idempotency witness ready")
+    LOG_LINES_DROPPED = (1601, logging.WARNING, "log lines dropped")
 
     def __init__(self, number: int, level: int, text: str):
         self.number = number
--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -127,6 +127,8 @@
     """When the request began to wait for its present attempt."""
     give_up_at: float
     """When the caller's deadline or the route's timeout ends the request."""
+    start_before: float = 0.0
+    """When the present attempt has to start at the latest; set when the request begins to wait."""
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
@@ -61,6 +61,11 @@
         """Return the peers that were heard lately."""
         return [address for address, member in self.peers.items() if self.is_reachable(member, now)]
 
+    def rank(self, now: float) -> int:
+        """Return how many reachable routers come before this one in an order common to all."""
+        own = stable_hash(self.own)
+        return sum(stable_hash(address) < own for address in self.reachable(now))
+
     def forget(self, now: float) -> None:
         """Forget peers that have been silent for long."""
         for address, member in list(self.peers.items()):
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -1,9 +1,12 @@
 """Choice of a target for a request."""
 
+import math
+import random
 from dataclasses import dataclass
 
-from limpetusher.fleet.model import Engine, Service, Target, Work
+from limpetusher.fleet.model import Service, Target, Work
 from limpetusher.fleet.process.budgets import ColdLimit
+from limpetusher.fleet.process.bursts import ReadingBursts
 from limpetusher.fleet.process.caches import PromptCaches
 from limpetusher.fleet.process.health import TargetHealth
 from limpetusher.fleet.process.loads import Loads, OpenWork
@@ -11,6 +14,7 @@
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.routing import stable_hash
 
+REMEMBERED_RANKINGS = 4_000
 REMOTE_COST = 0.5
 """Cost of a target in another data centre, in open requests: only ties are decided by the place."""
 UNTRUSTED_COST = 1_000.0
@@ -28,6 +32,15 @@
     is_cold: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Weighed:
+    """An engine and its cost in seconds; `is_open` tells whether it takes the prompt now."""
+
+    cost: float
+    placed: Placed
+    is_open: bool
+
+
 class Placement:
     """Chooses targets from what the fleet has open at each of them.
 
@@ -39,22 +52,29 @@
         Name of this router.
     data_centre
         Data centre of this router.
+    rng
+        Source of random times.
     """
 
-    def __init__(self, settings: FleetSettings, *, own_id: str, data_centre: str):
+    def __init__(self, settings: FleetSettings, *, own_id: str, data_centre: str, rng: random.Random):
         self.settings = settings
         self.own_id = own_id
         self.data_centre = data_centre
         self.services: dict[str, Service] = {}
         self.goals: dict[str, float] = {}
         """Tightest goal of each service's routes, in seconds."""
+        self.pause_goals: dict[str, float] = {}
+        """Tightest goal for pauses of each service's streams, in seconds."""
         self.targets: dict[str, Target] = {}
         self.by_service: dict[str, list[Target]] = {}
+        self.rankings: dict[tuple[str, str], list[str]] = {}
+        """Order of a service's targets for a session."""
         self.evacuated: set[str] = set()
         self.routers: list[str] = [own_id]
         self.health: dict[str, TargetHealth] = {}
         self.loads = Loads()
         self.rates = ReadingRates(settings)
+        self.bursts = ReadingBursts(settings, rng)
         self.caches = PromptCaches()
         self.cold_limit = ColdLimit()
 
@@ -73,11 +93,13 @@
         if self.targets.pop(target_id, None) is not None:
             self.health.pop(target_id, None)
             self.rates.forget(target_id)
+            self.bursts.forget(target_id)
             self.caches.forget(target_id)
             self.index()
 
     def index(self) -> None:
-        """Group the targets by service."""
+        """Group the targets by service and forget the orders of sessions among them."""
+        self.rankings.clear()
         self.by_service = {}
         for target in self.targets.values():
             self.by_service.setdefault(target.service, []).append(target)
@@ -102,84 +124,121 @@
         """Return the prompt tokens that all usable engines of a service read in a second."""
         return sum(self.rates.rate(service, target.target_id) for target in self.usable(service, now))
 
-    def choose(self, work: Work, now: float) -> Placed | None:
+    def view(self, service: str, now: float) -> "ServiceView":
+        """Return the present state of a service's usable targets, for a series of choices."""
+        return ServiceView(self, service, now)
+
+    def choose(self, work: Work, now: float, view: "ServiceView | None" = None) -> Placed | None:
         """Return a target that can take the request now, None when it has to wait."""
-        service = self.services.get(work.service)
-        if service is None:
+        view = view or self.view(work.service, now)
+        if view.service is None or not view.has_room:
             return None
-        targets = [
-            target for target in self.usable(work.service, now) if target.target_id not in work.excluded
-        ]
-        if service.engine is None or work.session is None:
-            return self.choose_least_busy(work, service, targets, now)
-        return self.choose_engine(work, service, service.engine, targets, now)
+        if view.service.engine is None or work.session is None:
+            return self.choose_least_busy(work, view)
+        return self.choose_engine(work, view)
 
-    def choose_least_busy(
-        self, work: Work, service: Service, targets: list[Target], now: float
-    ) -> Placed | None:
+    def choose_least_busy(self, work: Work, view: "ServiceView") -> Placed | None:
         """Return the target with the fewest open requests that has a free slot."""
-        best: tuple[float, Target, OpenWork, bool] | None = None
-        for target in targets:
-            total = self.loads.total(target.target_id)
-            if total.requests >= target.slots:
-                continue
-            is_cold = self.is_cold(target, now)
-            if is_cold and not self.bears(target, service, now):
+        best: tuple[float, TargetView] | None = None
+        for state in view.states.values():
+            if not state.has_room or state.target.target_id in work.excluded:
                 continue
-            cost = total.requests + REMOTE_COST * (target.data_centre != self.data_centre)
-            cost += self.distrust(target)
+            cost = state.total.requests + state.distrust
+            cost += REMOTE_COST * (state.target.data_centre != self.data_centre)
             if best is None or cost < best[0]:
-                best = (cost, target, total, is_cold)
+                best = (cost, state)
         if best is None:
             return None
-        _cost, target, total, is_cold = best
+        state = best[1]
         load = OpenWork(1, work.prompt_tokens, work.memory_tokens)
-        return Placed(target, load, total.unread_tokens + work.prompt_tokens, is_cold)
-
-    def ranked(self, session: str, targets: list[Target]) -> list[Target]:
-        """Return the engines in the session's order."""
-        return sorted(targets, key=lambda target: stable_hash(session, target.target_id))
-
-    def choose_engine(
-        self, work: Work, service: Service, engine: Engine, targets: list[Target], now: float
-    ) -> Placed | None:
-        """Return the engine at which the request is read soonest, counting what would be read again."""
-        best: tuple[float, Placed] | None = None
-        for rank, target in enumerate(self.ranked(work.session, targets)[: self.settings.candidates]):
-            placed = self.weigh(work, service, engine, target, rank, now)
-            if placed is not None and (best is None or placed[0] < best[0]):
-                best = placed
-        return best[1] if best is not None else None
-
-    def weigh(
-        self, work: Work, service: Service, engine: Engine, target: Target, rank: int, now: float
-    ) -> tuple[float, Placed] | None:
-        """Return the cost of one engine, None when it has no room."""
-        target_id = target.target_id
-        total = self.loads.total(target_id)
-        if total.requests >= min(target.slots, engine.slots):
+        ahead = state.total.unread_tokens + work.prompt_tokens
+        return Placed(state.target, load, ahead, state.is_cold)
+
+    def ranking(self, work: Work) -> list[str]:
+        """Return all targets of the request's service in the order of its session."""
+        key = (work.service, work.session)
+        ranking = self.rankings.get(key)
+        if ranking is None:
+            if len(self.rankings) >= REMEMBERED_RANKINGS:
+                self.rankings.clear()
+            everyone = (target.target_id for target in self.by_service.get(work.service, ()))
+            ranking = sorted(everyone, key=lambda target_id: stable_hash(work.session, target_id))
+            self.rankings[key] = ranking
+        return ranking
+
+    def candidates(self, work: Work, view: "ServiceView") -> list["TargetView"]:
+        """Return the engines that are considered for a request, in the order of its session."""
+        candidates = []
+        for target_id in self.ranking(work):
+            state = view.states.get(target_id)
+            if state is not None and target_id not in work.excluded:
+                candidates.append(state)
+                if len(candidates) == self.settings.candidates:
+                    break
+        return candidates
+
+    def choose_engine(self, work: Work, view: "ServiceView") -> Placed | None:
+        """Return the engine at which the request is read soonest, counting what would be read again.
+
+        A request waits for the best engine at first, and takes another one once it has waited for a while.
+        """
+        candidates = self.candidates(work, view)
+        if not any(state.has_room and state.is_open for state in candidates):
             return None
-        memory = self.settings.memory_part * engine.memory_tokens
-        if total.requests and total.memory_tokens + work.memory_tokens > memory:
+        weighed = [
+            entry
+            for rank, state in enumerate(candidates)
+            if (entry := self.weigh(work, view, state, rank)) is not None
+        ]
+        patience = self.settings.home_wait_part * (work.start_before - work.queued_at)
+        if view.now - work.queued_at >= patience:
+            weighed = [entry for entry in weighed if entry.is_open]
+        best = min(weighed, key=lambda entry: entry.cost, default=None)
+        return best.placed if best is not None and best.is_open else None
+
+    def wait_limit(self, work: Work) -> float:
+        """Return how long a request may wait for a target, in seconds."""
+        settings = self.settings
+        goal = work.route.goal_seconds
+        service = self.services.get(work.service)
+        reading = settings.first_output_seconds
+        if service is not None and service.engine is not None:
+            reading += self.burst_seconds(work.service)
+        wait = max(goal - reading, settings.least_wait_part * goal)
+        return min(wait, work.give_up_at - work.queued_at)
+
+    def weigh(self, work: Work, view: "ServiceView", state: "TargetView", rank: int) -> Weighed | None:
+        """Return the cost of one engine, None when it has no room."""
+        total = state.total
+        if not state.has_room or (total.requests and total.memory_tokens + work.memory_tokens > view.memory):
             return None
+        target_id = state.target.target_id
         unread = self.caches.unread_tokens(target_id, work.parts, work.prompt_tokens)
-        if rank == 0:
+        if rank == 0 and len(work.parts) > 1:
             # Other routers send the session to the same engine, so its shared parts are expected there.
-            unread = min(unread, work.parts[-1].tokens if len(work.parts) > 1 else unread)
-        rate = self.rates.rate(service.name, target_id)
-        if total.unread_tokens and total.unread_tokens + unread > self.window(service.name) * rate:
-            return None
-        is_cold = self.is_cold(target, now)
-        if is_cold and not self.bears(target, service, now):
-            return None
-        cost = (total.unread_tokens + self.settings.reread_weight * unread) / rate + self.distrust(target)
+            unread = min(unread, work.parts[-1].tokens)
+        is_open = self.bursts.admits(target_id, unread, view.burst_seconds * state.rate, view.now)
+        cost = (total.unread_tokens + self.settings.reread_weight * unread) / state.rate + state.distrust
         load = OpenWork(1, unread, work.memory_tokens)
-        return cost, Placed(target, load, total.unread_tokens + unread, is_cold)
+        return Weighed(cost, Placed(state.target, load, total.unread_tokens + unread, state.is_cold), is_open)
 
-    def window(self, service: str) -> float:
-        """Return how many seconds of reading may wait at one engine."""
-        goal = self.goals.get(service, 1.0)
-        return max(self.settings.least_window_seconds, self.settings.unread_window_part * goal)
+    def burst_seconds(self, service: str) -> float:
+        """Return how long an engine may read prompts without a pause."""
+        settings = self.settings
+        limits = (
+            settings.burst_goal_part * self.goals.get(service, math.inf),
+            settings.burst_pause_part * self.pause_goals.get(service, math.inf),
+        )
+        return max(settings.least_burst_seconds, min(limits))
+
+    def observe(self, target_id: str, now: float) -> None:
+        """Let the bursts follow the open work of a target."""
+        self.bursts.observe(target_id, self.loads.total(target_id).unread_tokens, len(self.routers), now)
+
+    def observe_all(self, now: float) -> None:
+        """Let the bursts follow the open work of all targets."""
+        for target_id in self.targets:
+            self.observe(target_id, now)
 
     def distrust(self, target: Target) -> float:
         """Return the extra cost of a target that fails many requests."""
@@ -202,6 +261,76 @@
         target_id = placed.target.target_id
         self.loads.start(target_id, placed.work)
         self.caches.sent(target_id, work.parts)
+        self.observe(target_id, now)
         service = self.services[work.service]
         if placed.is_cold and service.cold_per_second > 0:
             self.cold_limit.sent(target_id, service.cold_per_second, len(self.routers), now)
+
+
+@dataclass(slots=True)
+class TargetView:
+    """State of one usable target during a series of choices."""
+
+    target: Target
+    total: OpenWork
+    """Open work of the fleet there."""
+    rate: float
+    """Prompt tokens that it reads in a second."""
+    is_cold: bool
+    has_room: bool
+    """Whether it has a free slot, and bears another request if it is cold."""
+    is_open: bool
+    """Whether any prompt may be sent now."""
+    distrust: float
+
+
+class ServiceView:
+    """State of a service's usable targets during a series of choices.
+
+    Parameters
+    ----------
+    placement
+        Placement that chooses.
+    name
+        Name of the service.
+    now
+        Reading of the monotonic clock.
+    """
+
+    def __init__(self, placement: Placement, name: str, now: float):
+        self.placement = placement
+        self.now = now
+        self.service = placement.services.get(name)
+        engine = self.service.engine if self.service is not None else None
+        self.memory = placement.settings.memory_part * engine.memory_tokens if engine is not None else 0.0
+        self.burst_seconds = placement.burst_seconds(name)
+        self.states: dict[str, TargetView] = {}
+        if self.service is not None:
+            for target in placement.usable(name, now):
+                self.refresh(target)
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether any target can take a request."""
+        return any(state.has_room and state.is_open for state in self.states.values())
+
+    def refresh(self, target: Target) -> None:
+        """Take the newest state of a target."""
+        placement, now = self.placement, self.now
+        target_id = target.target_id
+        total = placement.loads.total(target_id)
+        rate = placement.rates.rate(target.service, target_id)
+        is_cold = placement.is_cold(target, now)
+        is_open = True
+        if self.service.engine is not None:
+            is_open = placement.bursts.admits(target_id, 1, self.burst_seconds * rate, now)
+        self.states[target_id] = TargetView(
+            target=target,
+            total=total,
+            rate=rate,
+            is_cold=is_cold,
+            has_room=total.requests < target.slots
+            and (not is_cold or placement.bears(target, self.service, now)),
+            is_open=is_open,
+            distrust=placement.distrust(target),
+        )
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/rates.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/rates.py
@@ -1,10 +1,14 @@
 """How fast engines read prompts, measured from the time to the first output."""
 
+import math
+
 from limpetusher.fleet.settings import FleetSettings
 
 SAMPLE_WEIGHT = 0.1
 LEAST_SAMPLE_TOKENS = 1_000
 """Shorter prompts measure the engine's step time and not its reading."""
+BASE_RISE = 0.01
+"""Part of each short prompt's time by which the base may rise, so that it follows a slower service."""
 LEAST_SAMPLE_SECONDS = 0.005
 SLOWEST_PART_OF_PRIOR = 0.05
 FASTEST_PART_OF_PRIOR = 10.0
@@ -17,6 +21,8 @@
         self.settings = settings
         self.by_service: dict[str, float] = {}
         self.by_target: dict[str, float] = {}
+        self.base_seconds: dict[str, float] = {}
+        """Time to the first output of a short prompt at an idle engine, by service."""
 
     def rate(self, service: str, target_id: str) -> float:
         """Return prompt tokens a second."""
@@ -24,10 +30,13 @@
 
     def sample(self, service: str, target_id: str, tokens: int, seconds: float) -> None:
         """Take the time in which an engine came to the end of the unread prompts in front of it."""
+        base = self.base_seconds.get(service, math.inf)
         if tokens < LEAST_SAMPLE_TOKENS:
+            self.base_seconds[service] = min(seconds, base + BASE_RISE * seconds)
             return
         prior = self.settings.prior_reading_rate
-        measured = tokens / max(seconds, LEAST_SAMPLE_SECONDS)
+        reading = seconds - base if math.isfinite(base) else seconds
+        measured = tokens / max(reading, LEAST_SAMPLE_SECONDS)
         measured = min(max(measured, prior * SLOWEST_PART_OF_PRIOR), prior * FASTEST_PART_OF_PRIOR)
         for rates, key, first in (
             (self.by_service, service, prior),
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting.py
@@ -58,7 +58,8 @@
         self.peers_waiting: dict[str, float] = {}
 
     def add(self, work: Work) -> None:
-        """Let a request wait."""
+        """Let a request wait from its `queued_at` on."""
+        work.start_before = work.queued_at + self.placement.wait_limit(work)
         self.by_service.setdefault(work.service, []).append(work)
 
     def remove(self, work: Work) -> None:
@@ -82,40 +83,35 @@
         """Return how long the engines of a service need for all that waits."""
         rate = self.placement.total_rate(service, now)
         tokens = self.waiting_tokens(service) + self.peers_waiting.get(service, 0.0)
-        return tokens / rate if rate > 0 else 0.0
-
-    def wait_limit(self, work: Work) -> float:
-        """Return how long a request may wait for a target, in seconds."""
-        left = work.give_up_at - work.queued_at
-        return min(self.settings.wait_part * work.route.goal_seconds, left)
-
-    def next_due(self) -> float | None:
-        """Return when the next request is refused if nothing else happens."""
-        times = (
-            work.queued_at + self.wait_limit(work) for works in self.by_service.values() for work in works
-        )
-        return min(times, default=None)
+        return tokens / (self.settings.pace_part * rate) if rate > 0 else 0.0
 
     def decide(self, now: float) -> list[Start | Refusal]:
         """Return what starts and what is refused now."""
         self.served.decay(now)
         decisions: list[Start | Refusal] = []
         for service in list(self.by_service):
-            decisions += self.start(service, now)
-            decisions += self.refuse(service, now)
+            order = self.ordered(service)
+            starts = self.start(service, order, now)
+            started = {start.work.request_id for start in starts}
+            decisions += starts
+            decisions += self.refuse(service, [work for work in order if work.request_id not in started], now)
             if not self.by_service[service]:
                 del self.by_service[service]
         return decisions
 
-    def start(self, service: str, now: float) -> list[Start]:
+    def start(self, service: str, order: list[Work], now: float) -> list[Start]:
         """Start what targets can take, by customer."""
         starts = []
-        for work in self.ordered(service):
-            placed = self.placement.choose(work, now)
+        view = self.placement.view(service, now)
+        if not view.has_room:
+            return starts
+        for work in order:
+            placed = self.placement.choose(work, now, view)
             if placed is None:
                 continue
             self.by_service[service].remove(work)
             self.placement.start(work, placed, now)
+            view.refresh(placed.target)
             self.served.serve(
                 work.customer, placed.work.unread_tokens + OUTPUT_TOKEN_WEIGHT * work.output_tokens
             )
@@ -123,30 +119,37 @@
         return starts
 
     def ordered(self, service: str) -> list[Work]:
-        """Return the waiting requests in the order in which they may start."""
-        credit: dict[str, float] = {}
+        """Return the waiting requests in the order in which they may start.
+
+        The customer with the least service comes first; its requests count as served one after the other, the
+        most urgent one first.
+        """
+        counted: dict[str, float] = {}
         positions: list[tuple[float, float, Work]] = []
-        for work in sorted(self.by_service[service], key=lambda work: work.arrived_at):
-            before = credit.get(work.customer)
+        for work in sorted(self.by_service[service], key=lambda work: work.start_before):
+            before = counted.get(work.customer)
             if before is None:
                 before = self.served.total(work.customer)
-            positions.append((before, work.arrived_at, work))
-            credit[work.customer] = before + work.prompt_tokens + OUTPUT_TOKEN_WEIGHT * work.output_tokens
+            positions.append((before, work.start_before, work))
+            counted[work.customer] = before + work.prompt_tokens + OUTPUT_TOKEN_WEIGHT * work.output_tokens
         positions.sort(key=lambda position: position[:2])
-        return [work for _served, _arrived, work in positions]
+        return [work for _served, _start_before, work in positions]
 
-    def refuse(self, service: str, now: float) -> list[Refusal]:
-        """Refuse what has waited too long or can't start in time."""
+    def refuse(self, service: str, order: list[Work], now: float) -> list[Refusal]:
+        """Refuse what has waited too long, or can't start in time behind what comes before it."""
         refusals = []
-        for work in list(self.by_service[service]):
-            if now >= work.queued_at + self.wait_limit(work):
+        own = self.waiting_tokens(service)
+        rate = self.settings.pace_part * self.placement.total_rate(service, now)
+        # The peers' requests are taken to be spread over the order as the own ones are.
+        fleet = (own + self.peers_waiting.get(service, 0.0)) / own if own else 1.0
+        ahead = 0.0
+        for work in order:
+            if now >= work.start_before:
                 refusals.append(self.refusal(work, "no target had room in time", now))
-        if self.backlog_seconds(service, now) == 0.0:
-            return refusals
-        for work in reversed(self.ordered(service)):
-            if self.backlog_seconds(service, now) <= self.wait_limit(work):
-                break
-            refusals.append(self.refusal(work, "the backlog is too long", now))
+            elif rate and now + ahead * fleet / rate > work.start_before:
+                refusals.append(self.refusal(work, "the backlog is too long", now))
+            else:
+                ahead += own_tokens(work)
         return refusals
 
     def refusal(self, work: Work, reason: str, now: float) -> Refusal:
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -19,14 +19,30 @@
         Cost of reading a prompt token that another engine has cached, relative to one that waits
         ahead. Above 1
         because the reading also delays the requests that come after.
-    unread_window_part
-        Part of the tightest goal of a service that may wait at one engine as unread prompt.
-    least_window_seconds
-        Least unread prompt at one engine, so that it never runs dry between two load reports.
+    burst_goal_part
+        Part of the tightest goal of a service for which an engine may read prompts without a pause.
+    burst_pause_part
+        Part of the tightest pause goal of a service for which an engine may read prompts without a pause; the
+        rest covers the last chunk and the way to the caller.
+    least_burst_seconds
+        Least length of a burst.
+    burst_pause_seconds
+        Time between two bursts, enough for the tokens of one event of each stream.
+    burst_spread_seconds
+        Random time before a burst for each router; a report takes about 2 ms to reach the others.
+    burst_spread_maximum
+        Longest random time before a burst.
+    pace_part
+        Part of the engines' reading rate that bursts and their pauses use.
     memory_part
         Part of an engine's memory that open requests may take; the rest holds cached prompt parts.
-    wait_part
-        Part of a request's goal that it may wait for a target before it is refused.
+    first_output_seconds
+        Time that an idle engine takes to the first output of a short prompt.
+    home_wait_part
+        Part of its waiting time for which a request waits for the engine that costs least, before it takes
+        another one that is free.
+    least_wait_part
+        Part of a request's goal that it may always wait for a target before it is refused.
     suspend_seconds
         First time without requests for a target that can't be reached; doubles up to
         `suspend_maximum_seconds`.
@@ -43,10 +59,17 @@
 
     candidates: int = 3
     reread_weight: float = 2.0
-    unread_window_part: float = 0.4
-    least_window_seconds: float = 0.15
+    burst_goal_part: float = 0.5
+    burst_pause_part: float = 0.6
+    least_burst_seconds: float = 0.1
+    burst_pause_seconds: float = 0.03
+    burst_spread_seconds: float = 0.004
+    burst_spread_maximum: float = 0.06
+    pace_part: float = 0.8
     memory_part: float = 0.8
-    wait_part: float = 0.4
+    first_output_seconds: float = 0.1
+    home_wait_part: float = 0.4
+    least_wait_part: float = 0.2
     suspend_seconds: float = 0.25
     suspend_maximum_seconds: float = 2.0
     unconfirmed_seconds: float = 3.0
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -44,9 +44,9 @@
 class CallerServer(BaseComponent):
     """Reads requests from callers and writes answers to them.
 
-    Requests of one connection are handed on one at a time, on `requests_channel`. Bytes of later requests stay
-    in the connection's buffer, or in the socket once the buffer is full, and are read when the answer before
-    them is finished.
+    Requests of one connection are handed on one at a time, on `requests_channel`. Bytes of later requests
+    stay in the connection's buffer, or in the socket once the buffer is full, and are read when the answer
+    before them is finished.
     """
 
     channel = CALLERS
@@ -305,6 +305,13 @@
             self.listener.close()
             self.listener = None
 
+    @handler("CloseIdle")
+    def on_close_idle(self) -> None:
+        """Close the connections on which no request has begun; one on its way may be sent elsewhere."""
+        for connection in list(self.idle):
+            if not connection.buffer and not connection.out:
+                self.drop(connection)
+
     @property
     def is_busy(self) -> bool:
         """Return whether a request is in progress or an answer is not written yet."""
--- a/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
@@ -31,6 +31,7 @@
         "ends_with_connection",
         "head",
         "is_foreign",
+        "kept_at",
         "paused",
         "received",
         "reused",
@@ -50,6 +51,8 @@
         self.writing = False
         self.paused = False
         self.due_at = 0.0
+        self.kept_at = 0.0
+        """Since when the connection waits for another request."""
         self.deadline = None
         self.begin(None)
 
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -66,8 +66,7 @@
     def on_start(self, attempt: Attempt) -> None:
         """Begin an exchange on a kept or a new connection."""
         try:
-            reuse = attempt.repeatable if attempt.reuse is None else attempt.reuse
-            connection = self.take_kept(attempt) if reuse else None
+            connection = self.take_kept(attempt)
             if connection is None:
                 self.connect(attempt)
             else:
@@ -83,7 +82,11 @@
     def take_kept(self, attempt: Attempt) -> TargetConnection | None:
         """Return a kept connection that is still open, None when there is none."""
         kept = self.kept.get(attempt.address, [])
-        while kept:
+        longest = attempt.reuse_idle_seconds
+        if longest is None:
+            longest = math.inf if attempt.repeatable else -math.inf
+        oldest = self.clock.monotonic() - longest
+        while kept and kept[-1].kept_at >= oldest:
             connection = kept.pop()
             try:
                 connection.sock.recv(1, socket.MSG_PEEK)
@@ -361,6 +364,7 @@
         connection.state = TargetState.IDLE
         connection.reused = False
         kept.append(connection)
+        connection.kept_at = self.clock.monotonic()
         if connection.paused:
             connection.paused = False
             self.poller.addReader(self, connection.sock)
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -61,8 +61,10 @@
     repeatable: bool = True
     without_body: bool = False
     idle_seconds: float | None = None
-    reuse: bool | None = None
-    """Whether a kept connection may carry the exchange; None for repeatable exchanges only."""
+    reuse_idle_seconds: float | None = None
+    """Longest idle time of a kept connection that may carry the exchange; None for any time where the
+    exchange
+    is repeatable, and for no kept connection where it is not."""
     answer_id: tuple[str, str] | None = None
     """Header name and value that mark the answer as belonging to this exchange, where targets echo one."""
 
@@ -145,6 +147,10 @@
     """Close each caller's connection after its next answer."""
 
 
+class CloseIdle(Message):
+    """Close the connections on which no request has begun."""
+
+
 class StopAccepting(Message):
     """Accept no more connections; requests that still arrive on open ones are answered."""
 
@@ -240,6 +246,10 @@
         super().__init__(address, report)
 
 
+class WorkChanged(Message):
+    """The open work of this router at a target has changed."""
+
+
 class StopProcess(Message):
     """All work is finished and the process may exit."""
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -46,6 +46,24 @@
     """Attempts of which it is not known that they did not run."""
     answer_begun: bool = False
     deadline: Deadline | None = None
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_pause: float = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Note that events were passed on."""
+        if self.first_event_at is None:
+            self.first_event_at = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.last_event_at)
+        self.last_event_at = now
+
+    @property
+    def first_event_seconds(self) -> float | None:
+        """Return the time from the request to its first event, None where there is none yet."""
+        if self.first_event_at is None:
+            return None
+        return round(self.first_event_at - self.work.arrived_at, 3)
 
     @property
     def is_stream(self) -> bool:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
@@ -5,13 +5,18 @@
 from limpetusher.clock import Clock
 from limpetusher.events import Event
 from limpetusher_router.events import REQUESTS, Due
-from limpetusher_router.fleet.reports import PROTOCOL_VERSION, LoadReport, ReportSocket
+from limpetusher_router.fleet.reports import PROTOCOL_VERSION, LoadReport, ReportSocket, Usage
 from limpetusher_router.fleet.requests import CHECK_SECONDS, FleetRequests
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.fleet.store_reader import StoreReader
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.logs import log_event
 
+EXCHANGE = "exchange"
+NEWS = "news"
+NEWS_SECONDS_PER_PEER = 0.002
+"""Least time between two reports for each peer that gets them: at most 500 datagrams a second from a
+router."""
 ROUNDS_TO_SILENT_PEERS = 8
 """Reports go to peers that are not heard only in each eighth round, so that they find the fleet again."""
 
@@ -43,7 +48,7 @@
         clock: Clock,
         deadlines: Deadlines,
     ):
-        super().__init__(channel="exchange")
+        super().__init__(channel=EXCHANGE)
         self.state = state
         self.reports = reports
         self.requests = requests
@@ -51,7 +56,9 @@
         self.clock = clock
         self.deadlines = deadlines
         self.round = 0
-        self.is_stopping = False
+        self.number = 0
+        self.sent_at = 0.0
+        self.news_due = False
 
     @handler("PeerReported", channel=REQUESTS)
     def on_report(self, address: str, report: LoadReport) -> None:
@@ -62,11 +69,17 @@
             return
         if state.members.heard(address, now):
             log_event(Event.PEER_REACHABLE, peer=address, revision=report.revision)
-        state.members.told(report.peers, now)
-        state.placement.loads.report(address, report.load(now))
-        state.placement.routers = state.members.routers()
-        self.sum_up()
+            state.placement.routers = state.members.routers()
+        if report.usage is not None:
+            state.members.told(report.usage.peers, now)
+        loads = state.placement.loads
+        loads.report(address, report.load(now, loads.peers.get(address)))
+        state.placement.observe_all(now)
+        if report.usage is not None:
+            self.sum_up()
         self.store.peer_knows(address, report.revision)
+        if state.waiting.by_service:
+            self.requests.place()
 
     def sum_up(self) -> None:
         """Use the newest reports of all peers."""
@@ -74,38 +87,66 @@
         self.state.served.sum_up(loads)
         self.state.waiting.sum_up(loads)
 
-    @handler("Due", channel="exchange")
-    def on_due(self, _subject: object) -> None:
-        """Send a report and look after silent targets and peers."""
+    @handler("Due", channel=EXCHANGE)
+    def on_due(self, subject: object) -> None:
+        """Send a report; at intervals also look after silent targets and peers."""
         now = self.clock.monotonic()
-        self.deadlines.schedule_in(CHECK_SECONDS, Due(), "exchange")
+        if subject == NEWS:
+            self.news_due = False
+            if now - self.sent_at >= self.news_gap(now) / 2:
+                self.send(now, full=False)
+            return
+        self.deadlines.schedule_in(CHECK_SECONDS, Due(), EXCHANGE)
         self.state.members.forget(now)
         self.state.placement.loads.sum_up(now)
+        self.state.placement.observe_all(now)
         self.sum_up()
         self.requests.check_silence()
-        self.send(now)
+        self.send(now, full=True)
+
+    @handler("WorkChanged", channel=REQUESTS)
+    def on_work_changed(self) -> None:
+        """Tell the peers soon, together with what changes meanwhile."""
+        if not self.news_due:
+            self.news_due = True
+            now = self.clock.monotonic()
+            at = max(now, self.sent_at + self.news_gap(now))
+            self.deadlines.schedule(at, Due(NEWS), EXCHANGE)
+
+    def news_gap(self, now: float) -> float:
+        """Return the least time between two reports; it grows with the number of peers."""
+        return NEWS_SECONDS_PER_PEER * len(self.state.members.reachable(now))
 
-    def send(self, now: float) -> None:
+    def send(self, now: float, *, full: bool) -> None:
         """Send the present report."""
         state = self.state
-        self.round += 1
+        self.number += 1
+        self.sent_at = now
         reachable = state.members.reachable(now)
-        state.served.decay(now)
+        usage = None
+        addresses = reachable
+        if full:
+            self.round += 1
+            state.served.decay(now)
+            seeking = self.round % ROUNDS_TO_SILENT_PEERS == 0
+            usage = Usage(
+                served={customer: int(tokens) for customer, tokens in state.served.own.items()},
+                waiting={
+                    service: int(state.waiting.waiting_tokens(service))
+                    for service in state.waiting.by_service
+                },
+                peers=reachable if seeking else [],
+            )
+            if seeking:
+                addresses = state.members.addressees()
         report = LoadReport(
             version=PROTOCOL_VERSION,
+            number=self.number,
             revision=state.mirror.revision,
             work={
                 target_id: (work.requests, work.unread_tokens, work.memory_tokens)
                 for target_id, work in state.placement.loads.own.items()
             },
-            served={customer: int(tokens) for customer, tokens in state.served.own.items()},
-            waiting={
-                service: int(state.waiting.waiting_tokens(service)) for service in state.waiting.by_service
-            },
-            peers=reachable if self.round % ROUNDS_TO_SILENT_PEERS == 0 else [],
-            is_stopping=self.is_stopping,
+            usage=usage,
         )
-        addresses = reachable
-        if self.round % ROUNDS_TO_SILENT_PEERS == 0:
-            addresses = state.members.addressees()
         self.reports.send(report, addresses)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -2,6 +2,7 @@
 
 import gc
 import logging
+import random
 import signal
 import types
 from dataclasses import replace
@@ -28,12 +29,13 @@
     STORE,
     TARGETS,
     CloseAfterAnswers,
+    CloseIdle,
     Due,
     FailRequest,
     SettingsChanged,
     StopAccepting,
 )
-from limpetusher_router.fleet.exchange_reports import PeerReports
+from limpetusher_router.fleet.exchange_reports import EXCHANGE, PeerReports
 from limpetusher_router.fleet.pages import Pages
 from limpetusher_router.fleet.reports import ReportSocket
 from limpetusher_router.fleet.requests import FleetRequests
@@ -50,8 +52,10 @@
 CHAINED_STEPS = 10
 CONNECT_SECONDS = 0.3
 """Time for connecting inside the deployment, where a connection takes a few milliseconds."""
-STOP_ACCEPTING_SECONDS = 3.5
-"""The platform takes a router out after two missed questions, one a second, and callers a little later."""
+STOP_ACCEPTING_SECONDS = 3.0
+"""The platform takes a router out after two missed questions, one a second. Requests that come later than
+this
+are refused as not run, since the rest of the grace time may be too short for a long stream."""
 STOP_MARGIN_SECONDS = 0.6
 FLUSH_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
@@ -115,7 +119,7 @@
         self.finished = False
         self.stopped_at: float | None = None
         self.settings = router_settings(host)
-        self.state = FleetState(host, fleet_settings(host), clock=clock)
+        self.state = FleetState(host, fleet_settings(host), clock=clock, rng=random.Random())
         self.use_seeds(host)
         self.poller = EPoll().register(self)
         self.deadlines = Deadlines(clock).register(self)
@@ -123,7 +127,12 @@
         identifiers = RequestIdentifiers(host.host_id, int(clock.wall() * 1_000))
         self.callers = CallerServer(self.settings, identifiers=identifiers, **shared).register(self)
         TargetClient(self.settings, clock=clock, **shared).register(self)
-        self.store = StoreReader(host, mirror=self.state.mirror, deadlines=self.deadlines).register(self)
+        self.store = StoreReader(
+            host,
+            mirror=self.state.mirror,
+            deadlines=self.deadlines,
+            watch_rank=lambda: self.state.members.rank(clock.monotonic()),
+        ).register(self)
         self.requests = FleetRequests(
             self.state, clock=clock, deadlines=self.deadlines, metrics=self.metrics
         ).register(self)
@@ -183,7 +192,7 @@
         signal.signal(signal.SIGHUP, self._signal_handler)
         log_event(Event.ROUTER_STARTED, data_centre=self.host.data_centre, seeds=list(self.host.seeds))
         self.fire(Due(), STORE)
-        self.fire(Due(), "exchange")
+        self.fire(Due(), EXCHANGE)
         self.deadlines.schedule_in(SETTINGS_POLL_SECONDS, Due("settings"), PROCESS)
 
     @handler("StoreRead", channel=REQUESTS)
@@ -236,7 +245,6 @@
         if self.stopped_at is not None:
             return
         self.stopped_at = self.clock.monotonic()
-        self.peers.is_stopping = True
         log_event(
             Event.ROUTER_STOPPING, signal=signal.Signals(number).name, open=len(self.requests.exchanges)
         )
@@ -251,7 +259,9 @@
             self.deadlines.schedule_in(SETTINGS_POLL_SECONDS, Due("settings"), PROCESS)
             return
         if subject == "stop":
+            self.requests.is_closing = True
             self.fire(StopAccepting(), CALLERS)
+            self.fire(CloseIdle(), CALLERS)
         latest = self.stopped_at + self.host.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
         if self.callers.is_busy and self.clock.monotonic() < latest:
             self.deadlines.schedule_in(FLUSH_POLL_SECONDS, Due("flush"), PROCESS)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/reports.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/reports.py
@@ -18,27 +18,40 @@
 logger = logging.getLogger(__name__)
 
 
+class Usage(msgspec.Struct, frozen=True, array_like=True):
+    """The slower part of a report.
+
+    `served` are decayed served tokens by customer, `waiting` prompt tokens that wait by service, `peers` the
+    IP addresses of the routers that the sender hears.
+    """
+
+    served: dict[str, int]
+    waiting: dict[str, int]
+    peers: list[str]
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """What one router tells the others.
 
-    `work` is open requests, unread tokens and memory tokens by target, `served` decayed served tokens
-    by customer,
-    `waiting` prompt tokens that wait by service, `revision` that of the copy of the store, `peers` the IP
-    addresses of the routers it hears, `is_stopping` whether it is about to exit.
+    `number` grows with each report of one start of the sender, `revision` is that of its copy of the store,
+    and `work` has open requests, unread tokens and memory tokens by target. `usage` comes with some reports
+    only.
     """
 
     version: int
+    number: int
     revision: int
     work: dict[str, tuple[int, int, int]]
-    served: dict[str, int]
-    waiting: dict[str, int]
-    peers: list[str]
-    is_stopping: bool = False
+    usage: Usage | None = None
 
-    def load(self, now: float) -> PeerLoad:
-        """Return the report as the decisions see it."""
+    def load(self, now: float, before: PeerLoad | None) -> PeerLoad:
+        """Return the report as the decisions see it; what it leaves out stays as before."""
         work = {target_id: OpenWork(*counts) for target_id, counts in self.work.items()}
-        return PeerLoad(now, work, self.served, self.waiting)
+        if self.usage is not None:
+            return PeerLoad(now, work, self.usage.served, self.usage.waiting)
+        if before is not None:
+            return PeerLoad(now, work, before.served, before.waiting_tokens)
+        return PeerLoad(now, work)
 
 
 class ReportSocket(BaseComponent):
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -1,6 +1,7 @@
 """The life of callers' requests: from the route to the last byte of the answer."""
 
 import logging
+import math
 from functools import singledispatchmethod
 
 from circuits.core import BaseComponent, handler
@@ -8,7 +9,7 @@
 from limpetusher.clock import Clock
 from limpetusher.core.actions import Ran
 from limpetusher.events import Event
-from limpetusher.fleet.model import RequestKind, Route, Work
+from limpetusher.fleet.model import Route, Work
 from limpetusher.fleet.process.budgets import RetryBudget
 from limpetusher.fleet.process.loads import OpenWork
 from limpetusher.fleet.request.waiting import Refusal, Start
@@ -30,6 +31,7 @@
     SendPart,
     StartAttempt,
     StopAttempt,
+    WorkChanged,
 )
 from limpetusher_router.fleet.exchange import Exchange, TargetAttempt
 from limpetusher_router.fleet.refusals import (
@@ -54,8 +56,12 @@
 from limpetusher_router.process.metrics import Metrics
 
 NOT_READY_RETRY_SECONDS = 0.5
+STOPPING_RETRY_SECONDS = 0.05
+"""Another router can take the request at once."""
 WAITING_POLL_SECONDS = 0.02
 """Time between two looks at the waiting requests, as reports and cold limits free room without an event."""
+PLACING_GAP_SECONDS = 0.005
+"""Least time between two looks at the waiting requests, which bounds what they cost under load."""
 CHECK_SECONDS = 0.1
 SILENT_GOALS = 1.0
 """Goals after which a repeatable request without any output goes to another target."""
@@ -63,6 +69,10 @@
 STREAM_PAUSE_SECONDS = 1.5
 """Pause after which a resumable stream goes on at another target; callers abandon a stream after 2 s."""
 MAXIMUM_SENDS = 4
+UNREPEATABLE_REUSE_SECONDS = 1.0
+"""Idle time up to which a kept connection carries a request that must not run twice: targets close
+connections
+after whole seconds at the earliest, so that a close on its way is unlikely."""
 HELD_ANSWER_BYTES = 65_536
 UNAUTHORIZED = 401
 NOT_FOUND = 404
@@ -99,6 +109,9 @@
         self.exchanges: dict[str, Exchange] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.wakeup: Deadline | None = None
+        self.placed_at = -math.inf
+        self.is_closing = False
+        """Whether the process is about to exit and takes no more requests."""
 
     @handler("RequestReceived")
     def on_request(self, request_id: str, head: RequestHead, body: bytes) -> None:
@@ -122,6 +135,14 @@
     ) -> Exchange | FleetRefusal:
         """Return the exchange of an allowed request, or why it is refused."""
         configuration = self.state.configuration
+        if self.is_closing:
+            return FleetRefusal(
+                UNAVAILABLE,
+                "stopping",
+                "this router stops",
+                ran=Ran.NO,
+                retry_after_seconds=STOPPING_RETRY_SECONDS,
+            )
         if configuration is None:
             return FleetRefusal(
                 UNAVAILABLE,
@@ -172,11 +193,26 @@
         return self.budgets[service]
 
     def place(self) -> None:
-        """Start and refuse waiting requests."""
-        for decision in self.state.waiting.decide(self.clock.monotonic()):
+        """Start and refuse waiting requests, now or soon after the last time."""
+        if not self.state.waiting.by_service:
+            return
+        now = self.clock.monotonic()
+        if now < self.placed_at + PLACING_GAP_SECONDS:
+            self.wake(self.placed_at + PLACING_GAP_SECONDS)
+            return
+        self.placed_at = now
+        for decision in self.state.waiting.decide(now):
             self.carry_out(decision)
-        if self.state.waiting.by_service and self.wakeup is None:
-            self.wakeup = self.deadlines.schedule_in(WAITING_POLL_SECONDS, Due(), REQUESTS)
+        if self.state.waiting.by_service:
+            self.wake(now + WAITING_POLL_SECONDS)
+
+    def wake(self, when: float) -> None:
+        """Look at the waiting requests again at `when` or before."""
+        if self.wakeup is not None:
+            if self.wakeup.when <= when:
+                return
+            self.wakeup.cancel()
+        self.wakeup = self.deadlines.schedule(when, Due(), REQUESTS)
 
     @handler("Due")
     def on_due(self, request_id: str | None) -> None:
@@ -245,7 +281,9 @@
             address=placed.target.address,
             request=request,
             repeatable=False,
-            reuse=exchange.work.route.kind is not RequestKind.UNSAFE,
+            reuse_idle_seconds=(
+                math.inf if exchange.work.route.is_idempotent else UNREPEATABLE_REUSE_SECONDS
+            ),
             without_body=exchange.head.method == "HEAD",
             idle_seconds=left,
             answer_id=(names.REQUEST_ID, exchange.fields.caller_request_id),
@@ -258,10 +296,12 @@
             customer=exchange.customer,
             waited=round(now - exchange.work.arrived_at, 3),
             unread_ahead=placed.unread_ahead,
+            rate=round(self.state.placement.rates.rate(placed.target.service, placed.target.target_id)),
             cold=placed.is_cold,
             configuration=self.state.configuration.version,
         )
         self.fire(StartAttempt(attempt), TARGETS)
+        self.fire(WorkChanged(), REQUESTS)
 
     def find(self, key: AttemptKey) -> Exchange | None:
         """Return the exchange whose present attempt has the key."""
@@ -290,11 +330,12 @@
         if exchange is None:
             return
         attempt = exchange.attempt
-        attempt.heard_at = self.clock.monotonic()
+        attempt.heard_at = now = self.clock.monotonic()
         if exchange.is_stream and is_sealed(attempt.head):
             self.note_output(exchange)
             part = exchange.relay.feed(data)
             if part:
+                exchange.note_event(now)
                 self.pass_on(exchange, part)
         elif exchange.answer_begun and not exchange.relay.events:
             self.pass_on(exchange, data)
@@ -319,6 +360,7 @@
         target = attempt.placed.target
         placement.loads.read(target.target_id, attempt.work.unread_tokens)
         attempt.work.unread_tokens = 0
+        self.work_changed(target.target_id)
         placement.rates.sample(
             target.service,
             target.target_id,
@@ -452,6 +494,12 @@
         exchange.attempt = None
         self.metrics.running_requests -= 1
         self.state.placement.loads.end(attempt.placed.target.target_id, attempt.work)
+        self.work_changed(attempt.placed.target.target_id)
+
+    def work_changed(self, target_id: str) -> None:
+        """Let the bursts and the peers know of a change of the open work."""
+        self.state.placement.observe(target_id, self.clock.monotonic())
+        self.fire(WorkChanged(), REQUESTS)
 
     def stop_attempt(self, exchange: Exchange) -> TargetAttempt:
         """Cancel the present attempt at its target."""
@@ -491,6 +539,8 @@
             customer=exchange.customer,
             sends=exchange.sends,
             events=exchange.relay.events,
+            first_event=exchange.first_event_seconds,
+            longest_pause=round(exchange.longest_pause, 3),
             seconds=round(self.clock.monotonic() - exchange.work.arrived_at, 3),
             **inputs,
         )
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -1,9 +1,12 @@
 """What a router knows of the fleet: configuration, targets, peers and its own open work."""
 
+import random
+from collections.abc import Callable
+
 from limpetusher.clock import Clock
 from limpetusher.errors import ConfigurationError
 from limpetusher.events import Event
-from limpetusher.fleet.model import FleetConfiguration
+from limpetusher.fleet.model import FleetConfiguration, Route
 from limpetusher.fleet.process.fairness import ServedTokens
 from limpetusher.fleet.process.members import Members
 from limpetusher.fleet.process.placement import Placement
@@ -28,16 +31,18 @@
         Constants of the policy.
     clock
         Source of time.
+    rng
+        Source of random times.
     """
 
-    def __init__(self, host: HostSettings, settings: FleetSettings, *, clock: Clock):
+    def __init__(self, host: HostSettings, settings: FleetSettings, *, clock: Clock, rng: random.Random):
         self.settings = settings
         self.clock = clock
         self.mirror = StoreMirror()
         self.configuration: FleetConfiguration | None = None
         self.routes: RouteTable | None = None
         self.members = Members(host.ip)
-        self.placement = Placement(settings, own_id=host.ip, data_centre=host.data_centre)
+        self.placement = Placement(settings, own_id=host.ip, data_centre=host.data_centre, rng=rng)
         self.served = ServedTokens()
         self.waiting = WaitingRequests(settings, self.placement, self.served)
 
@@ -64,12 +69,8 @@
         self.configuration = configuration
         self.routes = RouteTable(configuration)
         self.placement.services = configuration.services
-        goals: dict[str, float] = {}
-        for route in configuration.routes:
-            for destination in route.destinations:
-                goal = goals.get(destination.service, route.goal_seconds)
-                goals[destination.service] = min(goal, route.goal_seconds)
-        self.placement.goals = goals
+        self.placement.goals = tightest(configuration, lambda route: route.goal_seconds)
+        self.placement.pause_goals = tightest(configuration, lambda route: route.pause_goal_seconds)
         log_event(Event.CONFIGURATION_IN_FORCE, version=configuration.version)
 
     def evacuate(self, data_centre: str, is_evacuated: bool) -> None:
@@ -105,3 +106,14 @@
             cold=round(max(0.0, target.cold_until - self.clock.monotonic()), 3),
             revision=target.revision,
         )
+
+
+def tightest(configuration: FleetConfiguration, goal: Callable[[Route], float | None]) -> dict[str, float]:
+    """Return the least goal of the routes to each service; routes without one don't count."""
+    goals: dict[str, float] = {}
+    for route in configuration.routes:
+        seconds = goal(route)
+        for destination in route.destinations:
+            if seconds is not None:
+                goals[destination.service] = min(seconds, goals.get(destination.service, seconds))
+    return goals
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -1,6 +1,7 @@
 """Keeps the copy of the platform's store up to date: by its own watch, and by the copies of peers."""
 
 import enum
+from collections.abc import Callable
 
 import msgspec
 from circuits.core import BaseComponent, handler
@@ -25,7 +26,11 @@
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.logs import log_event
 
-WATCH_WAIT_SECONDS = 5.0
+CLOSE_WATCH_SECONDS = 1.0
+"""Wait of a watch whose silence must be noticed: a compacting store may keep a change from its watches."""
+WIDE_WATCH_SECONDS = 8.0
+"""Wait of a watch beside others; a newer revision in a peer's report shows what it misses."""
+CLOSE_WATCHERS = 3
 ANSWER_SECONDS = 1.0
 """Time for the store's answer beyond a watch's wait; it answers in a few milliseconds."""
 RETRY_SECONDS = 0.15
@@ -71,15 +76,25 @@
         Copy of the store that is kept up to date.
     deadlines
         Heap of deadlines.
+    watch_rank
+        Returns how many reachable routers come before this one in an order common to all.
     """
 
     channel = STORE
 
-    def __init__(self, settings: HostSettings, *, mirror: StoreMirror, deadlines: Deadlines):
+    def __init__(
+        self,
+        settings: HostSettings,
+        *,
+        mirror: StoreMirror,
+        deadlines: Deadlines,
+        watch_rank: Callable[[], int],
+    ):
         super().__init__()
         self.settings = settings
         self.mirror = mirror
         self.deadlines = deadlines
+        self.watch_rank = watch_rank
         self.pages: list[StoredItem] = []
         self.first_revision: int | None = None
         self.answers: dict[tuple[Call, int], tuple[AnswerHead, bytearray]] = {}
@@ -134,10 +149,11 @@
 
     def watch(self) -> None:
         """Wait for the next changes."""
+        seconds = CLOSE_WATCH_SECONDS if self.watch_rank() < CLOSE_WATCHERS else WIDE_WATCH_SECONDS
         request = store.watch_request(
-            self.settings.store_address, after=self.mirror.revision, wait_seconds=WATCH_WAIT_SECONDS
+            self.settings.store_address, after=self.mirror.revision, wait_seconds=seconds
         )
-        self.call(Call.WATCH, self.settings.store_address, request, WATCH_WAIT_SECONDS + ANSWER_SECONDS)
+        self.call(Call.WATCH, self.settings.store_address, request, seconds + ANSWER_SECONDS)
 
     @handler("AnswerStarted")
     def on_started(self, key: tuple[Call, int], head: AnswerHead) -> None:
@@ -177,6 +193,7 @@
             If the call was refused or its answer is malformed.
         """
         if call is Call.WATCH and status == store.COMPACTED_STATUS:
+            log_event(Event.STORE_HISTORY_LOST, revision=self.mirror.revision)
             self.read_again = True
             self.fire(Due(), STORE)
             return
