--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting.py
@@ -141,15 +141,17 @@
         own = self.waiting_tokens(service)
         rate = self.settings.pace_part * self.placement.total_rate(service, now)
         # The peers' requests are taken to be spread over the order as the own ones are.
-        fleet = (own + self.peers_waiting.get(service, 0.0)) / own if own else 1.0
+        peers = self.peers_waiting.get(service, 0.0) / own if own else 0.0
         ahead = 0.0
         for work in order:
+            tokens = own_tokens(work)
+            before = ahead + peers * (ahead + tokens / 2)
             if now >= work.start_before:
                 refusals.append(self.refusal(work, "no target had room in time", now))
-            elif rate and now + ahead * fleet / rate > work.start_before:
+            elif rate and now + before / rate > work.start_before:
                 refusals.append(self.refusal(work, "the backlog is too long", now))
             else:
-                ahead += own_tokens(work)
+                ahead += tokens
         return refusals
 
     def refusal(self, work: Work, reason: str, now: float) -> Refusal:
--- /dev/null
+++ b/tests/builders_fleet.py
@@ -0,0 +1,114 @@
+"""Builders of test data for the fleet's decisions."""
+
+import random
+
+from limpetusher.fleet.model import (
+    CallerLimits,
+    Destination,
+    Engine,
+    FleetConfiguration,
+    PromptPart,
+    RequestKind,
+    Route,
+    Service,
+    Target,
+    Work,
+)
+from limpetusher.fleet.process.fairness import ServedTokens
+from limpetusher.fleet.process.placement import Placement
+from limpetusher.fleet.request.waiting import WaitingRequests
+from limpetusher.fleet.settings import FleetSettings
+
+SLOTS = 128
+MEMORY_TOKENS = 240_000
+COLD_PER_SECOND = 9.0
+
+
+def make_route(**changes: object) -> Route:
+    values = {
+        "name": "drafts",
+        "host": "llm.example",
+        "prefix": "/drafts/",
+        "kind": RequestKind.STREAMING,
+        "timeout_seconds": 8.0,
+        "goal_seconds": 1.0,
+        "destinations": (Destination("engines", 1.0),),
+        "attempts": 2,
+        "is_resumable": True,
+        "pause_goal_seconds": 0.5,
+    }
+    return Route(**{**values, **changes})
+
+
+def make_service(**changes: object) -> Service:
+    values = {
+        "name": "engines",
+        "health_path": "/healthz",
+        "maximum_connections": 600,
+        "cold_seconds": 3.0,
+        "cold_per_second": COLD_PER_SECOND,
+        "engine": Engine(SLOTS, MEMORY_TOKENS),
+    }
+    return Service(**{**values, **changes})
+
+
+def make_configuration(*routes: Route, **changes: object) -> FleetConfiguration:
+    values = {
+        "version": 1,
+        "routes": routes or (make_route(),),
+        "services": {"engines": make_service()},
+        "limits": CallerLimits(16_384, 4_194_304, 3.0, 15.0),
+        "customers_by_key": {"key-a": "acme"},
+        "has_customers": True,
+    }
+    return FleetConfiguration(**{**values, **changes})
+
+
+def make_target(target_id: str = "e1", **changes: object) -> Target:
+    values = {
+        "target_id": target_id,
+        "service": "engines",
+        "address": "10.0.0.1:80",
+        "data_centre": "north",
+        "slots": SLOTS,
+        "revision": 1,
+    }
+    return Target(**{**values, **changes})
+
+
+def make_work(request_id: str = "w1", *, at: float = 0.0, session: str = "s1", **changes: object) -> Work:
+    own_tokens = changes.pop("own_tokens", 3_000)
+    parts = (PromptPart("common", 2_500), PromptPart(session, 3_800), PromptPart(request_id, own_tokens))
+    values = {
+        "request_id": request_id,
+        "customer": "acme",
+        "service": "engines",
+        "route": make_route(),
+        "arrived_at": at,
+        "queued_at": at,
+        "give_up_at": at + 8.0,
+        "prompt_tokens": sum(part.tokens for part in parts),
+        "output_tokens": 50,
+        "parts": parts,
+    }
+    return Work(**{**values, **changes})
+
+
+def make_placement(
+    targets: int = 3, *, settings: FleetSettings | None = None, service: Service | None = None
+) -> Placement:
+    placement = Placement(
+        settings or FleetSettings(), own_id="10.0.0.9", data_centre="north", rng=random.Random(1)
+    )
+    service = service or make_service()
+    placement.services = {service.name: service}
+    placement.goals = {service.name: 1.0}
+    placement.pause_goals = {service.name: 0.5}
+    for number in range(1, targets + 1):
+        placement.put_target(make_target(f"e{number}", service=service.name))
+    return placement
+
+
+def make_waiting(placement: Placement | None = None) -> WaitingRequests:
+    placement = placement or make_placement()
+    return WaitingRequests(placement.settings, placement, ServedTokens())
--- /dev/null
+++ b/tests/fleet/process/test_bursts.py
@@ -0,0 +1,38 @@
+"""Tests of the bursts of prompts at an engine."""
+
+import random
+
+from limpetusher.fleet.process.bursts import ReadingBursts
+from limpetusher.fleet.settings import FleetSettings
+
+WINDOW = 10_000.0
+
+
+def make_bursts() -> ReadingBursts:
+    return ReadingBursts(FleetSettings(), random.Random(1))
+
+
+def test_burst_ends_with_its_window_although_the_engine_reads_on():
+    """Guards against prompts that follow each other without end, so that streams never get their tokens."""
+    bursts = make_bursts()
+    bursts.observe("e1", 6_000, 8, 0.0)
+    assert bursts.admits("e1", 4_000, WINDOW, 0.0)
+    bursts.observe("e1", 9_000, 8, 0.01)
+    bursts.observe("e1", 2_000, 8, 0.2)
+    assert not bursts.admits("e1", 4_000, WINDOW, 0.2)
+
+
+def test_next_burst_begins_after_a_pause():
+    settings = FleetSettings()
+    bursts = make_bursts()
+    bursts.observe("e1", 9_000, 8, 0.0)
+    bursts.observe("e1", 0, 8, 0.3)
+    assert not bursts.admits("e1", 1, WINDOW, 0.3 + settings.burst_pause_seconds / 2)
+    longest = settings.burst_pause_seconds + settings.burst_spread_maximum
+    assert bursts.admits("e1", 9_000, WINDOW, 0.3 + longest)
+
+
+def test_idle_engine_takes_a_prompt_larger_than_a_burst():
+    """Guards against the largest requests never being served."""
+    bursts = make_bursts()
+    assert bursts.admits("e1", 50_000, WINDOW, 0.0)
--- /dev/null
+++ b/tests/fleet/process/test_placement.py
@@ -0,0 +1,98 @@
+"""Tests of the choice of a target."""
+
+from builders_fleet import make_placement, make_service, make_target, make_work
+from limpetusher.fleet.process.loads import OpenWork, PeerLoad
+
+
+def place(placement, work, now=0.0):
+    placed = placement.choose(work, now)
+    if placed is not None:
+        placement.start(work, placed, now)
+    return placed
+
+
+def test_session_stays_at_its_engine():
+    """Guards against shared prompt parts that are read again at each engine."""
+    chosen = set()
+    placement = make_placement(5)
+    for number in range(5):
+        placed = place(placement, make_work(f"w{number}"), now=float(number))
+        placement.loads.end(placed.target.target_id, placed.work)
+        placement.observe(placed.target.target_id, number + 0.5)
+        chosen.add(placed.target.target_id)
+    assert len(chosen) == 1
+    assert placed.work.unread_tokens == 3_000
+
+
+def test_all_routers_choose_the_same_engine_for_a_session():
+    first, second = make_placement(5), make_placement(5)
+    second.targets = dict(reversed(second.targets.items()))
+    second.index()
+    for number in range(20):
+        work = make_work(session=f"s{number}")
+        assert first.choose(work, 0.0).target == second.choose(work, 0.0).target
+
+
+def test_request_waits_for_its_engine_at_first_and_moves_later():
+    """Guards against spilling to another engine that has to read the session's parts again."""
+    placement = make_placement(3)
+    home = placement.choose(make_work(), 0.0).target.target_id
+    placement.loads.report("peer", PeerLoad(0.0, {home: OpenWork(1, 4_000, 9_000)}))
+    placement.bursts.observe(home, 12_000, 2, 0.0)
+    waiting = make_work("w2")
+    waiting.start_before = 0.5
+    assert placement.choose(waiting, 0.01) is None
+    moved = placement.choose(waiting, 0.3)
+    assert moved.target.target_id != home
+
+
+def test_work_of_peers_counts_against_the_slots():
+    """Guards against all routers together sending more than a target takes."""
+    service = make_service(name="desk", engine=None, cold_per_second=0.0)
+    placement = make_placement(0, service=service)
+    placement.put_target(make_target("d1", service="desk", slots=6))
+    placement.loads.report("peer", PeerLoad(0.0, {"d1": OpenWork(6)}))
+    work = make_work(service="desk", parts=())
+    assert placement.choose(work, 0.0) is None
+    placement.loads.report("peer", PeerLoad(0.0, {"d1": OpenWork(5)}))
+    assert placement.choose(work, 0.0).target.target_id == "d1"
+
+
+def test_draining_evacuated_suspended_and_excluded_targets_get_nothing():
+    placement = make_placement(0)
+    placement.put_target(make_target("draining", is_draining=True))
+    placement.put_target(make_target("evacuated", data_centre="south"))
+    placement.put_target(make_target("suspended"))
+    placement.put_target(make_target("excluded"))
+    placement.evacuated.add("south")
+    placement.health_of("suspended").unreachable(placement.settings, 0.0)
+    assert placement.choose(make_work(excluded={"excluded"}), 0.0) is None
+    assert placement.choose(make_work(), 0.0).target.target_id == "excluded"
+
+
+def test_cold_engine_gets_its_rate_only():
+    placement = make_placement(0)
+    placement.put_target(make_target("cold", cold_until=10.0))
+    assert place(placement, make_work("w1", own_tokens=10), 0.0).is_cold
+    assert place(placement, make_work("w2", own_tokens=10), 0.05) is None
+
+
+def test_target_that_answers_again_after_failures_is_treated_as_cold():
+    """Guards against full load on a restarted target whose cold state the platform has not announced yet."""
+    placement = make_placement(1)
+    health = placement.health_of("e1")
+    health.unreachable(placement.settings, 0.0)
+    health.unreachable(placement.settings, 1.0)
+    health.reached(placement.settings, 2.0)
+    assert placement.is_cold(placement.targets["e1"], 2.1)
+    placement.put_target(make_target("e1", revision=2))
+    assert not placement.is_cold(placement.targets["e1"], 2.2)
+
+
+def test_restart_under_the_same_name_forgets_the_cache():
+    placement = make_placement(1)
+    work = make_work()
+    place(placement, work)
+    assert placement.caches.unread_tokens("e1", work.parts, work.prompt_tokens) == 3_000
+    placement.put_target(make_target("e1", started_at_milliseconds=5, revision=2))
+    assert placement.caches.unread_tokens("e1", work.parts, work.prompt_tokens) == work.prompt_tokens
--- /dev/null
+++ b/tests/fleet/version/test_mirror.py
@@ -0,0 +1,45 @@
+"""Tests of the copy of the platform's store."""
+
+from limpetusher.fleet.version.mirror import StoredItem, StoreMirror
+
+
+def item(key: str, revision: int, value: bytes = b"x") -> StoredItem:
+    return StoredItem(key, value, revision)
+
+
+def test_older_value_does_not_replace_a_newer_one():
+    """Guards against a configuration that goes back when a peer's old copy arrives late."""
+    mirror = StoreMirror()
+    mirror.replace([item("op/config", 7, b"new")], 7)
+    assert mirror.replace([item("op/config", 5, b"old")], 5) == []
+    assert mirror.items["op/config"].value == b"new"
+    assert mirror.revision == 7
+
+
+def test_removed_key_is_not_brought_back_by_an_older_copy():
+    """Guards against requests to a target that has left."""
+    mirror = StoreMirror()
+    mirror.put(item("servers/a", 3))
+    assert mirror.remove("servers/a", 4).item is None
+    assert mirror.put(item("servers/a", 3)) is None
+    assert mirror.put(item("servers/a", 6)).item.revision == 6
+
+
+def test_complete_copy_removes_what_it_lacks_unless_that_is_newer():
+    """Guards against targets that stay listed after a watch has missed their removal."""
+    mirror = StoreMirror()
+    mirror.put(item("servers/gone", 3))
+    mirror.put(item("servers/newer", 12))
+    changes = mirror.replace([item("servers/kept", 5)], 10)
+    assert {(change.key, change.item is None) for change in changes} == {
+        ("servers/kept", False),
+        ("servers/gone", True),
+    }
+    assert set(mirror.items) == {"servers/kept", "servers/newer"}
+
+
+def test_older_complete_copy_removes_nothing():
+    mirror = StoreMirror()
+    mirror.replace([item("servers/a", 8), item("servers/b", 9)], 9)
+    assert mirror.replace([item("servers/a", 8)], 8) == []
+    assert "servers/b" in mirror.items
