--- /dev/null
+++ b/tests/builders_platform.py
@@ -0,0 +1,435 @@
+"""Stand-ins of the users' platform for tests: its store, targets, and a router process between them."""
+
+import base64
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
+
+from builders_router import PACKAGES, free_addresses, read_all
+
+START_SECONDS = 15.0
+SEAL = "x-server-seal: 3e1b.07"
+HOST = "llm.example"
+
+
+def route_document(**changes: object) -> dict:
+    values = {
+        "name": "r-safe",
+        "host": HOST,
+        "prefix": "/safe/",
+        "kind": "safe",
+        "timeoutMs": 2000,
+        "goalMs": 400,
+        "priority": 1,
+        "service": "desk",
+        "attempts": 2,
+        "public": False,
+    }
+    return {**values, **changes}
+
+
+ROUTES = (
+    route_document(),
+    route_document(name="r-unsafe", prefix="/unsafe/", kind="unsafe", attempts=1),
+    route_document(name="r-public", prefix="/open/", public=True),
+    route_document(
+        name="r-stream", prefix="/stream/", kind="streaming", sticky=True, resumable=True, gapAimMs=500
+    ),
+    route_document(
+        name="r-once", prefix="/once/", kind="streaming", attempts=1, sticky=True, resumable=False
+    ),
+)
+
+
+def configuration_document(version: int = 3, **changes: object) -> dict:
+    values = {
+        "version": version,
+        "routes": list(ROUTES),
+        "services": [
+            {
+                "name": "desk",
+                "healthPath": "/healthz",
+                "maxConns": 96,
+                "protocol": "h1",
+                "tls": False,
+                "coldS": 0.0,
+                "coldPerS": 0.0,
+            }
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "acme", "apiKeys": ["key-a"], "priority": 1}],
+    }
+    return {**values, **changes}
+
+
+def target_document(address: str, **changes: object) -> dict:
+    values = {
+        "service": "desk",
+        "address": address,
+        "zone": "north",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 4,
+    }
+    return {**values, **changes}
+
+
+class StoreStandIn(ThreadingHTTPServer):
+    """The platform's store: range reads and watches over one revision counter."""
+
+    daemon_threads = True
+
+    def __init__(self):
+        super().__init__(("127.0.0.1", 0), StoreHandler)
+        self.condition = threading.Condition()
+        self.items: dict[str, tuple[bytes, int]] = {}
+        self.history: list[dict] = []
+        self.revision = 1
+        self.oldest = 0
+        """Changes up to this revision can't be watched any more."""
+        self.silent_watches = False
+        self.failing = False
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server_address[1]}"
+
+    def put(self, key: str, value: object) -> None:
+        """Write a value, as JSON unless it is bytes."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self.condition:
+            self.revision += 1
+            self.items[key] = (data, self.revision)
+            self.history.append(self.item(key))
+            self.condition.notify_all()
+
+    def delete(self, key: str) -> None:
+        with self.condition:
+            self.revision += 1
+            del self.items[key]
+            self.history.append({"key": key, "rev": self.revision, "deleted": True})
+            self.condition.notify_all()
+
+    def item(self, key: str) -> dict:
+        data, revision = self.items[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "rev": revision,
+            "createRevision": revision,
+            "lease": 0,
+        }
+
+
+class StoreHandler(BaseHTTPRequestHandler):
+    """Answers range reads and watches."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self) -> None:
+        store = self.server
+        url = urlsplit(self.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if store.failing:
+            self.reply(503, {})
+        elif url.path == "/kv-range":
+            with store.condition:
+                items = [store.item(key) for key in sorted(store.items) if key > query.get("after", "")]
+                page = items[:2]
+                more = len(items) > len(page)
+                self.reply(200, {"items": page, "hasMore": more, "currentRev": store.revision})
+        else:
+            self.watch(int(query["after"]), int(query["waitMs"]) / 1000)
+
+    def watch(self, after: int, seconds: float) -> None:
+        store = self.server
+        with store.condition:
+            if after < store.oldest:
+                self.reply(410, {"currentRev": store.revision})
+                return
+            store.condition.wait_for(
+                lambda: store.revision > after and not store.silent_watches, timeout=seconds
+            )
+            events = [event for event in store.history if event["rev"] > after]
+            if store.silent_watches:
+                self.reply(200, {"events": [], "currentRev": after})
+            else:
+                self.reply(200, {"events": events, "currentRev": store.revision})
+
+    def reply(self, status: int, document: dict) -> None:
+        body = json.dumps(document).encode()
+        with contextlib.suppress(ConnectionError):
+            self.send_response(status)
+            self.send_header("Content-Type", "application/json")
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+    def log_message(self, *_: object) -> None:
+        pass
+
+
+class Call:
+    """One request at a target, and its connection."""
+
+    def __init__(self, sock: socket.socket, head: str, body: bytes):
+        self.sock = sock
+        self.line, *fields = head.split("\r\n")
+        self.headers = {}
+        for field in fields:
+            name, _, value = field.partition(":")
+            if name:
+                self.headers[name.lower()] = value.strip()
+        self.body = body
+
+    def answer(self, body: bytes, *fields: str, status: str = "200 OK") -> None:
+        """Send a whole sealed answer that echoes the request's identifier."""
+        lines = [f"HTTP/1.1 {status}", SEAL, f"x-request-id: {self.headers.get('x-request-id', '')}"]
+        lines += [f"content-length: {len(body)}", *fields, "", ""]
+        self.sock.sendall("\r\n".join(lines).encode() + body)
+
+    def begin_stream(self) -> None:
+        """Send the head of an event stream."""
+        lines = ["HTTP/1.1 200 OK", SEAL, f"x-request-id: {self.headers['x-request-id']}"]
+        lines += ["content-type: text/event-stream", "transfer-encoding: chunked", "", ""]
+        self.sock.sendall("\r\n".join(lines).encode())
+
+    def send_chunk(self, data: bytes) -> None:
+        self.sock.sendall(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def send_events(self, first: int, last: int) -> None:
+        """Send whole events."""
+        for number in range(first, last + 1):
+            self.send_chunk(event(number))
+
+    def end_stream(self) -> None:
+        self.sock.sendall(b"0\r\n\r\n")
+
+    def break_off(self) -> None:
+        self.sock.shutdown(socket.SHUT_RDWR)
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: token-{number}\n\n".encode()
+
+
+class TargetStandIn:
+    """Target whose answer to each request is written by a script, which gets the call and its number."""
+
+    def __init__(self, script: Callable[[Call, int], None]):
+        self.script = script
+        self.calls: list[Call] = []
+        self.socks: list[socket.socket] = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _address = self.listener.accept()
+                self.socks.append(sock)
+                threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError), sock, sock.makefile("rb") as source:
+            while head := b"".join(iter(source.readline, b"\r\n")).decode():
+                call = Call(sock, head, b"")
+                call.body = source.read(int(call.headers.get("content-length", 0)))
+                self.calls.append(call)
+                self.script(call, len(self.calls))
+
+    def close(self) -> None:
+        for sock in (self.listener, *self.socks):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+
+class RouterStandUp:
+    """A real router process of a platform host."""
+
+    def __init__(
+        self, folder: Path, store: str, *, ip: str = "127.0.0.1", ports: int = 0, seeds: tuple[str, ...] = ()
+    ):
+        caller, ready = (f"{ip}:{address.rpartition(':')[2]}" for address in free_addresses(2))
+        self.ip = ip
+        self.caller = caller
+        self.ready = ready
+        self.ports = ports or free_port_pair()
+        settings = {
+            "host_id": f"front-{ip}",
+            "data_centre": "north",
+            "ip": ip,
+            "caller_address": caller,
+            "ready_address": ready,
+            "internal_ports": [self.ports, self.ports + 3],
+            "seeds": list(seeds),
+            "store_address": store,
+            "maximum_descriptors": 1024,
+            "bounds": {
+                "retry_ratio": 0.2,
+                "retry_extra": 50,
+                "retry_window_seconds": 10,
+                "stop_grace_seconds": 8,
+            },
+        }
+        self.path = folder / f"settings-{ip}.json"
+        self.path.write_text(json.dumps(settings))
+        self.log = folder / f"router-{ip}.log"
+        paths = [str(path) for path in sorted(PACKAGES.glob("*/src"))]
+        variables = {"LIMPETUSHER_NODE_FILE": str(self.path), "PYTHONPATH": os.pathsep.join(paths)}
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-c",
+                    "from limpetusher_router.fleet.command import main; raise SystemExit(main())",
+                ],
+                env={**os.environ, **variables},
+                stdout=log,
+                stderr=log,
+            )
+
+    def page(self, path: str = "/readyz") -> tuple[int, bytes]:
+        """Return status and content of a page of the ready port."""
+        try:
+            return split_answer(
+                exchange(self.ready, f"GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+            )
+        except OSError:
+            return 0, b""
+
+    def wait_ready(self) -> None:
+        wait_for(lambda: self.page()[0] == 200, self.log)
+
+    def stop(self) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(20)
+
+    def close(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+def free_port_pair() -> int:
+    """Return a port that is free together with the next one."""
+    while True:
+        port = int(free_addresses(1)[0].rpartition(":")[2])
+        if port < 65_000:
+            with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port + 1)):
+                return port
+
+
+def wait_for(
+    condition: Callable[[], object], log: Path | None = None, seconds: float = START_SECONDS
+) -> None:
+    """Wait until a condition holds."""
+    deadline = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < deadline, log.read_text()[-3000:] if log is not None else "no log"
+        time.sleep(0.02)
+
+
+def exchange(address: str, data: str | bytes) -> bytes:
+    """Send bytes and return everything up to the end of the connection."""
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port)), timeout=10) as sock:
+        sock.sendall(data.encode() if isinstance(data, str) else data)
+        return read_all(sock)
+
+
+def split_answer(answer: bytes) -> tuple[int, bytes]:
+    """Return status and body bytes as they came."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), body
+
+
+def request_text(path: str = "/safe/1", *, method: str = "GET", body: str = "", **headers: str) -> str:
+    """Return a request that closes its connection. Underscores in header names stand for dashes."""
+    fields = {"x_request_id": "req-1", "x_credential": "key-a", "x_deadline_ms": "1500", **headers}
+    lines = [f"{method} {path} HTTP/1.1", f"host: {HOST}", "connection: close"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in fields.items() if value]
+    if body:
+        lines.append(f"content-length: {len(body)}")
+    return "\r\n".join([*lines, "", body])
+
+
+def unchunk(body: bytes) -> tuple[bytes, bool]:
+    """Return the content of chunks, and whether the last one came."""
+    content = b""
+    while body:
+        size, _, rest = body.partition(b"\r\n")
+        if not rest:
+            return content, False
+        count = int(size, 16)
+        if count == 0:
+            return content, True
+        content += rest[:count]
+        body = rest[count + 2 :]
+    return content, False
+
+
+class FleetRun:
+    """A store, two targets and one router."""
+
+    def __init__(self, folder: Path, script: Callable[[Call, int], None]):
+        self.folder = folder
+        self.store = StoreStandIn()
+        self.targets = {name: TargetStandIn(script) for name in ("t1", "t2")}
+        self.store.put("op/config", configuration_document())
+        for name, target in self.targets.items():
+            self.store.put(f"servers/{name}", target_document(target.address))
+        self.routers: list[RouterStandUp] = []
+        self.router = self.start_router()
+        self.router.wait_ready()
+
+    def start_router(self, **options: object) -> RouterStandUp:
+        router = RouterStandUp(self.folder, options.pop("store", self.store.address), **options)
+        self.routers.append(router)
+        return router
+
+    @property
+    def calls(self) -> list[Call]:
+        return [call for target in self.targets.values() for call in target.calls]
+
+    def ask(self, path: str = "/safe/1", **options: str) -> tuple[int, bytes]:
+        """Send one request and return status and body."""
+        return split_answer(exchange(self.router.caller, request_text(path, **options)))
+
+    def close(self) -> None:
+        for router in self.routers:
+            router.close()
+        for target in self.targets.values():
+            target.close()
+        self.store.shutdown()
+        self.store.server_close()
+
+
+@contextlib.contextmanager
+def fleet_run(folder: Path, script: Callable[[Call, int], None]):
+    """Run a router between stand-ins."""
+    run = FleetRun(folder, script)
+    try:
+        yield run
+    finally:
+        run.close()
