--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -35,6 +35,7 @@
     TARGET_SUSPENDED = (1315, logging.WARNING, "target suspended after a failure")
     DATA_CENTRE_EVACUATED = (1316, logging.INFO, "data centre evacuated")
     DATA_CENTRE_RETURNED = (1317, logging.INFO, "data centre returned")
+    TARGET_HELD = (1318, logging.INFO, "entry of a target went while the store was away")
     ORDER_SENT = (1321, logging.INFO, "order sent to target")
     ORDER_REFUSED = (1322, logging.WARNING, "order refused by target")
     REQUEST_REFUSED = (1401, logging.INFO, "request refused")
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
@@ -101,6 +101,7 @@
         self.state.placement.loads.sum_up(now)
         self.state.placement.observe_all(now)
         self.sum_up()
+        self.state.drop_held()
         self.requests.check_silence()
         self.send(now, full=True)
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -22,6 +22,7 @@
 from limpetusher_router.connection.targets import TargetClient
 from limpetusher_router.events import (
     CALLERS,
+    METRICS,
     PAGES,
     PROCESS,
     READINESS,
@@ -59,6 +60,8 @@
 STOP_MARGIN_SECONDS = 0.6
 FLUSH_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
+METRICS_PORT = 9464
+"""Port of the metrics page; `deploy/system.toml` names it as well."""
 RESERVED_DESCRIPTORS = 700
 """Descriptors for targets, peers, the store and the interpreter."""
 IDLE_MARGIN = 1.2
@@ -133,6 +136,7 @@
             deadlines=self.deadlines,
             watch_rank=lambda: self.state.members.rank(clock.monotonic()),
         ).register(self)
+        self.state.store_trouble_age = self.store.trouble_age
         self.requests = FleetRequests(
             self.state, clock=clock, deadlines=self.deadlines, metrics=self.metrics
         ).register(self)
@@ -146,7 +150,8 @@
             deadlines=self.deadlines,
         ).register(self)
         copies = f"{host.ip}:{host.copy_port}"
-        for name, address in ((READINESS, host.ready_address), (PAGES, copies)):
+        metrics = f"{host.ip}:{METRICS_PORT}"
+        for name, address in ((READINESS, host.ready_address), (PAGES, copies), (METRICS, metrics)):
             pages = f"{name}-pages"
             server = CallerServer(
                 self.settings,
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -356,6 +356,7 @@
         if attempt.has_output:
             return
         attempt.has_output = True
+        self.metrics.first_output.observe({}, attempt.heard_at - exchange.work.arrived_at)
         placement = self.state.placement
         target = attempt.placed.target
         placement.loads.read(target.target_id, attempt.work.unread_tokens)
@@ -462,6 +463,7 @@
             may_have_run=may_have_run,
             after=round(now - attempt.started_at, 3),
         )
+        self.metrics.tally(self.metrics.failures, target=target_id, reason=reason.partition(":")[0])
         if not may_have_run:
             exchange.possible_runs -= 1
         allowed = self.can_repeat(exchange) if may_have_run else exchange.sends < MAXIMUM_SENDS
@@ -531,7 +533,12 @@
         self.state.waiting.remove(exchange.work)
 
     def log_end(self, event: Event, exchange: Exchange, **inputs: object) -> None:
-        """Write how a request ended."""
+        """Write and count how a request ended."""
+        self.metrics.tally(self.metrics.outcomes, outcome=event.name.lower(), route=exchange.work.route.name)
+        if event is Event.REQUEST_REFUSED:
+            self.metrics.tally(
+                self.metrics.refusals, customer=exchange.customer or "", reason=str(inputs.get("reason", ""))
+            )
         log_event(
             event,
             request=exchange.fields.caller_request_id,
@@ -612,7 +619,7 @@
             health.answered(is_error=True)
             if attempt.head is None:
                 health.unreachable(self.state.settings, now)
-            self.failed(exchange, attempt, f"silent for {limit:.2f} s", may_have_run=True)
+            self.failed(exchange, attempt, f"silent: no output for {limit:.2f} s", may_have_run=True)
         self.place()
 
     def silence_limit(self, exchange: Exchange) -> float:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -1,5 +1,6 @@
 """What a router knows of the fleet: configuration, targets, peers and its own open work."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -19,6 +20,11 @@
 from limpetusher_router.platform.settings_file import HostSettings
 from limpetusher_router.process.logs import log_event
 
+TROUBLED_SECONDS = 3.0
+"""Age of the store's last failure up to which a removal may be a lapse: three heartbeats without renewal."""
+HELD_SECONDS = 2.2
+"""Entries that lapsed are back within two seconds of the store's return."""
+
 
 class FleetState:
     """Takes the changes of the platform's store and holds the parts that decide.
@@ -44,6 +50,10 @@
         self.members = Members(host.ip)
         self.placement = Placement(settings, own_id=host.ip, data_centre=host.data_centre, rng=rng)
         self.served = ServedTokens()
+        self.held: dict[str, float] = {}
+        """Until when targets are used whose entries went while the store was away."""
+        self.store_trouble_age: Callable[[], float] = lambda: math.inf
+        """Returns how many seconds ago the store last failed a call."""
         self.waiting = WaitingRequests(settings, self.placement, self.served)
 
     def apply(self, change: Change) -> None:
@@ -82,12 +92,29 @@
             self.placement.evacuated.discard(data_centre)
             log_event(Event.DATA_CENTRE_RETURNED, data_centre=data_centre)
 
+    def remove_target(self, target_id: str) -> None:
+        """Forget a target, or hold it for a while if its entry may have lapsed with the store away."""
+        if self.store_trouble_age() < TROUBLED_SECONDS:
+            self.held[target_id] = self.clock.monotonic() + HELD_SECONDS
+            log_event(Event.TARGET_HELD, target=target_id, seconds=HELD_SECONDS)
+            return
+        self.placement.remove_target(target_id)
+        log_event(Event.TARGET_UNLISTED, target=target_id)
+
+    def drop_held(self) -> None:
+        """Forget targets whose entries have not come back."""
+        now = self.clock.monotonic()
+        for target_id in [target_id for target_id, until in self.held.items() if now >= until]:
+            del self.held[target_id]
+            self.placement.remove_target(target_id)
+            log_event(Event.TARGET_UNLISTED, target=target_id)
+
     def use_target(self, target_id: str, change: Change) -> None:
         """Take a target's newest entry."""
         if change.item is None:
-            self.placement.remove_target(target_id)
-            log_event(Event.TARGET_UNLISTED, target=target_id)
+            self.remove_target(target_id)
             return
+        self.held.pop(target_id, None)
         try:
             target = decode_target(
                 target_id, change.item.value, revision=change.item.revision, now=self.clock.monotonic()
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -108,9 +108,8 @@
         self.behind_since: float | None = None
         self.copy_from: str | None = None
 
-    @property
-    def had_trouble(self) -> float:
-        """Return how many seconds ago the store last failed a call."""
+    def trouble_age(self) -> float:
+        """Return how many seconds ago the store last failed a call, 0 while it fails."""
         if not self.is_connected:
             return 0.0
         return self.deadlines.clock.monotonic() - self.troubled_at
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -1,5 +1,6 @@
 """Metrics in Prometheus' text format."""
 
+import collections
 import os
 import resource
 from dataclasses import dataclass
@@ -8,6 +9,8 @@
 
 LATENCY_BUCKETS_SECONDS = (0.0005, 0.001, 0.002, 0.003, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0)
 WAIT_BUCKETS_SECONDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 60.0, 120.0)
+MAXIMUM_LABEL_SETS = 256
+OTHER_LABEL = "other"
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -65,9 +68,25 @@
         self.received, self.sent = Traffic(), Traffic()
         self.unrequested_answers = counter("unrequested_answers_total", "Answers without a request")
         self.handler_errors = counter("handler_errors_total", "Exceptions within handlers")
+        self.outcomes = counter("requests_total", "Requests by outcome and route")
+        self.failures = counter("attempts_failed_total", "Failed attempts by target and reason")
+        self.refusals = counter("refusals_total", "Refused requests by customer and reason")
+        self.first_output = histogram(
+            "first_output_seconds", "Time from a request to its first event", WAIT_BUCKETS_SECONDS
+        )
+        self.tallies: dict[str, tuple[Counter, collections.Counter[tuple[tuple[str, str], ...]]]] = {}
+        """Counts that are handed to the library only when the page is read."""
         self.processor_seconds = counter("process_cpu_seconds_total", "Processor time of the process")
         self.resident = gauge("process_resident_memory_bytes", "Resident memory of the process")
 
+    def tally(self, counter: Counter, **labels: str) -> None:
+        """Count an event with labels; labels beyond the bounded number are counted together."""
+        _counter, counts = self.tallies.setdefault(counter.name, (counter, collections.Counter()))
+        key = tuple(labels.items())
+        if key not in counts and len(counts) >= MAXIMUM_LABEL_SETS:
+            key = tuple((name, OTHER_LABEL) for name in labels)
+        counts[key] += 1
+
     def answered(self, status: int) -> None:
         """Count an answer to a caller."""
         self.answers.inc({"code": str(status)})
@@ -88,6 +107,9 @@
         """Return the text of all metrics and its content type."""
         self.waiting.set({}, self.waiting_requests)
         self.running.set({}, self.running_requests)
+        for counter, counts in self.tallies.values():
+            for labels, count in counts.items():
+                counter.set(dict(labels), count)
         for direction, traffic in (("received", self.received), ("sent", self.sent)):
             self.peer_messages.set({"direction": direction}, traffic.messages)
             self.peer_bytes.set({"direction": direction}, traffic.bytes)
--- /dev/null
+++ b/tests/router/platform/test_documents.py
@@ -0,0 +1,79 @@
+"""Tests of the decoded values of the platform's store."""
+
+import json
+
+import pytest
+
+from builders_platform import configuration_document, target_document
+from limpetusher.errors import ConfigurationError
+from limpetusher.fleet.model import RequestKind
+from limpetusher_router.platform.documents import decode_configuration, decode_target
+
+
+def encode(document: object) -> bytes:
+    return json.dumps(document).encode()
+
+
+def test_configuration_is_decoded_into_own_names_and_seconds():
+    configuration = decode_configuration(encode(configuration_document()))
+    stream = next(route for route in configuration.routes if route.name == "r-stream")
+    assert stream.kind is RequestKind.STREAMING
+    assert stream.timeout_seconds == 2.0
+    assert stream.pause_goal_seconds == 0.5
+    assert stream.is_idempotent
+    assert configuration.customers_by_key == {"key-a": "acme"}
+    assert configuration.limits.idle_seconds == 15.0
+
+
+@pytest.mark.parametrize(
+    ("name", "expected"), [("r-safe", True), ("r-unsafe", False), ("r-stream", True), ("r-once", False)]
+)
+def test_only_safe_and_resumable_routes_may_be_repeated(name, expected):
+    """Guards against repeating streams that may run once only."""
+    configuration = decode_configuration(encode(configuration_document()))
+    route = next(route for route in configuration.routes if route.name == name)
+    assert route.is_idempotent is expected
+
+
+def test_unknown_fields_are_ignored():
+    document = configuration_document(later={"x": 1})
+    document["services"][0]["engine"] = {"slots": 8, "kvCapacity": 1000, "models": []}
+    configuration = decode_configuration(encode(document))
+    assert configuration.services["desk"].engine.memory_tokens == 1000
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"[]", b"\xff", encode(configuration_document(version="7")), encode({"version": 1, "routes": []})],
+)
+def test_malformed_configuration_is_refused(data):
+    with pytest.raises(ConfigurationError):
+        decode_configuration(data)
+
+
+def test_target_entry_is_decoded():
+    data = encode(target_document("10.0.0.1:80", state="draining", coldLeftMs=1500, born=1_700_000_000_123))
+    target = decode_target("i-1", data, revision=9, now=100.0)
+    assert target.is_draining
+    assert target.cold_until == 101.5
+    assert target.started_at_milliseconds == 1_700_000_000_123
+    assert target.revision == 9
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": 3},
+        {"address": "no port"},
+        {"address": None},
+        {"state": "sleeping"},
+        {"slots": "many"},
+        {"coldLeftMs": None},
+        {"born": 1.5},
+    ],
+)
+def test_entry_of_another_writer_names_no_target(changes):
+    """Guards against requests to an address that no target has announced."""
+    document = {**target_document("10.0.0.1:80"), **changes}
+    with pytest.raises(ConfigurationError):
+        decode_target("i-1", encode(document), revision=1, now=0.0)
--- /dev/null
+++ b/tests/router/platform/test_requests.py
@@ -0,0 +1,70 @@
+"""Tests of the platform's request headers."""
+
+import pytest
+
+from builders_fleet import make_target
+from limpetusher.fleet.model import PromptPart
+from limpetusher_router.connection.framing import parse_request_head
+from limpetusher_router.platform.requests import (
+    decode_parts,
+    decode_request,
+    decode_tokens,
+    encode_target_request,
+)
+
+
+def head(*fields: str):
+    lines = ["POST /a%2Fb/?q=%20 HTTP/1.1", "Host: llm.example:80", *fields, "", ""]
+    return parse_request_head("\r\n".join(lines).encode())
+
+
+def test_fields_of_a_request():
+    fields = decode_request(
+        head(
+            "X-Request-Id: r1",
+            "X-Deadline-Ms: 1500",
+            "X-Credential: k",
+            "X-Token-Usage: 1460,80",
+            "X-Prompt-Prefix: 5c1e07a2:800,e4402b7d:660",
+        )
+    )
+    assert fields.host == "llm.example"
+    assert fields.path == "/a%2Fb/"
+    assert fields.seconds_left == 1.5
+    assert (fields.prompt_tokens, fields.output_tokens) == (1460, 80)
+    assert fields.parts == (PromptPart("5c1e07a2", 800), PromptPart("e4402b7d", 660))
+
+
+@pytest.mark.parametrize("text", ["", "x", "a:b", "a:1,", "a:-1"])
+def test_parts_that_can_not_be_read_are_left_out(text):
+    assert decode_parts(text) == ()
+
+
+@pytest.mark.parametrize("text", ["", "12", "a,b"])
+def test_token_counts_that_can_not_be_read_are_zero(text):
+    assert decode_tokens(text) == (0, 0)
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    """Guards against a request that is framed twice, or smuggled inside another one."""
+    data = encode_target_request(
+        head("Connection: x-private", "X-Private: 1", "Keep-Alive: timeout=5", "TE: trailers", "X-Kept: 1"),
+        b"body",
+        target=make_target("i-1"),
+        customer="acme",
+        seconds_left=1.2345,
+        last_event_id="12",
+    )
+    lines, _, body = data.decode().partition("\r\n\r\n")
+    fields = dict(line.split(": ", 1) for line in lines.split("\r\n")[1:])
+    assert lines.startswith("POST /a%2Fb/?q=%20 HTTP/1.1\r\n")
+    assert body == "body"
+    assert fields == {
+        "host": "llm.example:80",
+        "x-kept": "1",
+        "x-target-instance": "i-1",
+        "x-deadline-ms": "1234",
+        "x-tenant": "acme",
+        "last-event-id": "12",
+        "content-length": "4",
+    }
--- /dev/null
+++ b/tests/router/platform/test_settings_file.py
@@ -0,0 +1,58 @@
+"""Tests of the settings file and of the template that writes it."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from limpetusher.errors import ConfigurationError
+from limpetusher_router.platform.settings_file import HostSettings, read_settings, settings_path
+
+TEMPLATE = Path(__file__).parents[3] / "deploy" / "settings.json.template"
+VALUES = {
+    "node": "front-1",
+    "zone": "north",
+    "ip": "10.1.0.33",
+    "listen.front": "10.1.0.33:8783",
+    "listen.ready": "10.1.0.33:8780",
+    "portRange": [7400, 7415],
+    "seeds": ["10.1.0.33:8785"],
+    "provider.address": "10.200.1.7:8781",
+    "limits.maxFds": 4100,
+    "bounds.budgetRatio": 0.2,
+    "bounds.budgetExtra": 52,
+    "bounds.budgetWindowS": 10,
+    "bounds.graceS": 8,
+}
+
+
+def filled_template() -> str:
+    return re.sub(r"{{([^|}]+)\|json}}", lambda match: json.dumps(VALUES[match[1]]), TEMPLATE.read_text())
+
+
+def test_template_gives_the_settings(tmp_path):
+    """Guards against a template and a settings type that have drifted apart."""
+    path = tmp_path / "settings.json"
+    path.write_text(filled_template())
+    settings = read_settings(path)
+    assert isinstance(settings, HostSettings)
+    assert settings.report_port == 7400
+    assert settings.copy_port == 7401
+    assert settings.bounds.stop_grace_seconds == 8.0
+
+
+@pytest.mark.parametrize(("before", "after"), [('"front-1"', "7"), ('"host_id"', '"host"'), ("{", "")])
+def test_wrong_settings_are_named(tmp_path, before, after):
+    path = tmp_path / "settings.json"
+    path.write_text(filled_template().replace(before, after, 1))
+    with pytest.raises(ConfigurationError, match=re.escape(str(path))):
+        read_settings(path)
+
+
+def test_missing_file_and_variable_are_named(tmp_path, monkeypatch):
+    with pytest.raises(ConfigurationError, match="can't be read"):
+        read_settings(tmp_path / "none")
+    monkeypatch.delenv("LIMPETUSHER_NODE_FILE", raising=False)
+    with pytest.raises(ConfigurationError, match="LIMPETUSHER_NODE_FILE"):
+        settings_path()
