Take the copy of the store from a peer at its own address, also beside peers that are behind

Reports of peers that knew no more restarted the wait each time, and the address of the copy had lost its host, which only worked on one host. Ruled out: the store's answers (the short watches got 410 and read the version in time).

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -105,7 +105,10 @@
         self.troubled_at = float("-inf")
         """When a call to the store last failed."""
         self.read_again = True
-        self.behind_since: float | None = None
+        self.behind_revision = 0
+        """First revision of a peer that the own copy lacked; older than the own copy once it has caught
+        up."""
+        self.behind_since = 0.0
         self.copy_from: str | None = None
 
     def trouble_age(self) -> float:
@@ -250,14 +253,12 @@
         """Fetch a peer's copy when the own watch has fallen behind it for a while."""
         now = self.deadlines.clock.monotonic()
         if revision <= self.mirror.revision:
-            self.behind_since = None
             return
-        if self.behind_since is None:
-            self.behind_since = now
+        if self.behind_revision <= self.mirror.revision:
+            self.behind_revision, self.behind_since = revision, now
         patience = BEHIND_SECONDS if self.is_connected else 0.0
         if now - self.behind_since >= patience and Call.COPY not in self.current:
-            host = address.rpartition(":")[0]
-            peer = f"{host}:{self.settings.copy_port}"
+            peer = f"{address}:{self.settings.copy_port}"
             self.call(Call.COPY, peer, store.get_request(peer, COPY_PATH), COPY_SECONDS)
 
     def take_copy(self, body: bytes) -> None:
@@ -273,7 +274,6 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise CodecError("malformed copy") from error
         items = [StoredItem(item.key, item.value, item.revision) for item in copy.items]
-        self.behind_since = None
         log_event(Event.STORE_COPY_TAKEN, revision=copy.revision, before=self.mirror.revision)
         self.tell(self.mirror.replace(items, copy.revision))
         self.read_again = False
