--- a/packages/limpetusher-core/src/limpetusher/fleet/process/budgets.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/budgets.py
@@ -57,10 +57,14 @@
         self.refill(routers, now)
         self.tokens += self.settings.ratio * self.settings.safety
 
+    def allows(self, routers: int, now: float) -> bool:
+        """Return whether there is the right to one repeated send."""
+        self.refill(routers, now)
+        return self.tokens >= 1.0
+
     def spend(self, routers: int, now: float) -> bool:
         """Take the right to one repeated send; return whether there was one."""
-        self.refill(routers, now)
-        if self.tokens < 1.0:
+        if not self.allows(routers, now):
             return False
         self.tokens -= 1.0
         return True
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -614,6 +614,9 @@
             limit = self.silence_limit(exchange)
             if now - attempt.heard_at < limit:
                 continue
+            if not self.budget(exchange.work.service).allows(self.router_count, now):
+                # A slow answer is better than one that is broken off and can't go on elsewhere.
+                continue
             self.stop_attempt(exchange)
             health = self.state.placement.health_of(attempt.placed.target.target_id)
             health.answered(is_error=True)
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -269,7 +269,14 @@
     """A real router process of a platform host."""
 
     def __init__(
-        self, folder: Path, store: str, *, ip: str = "127.0.0.1", ports: int = 0, seeds: tuple[str, ...] = ()
+        self,
+        folder: Path,
+        store: str,
+        *,
+        ip: str = "127.0.0.1",
+        ports: int = 0,
+        seeds: tuple[str, ...] = (),
+        **bounds: float,
     ):
         caller, ready = (f"{ip}:{address.rpartition(':')[2]}" for address in free_addresses(2))
         self.ip = ip
@@ -291,6 +298,7 @@
                 "retry_extra": 50,
                 "retry_window_seconds": 10,
                 "stop_grace_seconds": 8,
+                **bounds,
             },
         }
         self.path = folder / f"settings-{ip}.json"
@@ -392,7 +400,7 @@
 class FleetRun:
     """A store, two targets and one router."""
 
-    def __init__(self, folder: Path, script: Callable[[Call, int], None]):
+    def __init__(self, folder: Path, script: Callable[[Call, int], None], **options: object):
         self.folder = folder
         self.store = StoreStandIn()
         self.targets = {name: TargetStandIn(script) for name in ("t1", "t2")}
@@ -400,7 +408,7 @@
         for name, target in self.targets.items():
             self.store.put(f"servers/{name}", target_document(target.address))
         self.routers: list[RouterStandUp] = []
-        self.router = self.start_router()
+        self.router = self.start_router(**options)
         self.router.wait_ready()
 
     def start_router(self, **options: object) -> RouterStandUp:
@@ -426,9 +434,9 @@
 
 
 @contextlib.contextmanager
-def fleet_run(folder: Path, script: Callable[[Call, int], None]):
-    """Run a router between stand-ins."""
-    run = FleetRun(folder, script)
+def fleet_run(folder: Path, script: Callable[[Call, int], None], **options: object):
+    """Run a router between stand-ins; options are those of the router."""
+    run = FleetRun(folder, script, **options)
     try:
         yield run
     finally:
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -160,6 +160,32 @@
         assert len(run.calls) == 2
 
 
+def pause_once(call, number) -> None:
+    call.begin_stream()
+    first = int(call.headers.get("last-event-id", 0)) + 1
+    call.send_events(first, 3)
+    if number == 1 and first == 1:
+        time.sleep(1.8)
+    call.send_events(max(first, 4), 6)
+    call.end_stream()
+
+
+def test_silent_stream_goes_on_at_another_target(tmp_path):
+    """Guards against callers that give a stream up because its target has stopped sending."""
+    with fleet_run(tmp_path, pause_once) as run:
+        _status, body = run.ask("/stream/1", method="POST", body="x", x_deadline_ms="5000")
+        assert unchunk(body) == (b"".join(event(number) for number in range(1, 7)), True)
+        assert len(run.calls) == 2
+
+
+def test_slow_stream_is_not_broken_off_without_a_retry_budget(tmp_path):
+    """Guards against a slow answer being replaced by none when all of the retry budget is used."""
+    with fleet_run(tmp_path, pause_once, retry_ratio=0.0, retry_extra=0.0) as run:
+        _status, body = run.ask("/stream/1", method="POST", body="x", x_deadline_ms="5000")
+        assert unchunk(body) == (b"".join(event(number) for number in range(1, 7)), True)
+        assert len(run.calls) == 1
+
+
 def test_broken_stream_that_can_not_go_on_does_not_look_complete(tmp_path):
     def break_off(call, _number) -> None:
         call.begin_stream()
