Let the least served customers begin bursts first; count whole prompts as service

Service now counts whole prompts as the order of the waiting requests does; its effect is measured next.

--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -129,6 +129,9 @@
     """When the caller's deadline or the route's timeout ends the request."""
     start_before: float = 0.0
     """When the present attempt has to start at the latest; set when the request begins to wait."""
+    served_part: float = 0.0
+    """Service of the customer relative to the most served one, as of the last look at the waiting
+    requests."""
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/bursts.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/bursts.py
@@ -55,14 +55,20 @@
             burst.next_at = now + self.settings.burst_pause_seconds + spread * self.rng.random()
         burst.unread = unread
 
-    def admits(self, target_id: str, tokens: int, window: float, now: float) -> bool:
-        """Return whether a prompt may be sent now; one larger than a whole burst is sent alone."""
+    def admits(
+        self, target_id: str, tokens: int, window: float, now: float, *, served_part: float = 0.0
+    ) -> bool:
+        """Return whether a prompt may be sent now; one larger than a whole burst is sent alone.
+
+        `served_part` is the service of the customer relative to the most served one, from 0 to 1. The routers
+        don't share a queue, so those with the least served customers begin a burst first.
+        """
         burst = self.bursts.get(target_id)
         if burst is None:
             return True
-        if burst.unread == 0:
-            return now >= burst.next_at
-        return burst.sent + tokens <= window
+        if now < burst.next_at + served_part * self.settings.burst_turn_seconds:
+            return False
+        return burst.unread == 0 or burst.sent + tokens <= window
 
     def forget(self, target_id: str) -> None:
         """Forget an engine that is gone."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/fairness.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/fairness.py
@@ -45,3 +45,7 @@
     def total(self, customer: str) -> float:
         """Return the tokens served to a customer by the fleet."""
         return self.own.get(customer, 0.0) + self.peers.get(customer, 0.0)
+
+    def most(self) -> float:
+        """Return the tokens served to the most served customer."""
+        return max((self.total(customer) for customer in {*self.own, *self.peers}), default=0.0)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -217,7 +217,13 @@
         if rank == 0 and len(work.parts) > 1:
             # Other routers send the session to the same engine, so its shared parts are expected there.
             unread = min(unread, work.parts[-1].tokens)
-        is_open = self.bursts.admits(target_id, unread, view.burst_seconds * state.rate, view.now)
+        is_open = self.bursts.admits(
+            target_id,
+            unread,
+            view.burst_seconds * state.rate,
+            view.now,
+            served_part=work.served_part,
+        )
         cost = (total.unread_tokens + self.settings.reread_weight * unread) / state.rate + state.distrust
         load = OpenWork(1, unread, work.memory_tokens)
         return Weighed(cost, Placed(state.target, load, total.unread_tokens + unread, state.is_cold), is_open)
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting.py
@@ -112,9 +112,7 @@
             self.by_service[service].remove(work)
             self.placement.start(work, placed, now)
             view.refresh(placed.target)
-            self.served.serve(
-                work.customer, placed.work.unread_tokens + OUTPUT_TOKEN_WEIGHT * work.output_tokens
-            )
+            self.served.serve(work.customer, throughput_tokens(work))
             starts.append(Start(work, placed))
         return starts
 
@@ -124,14 +122,16 @@
         The customer with the least service comes first; its requests count as served one after the other, the
         most urgent one first.
         """
+        most = self.served.most()
         counted: dict[str, float] = {}
         positions: list[tuple[float, float, Work]] = []
         for work in sorted(self.by_service[service], key=lambda work: work.start_before):
             before = counted.get(work.customer)
             if before is None:
                 before = self.served.total(work.customer)
+            work.served_part = min(1.0, before / most) if most else 0.0
             positions.append((before, work.start_before, work))
-            counted[work.customer] = before + work.prompt_tokens + OUTPUT_TOKEN_WEIGHT * work.output_tokens
+            counted[work.customer] = before + throughput_tokens(work)
         positions.sort(key=lambda position: position[:2])
         return [work for _served, _start_before, work in positions]
 
@@ -166,3 +166,8 @@
 def own_tokens(work: Work) -> int:
     """Return the prompt tokens of a request that no engine has cached for others."""
     return work.parts[-1].tokens if work.parts else work.prompt_tokens
+
+
+def throughput_tokens(work: Work) -> float:
+    """Return what a request takes of the throughput that customers share, whatever an engine has cached."""
+    return work.prompt_tokens + OUTPUT_TOKEN_WEIGHT * work.output_tokens
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -30,6 +30,9 @@
         Time between two bursts, enough for the tokens of one event of each stream.
     burst_spread_seconds
         Random time before a burst for each router; a report takes about 2 ms to reach the others.
+    burst_turn_seconds
+        Time by which the requests of the most served customer come after those of the least served one when a
+        burst begins; about ten times what a report takes to reach the other routers.
     burst_spread_maximum
         Longest random time before a burst.
     pace_part
@@ -64,6 +67,7 @@
     least_burst_seconds: float = 0.1
     burst_pause_seconds: float = 0.03
     burst_spread_seconds: float = 0.004
+    burst_turn_seconds: float = 0.05
     burst_spread_maximum: float = 0.06
     pace_part: float = 0.8
     memory_part: float = 0.8
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -58,7 +58,7 @@
 NOT_READY_RETRY_SECONDS = 0.5
 STOPPING_RETRY_SECONDS = 0.05
 """Another router can take the request at once."""
-WAITING_POLL_SECONDS = 0.02
+WAITING_POLL_SECONDS = 0.01
 """Time between two looks at the waiting requests, as reports and cold limits free room without an event."""
 PLACING_GAP_SECONDS = 0.005
 """Least time between two looks at the waiting requests, which bounds what they cost under load."""
--- a/tests/fleet/process/test_bursts.py
+++ b/tests/fleet/process/test_bursts.py
@@ -36,3 +36,15 @@
     """Guards against the largest requests never being served."""
     bursts = make_bursts()
     assert bursts.admits("e1", 50_000, WINDOW, 0.0)
+
+
+def test_customer_with_the_least_service_begins_a_burst_first():
+    """Guards against a flood at many routers winning each race for a free engine."""
+    settings = FleetSettings()
+    bursts = make_bursts()
+    bursts.observe("e1", 9_000, 1, 0.0)
+    bursts.observe("e1", 0, 1, 0.3)
+    begin = 0.3 + settings.burst_pause_seconds + 0.001
+    assert bursts.admits("e1", 1, WINDOW, begin, served_part=0.0)
+    assert not bursts.admits("e1", 1, WINDOW, begin, served_part=1.0)
+    assert bursts.admits("e1", 1, WINDOW, begin + settings.burst_turn_seconds, served_part=1.0)
