--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -301,3 +301,37 @@
         thread.join()
         assert answers == [(200, b"late")]
         assert run.router.process.wait(8) == 0
+
+
+def test_request_late_in_a_stop_is_refused_as_not_run(tmp_path):
+    """Guards against a stream that is taken at the end of the grace time and then cut off."""
+
+    def slow(call, _number) -> None:
+        time.sleep(4.5)
+        call.answer(b"late")
+
+    patient = configuration_document(5, routes=[route_document(timeoutMs=7000)])
+    with fleet_run(tmp_path, slow) as run:
+        run.store.put("op/config", patient)
+        time.sleep(0.5)
+        answers = []
+        ask = threading.Thread(target=lambda: answers.append(run.ask(x_deadline_ms="7000")))
+        host, port = run.router.caller.split(":")
+        with (
+            socket.create_connection((host, int(port)), timeout=10) as idle,
+            socket.create_connection((host, int(port)), timeout=10) as begun,
+        ):
+            ask.start()
+            wait_for(lambda: run.calls)
+            run.router.process.terminate()
+            time.sleep(2.0)
+            begun.sendall(b"GET /safe/1 HTTP/1.1\r\nHost: llm.example\r\n")
+            time.sleep(1.3)
+            assert idle.recv(1) == b""
+            begun.sendall(b"X-Credential: key-a\r\n\r\n")
+            status, body = split_answer(begun.recv(65_536))
+            assert status == 503
+            assert json.loads(body)["error"]["ran"] == "no"
+        ask.join()
+        assert answers == [(200, b"late")]
+        assert run.router.process.wait(8) == 0
