--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
@@ -36,7 +36,7 @@
         Reader of the platform's store.
     """
 
-    channel = REQUESTS
+    channel = EXCHANGE
 
     def __init__(
         self,
@@ -48,7 +48,7 @@
         clock: Clock,
         deadlines: Deadlines,
     ):
-        super().__init__(channel=EXCHANGE)
+        super().__init__()
         self.state = state
         self.reports = reports
         self.requests = requests
@@ -59,6 +59,7 @@
         self.number = 0
         self.sent_at = 0.0
         self.news_due = False
+        self.reachable: set[str] = set()
 
     @handler("PeerReported", channel=REQUESTS)
     def on_report(self, address: str, report: LoadReport) -> None:
@@ -87,7 +88,7 @@
         self.state.served.sum_up(loads)
         self.state.waiting.sum_up(loads)
 
-    @handler("Due", channel=EXCHANGE)
+    @handler("Due")
     def on_due(self, subject: object) -> None:
         """Send a report; at intervals also look after silent targets and peers."""
         now = self.clock.monotonic()
@@ -97,6 +98,7 @@
                 self.send(now, full=False)
             return
         self.deadlines.schedule_in(CHECK_SECONDS, Due(), EXCHANGE)
+        self.note_silent(now)
         self.state.members.forget(now)
         self.state.placement.loads.sum_up(now)
         self.state.placement.observe_all(now)
@@ -105,6 +107,13 @@
         self.requests.check_silence()
         self.send(now, full=True)
 
+    def note_silent(self, now: float) -> None:
+        """Log the peers that are no longer heard."""
+        reachable = set(self.state.members.reachable(now))
+        for peer in sorted(self.reachable - reachable):
+            log_event(Event.PEER_UNREACHABLE, peer=peer)
+        self.reachable = reachable
+
     @handler("WorkChanged", channel=REQUESTS)
     def on_work_changed(self) -> None:
         """Tell the peers soon, together with what changes meanwhile."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -394,14 +394,13 @@
         head = attempt.head
         self.close_attempt(exchange)
         health = self.state.placement.health_of(attempt.placed.target.target_id)
-        now = self.clock.monotonic()
         if end in (AttemptEnd.UNREACHABLE, AttemptEnd.EXPIRED):
-            health.unreachable(self.state.settings, now)
+            self.suspend(attempt, detail)
             self.failed(exchange, attempt, f"not sent: {detail}", may_have_run=False, arrived=False)
         elif end is AttemptEnd.CUT or head is None:
             health.answered(is_error=True)
             if head is None:
-                health.unreachable(self.state.settings, now)
+                self.suspend(attempt, detail)
             self.failed(exchange, attempt, f"cut: {detail}", may_have_run=True)
         elif says_not_run(head):
             health.answered(is_error=True)
@@ -414,6 +413,21 @@
             self.complete(exchange, attempt)
         self.place()
 
+    def suspend(self, attempt: TargetAttempt, reason: str) -> None:
+        """Send nothing to a target for a while that could not be reached or did not answer."""
+        now = self.clock.monotonic()
+        target_id = attempt.placed.target.target_id
+        health = self.state.placement.health_of(target_id)
+        if not health.is_suspended(now):
+            health.unreachable(self.state.settings, now)
+            log_event(
+                Event.TARGET_SUSPENDED,
+                target=target_id,
+                reason=reason,
+                failures=health.failures,
+                seconds=round(health.suspended_until - now, 3),
+            )
+
     def complete(self, exchange: Exchange, attempt: TargetAttempt) -> None:
         """Finish a whole answer, or replace a repeatable one that is an error."""
         head = attempt.head
@@ -621,7 +635,7 @@
             health = self.state.placement.health_of(attempt.placed.target.target_id)
             health.answered(is_error=True)
             if attempt.head is None:
-                health.unreachable(self.state.settings, now)
+                self.suspend(attempt, "silent")
             self.failed(exchange, attempt, f"silent: no output for {limit:.2f} s", may_have_run=True)
         self.place()
 
--- a/packages/limpetusher-router/src/limpetusher_router/platform/names.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/names.py
@@ -9,8 +9,6 @@
 TARGET_ID = "x-target-instance"
 NOT_RUN = "x-not-executed"
 RETRY_AFTER = "retry-after"
-COLD_MILLISECONDS = "x-cold-ms"
-MODEL = "x-model"
 TOKENS = "x-token-usage"
 API_KEY = "x-credential"
 
