--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -22,8 +22,11 @@
 
 TROUBLED_SECONDS = 3.0
 """Age of the store's last failure up to which a removal may be a lapse: three heartbeats without renewal."""
-HELD_SECONDS = 2.2
-"""Entries that lapsed are back within two seconds of the store's return."""
+HELD_SECONDS = 1.5
+"""Lapsed entries are back within about two seconds of the store's return, and go some time after it. A
+target that
+has left for good must get no requests later than 2 s after its entry went, which leaves 0.5 s for the way
+there."""
 
 
 class FleetState:
