--- a/tests/router/fleet/test_state.py
+++ b/tests/router/fleet/test_state.py
@@ -4,7 +4,6 @@
 import random
 
 from builders_platform import target_document
-
 from limpetusher.clock import ManualClock
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.mirror import Change, StoredItem
