--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -60,8 +60,6 @@
 STOP_MARGIN_SECONDS = 0.6
 FLUSH_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
-METRICS_PORT = 9464
-"""Port of the metrics page; `deploy/system.toml` names it as well."""
 RESERVED_DESCRIPTORS = 700
 """Descriptors for targets, peers, the store and the interpreter."""
 IDLE_MARGIN = 1.2
@@ -150,7 +148,7 @@
             deadlines=self.deadlines,
         ).register(self)
         copies = f"{host.ip}:{host.copy_port}"
-        metrics = f"{host.ip}:{METRICS_PORT}"
+        metrics = f"{host.ip}:{host.metrics_port}"
         for name, address in ((READINESS, host.ready_address), (PAGES, copies), (METRICS, metrics)):
             pages = f"{name}-pages"
             server = CallerServer(
--- a/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
@@ -8,6 +8,8 @@
 from limpetusher.errors import ConfigurationError
 
 FILE_VARIABLE = "LIMPETUSHER_NODE_FILE"
+METRICS_PORT = 9464
+"""Port of the metrics page that `deploy/system.toml` names."""
 
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
@@ -36,6 +38,7 @@
     store_address: str
     maximum_descriptors: int
     bounds: Bounds
+    metrics_port: int = METRICS_PORT
 
     @property
     def report_port(self) -> int:
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -293,6 +293,7 @@
             "seeds": list(seeds),
             "store_address": store,
             "maximum_descriptors": 1024,
+            "metrics_port": int(free_addresses(1)[0].rpartition(":")[2]),
             "bounds": {
                 "retry_ratio": 0.2,
                 "retry_extra": 50,
