Remove state that nothing reads: report numbers, is_loaded, settings sent to targets

Behaviour stays: only the newest report of a peer was used before as well, and TargetClient has no handler for SettingsChanged. Lint and 102 tests of the fleet and the adapter pass; the whole suite was not run.

--- a/packages/limpetusher-core/src/limpetusher/fleet/version/mirror.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/version/mirror.py
@@ -35,11 +35,6 @@
         """Revision at which a key was removed, so that an older copy can't bring it back."""
         self.revision = 0
 
-    @property
-    def is_loaded(self) -> bool:
-        """Return whether the copy has been complete once."""
-        return self.revision > 0
-
     def put(self, item: StoredItem) -> Change | None:
         """Take a value unless a newer one is known; return the change, None where there is none."""
         known = self.items.get(item.key)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
@@ -56,7 +56,6 @@
         self.clock = clock
         self.deadlines = deadlines
         self.round = 0
-        self.number = 0
         self.sent_at = 0.0
         self.news_due = False
         self.reachable: set[str] = set()
@@ -130,7 +129,6 @@
     def send(self, now: float, *, full: bool) -> None:
         """Send the present report."""
         state = self.state
-        self.number += 1
         self.sent_at = now
         reachable = state.members.reachable(now)
         usage = None
@@ -151,7 +149,6 @@
                 addresses = state.members.addressees()
         report = LoadReport(
             version=PROTOCOL_VERSION,
-            number=self.number,
             revision=state.mirror.revision,
             work={
                 target_id: (work.requests, work.unread_tokens, work.memory_tokens)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -28,7 +28,6 @@
     READINESS,
     REQUESTS,
     STORE,
-    TARGETS,
     CloseAfterAnswers,
     CloseIdle,
     Due,
@@ -223,7 +222,7 @@
             header_timeout_seconds=limits.header_seconds,
             idle_timeout_seconds=idle,
         )
-        self.fire(SettingsChanged(self.settings), CALLERS, TARGETS)
+        self.fire(SettingsChanged(self.settings), CALLERS)
 
     @handler("ReloadSignal")
     def on_reload(self, _number: int, _stack: object) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/reports.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/reports.py
@@ -33,13 +33,11 @@
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """What one router tells the others.
 
-    `number` grows with each report of one start of the sender, `revision` is that of its copy of the store,
-    and `work` has open requests, unread tokens and memory tokens by target. `usage` comes with some reports
-    only.
+    `revision` is that of the sender's copy of the store, and `work` has open requests, unread tokens and
+    memory tokens by target. `usage` comes with some reports only.
     """
 
     version: int
-    number: int
     revision: int
     work: dict[str, tuple[int, int, int]]
     usage: Usage | None = None
