Take fleet ports from the shared blocks in the test of killed runners; log the served part

Cause: the test set TMPDIR for its runner, so that the runner took the lock of its block of ports in another folder and got ports of a fleet that already ran. Ruled out: a slow start (the start took 1 s in the run that failed).

The lines of sent and refused requests carry the customer's service relative to the most served one, which decides who comes next.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -244,6 +244,7 @@
             refusal,
             waited=round(decision.waited_seconds, 3),
             backlog=round(decision.backlog_seconds, 3),
+            served_part=round(decision.work.served_part, 3),
         )
 
     @carry_out.register
@@ -298,6 +299,7 @@
             unread_ahead=placed.unread_ahead,
             rate=round(self.state.placement.rates.rate(placed.target.service, placed.target.target_id)),
             cold=placed.is_cold,
+            served_part=round(exchange.work.served_part, 3),
             configuration=self.state.configuration.version,
         )
         self.fire(StartAttempt(attempt), TARGETS)
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -13,6 +13,7 @@
 from limpetusher_standins.calls import call, status_of
 from limpetusher_standins.deployment import SMALL
 from limpetusher_standins.fleet import PLATFORM, Fleet, FleetError
+from limpetusher_standins.ports import PortBlock
 from limpetusher_standins.processes import ManagedProcess, package_paths
 
 pytestmark = pytest.mark.integration
@@ -59,26 +60,34 @@
 
 
 def test_all_processes_end_when_the_runner_is_killed(tmp_path):
-    """Guards against processes that outlive a test run that was killed."""
+    """Guards against processes that outlive a killed test run, and against ports of another fleet."""
     program = (
-        "import dataclasses, time\n"
+        "import dataclasses, pathlib, sys, time\n"
         "from limpetusher_standins.deployment import SMALL\n"
         "from limpetusher_standins.fleet import Fleet\n"
-        "with Fleet(dataclasses.replace(SMALL, routers=0)) as fleet:\n"
+        "with Fleet(dataclasses.replace(SMALL, routers=0), pathlib.Path(sys.argv[1])) as fleet:\n"
+        "    print(fleet.platform_address.rpartition(':')[2])\n"
         "    print(*[p.process.pid for p in fleet.processes.values()], flush=True)\n"
         "    time.sleep(60)\n"
     )
-    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(package_paths()), "TMPDIR": str(tmp_path)}
-    runner = subprocess.Popen([sys.executable, "-c", program], stdout=subprocess.PIPE, env=environment)
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(package_paths())}
+    other = PortBlock()
+    other_ports = range(other.next_port, other.end)
+    runner = subprocess.Popen(
+        [sys.executable, "-c", program, str(tmp_path)], stdout=subprocess.PIPE, env=environment
+    )
+    port = int(runner.stdout.readline())
     started = [int(number) for number in runner.stdout.readline().split()]
     runner.kill()
     runner.wait()
     runner.stdout.close()
+    other.close()
     deadline = time.monotonic() + 5.0
     while any(is_alive(number) for number in started):
         assert time.monotonic() < deadline
         time.sleep(0.05)
     assert len(started) == 5
+    assert port not in other_ports
 
 
 def test_process_runs_the_code_of_this_worktree(tmp_path):
