Share measured reading rates and waiting work by customer between routers

The router that took the flood measured 53,000 to 60,000 tokens a second, others up to 130,000, so it saw bursts as full that the others went on filling.

Kept besides: a customer's queue no longer counts as service when one of its requests is placed, and max-min levels over the waiting work of all routers replace the turn by service alone and the guess that peers' work is spread as the own.

--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -132,6 +132,9 @@
     served_part: float = 0.0
     """Service of the customer relative to the most served one, as of the last look at the waiting
     requests."""
+    share_used: float = 0.0
+    """Service of the customer relative to the fair level that the next burst reaches, as of the last look at
+    the waiting requests; 1 and more if work of less served customers takes the whole burst."""
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/bursts.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/bursts.py
@@ -10,6 +10,9 @@
 
 from limpetusher.fleet.settings import FleetSettings
 
+MOST_TURNS = 2.0
+"""Bound on the turns that a prompt gives way, so that engines aren't left idle for long."""
+
 
 @dataclass(slots=True)
 class Burst:
@@ -19,6 +22,10 @@
     """Prompt tokens that wait at the engine by the newest reports."""
     sent: int = 0
     """Prompt tokens sent since the engine last had none waiting."""
+    grown_at: float = 0.0
+    """When the newest prompt was noticed."""
+    began_at: float = 0.0
+    """When the first prompt of the burst was noticed."""
     next_at: float = 0.0
     """When the next burst may begin."""
 
@@ -45,28 +52,36 @@
     def observe(self, target_id: str, unread: int, routers: int, now: float) -> None:
         """Note how many prompt tokens wait at an engine."""
         burst = self.bursts.setdefault(target_id, Burst())
+        if unread and not burst.unread:
+            burst.began_at = now
         if unread > burst.unread:
             burst.sent += unread - burst.unread
+            burst.grown_at = now
         elif unread == 0 and burst.unread:
             burst.sent = 0
             spread = min(
                 self.settings.burst_spread_seconds * (routers - 1), self.settings.burst_spread_maximum
             )
-            burst.next_at = now + self.settings.burst_pause_seconds + spread * self.rng.random()
+            pause = max(
+                self.settings.burst_pause_seconds, self.settings.burst_rest_part * (now - burst.began_at)
+            )
+            burst.next_at = now + pause + spread * self.rng.random()
         burst.unread = unread
 
     def admits(
-        self, target_id: str, tokens: int, window: float, now: float, *, served_part: float = 0.0
+        self, target_id: str, tokens: int, window: float, now: float, *, share_used: float = 0.0
     ) -> bool:
         """Return whether a prompt may be sent now; one larger than a whole burst is sent alone.
 
-        `served_part` is the service of the customer relative to the most served one, from 0 to 1. The routers
-        don't share a queue, so those with the least served customers begin a burst first.
+        The routers don't share a queue, so those with the least served customers begin a burst first. A
+        customer that has used its share (`share_used` of 1 and more) gets what the others leave of a burst.
         """
         burst = self.bursts.get(target_id)
         if burst is None:
             return True
-        if now < burst.next_at + served_part * self.settings.burst_turn_seconds:
+        turn = self.settings.burst_turn_seconds * min(share_used, MOST_TURNS)
+        earliest = burst.next_at if share_used < 1.0 else max(burst.next_at, burst.grown_at)
+        if now < earliest + turn:
             return False
         return burst.unread == 0 or burst.sent + tokens <= window
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/fairness.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/fairness.py
@@ -1,6 +1,7 @@
 """Served tokens by customer over the fleet, which decide who comes next when work waits."""
 
 import math
+from collections.abc import Iterable
 
 from limpetusher.fleet.process.loads import PeerLoad
 
@@ -46,6 +47,10 @@
         """Return the tokens served to a customer by the fleet."""
         return self.own.get(customer, 0.0) + self.peers.get(customer, 0.0)
 
+    def totals(self, customers: Iterable[str]) -> dict[str, float]:
+        """Return the tokens served to each of some customers by the fleet."""
+        return {customer: self.total(customer) for customer in customers}
+
     def most(self) -> float:
         """Return the tokens served to the most served customer."""
         return max((self.total(customer) for customer in {*self.own, *self.peers}), default=0.0)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/loads.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/loads.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from limpetusher.fleet.process.shares import WaitingWork
+
 
 @dataclass(slots=True)
 class OpenWork:
@@ -29,12 +31,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLoad:
-    """Newest report of a peer: open work by target and served tokens by customer."""
+    """Newest report of a peer.
+
+    Open work by target, served tokens by customer, what waits by service and customer, and measured reading
+    rates by target and by service, in tokens a second.
+    """
 
     received_at: float
     work: dict[str, OpenWork] = field(default_factory=dict)
     served: dict[str, float] = field(default_factory=dict)
-    waiting_tokens: dict[str, float] = field(default_factory=dict)
+    waiting: dict[str, dict[str, WaitingWork]] = field(default_factory=dict)
+    rates: dict[str, float] = field(default_factory=dict)
 
 
 class Loads:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -222,7 +222,7 @@
             unread,
             view.burst_seconds * state.rate,
             view.now,
-            served_part=work.served_part,
+            share_used=work.share_used,
         )
         cost = (total.unread_tokens + self.settings.reread_weight * unread) / state.rate + state.distrust
         load = OpenWork(1, unread, work.memory_tokens)
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting.py
@@ -1,11 +1,14 @@
 """Requests that wait for a target: who comes next, and who is refused."""
 
+import heapq
+from collections import deque
 from dataclasses import dataclass
 
 from limpetusher.fleet.model import Work
 from limpetusher.fleet.process.fairness import OUTPUT_TOKEN_WEIGHT, ServedTokens
 from limpetusher.fleet.process.loads import PeerLoad
 from limpetusher.fleet.process.placement import Placed, Placement
+from limpetusher.fleet.process.shares import FairLevels, WaitingWork
 from limpetusher.fleet.settings import FleetSettings
 
 LEAST_RETRY_AFTER_SECONDS = 0.05
@@ -36,9 +39,8 @@
 class WaitingRequests:
     """Requests of one router that no target can take yet.
 
-    Customers that were served least come first. A request is refused as soon as the backlog shows that
-    it can't
-    start in time; the customer with the most service and the most waiting work is refused first.
+    Customers that were served least, over the fleet, come first. A request is refused as soon as the work
+    that waits before it at all routers shows that it can't start in time.
 
     Parameters
     ----------
@@ -55,7 +57,8 @@
         self.placement = placement
         self.served = served
         self.by_service: dict[str, list[Work]] = {}
-        self.peers_waiting: dict[str, float] = {}
+        self.peers_waiting: dict[str, dict[str, WaitingWork]] = {}
+        """What waits at the peers, by service and customer."""
 
     def add(self, work: Work) -> None:
         """Let a request wait from its `queued_at` on."""
@@ -72,86 +75,110 @@
         """Add up what waits at the peers."""
         self.peers_waiting = {}
         for load in loads.values():
-            for service, tokens in load.waiting_tokens.items():
-                self.peers_waiting[service] = self.peers_waiting.get(service, 0.0) + tokens
-
-    def waiting_tokens(self, service: str) -> float:
-        """Return the prompt tokens that wait at this router."""
-        return float(sum(own_tokens(work) for work in self.by_service.get(service, ())))
+            for service, customers in load.waiting.items():
+                sums = self.peers_waiting.setdefault(service, {})
+                for customer, work in customers.items():
+                    sums.setdefault(customer, WaitingWork()).add(work.throughput_tokens, work.reading_tokens)
+
+    def own_waiting(self, service: str) -> dict[str, WaitingWork]:
+        """Return what waits at this router, by customer."""
+        sums: dict[str, WaitingWork] = {}
+        for work in self.by_service.get(service, ()):
+            sums.setdefault(work.customer, WaitingWork()).add(throughput_tokens(work), own_tokens(work))
+        return sums
+
+    def fleet_waiting(self, service: str) -> dict[str, WaitingWork]:
+        """Return what waits at all routers, by customer."""
+        sums = self.own_waiting(service)
+        for customer, work in self.peers_waiting.get(service, {}).items():
+            sums.setdefault(customer, WaitingWork()).add(work.throughput_tokens, work.reading_tokens)
+        return sums
+
+    def pace(self, service: str, now: float) -> float:
+        """Return the prompt tokens that the engines of a service read in a second, pauses included."""
+        return self.settings.pace_part * self.placement.total_rate(service, now)
 
     def backlog_seconds(self, service: str, now: float) -> float:
         """Return how long the engines of a service need for all that waits."""
-        rate = self.placement.total_rate(service, now)
-        tokens = self.waiting_tokens(service) + self.peers_waiting.get(service, 0.0)
-        return tokens / (self.settings.pace_part * rate) if rate > 0 else 0.0
+        pace = self.pace(service, now)
+        tokens = sum(work.reading_tokens for work in self.fleet_waiting(service).values())
+        return tokens / pace if pace > 0 else 0.0
 
     def decide(self, now: float) -> list[Start | Refusal]:
         """Return what starts and what is refused now."""
         self.served.decay(now)
         decisions: list[Start | Refusal] = []
         for service in list(self.by_service):
-            order = self.ordered(service)
-            starts = self.start(service, order, now)
-            started = {start.work.request_id for start in starts}
-            decisions += starts
-            decisions += self.refuse(service, [work for work in order if work.request_id not in started], now)
+            fleet = self.fleet_waiting(service)
+            levels = FairLevels(self.served.totals(fleet), fleet)
+            decisions += self.start(service, levels, now)
+            decisions += self.refuse(service, levels, fleet, now)
             if not self.by_service[service]:
                 del self.by_service[service]
         return decisions
 
-    def start(self, service: str, order: list[Work], now: float) -> list[Start]:
-        """Start what targets can take, by customer."""
+    def start(self, service: str, levels: FairLevels, now: float) -> list[Start]:
+        """Start what targets can take.
+
+        The customer with the least service comes first, with its most urgent request that a target can take.
+        """
         starts = []
         view = self.placement.view(service, now)
         if not view.has_room:
             return starts
-        for work in order:
-            placed = self.placement.choose(work, now, view)
-            if placed is None:
-                continue
-            self.by_service[service].remove(work)
-            self.placement.start(work, placed, now)
-            view.refresh(placed.target)
-            self.served.serve(work.customer, throughput_tokens(work))
-            starts.append(Start(work, placed))
+        horizon = view.burst_seconds + self.settings.burst_pause_seconds
+        level = levels.level(self.pace(service, now) * horizon)
+        most = self.served.most()
+        queues = self.by_customer(service)
+        heap = [(self.served.total(customer), customer) for customer in queues]
+        heapq.heapify(heap)
+        while heap and view.has_room:
+            total, customer = heapq.heappop(heap)
+            queue = queues[customer]
+            while queue:
+                work = queue.popleft()
+                work.served_part = total / most if most else 0.0
+                work.share_used = total / level
+                placed = self.placement.choose(work, now, view)
+                if placed is not None:
+                    self.by_service[service].remove(work)
+                    self.placement.start(work, placed, now)
+                    view.refresh(placed.target)
+                    self.served.serve(customer, throughput_tokens(work))
+                    heapq.heappush(heap, (self.served.total(customer), customer))
+                    starts.append(Start(work, placed))
+                    break
         return starts
 
-    def ordered(self, service: str) -> list[Work]:
-        """Return the waiting requests in the order in which they may start.
+    def by_customer(self, service: str) -> dict[str, deque[Work]]:
+        """Return the waiting requests of each customer, the most urgent first."""
+        queues: dict[str, deque[Work]] = {}
+        for work in sorted(self.by_service[service], key=lambda work: work.start_before):
+            queues.setdefault(work.customer, deque()).append(work)
+        return queues
+
+    def refuse(
+        self, service: str, levels: FairLevels, fleet: dict[str, WaitingWork], now: float
+    ) -> list[Refusal]:
+        """Refuse what has waited too long, or can't start in time behind what comes before it.
 
-        The customer with the least service comes first; its requests count as served one after the other, the
-        most urgent one first.
+        A customer's requests at the peers are taken to come in turn with those at this router.
         """
-        most = self.served.most()
-        counted: dict[str, float] = {}
-        positions: list[tuple[float, float, Work]] = []
-        for work in sorted(self.by_service[service], key=lambda work: work.start_before):
-            before = counted.get(work.customer)
-            if before is None:
-                before = self.served.total(work.customer)
-            work.served_part = min(1.0, before / most) if most else 0.0
-            positions.append((before, work.start_before, work))
-            counted[work.customer] = before + throughput_tokens(work)
-        positions.sort(key=lambda position: position[:2])
-        return [work for _served, _start_before, work in positions]
-
-    def refuse(self, service: str, order: list[Work], now: float) -> list[Refusal]:
-        """Refuse what has waited too long, or can't start in time behind what comes before it."""
         refusals = []
-        own = self.waiting_tokens(service)
-        rate = self.settings.pace_part * self.placement.total_rate(service, now)
-        # The peers' requests are taken to be spread over the order as the own ones are.
-        peers = self.peers_waiting.get(service, 0.0) / own if own else 0.0
-        ahead = 0.0
-        for work in order:
-            tokens = own_tokens(work)
-            before = ahead + peers * (ahead + tokens / 2)
-            if now >= work.start_before:
-                refusals.append(self.refusal(work, "no target had room in time", now))
-            elif rate and now + before / rate > work.start_before:
-                refusals.append(self.refusal(work, "the backlog is too long", now))
-            else:
-                ahead += tokens
+        pace = self.pace(service, now)
+        for customer, queue in self.by_customer(service).items():
+            served = self.served.total(customer)
+            own = sum(throughput_tokens(work) for work in queue)
+            routers_part = fleet[customer].throughput_tokens / own if own else 1.0
+            ahead = 0.0
+            for work in queue:
+                before = levels.reading_tokens(served + routers_part * ahead)
+                if now >= work.start_before:
+                    refusals.append(self.refusal(work, "no target had room in time", now))
+                elif pace and now + before / pace > work.start_before:
+                    refusals.append(self.refusal(work, "the backlog is too long", now))
+                else:
+                    ahead += throughput_tokens(work)
         return refusals
 
     def refusal(self, work: Work, reason: str, now: float) -> Refusal:
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -28,11 +28,14 @@
         Least length of a burst.
     burst_pause_seconds
         Time between two bursts, enough for the tokens of one event of each stream.
+    burst_rest_part
+        Pause after a burst as a part of its length, in which the running streams get their tokens.
     burst_spread_seconds
         Random time before a burst for each router; a report takes about 2 ms to reach the others.
     burst_turn_seconds
-        Time by which the requests of the most served customer come after those of the least served one when a
-        burst begins; about ten times what a report takes to reach the other routers.
+        Time by which the requests of a customer that has used its share come after those of one without any
+        service when a burst begins; covers reports at intervals of 12 ms and two looks at the waiting
+        requests.
     burst_spread_maximum
         Longest random time before a burst.
     pace_part
@@ -66,8 +69,9 @@
     burst_pause_part: float = 0.6
     least_burst_seconds: float = 0.1
     burst_pause_seconds: float = 0.03
+    burst_rest_part: float = 0.0
     burst_spread_seconds: float = 0.004
-    burst_turn_seconds: float = 0.05
+    burst_turn_seconds: float = 0.03
     burst_spread_maximum: float = 0.06
     pace_part: float = 0.8
     memory_part: float = 0.8
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
@@ -86,6 +86,7 @@
         loads = self.state.placement.loads.peers
         self.state.served.sum_up(loads)
         self.state.waiting.sum_up(loads)
+        self.state.placement.rates.sum_up(loads)
 
     @handler("Due")
     def on_due(self, subject: object) -> None:
@@ -140,9 +141,13 @@
             usage = Usage(
                 served={customer: int(tokens) for customer, tokens in state.served.own.items()},
                 waiting={
-                    service: int(state.waiting.waiting_tokens(service))
+                    service: {
+                        customer: (int(work.throughput_tokens), int(work.reading_tokens))
+                        for customer, work in state.waiting.own_waiting(service).items()
+                    }
                     for service in state.waiting.by_service
                 },
+                rates={name: int(rate) for name, rate in state.placement.rates.own().items()},
                 peers=reachable if seeking else [],
             )
             if seeking:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/reports.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/reports.py
@@ -1,5 +1,6 @@
 """Load reports between routers, as datagrams: only the newest one counts, so none is sent again."""
 
+import dataclasses
 import logging
 import socket
 
@@ -8,10 +9,11 @@
 from circuits.core.pollers import EPoll
 
 from limpetusher.fleet.process.loads import OpenWork, PeerLoad
+from limpetusher.fleet.process.shares import WaitingWork
 from limpetusher_router.errors import RouterError
 from limpetusher_router.events import REPORTS, REQUESTS, PeerReported
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 MAXIMUM_DATAGRAM_BYTES = 60_000
 RECEIVES_PER_EVENT = 256
 
@@ -21,12 +23,14 @@
 class Usage(msgspec.Struct, frozen=True, array_like=True):
     """The slower part of a report.
 
-    `served` are decayed served tokens by customer, `waiting` prompt tokens that wait by service, `peers` the
-    IP addresses of the routers that the sender hears.
+    `served` are decayed served tokens by customer, `waiting` the throughput tokens and reading tokens that
+    wait by service and customer, `rates` measured reading rates by target and by service in tokens a second,
+    `peers` the IP addresses of the routers that the sender hears.
     """
 
     served: dict[str, int]
-    waiting: dict[str, int]
+    waiting: dict[str, dict[str, tuple[int, int]]]
+    rates: dict[str, int]
     peers: list[str]
 
 
@@ -46,9 +50,13 @@
         """Return the report as the decisions see it; what it leaves out stays as before."""
         work = {target_id: OpenWork(*counts) for target_id, counts in self.work.items()}
         if self.usage is not None:
-            return PeerLoad(now, work, self.usage.served, self.usage.waiting)
+            waiting = {
+                service: {customer: WaitingWork(*tokens) for customer, tokens in customers.items()}
+                for service, customers in self.usage.waiting.items()
+            }
+            return PeerLoad(now, work, self.usage.served, waiting, self.usage.rates)
         if before is not None:
-            return PeerLoad(now, work, before.served, before.waiting_tokens)
+            return dataclasses.replace(before, received_at=now, work=work)
         return PeerLoad(now, work)
 
 
--- a/tests/fleet/process/test_bursts.py
+++ b/tests/fleet/process/test_bursts.py
@@ -2,7 +2,7 @@
 
 import random
 
-from limpetusher.fleet.process.bursts import ReadingBursts
+from limpetusher.fleet.process.bursts import MOST_TURNS, ReadingBursts
 from limpetusher.fleet.settings import FleetSettings
 
 WINDOW = 10_000.0
@@ -45,6 +45,19 @@
     bursts.observe("e1", 9_000, 1, 0.0)
     bursts.observe("e1", 0, 1, 0.3)
     begin = 0.3 + settings.burst_pause_seconds + 0.001
-    assert bursts.admits("e1", 1, WINDOW, begin, served_part=0.0)
-    assert not bursts.admits("e1", 1, WINDOW, begin, served_part=1.0)
-    assert bursts.admits("e1", 1, WINDOW, begin + settings.burst_turn_seconds, served_part=1.0)
+    assert bursts.admits("e1", 1, WINDOW, begin, share_used=0.0)
+    assert not bursts.admits("e1", 1, WINDOW, begin, share_used=0.9)
+    assert bursts.admits("e1", 1, WINDOW, begin + settings.burst_turn_seconds, share_used=0.9)
+
+
+def test_customer_that_has_used_its_share_gets_the_rest_of_a_burst():
+    """Guards against a flood at many routers that fills each burst once it has begun."""
+    settings = FleetSettings()
+    bursts = make_bursts()
+    bursts.observe("e1", 3_000, 1, 0.1)
+    soon = 0.1 + settings.burst_turn_seconds / 2
+    assert bursts.admits("e1", 1, WINDOW, soon, share_used=0.9)
+    assert not bursts.admits("e1", 1, WINDOW, soon, share_used=1.0)
+    assert bursts.admits("e1", 1, WINDOW, 0.1 + settings.burst_turn_seconds + 0.001, share_used=1.0)
+    longest = 0.1 + MOST_TURNS * settings.burst_turn_seconds + 0.001
+    assert bursts.admits("e1", 1, WINDOW, longest, share_used=50.0)
--- a/tests/fleet/request/test_waiting.py
+++ b/tests/fleet/request/test_waiting.py
@@ -1,13 +1,18 @@
 """Tests of who comes next and who is refused, by loads played against engines in memory."""
 
+import dataclasses
 import random
 from collections import Counter
 
 from builders_fleet import make_placement, make_route, make_waiting, make_work
+from limpetusher.fleet.process.loads import PeerLoad
+from limpetusher.fleet.process.shares import WaitingWork
 from limpetusher.fleet.request.waiting import Refusal, Start
+from limpetusher.fleet.settings import FleetSettings
 
 READING_RATE = 30_000.0
 STEP_SECONDS = 0.005
+REPORT_SECONDS = 0.02
 
 
 class EnginesInMemory:
@@ -109,6 +114,110 @@
     assert read >= 0.7 * 3 * READING_RATE * 6.0
 
 
+class RoutersInMemory:
+    """Routers that share engines and hear each other's open and waiting work after a delay."""
+
+    def __init__(self, routers: int, engines: int):
+        self.names = [f"10.0.0.{number}" for number in range(routers)]
+        self.waiting = {name: make_waiting(make_placement(engines)) for name in self.names}
+        self.engines = {name: EnginesInMemory(self.waiting[name].placement) for name in self.names}
+        shared = self.engines[self.names[0]].free_at
+        for name in self.names:
+            self.engines[name].free_at = shared
+            self.waiting[name].placement.routers = self.names
+        self.reports: list[tuple[float, str, PeerLoad]] = []
+
+    def report(self, name: str, now: float) -> None:
+        """Send the present report of a router; it arrives `REPORT_SECONDS` later."""
+        waiting = self.waiting[name]
+        load = PeerLoad(
+            now + REPORT_SECONDS,
+            {target: dataclasses.replace(work) for target, work in waiting.placement.loads.own.items()},
+            dict(waiting.served.own),
+            {service: waiting.own_waiting(service) for service in waiting.by_service},
+        )
+        self.reports.append((now + REPORT_SECONDS, name, load))
+
+    def receive(self, now: float) -> None:
+        """Let the routers take the reports that have arrived."""
+        arrived = [report for report in self.reports if report[0] <= now]
+        self.reports = [report for report in self.reports if report[0] > now]
+        for _at, sender, load in arrived:
+            for name in self.names:
+                if name != sender:
+                    waiting = self.waiting[name]
+                    waiting.placement.loads.report(sender, load)
+                    waiting.placement.observe_all(now)
+                    waiting.served.sum_up(waiting.placement.loads.peers)
+                    waiting.sum_up(waiting.placement.loads.peers)
+
+    def play(self, arrivals, *, seconds: float) -> list[tuple[float, Start | Refusal]]:
+        """Play requests, given with their routers, and return what was decided."""
+        decisions = []
+        arrivals = sorted(arrivals, key=lambda arrival: arrival[1].arrived_at)
+        for step in range(int(seconds / STEP_SECONDS)):
+            now = step * STEP_SECONDS
+            self.receive(now)
+            while arrivals and arrivals[0][1].arrived_at <= now:
+                router, work = arrivals.pop(0)
+                self.waiting[self.names[router]].add(work)
+            for name in self.names:
+                self.engines[name].advance(now)
+                for decision in self.waiting[name].decide(now):
+                    decisions.append((now, decision))
+                    if isinstance(decision, Start):
+                        self.engines[name].send(decision, now)
+                self.report(name, now)
+        return decisions
+
+
+def test_customer_at_a_single_router_gets_as_much_as_one_at_all_routers():
+    """Guards against a share by router instead of by customer.
+
+    Load: one customer sends five times the capacity to one of six routers, another one twice the capacity to
+    all six, four small ones a twentieth each to all.
+    """
+    rng = random.Random(6)
+    arrivals = []
+    for number in range(1_400):
+        work = make_work(f"flood-{number}", at=rng.uniform(0, 8), session=f"f{number % 40}", customer="flood")
+        arrivals.append((0, work))
+    for number in range(560):
+        work = make_work(f"big-{number}", at=rng.uniform(0, 8), session=f"b{number % 40}", customer="big")
+        arrivals.append((number % 6, work))
+    for number in range(60):
+        work = make_work(
+            f"small-{number}", at=rng.uniform(0, 8), session=f"s{number % 4}", customer=f"small-{number % 4}"
+        )
+        arrivals.append((number % 6, work))
+    routers = RoutersInMemory(6, 4)
+    decisions = routers.play(arrivals, seconds=8.0)
+    started = Counter(
+        decision.work.customer for now, decision in decisions if isinstance(decision, Start) and now >= 2.0
+    )
+    assert started["flood"] >= 0.8 * started["big"], started
+    assert sum(started[f"small-{number}"] for number in range(4)) >= 36, started
+
+
+def test_long_queue_of_a_customer_does_not_count_as_service():
+    """Guards against a customer that comes last because many of its requests wait for a busy engine."""
+    placement = make_placement(2, settings=FleetSettings(candidates=1))
+    sessions = {"e1": [], "e2": []}
+    for number in range(400):
+        work = make_work(session=f"s{number}")
+        sessions[placement.ranking(work)[0]].append(f"s{number}")
+    placement.observe("e1", 0.0)
+    placement.bursts.observe("e1", 50_000, 8, 0.0)
+    waiting = make_waiting(placement)
+    waiting.served.serve("other", 100_000.0)
+    for number in range(50):
+        waiting.add(make_work(f"a{number}", session=sessions["e1"][number]))
+    waiting.add(make_work("a-free", at=0.001, session=sessions["e2"][0]))
+    waiting.add(make_work("other", session=sessions["e2"][1], customer="other"))
+    first = next(decision for decision in waiting.decide(0.01) if isinstance(decision, Start))
+    assert first.work.request_id == "a-free"
+
+
 def test_urgent_requests_of_a_customer_come_first():
     """Guards against requests with a short goal being refused behind patient ones."""
     waiting = make_waiting()
@@ -116,7 +225,10 @@
     urgent = make_work("urgent", at=0.01, route=make_route(goal_seconds=0.5))
     waiting.add(patient)
     waiting.add(urgent)
-    assert [work.request_id for work in waiting.ordered("engines")] == ["urgent", "patient"]
+    queue = waiting.by_customer("engines")["acme"]
+    assert [work.request_id for work in queue] == ["urgent", "patient"]
+    starts = [decision.work.request_id for decision in waiting.decide(0.02)]
+    assert starts == ["urgent", "patient"]
 
 
 def test_request_that_can_not_start_in_time_is_refused_at_once():
@@ -124,7 +236,8 @@
     placement = make_placement(1)
     placement.bursts.observe("e1", 50_000, 8, 0.0)
     waiting = make_waiting(placement)
-    waiting.peers_waiting = {"engines": 2_000_000.0}
+    waiting.peers_waiting = {"engines": {"other": WaitingWork(2_000_000.0, 2_000_000.0)}}
+    waiting.served.serve("acme", 2_000_000.0)
     work = make_work()
     waiting.add(work)
     (refusal,) = waiting.decide(0.0)
