Split the life of requests, share the process root, read before refusing connections

fleet/requests.py keeps the attempts; admission.py decides whether a request is allowed, outcomes.py what the end of an attempt means. Both router processes use process/root.py for the loop step and for exceptions.

Reproduced with a paused router (test_connections_that_callers_have_closed_make_room, which failed with 503).

--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -75,6 +75,8 @@
         self.in_progress: dict[str, CallerConnection] = {}
         self.idle: dict[CallerConnection, None] = {}
         """Connections that wait for the first byte of a request, longest idle first."""
+        self.has_read = False
+        """Whether connections were read since the limit of connections was found to be reached."""
         self.stopping = False
         self.listener: socket.socket | None = listen(address or settings.caller_address)
         poller.addReader(self, self.listener)
@@ -110,12 +112,22 @@
         if connection is not None:
             self.drop(connection)
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether there is no room for another connection, as all wait for answers or bytes."""
+        return len(self.connections) >= self.settings.max_caller_connections and not self.idle
+
     def accept(self) -> bool:
         """Accept some waiting connections, so that others are served in between; return whether to go on."""
         for _ in range(ACCEPTS_PER_EVENT):
+            if self.is_full and not self.has_read:
+                # Reads of this round may end connections; the poller comes back to the listener after them.
+                self.has_read = True
+                return False
             try:
                 sock, _address = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                self.has_read = False
                 return False
             except OSError as error:
                 logger.warning("accepting a connection failed: %s", errno.errorcode.get(error.errno, error))
@@ -126,6 +138,7 @@
             connection = CallerConnection(sock)
             if len(self.connections) >= self.settings.max_caller_connections and self.idle:
                 self.drop(next(iter(self.idle)))
+            self.has_read = self.is_full
             self.connections[sock] = connection
             self.poller.addReader(self, sock)
             if len(self.connections) > self.settings.max_caller_connections:
@@ -299,6 +312,7 @@
     def on_stop_accepting(self) -> None:
         """Accept what waits and close the listening socket."""
         if self.listener is not None:
+            self.has_read = True
             while self.accept():
                 pass
             self.poller.discard(self.listener)
--- /dev/null
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -0,0 +1,85 @@
+"""The first decision about a caller's request: whether it is allowed, and what it asks for."""
+
+from limpetusher.clock import Clock
+from limpetusher.core.actions import Ran
+from limpetusher.fleet.model import Route, Work
+from limpetusher.fleet.version.routing import choose_service
+from limpetusher_router.connection.framing import RequestHead
+from limpetusher_router.fleet.exchange import Exchange
+from limpetusher_router.fleet.refusals import NOT_FOUND, UNAUTHORIZED, UNAVAILABLE, FleetRefusal
+from limpetusher_router.fleet.state import FleetState
+from limpetusher_router.platform.requests import RequestFields
+
+NOT_READY_RETRY_SECONDS = 0.5
+"""About the time in which a router that has just started gets the configuration."""
+STOPPING_RETRY_SECONDS = 0.05
+"""Another router can take the request at once."""
+
+
+class Admission:
+    """Opens the exchanges of allowed requests.
+
+    Parameters
+    ----------
+    state
+        What the router knows of the fleet.
+    clock
+        Source of time.
+    """
+
+    def __init__(self, state: FleetState, *, clock: Clock):
+        self.state = state
+        self.clock = clock
+        self.is_closing = False
+        """Whether the process is about to exit and takes no more requests."""
+
+    def open(
+        self, request_id: str, head: RequestHead, body: bytes, fields: RequestFields
+    ) -> Exchange | FleetRefusal:
+        """Return the exchange of an allowed request, or why it is refused."""
+        configuration = self.state.configuration
+        if self.is_closing:
+            return FleetRefusal(
+                UNAVAILABLE,
+                "stopping",
+                "this router stops",
+                ran=Ran.NO,
+                retry_after_seconds=STOPPING_RETRY_SECONDS,
+            )
+        if configuration is None:
+            return FleetRefusal(
+                UNAVAILABLE,
+                "not_ready",
+                "this router has no configuration yet",
+                ran=Ran.NO,
+                retry_after_seconds=NOT_READY_RETRY_SECONDS,
+            )
+        route = self.state.routes.find(fields.host, fields.path)
+        if route is None:
+            return FleetRefusal(NOT_FOUND, "no_route", f"no route for {fields.host}{fields.path}", ran=Ran.NO)
+        customer = configuration.customers_by_key.get(fields.api_key or "")
+        if customer is None and configuration.has_customers and not route.is_public:
+            return FleetRefusal(UNAUTHORIZED, "unknown_key", "the API key is not known", ran=Ran.NO)
+        work = self.make_work(request_id, route, fields, customer or "")
+        return Exchange(request_id, head, body, fields, work, customer)
+
+    def make_work(self, request_id: str, route: Route, fields: RequestFields, customer: str) -> Work:
+        """Return the request as the placement sees it."""
+        now = self.clock.monotonic()
+        seconds = route.timeout_seconds
+        if fields.seconds_left is not None:
+            seconds = min(seconds, fields.seconds_left)
+        work = Work(
+            request_id=request_id,
+            customer=customer,
+            service="",
+            route=route,
+            arrived_at=now,
+            queued_at=now,
+            give_up_at=now + seconds,
+            prompt_tokens=fields.prompt_tokens,
+            output_tokens=fields.output_tokens,
+            parts=fields.parts,
+        )
+        work.service = choose_service(route, work.session or fields.caller_request_id)
+        return work
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -1,6 +1,5 @@
 """The router process of a platform host: its components, its start and its stop."""
 
-import gc
 import logging
 import random
 import signal
@@ -8,7 +7,7 @@
 from dataclasses import replace
 from pathlib import Path
 
-from circuits.core import BaseComponent, handler
+from circuits.core import handler
 from circuits.core.events import signal as signal_event
 from circuits.core.pollers import EPoll
 
@@ -31,7 +30,6 @@
     CloseAfterAnswers,
     CloseIdle,
     Due,
-    FailRequest,
     SettingsChanged,
     StopAccepting,
 )
@@ -43,13 +41,12 @@
 from limpetusher_router.fleet.store_reader import StoreReader
 from limpetusher_router.platform.settings_file import HostSettings, read_settings
 from limpetusher_router.process.deadlines import Deadlines
-from limpetusher_router.process.failures import request_id_of
 from limpetusher_router.process.logs import log_event
 from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.process.root import ProcessRoot, StopSignal
 from limpetusher_router.request.identifiers import RequestIdentifiers
 from limpetusher_router.settings import RouterSettings
 
-CHAINED_STEPS = 10
 CONNECT_SECONDS = 0.3
 """Time for connecting inside the deployment, where a connection takes a few milliseconds."""
 STOP_ACCEPTING_SECONDS = 3.0
@@ -67,10 +64,6 @@
 logger = logging.getLogger(__name__)
 
 
-class StopSignal(signal_event):
-    """SIGTERM or SIGINT arrived; a subclass of circuits' event because only that wakes the poller."""
-
-
 class ReloadSignal(signal_event):
     """SIGHUP arrived."""
 
@@ -95,7 +88,7 @@
     return FleetSettings(retry_budget=budget)
 
 
-class FleetProcess(BaseComponent):
+class FleetProcess(ProcessRoot):
     """Root of the component tree.
 
     Parameters
@@ -108,15 +101,11 @@
         Source of time.
     """
 
-    channel = PROCESS
-
     def __init__(self, path: Path, host: HostSettings, *, clock: Clock):
-        super().__init__()
+        super().__init__(Metrics())
         self.path = path
         self.host = host
         self.clock = clock
-        self.metrics = Metrics()
-        self.finished = False
         self.stopped_at: float | None = None
         self.settings = router_settings(host)
         self.state = FleetState(host, fleet_settings(host), clock=clock, rng=random.Random())
@@ -180,14 +169,6 @@
         event = ReloadSignal if signo == signal.SIGHUP else StopSignal
         self.fire(event(signo, None), PROCESS)
 
-    def tick(self, timeout: float = -1) -> None:
-        """Handle the messages that follow from each other before the poller is asked again."""
-        for _ in range(CHAINED_STEPS):
-            if not len(self):
-                break
-            self.flush()
-        super().tick(timeout)
-
     @handler("started", channel="*")
     def on_started(self, _component: object) -> None:
         """Begin to read the store and to report."""
@@ -261,7 +242,7 @@
             self.deadlines.schedule_in(SETTINGS_POLL_SECONDS, Due("settings"), PROCESS)
             return
         if subject == "stop":
-            self.requests.is_closing = True
+            self.requests.admission.is_closing = True
             self.fire(StopAccepting(), CALLERS)
             self.fire(CloseIdle(), CALLERS)
         latest = self.stopped_at + self.host.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
@@ -272,30 +253,10 @@
         self.finished = True
         self.stop()
 
-    @handler("exception", channel="*")
-    def on_exception(
-        self,
-        error_type: type[BaseException],
-        error: BaseException,
-        traceback: object,
-        handler: object = None,
-        fevent: object = None,
-    ) -> None:
-        """Log an exception of a handler, and answer the request that it concerned."""
-        request_id = request_id_of(fevent)
-        name = getattr(fevent, "name", "unknown")
-        logger.error("exception in a handler of %s, request %s", name, request_id, exc_info=error)
-        self.metrics.handler_errors.inc({})
-        if request_id is not None and not isinstance(fevent, FailRequest):
-            self.fire(FailRequest(request_id), REQUESTS)
-
 
 def run_fleet_router(path: Path, host: HostSettings) -> int:
     """Run a router until it is stopped, and return the exit status."""
     process = FleetProcess(path, host, clock=SystemClock())
-    # What exists now lives as long as the process, so later collections need not visit it.
-    gc.collect()
-    gc.freeze()
-    process.run()
+    status = process.run_until_stopped()
     process.reports.close()
-    return 0 if process.finished else 1
+    return status
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
@@ -5,6 +5,8 @@
 from limpetusher_router.platform.requests import error_headers
 from limpetusher_router.request.answers import error_body
 
+UNAUTHORIZED = 401
+NOT_FOUND = 404
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -9,11 +9,9 @@
 from limpetusher.clock import Clock
 from limpetusher.core.actions import Ran
 from limpetusher.events import Event
-from limpetusher.fleet.model import Route, Work
 from limpetusher.fleet.process.budgets import RetryBudget
 from limpetusher.fleet.process.loads import OpenWork
 from limpetusher.fleet.request.waiting import Refusal, Start
-from limpetusher.fleet.version.routing import choose_service
 from limpetusher_router.connection.framing import AnswerHead, RequestHead
 from limpetusher_router.events import (
     CALLERS,
@@ -33,7 +31,9 @@
     StopAttempt,
     WorkChanged,
 )
+from limpetusher_router.fleet.admission import Admission
 from limpetusher_router.fleet.exchange import Exchange, TargetAttempt
+from limpetusher_router.fleet.outcomes import SERVER_ERRORS, Failure, failure_of, silence_limit
 from limpetusher_router.fleet.refusals import (
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
@@ -44,7 +44,6 @@
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.platform import names
 from limpetusher_router.platform.requests import (
-    RequestFields,
     decode_request,
     encode_target_request,
     is_sealed,
@@ -55,28 +54,17 @@
 from limpetusher_router.process.logs import log_event
 from limpetusher_router.process.metrics import Metrics
 
-NOT_READY_RETRY_SECONDS = 0.5
-STOPPING_RETRY_SECONDS = 0.05
-"""Another router can take the request at once."""
 WAITING_POLL_SECONDS = 0.01
 """Time between two looks at the waiting requests, as reports and cold limits free room without an event."""
 PLACING_GAP_SECONDS = 0.005
 """Least time between two looks at the waiting requests, which bounds what they cost under load."""
 CHECK_SECONDS = 0.1
-SILENT_GOALS = 1.0
-"""Goals after which a repeatable request without any output goes to another target."""
-LEAST_SILENT_SECONDS = 0.25
-STREAM_PAUSE_SECONDS = 1.5
-"""Pause after which a resumable stream goes on at another target; callers abandon a stream after 2 s."""
 MAXIMUM_SENDS = 4
 UNREPEATABLE_REUSE_SECONDS = 1.0
 """Idle time up to which a kept connection carries a request that must not run twice: targets close
 connections
 after whole seconds at the earliest, so that a close on its way is unlikely."""
 HELD_ANSWER_BYTES = 65_536
-UNAUTHORIZED = 401
-NOT_FOUND = 404
-SERVER_ERRORS = range(500, 600)
 
 logger = logging.getLogger(__name__)
 
@@ -110,14 +98,13 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.wakeup: Deadline | None = None
         self.placed_at = -math.inf
-        self.is_closing = False
-        """Whether the process is about to exit and takes no more requests."""
+        self.admission = Admission(state, clock=clock)
 
     @handler("RequestReceived")
     def on_request(self, request_id: str, head: RequestHead, body: bytes) -> None:
         """Find the route of a request and let it wait for a target."""
         fields = decode_request(head)
-        opened = self.open(request_id, head, body, fields)
+        opened = self.admission.open(request_id, head, body, fields)
         if isinstance(opened, FleetRefusal):
             log_event(Event.REQUEST_REFUSED, request=fields.caller_request_id, reason=opened.message)
             self.fire(error_answer(request_id, fields.caller_request_id, opened), CALLERS)
@@ -130,57 +117,6 @@
         self.state.waiting.add(opened.work)
         self.place()
 
-    def open(
-        self, request_id: str, head: RequestHead, body: bytes, fields: RequestFields
-    ) -> Exchange | FleetRefusal:
-        """Return the exchange of an allowed request, or why it is refused."""
-        configuration = self.state.configuration
-        if self.is_closing:
-            return FleetRefusal(
-                UNAVAILABLE,
-                "stopping",
-                "this router stops",
-                ran=Ran.NO,
-                retry_after_seconds=STOPPING_RETRY_SECONDS,
-            )
-        if configuration is None:
-            return FleetRefusal(
-                UNAVAILABLE,
-                "not_ready",
-                "this router has no configuration yet",
-                ran=Ran.NO,
-                retry_after_seconds=NOT_READY_RETRY_SECONDS,
-            )
-        route = self.state.routes.find(fields.host, fields.path)
-        if route is None:
-            return FleetRefusal(NOT_FOUND, "no_route", f"no route for {fields.host}{fields.path}", ran=Ran.NO)
-        customer = configuration.customers_by_key.get(fields.api_key or "")
-        if customer is None and configuration.has_customers and not route.is_public:
-            return FleetRefusal(UNAUTHORIZED, "unknown_key", "the API key is not known", ran=Ran.NO)
-        work = self.make_work(request_id, route, fields, customer or "")
-        return Exchange(request_id, head, body, fields, work, customer)
-
-    def make_work(self, request_id: str, route: Route, fields: RequestFields, customer: str) -> Work:
-        """Return the request as the placement sees it."""
-        now = self.clock.monotonic()
-        seconds = route.timeout_seconds
-        if fields.seconds_left is not None:
-            seconds = min(seconds, fields.seconds_left)
-        work = Work(
-            request_id=request_id,
-            customer=customer,
-            service="",
-            route=route,
-            arrived_at=now,
-            queued_at=now,
-            give_up_at=now + seconds,
-            prompt_tokens=fields.prompt_tokens,
-            output_tokens=fields.output_tokens,
-            parts=fields.parts,
-        )
-        work.service = choose_service(route, work.session or fields.caller_request_id)
-        return work
-
     @property
     def router_count(self) -> int:
         """Return how many routers share the fleet's limits."""
@@ -393,26 +329,18 @@
         if exchange is None:
             return
         attempt = exchange.attempt
-        head = attempt.head
         self.close_attempt(exchange)
         health = self.state.placement.health_of(attempt.placed.target.target_id)
-        if end in (AttemptEnd.UNREACHABLE, AttemptEnd.EXPIRED):
-            self.suspend(attempt, detail)
-            self.failed(exchange, attempt, f"not sent: {detail}", may_have_run=False, arrived=False)
-        elif end is AttemptEnd.CUT or head is None:
-            health.answered(is_error=True)
-            if head is None:
-                self.suspend(attempt, detail)
-            self.failed(exchange, attempt, f"cut: {detail}", may_have_run=True)
-        elif says_not_run(head):
-            health.answered(is_error=True)
-            self.failed(exchange, attempt, f"rejected with {head.status}", may_have_run=False)
-        elif not is_sealed(head) and head.status < SERVER_ERRORS.start:
-            health.answered(is_error=True)
-            self.failed(exchange, attempt, "answer without seal", may_have_run=True)
-        else:
-            health.answered(is_error=head.status in SERVER_ERRORS)
+        failure = failure_of(attempt, end, detail)
+        if failure is None:
+            health.answered(is_error=attempt.head.status in SERVER_ERRORS)
             self.complete(exchange, attempt)
+        else:
+            if failure.arrived:
+                health.answered(is_error=True)
+            if failure.is_unreachable:
+                self.suspend(attempt, detail)
+            self.failed(exchange, attempt, failure)
         self.place()
 
     def suspend(self, attempt: TargetAttempt, reason: str) -> None:
@@ -434,7 +362,7 @@
         """Finish a whole answer, or replace a repeatable one that is an error."""
         head = attempt.head
         if head.status in SERVER_ERRORS and (exchange.answer_begun or self.can_repeat(exchange)):
-            self.failed(exchange, attempt, f"status {head.status}", may_have_run=True)
+            self.failed(exchange, attempt, Failure(f"status {head.status}", may_have_run=True))
             return
         self.end(exchange)
         if exchange.answer_begun:
@@ -458,15 +386,7 @@
             and (not exchange.answer_begun or route.is_resumable)
         )
 
-    def failed(
-        self,
-        exchange: Exchange,
-        attempt: TargetAttempt,
-        reason: str,
-        *,
-        may_have_run: bool,
-        arrived: bool = True,
-    ) -> None:
+    def failed(self, exchange: Exchange, attempt: TargetAttempt, failure: Failure) -> None:
         """Send a request again where that is allowed, otherwise end it with an error."""
         now = self.clock.monotonic()
         target_id = attempt.placed.target.target_id
@@ -475,17 +395,17 @@
             request=exchange.fields.caller_request_id,
             target=target_id,
             attempt=attempt.number,
-            reason=reason,
-            may_have_run=may_have_run,
+            reason=failure.reason,
+            may_have_run=failure.may_have_run,
             after=round(now - attempt.started_at, 3),
         )
-        self.metrics.tally(self.metrics.failures, target=target_id, reason=reason.partition(":")[0])
-        if not may_have_run:
+        self.metrics.tally(self.metrics.failures, target=target_id, reason=failure.reason.partition(":")[0])
+        if not failure.may_have_run:
             exchange.possible_runs -= 1
-        allowed = self.can_repeat(exchange) if may_have_run else exchange.sends < MAXIMUM_SENDS
+        allowed = self.can_repeat(exchange) if failure.may_have_run else exchange.sends < MAXIMUM_SENDS
         if allowed and exchange.possible_runs:
             allowed = exchange.work.route.is_idempotent
-        if allowed and arrived:
+        if allowed and failure.arrived:
             allowed = self.budget(exchange.work.service).spend(self.router_count, now)
         if allowed:
             exchange.work.excluded.add(target_id)
@@ -494,12 +414,12 @@
             self.state.waiting.add(exchange.work)
             return
         if exchange.possible_runs:
-            refusal = FleetRefusal(BAD_GATEWAY, "target_failed", reason, ran=Ran.UNKNOWN)
+            refusal = FleetRefusal(BAD_GATEWAY, "target_failed", failure.reason, ran=Ran.UNKNOWN)
         else:
             refusal = FleetRefusal(
                 UNAVAILABLE,
                 "no_capacity",
-                reason,
+                failure.reason,
                 ran=Ran.NO,
                 retry_after_seconds=exchange.work.route.goal_seconds / 2,
             )
@@ -627,7 +547,7 @@
             attempt = exchange.attempt
             if attempt is None or not self.can_repeat(exchange):
                 continue
-            limit = self.silence_limit(exchange)
+            limit = silence_limit(exchange)
             if now - attempt.heard_at < limit:
                 continue
             if not self.budget(exchange.work.service).allows(self.router_count, now):
@@ -638,11 +558,6 @@
             health.answered(is_error=True)
             if attempt.head is None:
                 self.suspend(attempt, "silent")
-            self.failed(exchange, attempt, f"silent: no output for {limit:.2f} s", may_have_run=True)
+            silent = Failure(f"silent: no output for {limit:.2f} s", may_have_run=True)
+            self.failed(exchange, attempt, silent)
         self.place()
-
-    def silence_limit(self, exchange: Exchange) -> float:
-        """Return how long the target of an exchange may be silent, in seconds."""
-        if exchange.attempt.has_output:
-            return STREAM_PAUSE_SECONDS
-        return max(LEAST_SILENT_SECONDS, SILENT_GOALS * exchange.work.route.goal_seconds)
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -1,14 +1,12 @@
 """The router process: its components, its start and its stop."""
 
-import gc
 import logging
 import random
 import resource
 import signal
 import types
 
-from circuits.core import BaseComponent, handler
-from circuits.core.events import signal as signal_event
+from circuits.core import handler
 from circuits.core.pollers import EPoll
 
 from limpetusher.clock import Clock, SystemClock
@@ -21,11 +19,9 @@
     CALLERS,
     CORE,
     PROCESS,
-    REQUESTS,
     CloseAfterAnswers,
     CoreInput,
     Due,
-    FailRequest,
     StopAccepting,
 )
 from limpetusher_router.process.adapter import CoreAdapter
@@ -33,11 +29,11 @@
 from limpetusher_router.process.admin_guard import AdminGuard
 from limpetusher_router.process.core import make_core, owned_addresses
 from limpetusher_router.process.deadlines import Deadlines
-from limpetusher_router.process.failures import request_id_of
 from limpetusher_router.process.loads import LoadReader
 from limpetusher_router.process.logs import log_event, set_up_logging
 from limpetusher_router.process.metrics import Metrics
 from limpetusher_router.process.orders import OrderSender
+from limpetusher_router.process.root import ProcessRoot, StopSignal
 from limpetusher_router.process.tracing import Tracing
 from limpetusher_router.request.exchanges import Exchanges
 from limpetusher_router.request.identifiers import RequestIdentifiers
@@ -46,7 +42,6 @@
 from limpetusher_router.version.watch import ConfigurationWatch
 
 INCARNATION_BITS = 63
-CHAINED_STEPS = 10
 FLUSH_POLL_SECONDS = 0.05
 FLUSH_SECONDS = 10.0
 LAST_MESSAGES_SECONDS = 0.2
@@ -54,11 +49,7 @@
 logger = logging.getLogger(__name__)
 
 
-class StopSignal(signal_event):
-    """SIGTERM or SIGINT arrived; a subclass of circuits' event because only that wakes the poller."""
-
-
-class RouterProcess(BaseComponent):
+class RouterProcess(ProcessRoot):
     """Root of the component tree.
 
     Parameters
@@ -69,15 +60,11 @@
         Source of time.
     """
 
-    channel = PROCESS
-
     def __init__(self, settings: RouterSettings, *, clock: Clock):
-        super().__init__()
+        super().__init__(Metrics())
         self.settings = settings
         self.clock = clock
-        self.metrics = Metrics()
         self.flush_until: float | None = None
-        self.finished = False
         key = settings.read_peer_key()
         # Seeded by the operating system, so that restarted routers differ.
         rng = random.Random(random.SystemRandom().getrandbits(64))
@@ -115,17 +102,6 @@
         # Replaces circuits' event, at which its web server would end the process after 3 s.
         self.fire(StopSignal(signo, None), PROCESS)
 
-    def tick(self, timeout: float = -1) -> None:
-        """Handle the messages that follow from each other before the poller is asked again.
-
-        circuits polls after each step of such a chain; a request has about ten steps.
-        """
-        for _ in range(CHAINED_STEPS):
-            if not len(self):
-                break
-            self.flush()
-        super().tick(timeout)
-
     @handler("started", channel="*")
     def on_started(self, _component: object) -> None:
         """Let the core ask for what it needs."""
@@ -157,24 +133,6 @@
         self.finished = True
         self.stop()
 
-    @handler("exception", channel="*")
-    def on_exception(
-        self,
-        error_type: type[BaseException],
-        error: BaseException,
-        traceback: object,
-        handler: object = None,
-        fevent: object = None,
-    ) -> None:
-        """Log an exception of a handler, and answer the request that it concerned."""
-        request_id = request_id_of(fevent)
-        # Only the name of the event is logged: its arguments may hold bodies and API keys.
-        name = getattr(fevent, "name", "unknown")
-        logger.error("exception in a handler of %s, request %s", name, request_id, exc_info=error)
-        self.metrics.handler_errors.inc({})
-        if request_id is not None and not isinstance(fevent, FailRequest):
-            self.fire(FailRequest(request_id), REQUESTS)
-
 
 def allow_connections() -> None:
     """Allow as many open files as the system lets this process have."""
@@ -187,9 +145,6 @@
     set_up_logging(settings)
     allow_connections()
     process = RouterProcess(settings, clock=SystemClock())
-    # What exists now lives as long as the process, so later collections need not visit it.
-    gc.collect()
-    gc.freeze()
-    process.run()
+    status = process.run_until_stopped()
     process.peers.close()
-    return 0 if process.finished else 1
+    return status
--- a/tests/router/connection/test_callers.py
+++ b/tests/router/connection/test_callers.py
@@ -1,6 +1,8 @@
 """Tests of the guards of the caller port: raw sockets against the real process."""
 
 import json
+import os
+import signal
 import socket
 import time
 
@@ -177,3 +179,21 @@
     assert router.exchange(echo_request("other", connection="close")).endswith(b"other")
     for sock in socks:
         sock.close()
+
+
+def test_connections_that_callers_have_closed_make_room(router):
+    """Guards against a refusal for the sake of connections whose end the router has not read yet.
+
+    The router is paused meanwhile, as on a host without free processor time.
+    """
+    socks = [router.connect() for _ in range(LIMIT_CONNECTIONS)]
+    for sock in socks:
+        sock.sendall(b"POST")
+    time.sleep(0.2)
+    os.kill(router.process.pid, signal.SIGSTOP)
+    with router.connect() as caller:
+        caller.sendall(echo_request("next", connection="close"))
+        for sock in socks:
+            sock.close()
+        os.kill(router.process.pid, signal.SIGCONT)
+        assert read_all(caller).endswith(b"next")
--- a/tests/router/process/test_failures.py
+++ b/tests/router/process/test_failures.py
@@ -23,8 +23,8 @@
 )
 from limpetusher_router.process.adapter import CoreAdapter
 from limpetusher_router.process.deadlines import Deadlines
+from limpetusher_router.process.failures import request_id_of
 from limpetusher_router.process.metrics import Metrics
-from limpetusher_router.process.router import request_id_of
 from limpetusher_router.process.tracing import Tracing
 from limpetusher_router.request.exchanges import Exchanges
 from limpetusher_router.settings import RouterSettings
