--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -16,12 +16,31 @@
 from urllib.parse import parse_qs, urlsplit
 
 from builders_router import PACKAGES, free_addresses, read_all
+from limpetusher_router.platform.settings_file import Bounds, HostSettings
 
 START_SECONDS = 15.0
 SEAL = "x-server-seal: 3e1b.07"
 HOST = "llm.example"
 
 
+def make_host_settings(**changes: object) -> HostSettings:
+    values = {
+        "host_id": "front-1",
+        "data_centre": "north",
+        "ip": "10.0.0.1",
+        "caller_address": "10.0.0.1:80",
+        "ready_address": "10.0.0.1:81",
+        "internal_ports": (7400, 7415),
+        "seeds": (),
+        "store_address": "10.9.0.1:80",
+        "maximum_descriptors": 1000,
+        "bounds": Bounds(
+            retry_ratio=0.2, retry_extra=50.0, retry_window_seconds=10.0, stop_grace_seconds=8.0
+        ),
+    }
+    return HostSettings(**{**values, **changes})
+
+
 def route_document(**changes: object) -> dict:
     values = {
         "name": "r-safe",
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from builders_platform import make_host_settings
 from limpetusher.clock import ManualClock
 from limpetusher.fleet.version.mirror import StoredItem, StoreMirror
 from limpetusher_router.events import StartAttempt
 from limpetusher_router.fleet.store_reader import BEHIND_SECONDS, Call, StoreReader
-from limpetusher_router.platform.settings_file import Bounds, HostSettings
 from limpetusher_router.process.deadlines import Deadlines
 
 
@@ -17,21 +17,9 @@
 
 @pytest.fixture
 def reader(clock):
-    settings = HostSettings(
-        host_id="front-1",
-        data_centre="north",
-        ip="10.0.0.1",
-        caller_address="10.0.0.1:80",
-        ready_address="10.0.0.1:81",
-        internal_ports=(7400, 7415),
-        seeds=(),
-        store_address="10.9.0.1:80",
-        maximum_descriptors=1000,
-        bounds=Bounds(retry_ratio=0.2, retry_extra=50.0, retry_window_seconds=10.0, stop_grace_seconds=8.0),
-    )
     mirror = StoreMirror()
     mirror.replace([StoredItem("op/config", b"x", 11)], 11)
-    made = StoreReader(settings, mirror=mirror, deadlines=Deadlines(clock), watch_rank=lambda: 5)
+    made = StoreReader(make_host_settings(), mirror=mirror, deadlines=Deadlines(clock), watch_rank=lambda: 5)
     made.is_connected = True
     made.fired = []
     made.fire = lambda event, *channels: made.fired.append(event)
