Bound the size of reports; drop decoded fields that nothing reads

A report with 4,000 customers exceeded a datagram, and its loss would have been logged at debug level only. Each kind of entry is cut to its 300 largest (test_report_fits_into_a_datagram_whatever_the_number_of_customers, which fails without the cut).

Service.health_path, maximum_connections, cold_seconds and CallerLimits.tokens_per_second were decoded and not used.

--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -25,9 +25,6 @@
     """A group of interchangeable targets. `cold_per_second` is what one cold target bears."""
 
     name: str
-    health_path: str
-    maximum_connections: int
-    cold_seconds: float
     cold_per_second: float
     engine: Engine | None = None
 
@@ -71,7 +68,6 @@
     body_bytes: int
     header_seconds: float
     idle_seconds: float
-    tokens_per_second: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange_reports.py
@@ -1,5 +1,9 @@
 """Exchange of load reports with peers, several times a second."""
 
+import heapq
+from typing import Any
+
+import msgspec
 from circuits.core import BaseComponent, handler
 
 from limpetusher.clock import Clock
@@ -20,6 +24,15 @@
 router."""
 ROUNDS_TO_SILENT_PEERS = 8
 """Reports go to peers that are not heard only in each eighth round, so that they find the fleet again."""
+REPORTED_ENTRIES = 300
+"""Entries of each kind in a report, so that it fits into a datagram of 60,000 bytes."""
+
+
+def largest(entries: dict[str, Any]) -> dict[str, Any]:
+    """Return the entries with the largest values, as many as a report may have."""
+    if len(entries) <= REPORTED_ENTRIES:
+        return entries
+    return dict(heapq.nlargest(REPORTED_ENTRIES, entries.items(), key=lambda entry: entry[1]))
 
 
 class PeerReports(BaseComponent):
@@ -130,6 +143,23 @@
         """Return the least time between two reports; it grows with the number of peers."""
         return NEWS_SECONDS_PER_PEER * len(self.state.members.reachable(now))
 
+    def usage(self) -> Usage:
+        """Return the slower part of the report, with the largest entries of each kind."""
+        state = self.state
+        waiting = {
+            service: {
+                customer: (int(work.throughput_tokens), int(work.reading_tokens))
+                for customer, work in state.waiting.own_waiting(service).items()
+            }
+            for service in state.waiting.by_service
+        }
+        return Usage(
+            served=largest({customer: int(tokens) for customer, tokens in state.served.own.items()}),
+            waiting={service: largest(customers) for service, customers in waiting.items()},
+            rates=largest({name: int(rate) for name, rate in state.placement.rates.own().items()}),
+            peers=[],
+        )
+
     def send(self, now: float, *, full: bool) -> None:
         """Send the present report."""
         state = self.state
@@ -140,20 +170,9 @@
         if full:
             self.round += 1
             state.served.decay(now)
-            seeking = self.round % ROUNDS_TO_SILENT_PEERS == 0
-            usage = Usage(
-                served={customer: int(tokens) for customer, tokens in state.served.own.items()},
-                waiting={
-                    service: {
-                        customer: (int(work.throughput_tokens), int(work.reading_tokens))
-                        for customer, work in state.waiting.own_waiting(service).items()
-                    }
-                    for service in state.waiting.by_service
-                },
-                rates={name: int(rate) for name, rate in state.placement.rates.own().items()},
-                peers=reachable if seeking else [],
-            )
-            if seeking:
+            usage = self.usage()
+            if self.round % ROUNDS_TO_SILENT_PEERS == 0:
+                usage = msgspec.structs.replace(usage, peers=reachable)
                 addresses = state.members.addressees()
         report = LoadReport(
             version=PROTOCOL_VERSION,
@@ -164,7 +183,7 @@
             },
             sent=[
                 (target_id, [(part.part_id, part.tokens) for part in shared])
-                for target_id, shared in state.placement.caches.take_sent()
+                for target_id, shared in state.placement.caches.take_sent()[-REPORTED_ENTRIES:]
             ],
             usage=usage,
         )
--- a/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
@@ -68,18 +68,12 @@
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
     name: str
-    health_path: str = "/healthz"
-    max_conns: int = 1_000
-    cold_s: float = 0.0
     cold_per_s: float = 0.0
     engine: _Engine | None = None
 
     def decode(self) -> Service:
         return Service(
             name=self.name,
-            health_path=self.health_path,
-            maximum_connections=self.max_conns,
-            cold_seconds=self.cold_s,
             cold_per_second=self.cold_per_s,
             engine=Engine(self.engine.slots, self.engine.kv_capacity) if self.engine is not None else None,
         )
@@ -90,7 +84,6 @@
     max_body_bytes: int = 4_194_304
     header_timeout_ms: float = 3_000.0
     idle_timeout_ms: float = 15_000.0
-    tokens_per_s: float | None = None
 
 
 class _Customer(msgspec.Struct, frozen=True, rename="camel"):
@@ -143,7 +136,6 @@
             body_bytes=document.limits.max_body_bytes,
             header_seconds=document.limits.header_timeout_ms / MILLISECONDS,
             idle_seconds=document.limits.idle_timeout_ms / MILLISECONDS,
-            tokens_per_second=document.limits.tokens_per_s,
         ),
         customers_by_key={key: customer.name for customer in customers for key in customer.api_keys},
         has_customers=bool(customers),
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -43,9 +43,6 @@
 def make_service(**changes: object) -> Service:
     values = {
         "name": "engines",
-        "health_path": "/healthz",
-        "maximum_connections": 600,
-        "cold_seconds": 3.0,
         "cold_per_second": COLD_PER_SECOND,
         "engine": Engine(SLOTS, MEMORY_TOKENS),
     }
--- a/tests/router/fleet/test_exchange_reports.py
+++ b/tests/router/fleet/test_exchange_reports.py
@@ -11,7 +11,7 @@
 from limpetusher.clock import ManualClock
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher_router.fleet.exchange_reports import PeerReports
-from limpetusher_router.fleet.reports import LoadReport
+from limpetusher_router.fleet.reports import MAXIMUM_DATAGRAM_BYTES, LoadReport
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.process.deadlines import Deadlines
 
@@ -93,3 +93,18 @@
     second.hear(first)
     second.exchange.sum_up()
     assert "flood" in second.state.waiting.fleet_waiting(SERVICE)
+
+
+def test_report_fits_into_a_datagram_whatever_the_number_of_customers(routers, clock):
+    """Guards against reports that can't be sent: the largest entries are kept."""
+    first, second = routers
+    for number in range(4_000):
+        customer = f"customer-with-a-long-name-{number:06}"
+        first.state.served.serve(customer, 1_000.0 + number)
+        first.state.waiting.add(make_work(f"w{number}", service=SERVICE, customer=customer))
+        first.state.placement.rates.by_target[f"i-{number:010x}"] = 50_000.0 + number
+        first.state.placement.caches.sent("e1", make_work(session=f"{number:012x}").parts, 1e6)
+    first.exchange.send(clock.monotonic(), full=True)
+    assert len(first.datagrams[0]) < MAXIMUM_DATAGRAM_BYTES
+    second.hear(first)
+    assert second.state.served.total("customer-with-a-long-name-003999") == 4_999.0
