--- a/packages/limpetusher-core/src/limpetusher/fleet/process/bursts.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/bursts.py
@@ -35,7 +35,7 @@
     """Bursts by engine.
 
     Each router waits a random time before it begins a burst, so that the reports of the first one reach the
-    others before they begin as well.
+    others before they begin as well. Requests of customers with more service wait longer (see `admits`).
 
     Parameters
     ----------
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -32,8 +32,8 @@
         service when a burst begins; covers reports at intervals of 12 ms and two looks at the waiting
         requests.
     burst_excess_part
-        Part of a burst by which a customer without any service may extend one that is full, while others have
-        more than their share. Longer waits than that of a burst would make its short goals fail.
+        Part of a burst by which a customer without any service may extend one that is full, while capacity is
+        scarce. Without it, a goal that is shorter than two bursts is missed whenever a flood fills a burst.
     burst_spread_maximum
         Longest random time before a burst.
     idle_seconds
