--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -187,7 +187,7 @@
     def choose_engine(self, work: Work, view: "ServiceView") -> Placed | None:
         """Return the engine at which the request is read soonest, counting what would be read again.
 
-        A request waits for the best engine. After a part of its waiting time it takes another one, if that one
+        A request waits for the best engine. After a part of its waiting time it takes another one if that one
         has had nothing to read for a while: between two bursts it would keep sessions of its own waiting.
         """
         candidates = self.candidates(work, view)
