Compute the backlog once per look; share the listener of scripted targets

From reading the whole change once more; behaviour stays the same.

Each refusal added up all waiting work of the fleet again; the sum is now kept while a look refuses requests. Waiting requests were sorted twice in each look and are now kept in order. Requests are equal only if they are the same, so that removing one does not compare fields. Whether an engine is idle is asked only where a request may move. The two decoders of store answers share their error handling, and the two scripted targets of the tests their listener.

--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -110,9 +110,9 @@
     tokens: int
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Work:
-    """One caller's request as the placement sees it."""
+    """One caller's request as the placement sees it; two of them are equal only if they are the same."""
 
     request_id: str
     customer: str
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -34,15 +34,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Weighed:
-    """An engine and its cost in seconds.
-
-    `is_open` tells whether it takes the prompt now, `is_idle` whether no router has sent it any for a while.
-    """
+    """An engine and its cost in seconds; `is_open` tells whether it takes the prompt now."""
 
     cost: float
     placed: Placed
     is_open: bool
-    is_idle: bool
 
 
 class Placement:
@@ -195,12 +191,19 @@
             return None
         weighed = [entry for state in candidates if (entry := self.weigh(work, view, state)) is not None]
         best = min(weighed, key=lambda entry: entry.cost, default=None)
-        if best is not None and not best.is_open:
-            patience = self.settings.stay_part * (work.start_before - work.queued_at)
-            idle = (entry for entry in weighed if entry.is_open and entry.is_idle)
-            moves = view.now >= work.queued_at + patience
-            best = min(idle, key=lambda entry: entry.cost, default=None) if moves else None
-        return best.placed if best is not None else None
+        if best is None:
+            return None
+        if best.is_open:
+            return best.placed
+        stay = self.settings.stay_part * (work.start_before - work.queued_at)
+        if view.now < work.queued_at + stay:
+            return None
+        idle = [
+            entry
+            for entry in weighed
+            if entry.is_open and self.bursts.is_idle(entry.placed.target.target_id, view.now)
+        ]
+        return min(idle, key=lambda entry: entry.cost).placed if idle else None
 
     def wait_limit(self, work: Work) -> float:
         """Return how long a request may wait for a target, in seconds."""
@@ -230,8 +233,7 @@
         )
         cost = (total.unread_tokens + self.settings.reread_weight * unread) / state.rate + state.distrust
         load = OpenWork(1, unread, work.memory_tokens)
-        placed = Placed(state.target, load, total.unread_tokens + unread, state.is_cold)
-        return Weighed(cost, placed, is_open, self.bursts.is_idle(target_id, view.now))
+        return Weighed(cost, Placed(state.target, load, total.unread_tokens + unread, state.is_cold), is_open)
 
     def burst_seconds(self, service: str) -> float:
         """Return how long an engine may read prompts without a pause."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting.py
@@ -1,5 +1,6 @@
 """Requests that wait for a target: who comes next, and who is refused."""
 
+import bisect
 import heapq
 import math
 from collections import deque
@@ -58,13 +59,15 @@
         self.placement = placement
         self.served = served
         self.by_service: dict[str, list[Work]] = {}
+        """Waiting requests of this router by service, the most urgent first."""
         self.peers_waiting: dict[str, dict[str, WaitingWork]] = {}
         """What waits at the peers, by service and customer."""
 
     def add(self, work: Work) -> None:
         """Let a request wait from its `queued_at` on."""
         work.start_before = work.queued_at + self.placement.wait_limit(work)
-        self.by_service.setdefault(work.service, []).append(work)
+        waiting = self.by_service.setdefault(work.service, [])
+        bisect.insort(waiting, work, key=lambda other: other.start_before)
 
     def remove(self, work: Work) -> None:
         """Forget a request that has ended while it waited."""
@@ -99,12 +102,6 @@
         """Return the prompt tokens that the engines of a service read in a second, pauses included."""
         return self.settings.pace_part * self.placement.total_rate(service, now)
 
-    def backlog_seconds(self, service: str, now: float) -> float:
-        """Return how long the engines of a service need for all that waits."""
-        pace = self.pace(service, now)
-        tokens = sum(work.reading_tokens for work in self.fleet_waiting(service).values())
-        return tokens / pace if pace > 0 else 0.0
-
     def decide(self, now: float) -> list[Start | Refusal]:
         """Return what starts and what is refused now."""
         self.served.decay(now)
@@ -152,7 +149,7 @@
     def by_customer(self, service: str) -> dict[str, deque[Work]]:
         """Return the waiting requests of each customer, the most urgent first."""
         queues: dict[str, deque[Work]] = {}
-        for work in sorted(self.by_service[service], key=lambda work: work.start_before):
+        for work in self.by_service[service]:
             queues.setdefault(work.customer, deque()).append(work)
         return queues
 
@@ -165,6 +162,7 @@
         """
         refusals = []
         pace = self.pace(service, now)
+        backlog = sum(work.reading_tokens for work in self.fleet_waiting(service).values())
         for customer, queue in self.by_customer(service).items():
             served = self.served.total(customer)
             own = sum(throughput_tokens(work) for work in queue)
@@ -173,16 +171,18 @@
             for work in queue:
                 before = levels.reading_tokens(served + routers_part * ahead)
                 if now >= work.start_before:
-                    refusals.append(self.refusal(work, "no target had room in time", now))
+                    reason = "no target had room in time"
                 elif pace and now + before / pace > work.start_before:
-                    refusals.append(self.refusal(work, "the backlog is too long", now))
+                    reason = "the backlog is too long"
                 else:
                     ahead += throughput_tokens(work)
+                    continue
+                refusals.append(self.refusal(work, reason, now, backlog / pace if pace > 0 else 0.0))
+                backlog -= own_tokens(work)
         return refusals
 
-    def refusal(self, work: Work, reason: str, now: float) -> Refusal:
-        """Take a request out and say when its caller may return."""
-        backlog = self.backlog_seconds(work.service, now)
+    def refusal(self, work: Work, reason: str, now: float, backlog: float) -> Refusal:
+        """Take a request out and say when its caller may return, after the seconds of the backlog."""
         self.remove(work)
         later = backlog + RETURN_GOAL_PART * work.route.goal_seconds
         retry_after = min(max(later, LEAST_RETRY_AFTER_SECONDS), MOST_RETRY_AFTER_SECONDS)
--- a/packages/limpetusher-router/src/limpetusher_router/platform/store.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 from dataclasses import dataclass
+from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
@@ -74,6 +75,13 @@
     return get_request(address, "/kv-watch", prefix=EVERYTHING, after=after, waitMs=int(wait_seconds * 1_000))
 
 
+def _decode(decoder: msgspec.json.Decoder, body: bytes, name: str) -> Any:
+    try:
+        return decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise CodecError(f"malformed {name}") from error
+
+
 def _stored(item: _Item) -> StoredItem:
     try:
         return StoredItem(item.key, base64.b64decode(item.value or "", validate=True), item.rev)
@@ -90,10 +98,7 @@
     CodecError
         If the answer is malformed.
     """
-    try:
-        page = _range_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise CodecError("malformed range") from error
+    page = _decode(_range_decoder, body, "range")
     return RangePage([_stored(item) for item in page.items], page.current_rev, page.has_more)
 
 
@@ -105,10 +110,7 @@
     CodecError
         If the answer is malformed.
     """
-    try:
-        watch = _watch_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise CodecError("malformed watch") from error
+    watch = _decode(_watch_decoder, body, "watch")
     items = [_stored(event) for event in watch.events if not event.deleted]
     removed = [(event.key, event.rev) for event in watch.events if event.deleted]
     return WatchedChanges(items, removed, watch.current_rev)
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-from builders_router import PACKAGES, free_addresses, read_all
+from builders_router import PACKAGES, TargetListener, free_addresses, read_all
 from limpetusher_router.platform.settings_file import Bounds, HostSettings
 
 START_SECONDS = 15.0
@@ -251,37 +251,18 @@
     return f"id: {number}\ndata: token-{number}\n\n".encode()
 
 
-class TargetStandIn:
+class TargetStandIn(TargetListener):
     """Target whose answer to each request is written by a script, which gets the call and its number."""
 
     def __init__(self, script: Callable[[Call, int], None]):
         self.script = script
         self.calls: list[Call] = []
-        self.socks: list[socket.socket] = []
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                sock, _address = self.listener.accept()
-                self.socks.append(sock)
-                threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
-
-    def serve(self, sock: socket.socket) -> None:
-        with contextlib.suppress(OSError), sock, sock.makefile("rb") as source:
-            while head := b"".join(iter(source.readline, b"\r\n")).decode():
-                call = Call(sock, head, b"")
-                call.body = source.read(int(call.headers.get("content-length", 0)))
-                self.calls.append(call)
-                self.script(call, len(self.calls))
+        super().__init__()
 
-    def close(self) -> None:
-        for sock in (self.listener, *self.socks):
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
+    def handle(self, sock: socket.socket, head: str, body: bytes) -> None:
+        call = Call(sock, head, body)
+        self.calls.append(call)
+        self.script(call, len(self.calls))
 
 
 class RouterStandUp:
--- a/tests/builders_router.py
+++ b/tests/builders_router.py
@@ -137,12 +137,10 @@
         self.sock.shutdown(socket.SHUT_RDWR)
 
 
-class ScriptedTarget:
-    """Target whose answer to each request is written by a script; load reports are answered by itself."""
+class TargetListener:
+    """Reads requests from all connections to a loopback address and passes them to `handle`."""
 
-    def __init__(self, script: Script):
-        self.script = script
-        self.requests: list[TargetConnection] = []
+    def __init__(self):
         self.socks: list[socket.socket] = []
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
@@ -161,12 +159,11 @@
                 length = [
                     line.split(":")[1] for line in head.splitlines() if line.startswith("content-length")
                 ]
-                connection = TargetConnection(sock, head, source.read(int(length[0])) if length else b"")
-                if head.startswith("GET /load "):
-                    connection.send(answer_bytes(json.dumps(LOAD).encode()))
-                else:
-                    self.requests.append(connection)
-                    self.script(connection)
+                self.handle(sock, head, source.read(int(length[0])) if length else b"")
+
+    def handle(self, sock: socket.socket, head: str, body: bytes) -> None:
+        """Answer a request."""
+        raise NotImplementedError
 
     def close(self) -> None:
         """Stop listening and break all connections."""
@@ -176,6 +173,23 @@
         self.listener.close()
 
 
+class ScriptedTarget(TargetListener):
+    """Target whose answer to each request is written by a script; load reports are answered by itself."""
+
+    def __init__(self, script: Script):
+        self.script = script
+        self.requests: list[TargetConnection] = []
+        super().__init__()
+
+    def handle(self, sock: socket.socket, head: str, body: bytes) -> None:
+        connection = TargetConnection(sock, head, body)
+        if head.startswith("GET /load "):
+            connection.send(answer_bytes(json.dumps(LOAD).encode()))
+        else:
+            self.requests.append(connection)
+            self.script(connection)
+
+
 class ScriptedPlatform(ThreadingHTTPServer):
     """Platform that publishes one configuration and one host list."""
 
