Keep a ready router ready while a newer configuration is on its way

Cause: in its first 5 s a router of the lease core became unready again when a peer named a newer configuration than it had, and refused with not_ready in the middle of its work (test_data_centre_leaves_and_returns_without_an_error on a slow machine).

Change: a router that was confirmed once stays confirmed.

--- a/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
+++ b/packages/limpetusher-core/src/limpetusher/core/version/rollout.py
@@ -85,6 +85,7 @@
         self.peer_heard = False
         self.highest_peer_order = NO_VERSION
         self.first_offer_at: float | None = None
+        self.was_confirmed = False
 
     @property
     def order(self) -> tuple[int, bytes]:
@@ -122,8 +123,15 @@
 
         A router that restarts may read an old version from a stale replica of the platform. It is not
         ready before a peer's heartbeat has confirmed the version, or 2 s have passed without any heartbeat.
-        A peer that names a newer version but does not deliver it delays readiness by 5 s at most.
+        A peer that names a newer version but does not deliver it delays readiness by 5 s at most. Once
+        confirmed, the router goes on serving while a newer version is on its way.
         """
+        if not self.was_confirmed:
+            self.was_confirmed = self.confirms(now)
+        return self.was_confirmed
+
+    def confirms(self, now: float) -> bool:
+        """Return whether a router that has just started may use its configuration."""
         if self.configuration is None or self.first_offer_at is None:
             return False
         waited = now - self.first_offer_at
--- a/tests/core/version/test_rollout.py
+++ b/tests/core/version/test_rollout.py
@@ -149,6 +149,16 @@
     assert rollout.is_confirmed(1.6)
 
 
+def test_ready_router_stays_ready_while_a_newer_version_is_on_its_way():
+    """Guards against refusals by a router that started less than 5 s before a configuration is published."""
+    rollout = started()
+    rollout.offer(configuration(1), 0.0)
+    rollout.peer_version("router-1", *configuration(1).order, 0.1)
+    assert rollout.is_confirmed(0.2)
+    rollout.peer_version("router-1", *configuration(2).order, 0.3)
+    assert rollout.is_confirmed(0.4)
+
+
 @pytest.mark.parametrize(("version", "ready_at"), [(None, 2.0), (9, 5.0)])
 def test_silent_peers_do_not_keep_a_router_from_serving(version: int | None, ready_at: float):
     """Guards against a router that never becomes ready since no peer answers or delivers."""
