Give the platform stand-in a clock that tests pause

The test stands still for the five calls, and checks besides that the window is neither shorter nor longer than 1 s.

Ruled out: a longer window or fewer calls, which would only make the failure rarer.

--- a/packages/limpetusher-standins/src/limpetusher_standins/platform_service.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/platform_service.py
@@ -3,10 +3,10 @@
 import asyncio
 import json
 import logging
-import time
 from collections import deque
 from dataclasses import dataclass
 
+from limpetusher.clock import Clock, SystemClock
 from limpetusher_standins.http_server import (
     ConnectionCut,
     HttpRequest,
@@ -56,10 +56,18 @@
 
     Routers can only read. Tests publish as the operator through paths below `/control`, which stay reachable
     while the service is switched down.
+
+    Parameters
+    ----------
+    settings
+        Properties of the platform.
+    clock
+        Source of time; waits of watches follow the event loop's own clock.
     """
 
-    def __init__(self, settings: PlatformSettings):
+    def __init__(self, settings: PlatformSettings, clock: Clock | None = None):
         self.settings = settings
+        self.clock = clock or SystemClock()
         self.host_lag_seconds = settings.host_lag_seconds
         self.calls = RateLimit(settings.calls_per_second, 1.0)
         self.weight_loads = RateLimit(settings.weight_loads_per_minute, 60.0)
@@ -101,7 +109,7 @@
             case ("PUT", "/control/configuration"):
                 return self.publish(request.body, force="force" in request.query)
             case ("PUT", "/control/hosts"):
-                self.host_lists.append((time.monotonic(), request.json()))
+                self.host_lists.append((self.clock.monotonic(), request.json()))
                 return json_response({"version": request.json()["version"]})
             case ("POST", "/control/switches"):
                 return self.switch(request.json())
@@ -119,7 +127,7 @@
         newest = self.documents[-1][1] if self.documents else 0
         if version <= newest and not force:
             return error_response(409, f"version {version} is not newer than {newest}")
-        self.documents.append((time.time(), version, document))
+        self.documents.append((self.clock.wall(), version, document))
         self.published.set()
         self.published = asyncio.Event()
         return json_response({"version": version})
@@ -131,7 +139,7 @@
             if self.down:
                 self.server.abort_connections(except_paths=CONTROL_PATHS)
         if "stale" in options:
-            self.stale_since = time.time() if options["stale"] else None
+            self.stale_since = self.clock.wall() if options["stale"] else None
             self.published.set()
             self.published = asyncio.Event()
         self.host_lag_seconds = float(options.get("host_lag_seconds", self.host_lag_seconds))
@@ -146,7 +154,7 @@
     def count_call(self) -> bool:
         """Count a call of a reader; return False when the limit is reached."""
         self.counts["calls"] += 1
-        if self.calls.allow(time.monotonic()):
+        if self.calls.allow(self.clock.monotonic()):
             return True
         self.counts["refused"] += 1
         return False
@@ -164,7 +172,8 @@
             return error_response(429, "too many calls", {"retry-after": "1"})
         after = int(request.query.get("after", "-1"))
         wait = min(float(request.query.get("wait", "0")), MAXIMUM_WAIT_SECONDS)
-        deadline = time.monotonic() + wait
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait
         self.counts["watches"] += 1
         self.counts["maximum_watches"] = max(self.counts["maximum_watches"], self.counts["watches"])
         try:
@@ -173,7 +182,7 @@
                 if newest is not None and newest[0] > after:
                     return HttpResponse(body=newest[1])
                 try:
-                    await asyncio.wait_for(self.published.wait(), deadline - time.monotonic())
+                    await asyncio.wait_for(self.published.wait(), deadline - loop.time())
                 except TimeoutError:
                     return HttpResponse(status=204)
         finally:
@@ -183,7 +192,7 @@
         """Answer with the host list of `host_lag_seconds` ago."""
         if not self.count_call():
             return error_response(429, "too many calls", {"retry-after": "1"})
-        seen = time.monotonic() - self.host_lag_seconds
+        seen = self.clock.monotonic() - self.host_lag_seconds
         older = [host_list for at, host_list in self.host_lists if at <= seen]
         if older:
             return json_response(older[-1])
@@ -193,8 +202,10 @@
 
     async def weights(self, model: str, version: str) -> HttpResponse:
         """Answer with the weights of a model, within the rate limit."""
-        allowed = self.weight_loads.allow(time.monotonic())
-        self.weight_record.append({"model": model, "version": version, "at": time.time(), "allowed": allowed})
+        allowed = self.weight_loads.allow(self.clock.monotonic())
+        self.weight_record.append(
+            {"model": model, "version": version, "at": self.clock.wall(), "allowed": allowed}
+        )
         if not allowed:
             return error_response(429, "too many weight loads", {"retry-after": "1"})
         await asyncio.sleep(self.settings.weight_seconds)
--- a/tests/builders_standins.py
+++ b/tests/builders_standins.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import AsyncIterator
 
+from limpetusher.clock import Clock
 from limpetusher_standins import http_client
 from limpetusher_standins.application import Application
 from limpetusher_standins.engine import Engine
@@ -54,9 +55,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running_platform(**changes: object) -> AsyncIterator[tuple[Platform, str]]:
+async def running_platform(
+    *, clock: Clock | None = None, **changes: object
+) -> AsyncIterator[tuple[Platform, str]]:
     """Run a platform; give it and its address."""
-    platform = Platform(PlatformSettings(**changes))
+    platform = Platform(PlatformSettings(**changes), clock)
     address = await platform.server.start(ANY_PORT)
     try:
         yield platform, address
--- a/tests/standins/test_platform_service.py
+++ b/tests/standins/test_platform_service.py
@@ -7,6 +7,7 @@
 import pytest
 
 from builders_standins import get, post, running_platform
+from limpetusher.clock import ManualClock
 from limpetusher_standins import http_client
 from limpetusher_standins.http_client import AnswerCutError
 
@@ -36,10 +37,15 @@
     """Guards against routers that write to the platform or call it without limit."""
 
     async def run() -> None:
-        async with running_platform(calls_per_second=3) as (_, address):
+        clock = ManualClock()
+        async with running_platform(calls_per_second=3, clock=clock) as (_, address):
             assert (await http_client.request(address, "PUT", "/configuration", body=b"{}")).status == 404
             statuses = [(await get(address, "/configuration?after=0")).status for _ in range(5)]
             assert statuses == [204, 204, 204, 429, 429]
+            clock.advance(0.999)
+            assert (await get(address, "/configuration?after=0")).status == 429
+            clock.advance(0.001)
+            assert (await get(address, "/configuration?after=0")).status == 204
 
     asyncio.run(run())
 
