--- a/packages/limpetusher-core/src/limpetusher/core/request/admission.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/admission.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from limpetusher.core.actions import Ran, RefusalCode
 from limpetusher.core.context import Context
 from limpetusher.core.inputs import RequestArrived
 from limpetusher.core.process.routes import Routes
+from limpetusher.core.refusals import Ran, RefusalCode
 from limpetusher.core.request.queue import RequestQueue
 from limpetusher.core.request.record import Bucket
 
--- a/packages/limpetusher-core/src/limpetusher/core/request/holder.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/holder.py
@@ -5,8 +5,8 @@
 import random
 from collections.abc import Callable
 
-from limpetusher.core.actions import Ran
 from limpetusher.core.inputs import RequestArrived
+from limpetusher.core.refusals import Ran
 from limpetusher.core.request import refusals
 from limpetusher.core.request.key_records import ABANDONED, FINISHED, RUNNING, UNKNOWN
 from limpetusher.core.request.registration import RECORDED, Attempt, KeptAnswer, Phase
--- a/packages/limpetusher-core/src/limpetusher/core/request/idempotency.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/idempotency.py
@@ -11,8 +11,8 @@
 from typing import TYPE_CHECKING
 
 from limpetusher.configuration.compiled import HostList
-from limpetusher.core.actions import Ran
 from limpetusher.core.inputs import RequestArrived
+from limpetusher.core.refusals import Ran
 from limpetusher.core.request.holder import Holder
 from limpetusher.core.request.key_records import KeyRecords, RecordsFullError
 from limpetusher.core.request.registration import EXISTING, NOT_READY, OTHER_HOSTS, RECORDED, KeptAnswer
--- a/packages/limpetusher-core/src/limpetusher/core/request/keyed.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/keyed.py
@@ -3,9 +3,10 @@
 import math
 from collections.abc import Callable, Iterable
 
-from limpetusher.core.actions import Ran, Replay
+from limpetusher.core.actions import Replay
 from limpetusher.core.context import Context
 from limpetusher.core.inputs import Outcome, ResponseEnded
+from limpetusher.core.refusals import Ran
 from limpetusher.core.request.admission import Refusal
 from limpetusher.core.request.idempotency import (
     Admitted,
--- a/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/lifecycle.py
@@ -1,11 +1,12 @@
 """Requests of this router's callers from arrival to the end of the answer."""
 
-from limpetusher.core.actions import CancelDispatch, Dispatch, Ran, RefusalCode, Refuse
+from limpetusher.core.actions import CancelDispatch, Dispatch, Refuse
 from limpetusher.core.context import Context
 from limpetusher.core.inputs import Outcome, RequestArrived, ResponseEnded, ResponseProgress
 from limpetusher.core.process.dispatch import Dispatcher
 from limpetusher.core.process.offers import Offers
 from limpetusher.core.process.routes import Routes
+from limpetusher.core.refusals import Ran, RefusalCode
 from limpetusher.core.request.admission import (
     Admission,
     Refusal,
--- a/packages/limpetusher-core/src/limpetusher/core/request/refusals.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/refusals.py
@@ -1,6 +1,6 @@
 """Refusals of requests with an idempotency key."""
 
-from limpetusher.core.actions import Ran, RefusalCode
+from limpetusher.core.refusals import Ran, RefusalCode
 from limpetusher.core.request.witness_results import Rejected
 
 NO_QUORUM_RETRY_SECONDS = 2.0
--- a/packages/limpetusher-core/src/limpetusher/core/request/witness_results.py
+++ b/packages/limpetusher-core/src/limpetusher/core/request/witness_results.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from limpetusher.core.actions import Ran, RefusalCode, Replay
+from limpetusher.core.actions import Replay
+from limpetusher.core.refusals import Ran, RefusalCode
 from limpetusher.wire.messages import PeerPayload
 
 
--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -36,6 +36,7 @@
     DATA_CENTRE_EVACUATED = (1316, logging.INFO, "data centre evacuated")
     DATA_CENTRE_RETURNED = (1317, logging.INFO, "data centre returned")
     TARGET_HELD = (1318, logging.INFO, "entry of a target went while the store was away")
+    TARGET_NOTICE = (1319, logging.INFO, "target says that it leaves or is too busy")
     ORDER_SENT = (1321, logging.INFO, "order sent to target")
     ORDER_REFUSED = (1322, logging.WARNING, "order refused by target")
     REQUEST_REFUSED = (1401, logging.INFO, "request refused")
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/fleet/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that live as long as a connection between two routers."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/budgets.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/budgets.py
@@ -1,8 +1,10 @@
-"""Limits of the whole fleet that each router keeps for its part."""
+"""Limits that the scheduler of a pool keeps."""
 
 from dataclasses import dataclass
 
-from limpetusher.fleet.version.routing import stable_hash
+COLD_PART = 0.8
+"""Part of a cold target's rate that is used. For a moment two routers may both schedule it, when one of them
+was silent or has just started; twice this part stays below what the platform tolerates."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,9 +30,9 @@
 
 
 class RetryBudget:
-    """Tokens of one router for repeated sends to one service.
+    """Tokens for repeated sends to the targets of one pool.
 
-    A full bucket and its refill over one window together never exceed the router's part of `extra`.
+    A full bucket and its refill over one window together never exceed the pool's part of `extra`.
     """
 
     def __init__(self, settings: RetryBudgetSettings):
@@ -38,13 +40,13 @@
         self.tokens = 0.0
         self.updated_at: float | None = None
 
-    def part(self, routers: int) -> float:
-        """Return this router's part of the extra repeats."""
-        return self.settings.safety * self.settings.extra / max(1, routers)
+    def part(self, pools: int) -> float:
+        """Return this pool's part of the extra repeats."""
+        return self.settings.safety * self.settings.extra / max(1, pools)
 
-    def refill(self, routers: int, now: float) -> None:
+    def refill(self, pools: int, now: float) -> None:
         """Add what has accrued since the last call."""
-        half = self.part(routers) / 2
+        half = self.part(pools) / 2
         if self.updated_at is None:
             self.tokens = half
         else:
@@ -52,45 +54,38 @@
         self.tokens = min(self.tokens, max(1.0, half))
         self.updated_at = now
 
-    def earn(self, routers: int, now: float) -> None:
+    def earn(self, pools: int, now: float) -> None:
         """Count a caller's request."""
-        self.refill(routers, now)
+        self.refill(pools, now)
         self.tokens += self.settings.ratio * self.settings.safety
 
-    def allows(self, routers: int, now: float) -> bool:
+    def allows(self, pools: int, now: float) -> bool:
         """Return whether there is the right to one repeated send."""
-        self.refill(routers, now)
+        self.refill(pools, now)
         return self.tokens >= 1.0
 
-    def spend(self, routers: int, now: float) -> bool:
+    def spend(self, pools: int, now: float) -> bool:
         """Take the right to one repeated send; return whether there was one."""
-        if not self.allows(routers, now):
+        if not self.allows(pools, now):
             return False
         self.tokens -= 1.0
         return True
 
 
 class ColdLimit:
-    """The part of one router in what a cold target bears.
-
-    Only some routers, chosen alike by all, send to a cold target, so that the parts add up to no more
-    than the
-    target bears even when each router sends at the same moment.
-    """
+    """Spaces the requests to a cold target by what it bears."""
 
     def __init__(self):
         self.next_at: dict[str, float] = {}
 
-    def senders(self, per_second: float, routers: int) -> int:
-        """Return how many routers may send to one cold target."""
-        return max(1, min(routers, int(per_second / 2)))
+    def allows(self, target_id: str, now: float) -> bool:
+        """Return whether a request may be sent to the cold target now."""
+        return now >= self.next_at.get(target_id, 0.0)
 
-    def allows(self, target_id: str, per_second: float, own: str, routers: list[str], now: float) -> bool:
-        """Return whether this router may send to the cold target now."""
-        count = self.senders(per_second, len(routers))
-        ranked = sorted(routers, key=lambda router: stable_hash(target_id, router))
-        return own in ranked[:count] and now >= self.next_at.get(target_id, 0.0)
-
-    def sent(self, target_id: str, per_second: float, routers: int, now: float) -> None:
+    def sent(self, target_id: str, per_second: float, now: float) -> None:
         """Note a request to the cold target."""
-        self.next_at[target_id] = now + self.senders(per_second, routers) / per_second
+        self.next_at[target_id] = now + 1.0 / (COLD_PART * per_second)
+
+    def forget(self, target_id: str) -> None:
+        """Forget a target that is gone."""
+        self.next_at.pop(target_id, None)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/caches.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/caches.py
@@ -1,15 +1,9 @@
-"""Which prompt parts engines have probably kept, by what all routers have sent to them."""
+"""Which prompt parts engines have probably kept, by what has been sent to them."""
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 
 from limpetusher.fleet.model import PromptPart
 
-REPORTED_TWICE = 2
-"""Reports in which a sent part is named, so that the loss of one datagram does not matter."""
-
-SentParts = tuple[str, tuple[PromptPart, ...]]
-"""An engine, and the shared parts of a request that was sent to it."""
-
 
 class KeptParts:
     """Prompt parts that one engine keeps; the least recently used ones yield."""
@@ -24,41 +18,32 @@
         self.tokens += part.tokens - self.parts.pop(part.part_id, 0)
         self.parts[part.part_id] = part.tokens
 
-    def shrink(self, capacity: float) -> None:
-        """Drop what does not fit."""
+    def shrink(self, capacity: float) -> list[str]:
+        """Drop what does not fit, and return the names of the dropped parts."""
+        dropped = []
         while self.tokens > capacity and self.parts:
-            _part, tokens = self.parts.popitem(last=False)
+            part_id, tokens = self.parts.popitem(last=False)
             self.tokens -= tokens
+            dropped.append(part_id)
+        return dropped
 
 
 class PromptCaches:
-    """Kept prompt parts by engine, from the sends of this router and those that its peers report."""
+    """Kept prompt parts by engine."""
 
     def __init__(self):
         self.kept: dict[str, KeptParts] = {}
-        self.unreported: list[SentParts] = []
-        self.reported: deque[list[SentParts]] = deque(maxlen=REPORTED_TWICE - 1)
-
-    def sent(self, target_id: str, parts: tuple[PromptPart, ...], capacity: float) -> None:
-        """Note the shared parts of a request that this router sends; the last part is its own."""
-        shared = parts[:-1]
-        if shared:
-            self.unreported.append((target_id, shared))
-            self.use(target_id, shared, capacity)
+        self.holders: dict[str, set[str]] = {}
+        """Engines that keep a part, by part."""
 
     def use(self, target_id: str, shared: tuple[PromptPart, ...], capacity: float) -> None:
         """Note shared parts that an engine reads or uses, and has room for `capacity` tokens."""
         kept = self.kept.setdefault(target_id, KeptParts())
         for part in shared:
             kept.use(part)
-        kept.shrink(capacity)
-
-    def take_sent(self) -> list[SentParts]:
-        """Return what was sent since the report before the last one, for the next report."""
-        news = [entry for entries in self.reported for entry in entries] + self.unreported
-        self.reported.append(self.unreported)
-        self.unreported = []
-        return news
+            self.holders.setdefault(part.part_id, set()).add(target_id)
+        for part_id in kept.shrink(capacity):
+            self.drop(target_id, part_id)
 
     def unread_tokens(self, target_id: str, parts: tuple[PromptPart, ...], prompt_tokens: int) -> int:
         """Return how many prompt tokens the engine has to read; a part counts only with all before it."""
@@ -72,4 +57,22 @@
 
     def forget(self, target_id: str) -> None:
         """Forget a target that is gone or has restarted."""
-        self.kept.pop(target_id, None)
+        kept = self.kept.pop(target_id, None)
+        if kept is not None:
+            for part_id in kept.parts:
+                self.drop(target_id, part_id)
+
+    def drop(self, target_id: str, part_id: str) -> None:
+        """Forget that an engine keeps a part."""
+        holders = self.holders[part_id]
+        holders.discard(target_id)
+        if not holders:
+            del self.holders[part_id]
+
+    def longest_holders(self, parts: tuple[PromptPart, ...]) -> set[str]:
+        """Return the engines that keep the last shared part of a prompt that any engine keeps."""
+        for part in reversed(parts[:-1]):
+            holders = self.holders.get(part.part_id)
+            if holders:
+                return holders
+        return set()
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/rates.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/rates.py
@@ -1,10 +1,9 @@
-"""How fast engines read prompts, measured from the time to the first output."""
+"""How fast engines read prompts, measured from bursts that they read without a pause."""
 
 import math
-import statistics
-from collections.abc import Mapping
+from collections import Counter
 
-from limpetusher.fleet.process.loads import PeerLoad
+from limpetusher.fleet.process.bursts import EnginePace
 from limpetusher.fleet.settings import FleetSettings
 
 SAMPLE_WEIGHT = 0.1
@@ -18,44 +17,28 @@
 
 
 class ReadingRates:
-    """Prompt tokens a second by engine; an engine without measurements has its service's rate.
-
-    All routers use the median of what they have measured. With a rate of its own, a router that believes an
-    engine to be slow sees each burst as full that another router goes on filling.
-    """
+    """Prompt tokens a second by engine; an engine without measurements has its service's rate."""
 
     def __init__(self, settings: FleetSettings):
         self.settings = settings
         self.by_service: dict[str, float] = {}
-        """Own measurements by service."""
         self.by_target: dict[str, float] = {}
-        """Own measurements by target."""
-        self.shared: dict[str, float] = {}
-        """Medians over the fleet by target, and by service."""
+        self.samples: Counter[str] = Counter()
+        """Samples by service and by target; the first ones count more than the prior."""
         self.base_seconds: dict[str, float] = {}
         """Time to the first output of a short prompt at an idle engine, by service."""
 
     def rate(self, service: str, target_id: str) -> float:
         """Return prompt tokens a second."""
-        known = self.shared.get(target_id) or self.by_target.get(target_id)
-        if known is None:
-            known = self.shared.get(service) or self.by_service.get(service)
+        known = self.by_target.get(target_id) or self.by_service.get(service)
         return known or self.settings.prior_reading_rate
 
-    def sum_up(self, loads: Mapping[str, PeerLoad]) -> None:
-        """Take the medians over the routers."""
-        measured: dict[str, list[float]] = {}
-        for rates in (self.by_service, self.by_target, *(load.rates for load in loads.values())):
-            for name, rate in rates.items():
-                measured.setdefault(name, []).append(rate)
-        self.shared = {name: statistics.median(rates) for name, rates in measured.items()}
-
-    def own(self) -> dict[str, float]:
-        """Return the own measurements by target and by service, for the report to the peers."""
-        return self.by_service | self.by_target
+    def pace(self, service: str, target_id: str) -> EnginePace:
+        """Return how an engine reads."""
+        return EnginePace(self.rate(service, target_id), self.base_seconds.get(service, 0.0))
 
     def sample(self, service: str, target_id: str, tokens: int, seconds: float) -> None:
-        """Take the time in which an engine came to the end of the unread prompts in front of it."""
+        """Take the time in which an engine has read a burst of prompts."""
         base = self.base_seconds.get(service, math.inf)
         if tokens < LEAST_SAMPLE_TOKENS:
             self.base_seconds[service] = min(seconds, base + BASE_RISE * seconds)
@@ -68,9 +51,12 @@
             (self.by_service, service, prior),
             (self.by_target, target_id, self.by_service.get(service, prior)),
         ):
-            rates[key] = rates.get(key, first) + SAMPLE_WEIGHT * (measured - rates.get(key, first))
+            known = rates.get(key, first)
+            self.samples[key] += 1
+            weight = max(SAMPLE_WEIGHT, 1.0 / self.samples[key])
+            rates[key] = known + weight * (measured - known)
 
     def forget(self, target_id: str) -> None:
         """Forget a target that is gone."""
         self.by_target.pop(target_id, None)
-        self.shared.pop(target_id, None)
+        self.samples.pop(target_id, None)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/shares.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/shares.py
@@ -60,6 +60,8 @@
 
     def level(self, reading_tokens: float) -> float:
         """Return the level that is reached by reading prompt tokens, infinite if nothing is left then."""
+        if not self.demands:
+            return math.inf
         high = max((demand.served + demand.throughput_tokens for demand in self.demands), default=0.0)
         if self.reading_tokens(high) <= reading_tokens:
             return math.inf
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -13,6 +13,7 @@
     ----------
     candidates
         Engines that are considered for a session, in the order of its hash; bounds the time of a choice.
+        Data centres with as many engines each are scheduled apart.
     reread_weight
         Cost of reading a prompt token that another engine has kept, relative to one that waits ahead. Above 1
         because the reading also delays the requests that come after, and makes the engine drop other parts.
@@ -25,22 +26,12 @@
         Least length of a burst.
     burst_pause_seconds
         Time between two bursts, enough for the tokens of one event of each stream.
-    burst_spread_seconds
-        Random time before a burst for each router; a report takes about 2 ms to reach the others.
-    burst_turn_seconds
-        Time by which the requests of a customer that has used its share come after those of one without any
-        service when a burst begins; covers reports at intervals of 12 ms and two looks at the waiting
-        requests.
     burst_excess_part
         Part of a burst by which a customer without any service may extend one that is full, while capacity is
         scarce. Without it, a goal that is shorter than two bursts is missed whenever a flood fills a burst.
-    burst_spread_maximum
-        Longest random time before a burst.
     idle_seconds
         Time without prompts after which an engine may read a session again that another engine keeps. Longer
-        than the pause, the random time and the turns before a burst, so that its own sessions come first.
-    pace_part
-        Part of the engines' reading rate that bursts and their pauses use.
+        than the pause before a burst, so that its own sessions come first.
     memory_part
         Part of an engine's memory that open requests may take; the rest holds cached prompt parts.
     cache_part
@@ -72,12 +63,8 @@
     burst_pause_part: float = 0.6
     least_burst_seconds: float = 0.1
     burst_pause_seconds: float = 0.03
-    burst_spread_seconds: float = 0.004
-    burst_turn_seconds: float = 0.03
     burst_excess_part: float = 0.5
-    burst_spread_maximum: float = 0.06
-    idle_seconds: float = 0.15
-    pace_part: float = 0.8
+    idle_seconds: float = 0.06
     memory_part: float = 0.8
     cache_part: float = 0.35
     first_output_seconds: float = 0.1
--- a/packages/limpetusher-core/src/limpetusher/fleet/version/mirror.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/version/mirror.py
@@ -36,7 +36,16 @@
         self.revision = 0
 
     def put(self, item: StoredItem) -> Change | None:
-        """Take a value unless a newer one is known; return the change, None where there is none."""
+        """Take a value unless a newer one is known; return the change, None where there is none.
+
+        A value up to `revision` whose key is not contained was removed since.
+        """
+        if item.key not in self.items and item.revision <= self.revision:
+            return None
+        return self.put_newer(item)
+
+    def put_newer(self, item: StoredItem) -> Change | None:
+        """Take a value unless a newer one of its key is known."""
         known = self.items.get(item.key)
         if known is not None and known.revision >= item.revision:
             return None
@@ -67,7 +76,8 @@
 
         Keys that the copy lacks are removed unless they are newer than it. An older copy only adds.
         """
-        changes = [change for item in items if (change := self.put(item)) is not None]
+        put = self.put_newer if revision >= self.revision else self.put
+        changes = [change for item in items if (change := put(item)) is not None]
         if revision >= self.revision:
             present = {item.key for item in items}
             gone = [key for key in self.items if key not in present]
--- a/packages/limpetusher-router/src/limpetusher_router/command.py
+++ b/packages/limpetusher-router/src/limpetusher_router/command.py
@@ -7,8 +7,9 @@
 from cyclopts.config import Env
 
 from limpetusher.errors import ConfigurationError
+from limpetusher_router.connection.settings import ENVIRONMENT_PREFIX
 from limpetusher_router.errors import RouterError
-from limpetusher_router.settings import ENVIRONMENT_PREFIX, RouterSettings
+from limpetusher_router.settings import RouterSettings
 
 FAILURE_STATUS = 1
 USAGE_ERROR_STATUS = 2
--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -6,9 +6,9 @@
 from collections import deque
 
 from limpetusher_router.connection.framing import BodyReader, RequestHead
+from limpetusher_router.connection.settings import split_address
 from limpetusher_router.errors import RouterError
 from limpetusher_router.request.answers import reason_phrase
-from limpetusher_router.settings import split_address
 
 BACKLOG = 1024
 PIECES_PER_WRITE = 16
@@ -131,6 +131,14 @@
         """Return whether a request is in progress or an answer is not written yet."""
         return bool(self.out or self.head_started or self.request_id)
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes wait in the socket; a caller's close does not count."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def takes_body(self, status: int) -> bool:
         """Return whether an answer with the status has a body."""
         head_only = self.head is not None and self.head.method == "HEAD"
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -1,6 +1,7 @@
 """The caller port: one component that owns the listening socket and all callers' connections."""
 
 import errno
+import itertools
 import logging
 import math
 import socket
@@ -9,10 +10,11 @@
 from circuits.core import BaseComponent, handler
 from circuits.core.pollers import EPoll
 
-from limpetusher.core.actions import RefusalCode
+from limpetusher.core.refusals import RefusalCode
 from limpetusher_router.connection.caller_connection import CallerConnection, CallerState, listen
 from limpetusher_router.connection.framing import BodyReader, find_head, parse_request_head
 from limpetusher_router.connection.keepalive import prepare
+from limpetusher_router.connection.settings import ConnectionSettings
 from limpetusher_router.connection.timeouts import Timeouts
 from limpetusher_router.errors import FramingError
 from limpetusher_router.events import (
@@ -28,10 +30,13 @@
 from limpetusher_router.process.metrics import Metrics
 from limpetusher_router.request.answers import error_answer
 from limpetusher_router.request.identifiers import RequestIdentifiers
-from limpetusher_router.settings import RouterSettings
 
 ACCEPTS_PER_EVENT = 64
 ACCEPT_PAUSE_SECONDS = 0.1
+ROUNDS_BEFORE_REFUSAL = 2
+"""Rounds of reads before a refusal; the bytes and the end of a connection take a round each."""
+IDLE_LOOKS = 16
+"""Idle connections that are looked at for one without unread bytes, when one has to make room."""
 BODY_PROGRESS_BYTES = 1024
 LINGER_SECONDS = 2.0
 READ_BYTES = 65_536
@@ -53,7 +58,7 @@
 
     def __init__(
         self,
-        settings: RouterSettings,
+        settings: ConnectionSettings,
         *,
         deadlines: Deadlines,
         poller: EPoll,
@@ -75,8 +80,8 @@
         self.in_progress: dict[str, CallerConnection] = {}
         self.idle: dict[CallerConnection, None] = {}
         """Connections that wait for the first byte of a request, longest idle first."""
-        self.has_read = False
-        """Whether connections were read since the limit of connections was found to be reached."""
+        self.full_rounds = 0
+        """Rounds in which connections were read since the limit of connections was found to be reached."""
         self.stopping = False
         self.listener: socket.socket | None = listen(address or settings.caller_address)
         poller.addReader(self, self.listener)
@@ -115,19 +120,27 @@
     @property
     def is_full(self) -> bool:
         """Return whether there is no room for another connection, as all wait for answers or bytes."""
-        return len(self.connections) >= self.settings.max_caller_connections and not self.idle
+        return len(self.connections) >= self.settings.max_caller_connections and self.spare() is None
+
+    def spare(self) -> CallerConnection | None:
+        """Return the connection that is idle for longest; one whose request waits to be read is not idle."""
+        for connection in itertools.islice(self.idle, IDLE_LOOKS):
+            if not connection.has_unread:
+                return connection
+        return None
 
     def accept(self) -> bool:
-        """Accept some waiting connections, so that others are served in between; return whether to go on."""
-        for _ in range(ACCEPTS_PER_EVENT):
-            if self.is_full and not self.has_read:
+        """Accept some waiting connections, with others served in between; return whether more may wait."""
+        for number in range(ACCEPTS_PER_EVENT):
+            if self.is_full and self.full_rounds < ROUNDS_BEFORE_REFUSAL:
                 # Reads of this round may end connections; the poller comes back to the listener after them.
-                self.has_read = True
-                return False
+                # Only before the first accept is it known that a connection waits for them.
+                self.full_rounds = self.full_rounds + 1 if number == 0 else 0
+                return number > 0
             try:
                 sock, _address = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                self.has_read = False
+                self.full_rounds = 0
                 return False
             except OSError as error:
                 logger.warning("accepting a connection failed: %s", errno.errorcode.get(error.errno, error))
@@ -136,9 +149,12 @@
                 return False
             prepare(sock)
             connection = CallerConnection(sock)
-            if len(self.connections) >= self.settings.max_caller_connections and self.idle:
-                self.drop(next(iter(self.idle)))
-            self.has_read = self.is_full
+            if len(self.connections) >= self.settings.max_caller_connections:
+                spare = self.spare()
+                if spare is not None:
+                    self.drop(spare)
+            if not self.is_full:
+                self.full_rounds = 0
             self.connections[sock] = connection
             self.poller.addReader(self, sock)
             if len(self.connections) > self.settings.max_caller_connections:
@@ -299,7 +315,7 @@
             self.drop(connection)
 
     @handler("SettingsChanged")
-    def on_settings(self, settings: RouterSettings) -> None:
+    def on_settings(self, settings: ConnectionSettings) -> None:
         """Use other limits for connections from now on."""
         self.settings = settings
 
@@ -312,9 +328,9 @@
     def on_stop_accepting(self) -> None:
         """Accept what waits and close the listening socket."""
         if self.listener is not None:
-            self.has_read = True
+            self.full_rounds = ROUNDS_BEFORE_REFUSAL
             while self.accept():
-                pass
+                self.full_rounds = ROUNDS_BEFORE_REFUSAL
             self.poller.discard(self.listener)
             self.listener.close()
             self.listener = None
@@ -323,13 +339,15 @@
     def on_close_idle(self) -> None:
         """Close the connections on which no request has begun; one on its way may be sent elsewhere."""
         for connection in list(self.idle):
-            if not connection.buffer and not connection.out:
+            if not (connection.buffer or connection.out or connection.has_unread):
                 self.drop(connection)
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is in progress or an answer is not written yet."""
-        return any(connection.is_busy for connection in self.connections.values())
+        """Return whether a request waits to be read or is in progress, or an answer is not written yet."""
+        return any(connection.is_busy for connection in self.connections.values()) or any(
+            connection.has_unread for connection in self.idle
+        )
 
     def finish(self, connection: CallerConnection) -> None:
         """Go on to the caller's next request, or close the connection, after an answer was queued."""
@@ -424,5 +442,7 @@
                 limit = self.settings.idle_timeout_seconds
             message = f"the request did not arrive within {limit:g} s"
             self.refuse(connection, FramingError(408, RefusalCode.REQUEST_TIMEOUT, message))
+        elif connection in self.idle and connection.has_unread:
+            self.timeouts.set(connection, self.settings.header_timeout_seconds)
         else:
             self.drop(connection)
--- a/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
@@ -1,28 +1,25 @@
-"""Framing of HTTP/1.1 messages: bounds and checks in front of circuits' parser, and body readers.
-
-circuits' HttpParser is used for heads only. Its body parser takes bytes of the next message into the body,
-refuses a chunk whose end has not arrived yet, and accepts lengths such as "+5" and "1_0".
-"""
+"""Framing of HTTP/1.1 messages: bounds and checks in front of httptools' parser, and body readers."""
 
 import re
 from dataclasses import dataclass
+from urllib.parse import urlsplit
 
-from circuits.web.parsers import HttpParser
+import httptools
 
-from limpetusher.core.actions import RefusalCode
+from limpetusher.core.refusals import RefusalCode
 from limpetusher_router.errors import FramingError
 
 HEAD_END = b"\r\n\r\n"
 FIELD_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*")
-REQUEST_LINE_PATTERN = re.compile(rb"[A-Z]{1,20} [\x21-\x7e]+ HTTP/1\.[01]")
-STATUS_LINE_PATTERN = re.compile(rb"(HTTP/1\.[01] [1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?")
+REQUEST_LINE_PATTERN = re.compile(rb"([A-Z]{1,20}) ([\x21-\x7e]+) HTTP/1\.([01])")
+STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?")
+NEUTRAL_LINE = b"GET / HTTP/1.1"
+"""Start line under which the parser reads the fields of any head, since it refuses methods unknown to it."""
 LENGTH_PATTERN = re.compile(r"[0-9]{1,15}")
 CHUNK_LINE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,12})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
 KEEP_ALIVE_PATTERN = re.compile(r"\btimeout=([0-9]{1,6})")
 CHUNK_LINE_LIMIT_BYTES = 256
 TRAILER_LIMIT_BYTES = 8_192
-REQUEST_KIND = 0
-RESPONSE_KIND = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,25 +94,30 @@
     FramingError
         If the head is malformed or its body length is ambiguous.
     """
-    line = data.partition(b"\r\n")[0]
-    if not REQUEST_LINE_PATTERN.fullmatch(line):
+    line, _, rest = data.partition(b"\r\n")
+    match = REQUEST_LINE_PATTERN.fullmatch(line)
+    if match is None:
         raise bad_request("the request line is not of the form `METHOD PATH HTTP/1.1`")
-    parser = parse_head(data, REQUEST_KIND)
-    headers = fields(parser)
-    version = parser.get_version()
+    target = match[2].decode("ascii")
+    try:
+        url = urlsplit(target)
+    except ValueError as error:
+        raise bad_request("the request target can't be parsed") from error
+    version = (1, int(match[3]))
+    headers = parse_fields(rest)
     if version == (1, 1) and "host" not in headers:
         raise bad_request("the header field host is missing")
     length, chunked = body_length(headers)
     return RequestHead(
-        method=parser.get_method(),
-        path=parser.get_path(),
-        query=parser.get_query_string(),
+        method=match[1].decode("ascii"),
+        path=url.path,
+        query=url.query,
         version=version,
         headers=headers,
         content_length=length or 0,
         chunked=chunked,
         keep_alive=stays_open(headers, version),
-        target=line.split(b" ")[1].decode("latin-1"),
+        target=target,
     )
 
 
@@ -131,43 +133,51 @@
     match = STATUS_LINE_PATTERN.fullmatch(line)
     if match is None:
         raise bad_request("the status line is not of the form `HTTP/1.1 STATUS REASON`")
-    # The parser refuses reasons with other than word characters, so the reason is replaced.
-    parser = parse_head(match[1] + b" OK\r\n" + rest, RESPONSE_KIND)
-    headers = fields(parser)
+    headers = parse_fields(rest)
     length, chunked = body_length(headers)
     return AnswerHead(
-        status=parser.get_status_code(),
+        status=int(match[2]),
         headers=headers,
         content_length=length,
         chunked=chunked,
-        keep_alive=stays_open(headers, parser.get_version()),
+        keep_alive=stays_open(headers, (1, int(match[1]))),
     )
 
 
-def parse_head(data: bytes, kind: int) -> HttpParser:
-    """Check the lines of a head and return the parser that has read them."""
-    for line in data[: -len(HEAD_END)].split(b"\r\n")[1:]:
-        if not FIELD_PATTERN.fullmatch(line):
+class FieldReader:
+    """Collects header fields by name in lower case; repeated ones are joined by commas."""
+
+    def __init__(self):
+        self.fields: dict[str, str] = {}
+        self.is_complete = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one field from the parser."""
+        key = name.decode("latin-1").lower()
+        text = value.strip(b" \t").decode("latin-1")
+        self.fields[key] = f"{self.fields[key]}, {text}" if key in self.fields else text
+
+    def on_headers_complete(self) -> None:
+        """Take the end of the head from the parser."""
+        self.is_complete = True
+
+
+def parse_fields(data: bytes) -> dict[str, str]:
+    """Return the header fields of a head whose start line is left out."""
+    for line in data[: -len(HEAD_END)].split(b"\r\n"):
+        if line and not FIELD_PATTERN.fullmatch(line):
             raise bad_request("a header field is not of the form `name: value`")
-    parser = HttpParser(kind)
-    # The parser decodes backslash escapes, which would let a value contain line ends.
-    escaped = data.replace(b"\\", b"\\\\")
+    reader = FieldReader()
     try:
-        parser.execute(escaped, len(escaped))
-    except ValueError as error:
-        raise bad_request("the head can't be decoded") from error
-    if parser.errno is not None or not parser.is_headers_complete():
+        httptools.HttpRequestParser(reader).feed_data(b"%b\r\n%b" % (NEUTRAL_LINE, data))
+    except httptools.HttpParserUpgrade:
+        # The head is complete; what follows an offer to change the protocol is not this parser's concern.
+        pass
+    except httptools.HttpParserError as error:
+        raise bad_request("the head can't be parsed") from error
+    if not reader.is_complete:
         raise bad_request("the head can't be parsed")
-    return parser
-
-
-def fields(parser: HttpParser) -> dict[str, str]:
-    """Return the header fields by name in lower case; repeated ones are joined by commas."""
-    joined: dict[str, str] = {}
-    for name, value in parser.get_headers().items():
-        name = name.lower()
-        joined[name] = f"{joined[name]}, {value}" if name in joined else value
-    return joined
+    return reader.fields
 
 
 def body_length(headers: dict[str, str]) -> tuple[int | None, bool]:
@@ -222,6 +232,7 @@
         self.complete = not chunked and length == 0
         self.buffer = b""
         self.in_trailers = False
+        self.trailer_bytes = 0
         if limit is not None and length is not None and length > limit:
             raise self.too_large()
 
@@ -310,4 +321,7 @@
             self.buffer = data[position:]
             return -1
         self.complete = end == position
+        self.trailer_bytes += end + 2 - position
+        if self.trailer_bytes > TRAILER_LIMIT_BYTES:
+            raise bad_request("the trailer fields are too long")
         return end + 2
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -12,6 +12,7 @@
 from limpetusher.clock import Clock
 from limpetusher_router.connection.framing import AnswerHead, BodyReader, find_head, parse_answer_head
 from limpetusher_router.connection.keepalive import prepare
+from limpetusher_router.connection.settings import ConnectionSettings, split_address
 from limpetusher_router.connection.target_connection import TargetConnection, TargetState
 from limpetusher_router.connection.timeouts import Timeouts
 from limpetusher_router.errors import FramingError
@@ -26,7 +27,6 @@
 )
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.metrics import Metrics
-from limpetusher_router.settings import RouterSettings, split_address
 
 READ_BYTES = 16_384
 CONNECT_PART_OF_GRANT = 0.8
@@ -34,6 +34,8 @@
 KEPT_PART_OF_ANNOUNCED = 0.7
 """Part of the time that a target announces to keep a connection; the rest covers the way there."""
 KEPT_PER_ADDRESS = 64
+FOREIGN_BYTES = 1 << 20
+"""Size up to which an answer to another request is skipped."""
 BODYLESS_STATUSES = frozenset({204, 304})
 INTERIM_STATUSES = range(100, 200)
 
@@ -50,7 +52,13 @@
     channel = TARGETS
 
     def __init__(
-        self, settings: RouterSettings, *, clock: Clock, deadlines: Deadlines, poller: EPoll, metrics: Metrics
+        self,
+        settings: ConnectionSettings,
+        *,
+        clock: Clock,
+        deadlines: Deadlines,
+        poller: EPoll,
+        metrics: Metrics,
     ):
         super().__init__()
         self.settings = settings
@@ -251,6 +259,8 @@
     def skip_foreign(self, connection: TargetConnection) -> None:
         """Go on to the next answer after one that belongs to another request."""
         if not connection.body.complete:
+            if connection.body.received > FOREIGN_BYTES:
+                self.end(connection, AttemptEnd.CUT, "too many bytes of another answer")
             return
         connection.head = None
         connection.is_foreign = False
--- a/packages/limpetusher-router/src/limpetusher_router/errors.py
+++ b/packages/limpetusher-router/src/limpetusher_router/errors.py
@@ -1,6 +1,6 @@
 """Errors of the router process."""
 
-from limpetusher.core.actions import Ran
+from limpetusher.core.refusals import Ran
 from limpetusher.errors import LimpetusherError
 
 
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -3,23 +3,31 @@
 Each component owns its sockets and state and handles the messages on its own channel.
 """
 
+from __future__ import annotations
+
 import enum
 from collections.abc import Hashable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from circuits.core import Event
 
-from limpetusher.configuration.compiled import Configuration
-from limpetusher.core.inputs import Input
 from limpetusher_router.connection.framing import AnswerHead, RequestHead
 
+if TYPE_CHECKING:
+    # The routers of platform hosts do not load the decision core with leases.
+    from limpetusher.configuration.compiled import Configuration
+    from limpetusher.core.inputs import Input
+
 CALLERS = "callers"
 TARGETS = "targets"
 PEERS = "peers"
 REQUESTS = "requests"
+ANSWERS = "answers"
 CORE = "core"
 STORE = "store"
-REPORTS = "reports"
+DATAGRAMS = "datagrams"
+EXCHANGE = "exchange"
 READINESS = "readiness"
 PAGES = "pages"
 METRICS = "metrics"
@@ -240,15 +248,29 @@
         super().__init__(changes)
 
 
-class PeerReported(Message):
-    """A peer's load report has arrived: (address, report)."""
+class DatagramsReceived(Message):
+    """Datagrams from other routers have arrived: (pairs of address and datagram)."""
+
+    def __init__(self, received: list):
+        super().__init__(received)
+
+
+class TransmitDue(Message):
+    """Messages to other routers wait to be sent together."""
+
+
+class AnswerReceived(Message):
+    """A scheduler has answered about a request: (address of the scheduler, answer)."""
+
+    def __init__(self, scheduler: str, answer: object):
+        super().__init__(scheduler, answer)
 
-    def __init__(self, address: str, report: object):
-        super().__init__(address, report)
 
+class NewsDue(Message):
+    """The routers of the data centre have to hear of the store: (news)."""
 
-class WorkChanged(Message):
-    """The open work of this router at a target has changed."""
+    def __init__(self, news: object):
+        super().__init__(news)
 
 
 class StopProcess(Message):
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -1,8 +1,9 @@
 """The first decision about a caller's request: whether it is allowed, and what it asks for."""
 
 from limpetusher.clock import Clock
-from limpetusher.core.actions import Ran
-from limpetusher.fleet.model import Route, Work
+from limpetusher.core.refusals import Ran
+from limpetusher.fleet.model import Route
+from limpetusher.fleet.request.asking import Asked
 from limpetusher.fleet.version.routing import choose_service
 from limpetusher_router.connection.framing import RequestHead
 from limpetusher_router.fleet.exchange import Exchange
@@ -60,26 +61,27 @@
         customer = configuration.customers_by_key.get(fields.api_key or "")
         if customer is None and configuration.has_customers and not route.is_public:
             return FleetRefusal(UNAUTHORIZED, "unknown_key", "the API key is not known", ran=Ran.NO)
-        work = self.make_work(request_id, route, fields, customer or "")
-        return Exchange(request_id, head, body, fields, work, customer)
-
-    def make_work(self, request_id: str, route: Route, fields: RequestFields, customer: str) -> Work:
-        """Return the request as the placement sees it."""
         now = self.clock.monotonic()
+        asked = self.make_asked(request_id, route, fields, customer or "", now)
+        return Exchange(request_id, head, body, fields, route, asked, customer, now)
+
+    def make_asked(
+        self, request_id: str, route: Route, fields: RequestFields, customer: str, now: float
+    ) -> Asked:
+        """Return the request as the schedulers are asked about it."""
         seconds = route.timeout_seconds
         if fields.seconds_left is not None:
             seconds = min(seconds, fields.seconds_left)
-        work = Work(
+        session = fields.session or fields.caller_request_id
+        return Asked(
             request_id=request_id,
+            service=choose_service(route, session),
+            session=session,
             customer=customer,
-            service="",
-            route=route,
-            arrived_at=now,
+            goal_seconds=route.goal_seconds,
             queued_at=now,
             give_up_at=now + seconds,
             prompt_tokens=fields.prompt_tokens,
             output_tokens=fields.output_tokens,
             parts=fields.parts,
         )
-        work.service = choose_service(route, work.session or fields.caller_request_id)
-        return work
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from limpetusher.fleet.model import Work
-from limpetusher.fleet.process.loads import OpenWork
-from limpetusher.fleet.process.placement import Placed
+from limpetusher.fleet.messages import Granted
+from limpetusher.fleet.model import Route, Target
+from limpetusher.fleet.request.asking import Asked
 from limpetusher_router.connection.framing import AnswerHead, RequestHead
 from limpetusher_router.fleet.relay import EventRelay
 from limpetusher_router.platform.requests import RequestFields
@@ -18,12 +18,11 @@
     """One attempt at a target; times are readings of the monotonic clock."""
 
     number: int
-    placed: Placed
+    target: Target
+    granted: Granted
     started_at: float
     heard_at: float
     """When the target last sent something; at first when the attempt started."""
-    work: OpenWork
-    """What still counts as open at the target."""
     head: AnswerHead | None = None
     has_output: bool = False
     held: bytearray = field(default_factory=bytearray)
@@ -37,8 +36,11 @@
     head: RequestHead
     body: bytes
     fields: RequestFields
-    work: Work
+    route: Route
+    asked: Asked
+    """What the schedulers know of the request."""
     customer: str | None
+    arrived_at: float
     relay: EventRelay = field(default_factory=EventRelay)
     attempt: TargetAttempt | None = None
     sends: int = 0
@@ -49,6 +51,10 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_pause: float = 0.0
+    progress_at: float = 0.0
+    """When the progress of the stream was last looked at."""
+    progress_events: int = 0
+    """Events of the stream at that time."""
 
     def note_event(self, now: float) -> None:
         """Note that events were passed on."""
@@ -63,7 +69,7 @@
         """Return the time from the request to its first event, None where there is none yet."""
         if self.first_event_at is None:
             return None
-        return round(self.first_event_at - self.work.arrived_at, 3)
+        return round(self.first_event_at - self.arrived_at, 3)
 
     @property
     def is_stream(self) -> bool:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass
 
+from limpetusher.fleet.messages import Outcome
 from limpetusher_router.events import AttemptEnd
 from limpetusher_router.fleet.exchange import Exchange, TargetAttempt
-from limpetusher_router.platform.requests import is_sealed, says_not_run
+from limpetusher_router.platform.requests import announced_rest, is_sealed, says_not_run
 
 SERVER_ERRORS = range(500, 600)
+MAXIMUM_SENDS = 4
 STREAM_PAUSE_SECONDS = 1.5
 """Pause after which a resumable stream goes on at another target; callers abandon a stream after 2 s."""
 SILENT_GOALS = 1.0
@@ -46,4 +48,26 @@
     """Return how long the target of an exchange may be silent, in seconds."""
     if exchange.attempt.has_output:
         return STREAM_PAUSE_SECONDS
-    return max(LEAST_SILENT_SECONDS, SILENT_GOALS * exchange.work.route.goal_seconds)
+    return max(LEAST_SILENT_SECONDS, SILENT_GOALS * exchange.route.goal_seconds)
+
+
+def can_repeat(exchange: Exchange) -> bool:
+    """Return whether a request that may have run may be sent again, apart from the budget."""
+    route = exchange.route
+    return (
+        route.is_idempotent
+        and exchange.possible_runs < route.attempts
+        and exchange.sends < MAXIMUM_SENDS
+        and (not exchange.answer_begun or route.is_resumable)
+    )
+
+
+def outcome_of(attempt: TargetAttempt, failure: Failure | None) -> Outcome:
+    """Return what an attempt tells about its target; being busy for a while is no failure."""
+    if failure is None:
+        return Outcome.FAILED if attempt.head.status in SERVER_ERRORS else Outcome.ANSWERED
+    if failure.is_unreachable:
+        return Outcome.UNREACHABLE
+    if attempt.head is not None and announced_rest(attempt.head) > 0:
+        return Outcome.ANSWERED
+    return Outcome.FAILED
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -18,9 +18,11 @@
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.mirror import Change
 from limpetusher_router.connection.callers import CallerServer
+from limpetusher_router.connection.settings import ConnectionSettings
 from limpetusher_router.connection.targets import TargetClient
 from limpetusher_router.events import (
     CALLERS,
+    EXCHANGE,
     METRICS,
     PAGES,
     PROCESS,
@@ -33,26 +35,25 @@
     SettingsChanged,
     StopAccepting,
 )
-from limpetusher_router.fleet.exchange_reports import EXCHANGE, PeerReports
+from limpetusher_router.fleet.answers import TargetAnswers
+from limpetusher_router.fleet.datagrams import DatagramSocket
 from limpetusher_router.fleet.pages import Pages
-from limpetusher_router.fleet.reports import ReportSocket
+from limpetusher_router.fleet.peers import Peers
 from limpetusher_router.fleet.requests import FleetRequests
 from limpetusher_router.fleet.state import FleetState
-from limpetusher_router.fleet.store_reader import StoreReader
+from limpetusher_router.fleet.store_reader import NEWS, StoreReader
 from limpetusher_router.platform.settings_file import HostSettings, read_settings
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.logs import log_event
 from limpetusher_router.process.metrics import Metrics
 from limpetusher_router.process.root import ProcessRoot, StopSignal
 from limpetusher_router.request.identifiers import RequestIdentifiers
-from limpetusher_router.settings import RouterSettings
 
 CONNECT_SECONDS = 0.3
 """Time for connecting inside the deployment, where a connection takes a few milliseconds."""
 STOP_ACCEPTING_SECONDS = 3.0
 """The platform takes a router out after two missed questions, one a second. Requests that come later than
-this
-are refused as not run, since the rest of the grace time may be too short for a long stream."""
+this are refused as not run, since the rest of the grace time may be too short for a long stream."""
 STOP_MARGIN_SECONDS = 0.6
 FLUSH_POLL_SECONDS = 0.05
 SETTINGS_POLL_SECONDS = 1.0
@@ -68,9 +69,9 @@
     """SIGHUP arrived."""
 
 
-def router_settings(host: HostSettings) -> RouterSettings:
+def router_settings(host: HostSettings) -> ConnectionSettings:
     """Return the settings of the connections."""
-    return RouterSettings(
+    return ConnectionSettings(
         host_id=host.host_id,
         data_centre=host.data_centre,
         caller_address=host.caller_address,
@@ -121,20 +122,18 @@
             mirror=self.state.mirror,
             deadlines=self.deadlines,
             watch_rank=lambda: self.state.members.rank(clock.monotonic()),
+            is_watcher=self.is_watcher,
         ).register(self)
         self.state.store_trouble_age = self.store.trouble_age
         self.requests = FleetRequests(
             self.state, clock=clock, deadlines=self.deadlines, metrics=self.metrics
         ).register(self)
-        self.reports = ReportSocket(host.ip, host.report_port, poller=self.poller).register(self)
-        self.peers = PeerReports(
-            self.state,
-            reports=self.reports,
-            requests=self.requests,
-            store=self.store,
-            clock=clock,
-            deadlines=self.deadlines,
+        TargetAnswers(self.requests, clock=clock, metrics=self.metrics).register(self)
+        self.sock = DatagramSocket(host.ip, host.datagram_port, poller=self.poller).register(self)
+        self.peers = Peers(
+            self.state, sock=self.sock, store=self.store, clock=clock, deadlines=self.deadlines
         ).register(self)
+        self.state.send_message = self.peers.send
         copies = f"{host.ip}:{host.copy_port}"
         metrics = f"{host.ip}:{host.metrics_port}"
         for name, address in ((READINESS, host.ready_address), (PAGES, copies), (METRICS, metrics)):
@@ -160,6 +159,10 @@
         """Return whether the router should get requests."""
         return self.stopped_at is None and self.state.configuration is not None
 
+    def is_watcher(self, count: int) -> bool:
+        """Return whether this router is one of `count` that watch the store for all."""
+        return self.state.members.is_among_first(count, self.clock.monotonic())
+
     def use_seeds(self, host: HostSettings) -> None:
         """Take the addresses at which the fleet is found."""
         self.state.members.set_seeds(tuple(seed.rpartition(":")[0] for seed in host.seeds))
@@ -175,6 +178,7 @@
         signal.signal(signal.SIGHUP, self._signal_handler)
         log_event(Event.ROUTER_STARTED, data_centre=self.host.data_centre, seeds=list(self.host.seeds))
         self.fire(Due(), STORE)
+        self.fire(Due(NEWS), STORE)
         self.fire(Due(), EXCHANGE)
         self.deadlines.schedule_in(SETTINGS_POLL_SECONDS, Due("settings"), PROCESS)
 
@@ -189,7 +193,6 @@
             if before is None:
                 log_event(Event.ROUTER_READY, configuration=configuration.version)
             self.use_limits()
-        self.requests.place()
 
     def use_limits(self) -> None:
         """Let the connections use the limits of the configuration."""
@@ -231,6 +234,7 @@
         log_event(
             Event.ROUTER_STOPPING, signal=signal.Signals(number).name, open=len(self.requests.exchanges)
         )
+        self.peers.leave()
         self.fire(CloseAfterAnswers(), CALLERS)
         self.deadlines.schedule_in(STOP_ACCEPTING_SECONDS, Due("stop"), PROCESS)
 
@@ -258,5 +262,5 @@
     """Run a router until it is stopped, and return the exit status."""
     process = FleetProcess(path, host, clock=SystemClock())
     status = process.run_until_stopped()
-    process.reports.close()
+    process.sock.close()
     return status
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
@@ -1,6 +1,6 @@
 """Errors that the router itself answers with."""
 
-from limpetusher.core.actions import Ran
+from limpetusher.core.refusals import Ran
 from limpetusher_router.events import SendAnswer
 from limpetusher_router.platform.requests import error_headers
 from limpetusher_router.request.answers import error_body
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -7,11 +7,14 @@
 from limpetusher.clock import Clock
 from limpetusher.errors import ConfigurationError
 from limpetusher.events import Event
-from limpetusher.fleet.model import FleetConfiguration, Route
-from limpetusher.fleet.process.fairness import ServedTokens
+from limpetusher.fleet.messages import MemberEntry, Message
+from limpetusher.fleet.model import FleetConfiguration, Route, Target
+from limpetusher.fleet.process.health import TargetHealth
 from limpetusher.fleet.process.members import Members
 from limpetusher.fleet.process.placement import Placement
-from limpetusher.fleet.request.waiting import WaitingRequests
+from limpetusher.fleet.process.pools import Pools
+from limpetusher.fleet.process.scheduler import Scheduler
+from limpetusher.fleet.request.asking import Asking
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.mirror import Change, StoreMirror
 from limpetusher.fleet.version.routing import RouteTable
@@ -24,9 +27,8 @@
 """Age of the store's last failure up to which a removal may be a lapse: three heartbeats without renewal."""
 HELD_SECONDS = 1.5
 """Lapsed entries are back within about two seconds of the store's return, and go some time after it. A
-target that
-has left for good must get no requests later than 2 s after its entry went, which leaves 0.5 s for the way
-there."""
+target that has left for good must get no requests later than 2 s after its entry went, which leaves 0.5 s for
+the way there."""
 
 
 class FleetState:
@@ -50,14 +52,57 @@
         self.mirror = StoreMirror()
         self.configuration: FleetConfiguration | None = None
         self.routes: RouteTable | None = None
-        self.members = Members(host.ip)
-        self.placement = Placement(settings, own_id=host.ip, data_centre=host.data_centre, rng=rng)
-        self.served = ServedTokens()
+        own = MemberEntry(
+            address=host.ip,
+            data_centre=host.data_centre,
+            capacity=host.processor_cores,
+            incarnation=int(clock.wall() * 1_000),
+            heartbeat=0,
+        )
+        self.members = Members(own, rng=rng)
+        self.placement = Placement(settings)
+        self.pools = Pools(self.placement, self.members)
+        self.scheduler = Scheduler(settings, self.placement, self.pools)
+        self.asking = Asking(self.pools, send=self.send, unusable=self.unusable)
+        self.send_message: Callable[[str, Message], None] | None = None
+        """Sends a message to the router with an address."""
+        self.health: dict[str, TargetHealth] = {}
+        """What this router itself has experienced with targets."""
         self.held: dict[str, float] = {}
         """Until when targets are used whose entries went while the store was away."""
         self.store_trouble_age: Callable[[], float] = lambda: math.inf
         """Returns how many seconds ago the store last failed a call."""
-        self.waiting = WaitingRequests(settings, self.placement, self.served)
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message to the router with an address."""
+        self.send_message(address, message)
+
+    def health_of(self, target_id: str) -> TargetHealth:
+        """Return what this router itself has experienced with a target."""
+        return self.health.setdefault(target_id, TargetHealth())
+
+    def unusable(self, service: str, now: float) -> set[str]:
+        """Return the targets of a service that this router can't reach, or that want no requests from it."""
+        return {
+            target.target_id
+            for target in self.placement.by_service.get(service, ())
+            if self.placement.is_resting(target.target_id, now)
+            or target.target_id in self.placement.leaving
+            or self.health_of(target.target_id).is_suspended(now)
+        }
+
+    def may_send(self, target_id: str, now: float) -> bool:
+        """Return whether this router itself may send a request to a target now."""
+        target = self.placement.targets.get(target_id)
+        return (
+            target is not None
+            and self.placement.is_listed(target)
+            and not self.placement.is_resting(target_id, now)
+        )
+
+    def transfer_source(self, target_id: str, now: float) -> Target | None:
+        """Return the engine that gives kept prompt parts to another, None for none or one not to be used."""
+        return self.placement.targets[target_id] if self.may_send(target_id, now) else None
 
     def apply(self, change: Change) -> None:
         """Take one change of the store."""
@@ -88,11 +133,10 @@
 
     def evacuate(self, data_centre: str, is_evacuated: bool) -> None:
         """Note that a data centre is taken out of service, or is back."""
+        self.placement.evacuate(data_centre, is_evacuated)
         if is_evacuated:
-            self.placement.evacuated.add(data_centre)
             log_event(Event.DATA_CENTRE_EVACUATED, data_centre=data_centre)
         else:
-            self.placement.evacuated.discard(data_centre)
             log_event(Event.DATA_CENTRE_RETURNED, data_centre=data_centre)
 
     def remove_target(self, target_id: str) -> None:
@@ -101,7 +145,12 @@
             self.held[target_id] = self.clock.monotonic() + HELD_SECONDS
             log_event(Event.TARGET_HELD, target=target_id, seconds=HELD_SECONDS)
             return
+        self.forget_target(target_id)
+
+    def forget_target(self, target_id: str) -> None:
+        """Forget a target."""
         self.placement.remove_target(target_id)
+        self.health.pop(target_id, None)
         log_event(Event.TARGET_UNLISTED, target=target_id)
 
     def drop_held(self) -> None:
@@ -109,8 +158,7 @@
         now = self.clock.monotonic()
         for target_id in [target_id for target_id, until in self.held.items() if now >= until]:
             del self.held[target_id]
-            self.placement.remove_target(target_id)
-            log_event(Event.TARGET_UNLISTED, target=target_id)
+            self.forget_target(target_id)
 
     def use_target(self, target_id: str, change: Change) -> None:
         """Take a target's newest entry."""
@@ -126,6 +174,9 @@
             self.placement.remove_target(target_id)
             log_event(Event.STORE_ENTRY_UNUSABLE, target=target_id, reason=str(error))
             return
+        known = self.placement.targets.get(target_id)
+        if known is None or known.revision != target.revision:
+            self.health.pop(target_id, None)
         self.placement.put_target(target)
         log_event(
             Event.TARGET_LISTED,
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -1,45 +1,65 @@
-"""Keeps the copy of the platform's store up to date: by its own watch, and by the copies of peers."""
+"""Keeps the copy of the platform's store up to date.
+
+A few routers watch the store and tell its changes to two routers of each data centre, which tell the others,
+so that the calls to the store do not grow with the fleet. A router that hears nothing watches by itself.
+"""
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from circuits.core import BaseComponent, handler
 
 from limpetusher.errors import CodecError
 from limpetusher.events import Event
+from limpetusher.fleet.messages import StoreNews
 from limpetusher.fleet.version.mirror import Change, StoredItem, StoreMirror
 from limpetusher_router.connection.framing import AnswerHead
 from limpetusher_router.events import (
+    EXCHANGE,
     REQUESTS,
     STORE,
     TARGETS,
     Attempt,
     AttemptEnd,
     Due,
+    NewsDue,
     StartAttempt,
     StopAttempt,
     StoreRead,
 )
+from limpetusher_router.fleet.store_news import RecentChanges
 from limpetusher_router.platform import store
 from limpetusher_router.platform.settings_file import HostSettings
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.logs import log_event
 
-CLOSE_WATCH_SECONDS = 1.0
-"""Wait of a watch whose silence must be noticed: a compacting store may keep a change from its watches."""
-WIDE_WATCH_SECONDS = 8.0
-"""Wait of a watch beside others; a newer revision in a peer's report shows what it misses."""
-CLOSE_WATCHERS = 3
+WATCH_SECONDS = 1.0
+"""Wait of a watch; its silence must be noticed, as a compacting store may keep a change from its watches."""
+WATCHERS = 3
+"""Routers that watch the store, in different data centres where there are as many."""
+RELAYS = 2
+"""Routers of each data centre that pass reports on to the others there; one may fail at any moment."""
+NEWS_SECONDS = 0.25
+"""Time between two reports of a watcher. Each repeats the last changes, as datagrams get lost."""
+RELAY_SECONDS = 0.2
+"""Time in which news without new changes is passed on once, whichever watcher it comes from."""
+UNINFORMED_SECONDS = 0.8
+"""Time without a report after which a router watches the store by itself."""
+UNINFORMED_SECONDS_PER_RANK = 0.05
+UNINFORMED_RANKS = 10
+"""Additional time for each router of the data centre that comes before, up to so many, so that not all begin
+at once."""
 ANSWER_SECONDS = 1.0
 """Time for the store's answer beyond a watch's wait; it answers in a few milliseconds."""
 RETRY_SECONDS = 0.15
 RETRY_MAXIMUM_SECONDS = 0.6
 COPY_SECONDS = 0.8
-BEHIND_SECONDS = 0.25
-"""How long a peer may know more than the own watch before its copy is fetched."""
+BEHIND_SECONDS = 0.6
+"""How long a peer may know more than the own copy before its copy is fetched; reports come twice in it."""
 COPY_PATH = "/copy"
 OK_STATUS = 200
+NEWS = "news"
 
 
 class Call(enum.Enum):
@@ -77,7 +97,9 @@
     deadlines
         Heap of deadlines.
     watch_rank
-        Returns how many reachable routers come before this one in an order common to all.
+        Returns how many sound routers of the data centre come before this one in an order common to all.
+    is_watcher
+        Returns whether this router is one of a number of routers that watch the store for all.
     """
 
     channel = STORE
@@ -89,12 +111,14 @@
         mirror: StoreMirror,
         deadlines: Deadlines,
         watch_rank: Callable[[], int],
+        is_watcher: Callable[[int], bool],
     ):
         super().__init__()
         self.settings = settings
         self.mirror = mirror
         self.deadlines = deadlines
         self.watch_rank = watch_rank
+        self.is_watcher = is_watcher
         self.pages: list[StoredItem] = []
         self.first_revision: int | None = None
         self.answers: dict[tuple[Call, int], tuple[AnswerHead, bytearray]] = {}
@@ -109,7 +133,12 @@
         """First revision of a peer that the own copy lacked; older than the own copy once it has caught
         up."""
         self.behind_since = 0.0
-        self.copy_from: str | None = None
+        self.informed_at = float("-inf")
+        """When a connected watcher last reported."""
+        self.recent = RecentChanges()
+        self.relayed_revision = 0
+        self.relayed_at = float("-inf")
+        """When news of another data centre was last passed on."""
 
     def trouble_age(self) -> float:
         """Return how many seconds ago the store last failed a call, 0 while it fails."""
@@ -117,10 +146,27 @@
             return 0.0
         return self.deadlines.clock.monotonic() - self.troubled_at
 
+    @property
+    def is_watching(self) -> bool:
+        """Return whether a watch of the store is in progress."""
+        return Call.WATCH in self.current
+
+    def should_watch(self) -> bool:
+        """Return whether this router has to watch the store, for others or since nobody informs it."""
+        if self.is_watcher(WATCHERS):
+            return True
+        silent = self.deadlines.clock.monotonic() - self.informed_at
+        ranks = min(self.watch_rank(), UNINFORMED_RANKS)
+        return silent > UNINFORMED_SECONDS + UNINFORMED_SECONDS_PER_RANK * ranks
+
     @handler("Due")
-    def on_due(self, _subject: object) -> None:
-        """Make the next call to the store."""
-        if self.read_again:
+    def on_due(self, subject: object) -> None:
+        """Make the next call to the store, or report to the routers of the data centre."""
+        if subject == NEWS:
+            self.deadlines.schedule_in(NEWS_SECONDS, Due(NEWS), STORE)
+            if self.is_watching:
+                self.publish()
+        elif self.read_again:
             self.read_page(None)
         else:
             self.watch()
@@ -150,12 +196,15 @@
         self.call(Call.READ, self.settings.store_address, request, ANSWER_SECONDS)
 
     def watch(self) -> None:
-        """Wait for the next changes."""
-        seconds = CLOSE_WATCH_SECONDS if self.watch_rank() < CLOSE_WATCHERS else WIDE_WATCH_SECONDS
+        """Wait for the next changes, if this router has to."""
+        if not self.should_watch():
+            self.abandon(Call.WATCH)
+            self.deadlines.schedule_in(NEWS_SECONDS, Due(), STORE)
+            return
         request = store.watch_request(
-            self.settings.store_address, after=self.mirror.revision, wait_seconds=seconds
+            self.settings.store_address, after=self.mirror.revision, wait_seconds=WATCH_SECONDS
         )
-        self.call(Call.WATCH, self.settings.store_address, request, seconds + ANSWER_SECONDS)
+        self.call(Call.WATCH, self.settings.store_address, request, WATCH_SECONDS + ANSWER_SECONDS)
 
     @handler("AnswerStarted")
     def on_started(self, key: tuple[Call, int], head: AnswerHead) -> None:
@@ -229,15 +278,60 @@
 
     def take_changes(self, changes: store.WatchedChanges) -> None:
         """Apply watched changes and watch on."""
-        taken = [self.mirror.put(item) for item in changes.items]
-        taken += [self.mirror.remove(key, revision) for key, revision in changes.removed]
-        self.mirror.advance(changes.revision)
-        self.tell([change for change in taken if change is not None])
+        self.apply(changes.items, changes.removed, changes.revision)
         self.watch()
 
+    def apply(self, items: Iterable[StoredItem], removed: Iterable[tuple[str, int]], revision: int) -> None:
+        """Apply changes up to a revision to the own copy."""
+        taken = [self.mirror.put(item) for item in items]
+        taken += [self.mirror.remove(key, changed) for key, changed in removed]
+        self.mirror.advance(revision)
+        self.tell([change for change in taken if change is not None])
+
     def tell(self, changes: list[Change]) -> None:
-        """Tell the other components what changed."""
+        """Tell the other components, and the routers of the data centre, what changed."""
+        if not changes:
+            return
         self.fire(StoreRead(changes), REQUESTS)
+        self.recent.add(changes, self.mirror.revision, self.deadlines.clock.monotonic())
+        if self.is_watching:
+            self.publish()
+
+    def publish(self) -> None:
+        """Report the newest changes to other routers."""
+        news = self.recent.report(
+            self.mirror.revision,
+            self.deadlines.clock.monotonic(),
+            is_connected=self.is_connected,
+            trouble_seconds=self.trouble_age(),
+        )
+        self.fire(NewsDue(news), EXCHANGE)
+
+    def take_news(self, address: str, news: StoreNews, *, is_from_outside: bool) -> None:
+        """Take the changes that another router reports, or fetch its copy if some are missing.
+
+        A report from another data centre is passed on to the routers of this one.
+        """
+        now = self.deadlines.clock.monotonic()
+        self.troubled_at = max(self.troubled_at, now - news.trouble_seconds)
+        if news.is_connected:
+            self.informed_at = now
+            if not self.is_watching:
+                self.is_connected = True
+                if is_from_outside:
+                    self.relay(news, now)
+        if news.since > self.mirror.revision:
+            self.fetch_copy(address)
+            return
+        self.apply((StoredItem(*item) for item in news.items), news.removed, news.revision)
+
+    def relay(self, news: StoreNews, now: float) -> None:
+        """Pass news on to the routers of the data centre, unless another watcher's was just passed on."""
+        is_new = news.revision > self.relayed_revision
+        if (is_new or now >= self.relayed_at + RELAY_SECONDS) and self.watch_rank() < RELAYS:
+            self.relayed_revision = max(self.relayed_revision, news.revision)
+            self.relayed_at = now
+            self.fire(NewsDue(news), EXCHANGE)
 
     def fail(self, call: Call, reason: str) -> None:
         """Try again after a pause."""
@@ -257,7 +351,12 @@
         if self.behind_revision <= self.mirror.revision:
             self.behind_revision, self.behind_since = revision, now
         patience = BEHIND_SECONDS if self.is_connected else 0.0
-        if now - self.behind_since >= patience and Call.COPY not in self.current:
+        if now - self.behind_since >= patience:
+            self.fetch_copy(address)
+
+    def fetch_copy(self, address: str) -> None:
+        """Ask a peer for its copy unless one is on its way."""
+        if Call.COPY not in self.current:
             peer = f"{address}:{self.settings.copy_port}"
             self.call(Call.COPY, peer, store.get_request(peer, COPY_PATH), COPY_SECONDS)
 
@@ -277,7 +376,7 @@
         log_event(Event.STORE_COPY_TAKEN, revision=copy.revision, before=self.mirror.revision)
         self.tell(self.mirror.replace(items, copy.revision))
         self.read_again = False
-        if self.is_connected:
+        if self.is_watching and self.is_connected:
             # The watch in progress has missed something, so its connection may be dead.
             self.watch()
 
--- a/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
@@ -17,6 +17,8 @@
 )
 
 MILLISECONDS = 1_000.0
+BITS_PER_MEGABIT = 1_000_000
+BITS_PER_BYTE = 8
 
 
 class _Destination(msgspec.Struct, frozen=True):
@@ -64,6 +66,20 @@
 class _Engine(msgspec.Struct, frozen=True, rename="camel"):
     slots: int
     kv_capacity: int
+    stride: int = 1
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+
+    def decode(self) -> Engine:
+        transfer_rate = 0.0
+        if self.kv_token_bytes > 0:
+            transfer_rate = max(0.0, self.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE / self.kv_token_bytes)
+        return Engine(
+            slots=self.slots,
+            memory_tokens=self.kv_capacity,
+            event_tokens=max(1, self.stride),
+            transfer_rate=transfer_rate,
+        )
 
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
@@ -75,7 +91,7 @@
         return Service(
             name=self.name,
             cold_per_second=self.cold_per_s,
-            engine=Engine(self.engine.slots, self.engine.kv_capacity) if self.engine is not None else None,
+            engine=self.engine.decode() if self.engine is not None else None,
         )
 
 
--- a/packages/limpetusher-router/src/limpetusher_router/platform/names.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/names.py
@@ -9,11 +9,15 @@
 TARGET_ID = "x-target-instance"
 NOT_RUN = "x-not-executed"
 RETRY_AFTER = "retry-after"
+LEAVING = "server-leaving"
 TOKENS = "x-token-usage"
+LENGTH_HINT = "x-length-hint"
 API_KEY = "x-credential"
+TRANSFER_SOURCE = "kv-fetch"
+"""Address of the engine from which another takes kept parts of the prompt."""
 
 SET_BY_ROUTER_ONLY = frozenset(
-    {CUSTOMER, TARGET_ID, API_KEY, "x-hold", "x-pin-ms", "x-kv-backup", "kv-from", "kv-fetch"}
+    {CUSTOMER, TARGET_ID, API_KEY, "x-hold", "x-pin-ms", "x-kv-backup", "kv-from", TRANSFER_SOURCE}
 )
 """Headers that are never passed on as a caller sent them."""
 
@@ -23,3 +27,4 @@
 READY_PATH = "/readyz"
 MISDIRECTED_STATUS = 421
 """Another target has the address now; the request did not run."""
+UNAVAILABLE_STATUS = 503
--- a/packages/limpetusher-router/src/limpetusher_router/platform/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/requests.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass
 
-from limpetusher.fleet.model import PromptPart, Target
+from limpetusher.fleet.model import PromptPart, Target, session_of
 from limpetusher_router.connection.framing import AnswerHead, RequestHead
 from limpetusher_router.platform import names
 
 MILLISECONDS = 1_000.0
+LONGEST_REST_SECONDS = 60.0
+"""Longer times are not believed; a target that wants to stop for good leaves."""
 CONNECTION_HEADERS = frozenset(
     {
         "connection",
@@ -41,8 +43,16 @@
     last_event_id: str | None
     prompt_tokens: int
     output_tokens: int
+    """Most generated tokens."""
+    expected_output: int
+    """Generated tokens that the caller expects; often far off."""
     parts: tuple[PromptPart, ...]
 
+    @property
+    def session(self) -> str | None:
+        """Return the part that decides where the request is at home, None if the prompt has no parts."""
+        return session_of(self.parts)
+
 
 def decode_request(head: RequestHead) -> RequestFields:
     """Return what a request says about itself; hints that can't be read are left out."""
@@ -57,6 +67,7 @@
         last_event_id=headers.get(names.LAST_EVENT_ID),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
+        expected_output=decode_count(headers.get(names.LENGTH_HINT), output_tokens),
         parts=decode_parts(headers.get(names.PROMPT_PARTS, "")),
     )
 
@@ -78,6 +89,11 @@
         return 0, 0
 
 
+def decode_count(text: str | None, default: int) -> int:
+    """Return a count of tokens, the default where it is missing or can't be read."""
+    return int(text) if text is not None and text.isdigit() else default
+
+
 def decode_parts(text: str) -> tuple[PromptPart, ...]:
     """Return the parts of a prompt in order; none where they can't be read."""
     parts = []
@@ -105,8 +121,9 @@
     customer: str | None,
     seconds_left: float,
     last_event_id: str | None,
+    source: Target | None = None,
 ) -> bytes:
-    """Return the request as it is sent to a target."""
+    """Return the request as it is sent to a target, which may take kept parts of the prompt from a source."""
     headers = {
         name: value
         for name, value in passed_headers(head.headers).items()
@@ -118,6 +135,8 @@
         headers[names.CUSTOMER] = customer
     if last_event_id is not None:
         headers[names.LAST_EVENT_ID] = last_event_id
+    if source is not None:
+        headers[names.TRANSFER_SOURCE] = source.address
     if body or head.content_length or head.chunked or "content-length" in head.headers:
         headers["content-length"] = str(len(body))
     lines = [f"{head.method} {head.target} HTTP/1.1"]
@@ -130,6 +149,22 @@
     return names.NOT_RUN in head.headers or head.status == names.MISDIRECTED_STATUS
 
 
+def is_leaving(head: AnswerHead) -> bool:
+    """Return whether a target says that it is about to stop."""
+    return head.headers.get(names.LEAVING, "0").strip() not in ("", "0")
+
+
+def announced_rest(head: AnswerHead) -> float:
+    """Return for how many seconds a target that has turned a request away wants no more of them."""
+    if head.status != names.UNAVAILABLE_STATUS or not says_not_run(head):
+        return 0.0
+    try:
+        seconds = float(head.headers.get(names.RETRY_AFTER, "0"))
+    except ValueError:
+        return 0.0
+    return min(seconds, LONGEST_REST_SECONDS) if seconds > 0 else 0.0
+
+
 def is_sealed(head: AnswerHead) -> bool:
     """Return whether an answer bears its target's seal."""
     return names.SEAL in head.headers
--- a/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
@@ -25,7 +25,8 @@
     """Settings of one router host. Addresses are `ip:port`.
 
     `internal_ports` are the first and the last port that are free for messages between routers. `seeds` are
-    addresses of some routers of the fleet, with a port that is not used between routers.
+    addresses of some routers of the fleet, with a port that is not used between routers. The host has
+    `processor_share` of a core that is `processor_speed` times as fast as others.
     """
 
     host_id: str
@@ -38,13 +39,20 @@
     store_address: str
     maximum_descriptors: int
     bounds: Bounds
+    processor_share: float = 1.0
+    processor_speed: float = 1.0
     metrics_port: int = METRICS_PORT
 
     @property
-    def report_port(self) -> int:
-        """Return the UDP port for load reports."""
+    def datagram_port(self) -> int:
+        """Return the UDP port for datagrams between routers."""
         return self.internal_ports[0]
 
+    @property
+    def processor_cores(self) -> float:
+        """Return the processor time that the router may use, in seconds a second."""
+        return self.processor_share * self.processor_speed
+
     @property
     def copy_port(self) -> int:
         """Return the TCP port on which a router hands out its copy of the store."""
--- a/packages/limpetusher-router/src/limpetusher_router/process/admin.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/admin.py
@@ -10,9 +10,10 @@
 from circuits.web.wrappers import Request, Response
 
 from limpetusher.core.decision import DecisionCore
+from limpetusher_router.connection.settings import split_address
 from limpetusher_router.errors import RouterError
 from limpetusher_router.process.metrics import Metrics
-from limpetusher_router.settings import RouterSettings, split_address
+from limpetusher_router.settings import RouterSettings
 
 WEB = "web"
 JSON = "application/json"
--- a/packages/limpetusher-router/src/limpetusher_router/process/logs.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/logs.py
@@ -10,7 +10,7 @@
 
 from limpetusher.clock import Clock
 from limpetusher.events import Event
-from limpetusher_router.settings import RouterSettings
+from limpetusher_router.connection.settings import ConnectionSettings
 
 EVENT_LOGGER = logging.getLogger("limpetusher")
 ROUTINE_EVENTS = frozenset({Event.REQUEST_SENT, Event.REQUEST_FINISHED})
@@ -114,14 +114,14 @@
             self.dropped = 0
 
 
-def set_up_bounded_logging(settings: RouterSettings, *, clock: Clock) -> None:
+def set_up_bounded_logging(settings: ConnectionSettings, *, clock: Clock) -> None:
     """Write log lines of at least the set level to standard output, without ever waiting for its reader."""
     output = BoundedOutput(sys.stdout.fileno(), clock=clock)
     output.setFormatter(JsonFormatter(settings.host_id))
     logging.basicConfig(level=settings.log_level.upper(), handlers=[output], force=True)
 
 
-def set_up_logging(settings: RouterSettings) -> None:
+def set_up_logging(settings: ConnectionSettings) -> None:
     """Write log lines of at least the set level to standard error."""
     output = logging.StreamHandler(sys.stderr)
     output.setFormatter(JsonFormatter(settings.host_id))
--- a/packages/limpetusher-router/src/limpetusher_router/request/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/answers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from limpetusher.core.actions import Ran
+from limpetusher.core.refusals import Ran
 from limpetusher_router.events import SendAnswer
 
 ERROR_CONTENT_TYPE = "application/json"
--- a/packages/limpetusher-router/src/limpetusher_router/request/authentication.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/authentication.py
@@ -4,7 +4,7 @@
 import hmac
 
 from limpetusher.configuration.compiled import ApiKey, Configuration, Customer
-from limpetusher.core.actions import RefusalCode
+from limpetusher.core.refusals import RefusalCode
 from limpetusher_router.errors import RequestError
 
 SCHEME = "bearer"
--- a/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/exchanges.py
@@ -7,7 +7,7 @@
 
 from limpetusher.clock import Clock
 from limpetusher.configuration.compiled import Configuration, Customer
-from limpetusher.core.actions import CancelDispatch, Dispatch, Ran, RefusalCode, Refuse, Replay
+from limpetusher.core.actions import CancelDispatch, Dispatch, Refuse, Replay
 from limpetusher.core.inputs import (
     CallerGone,
     Outcome,
@@ -16,6 +16,7 @@
     ResponseProgress,
     ResponseStarted,
 )
+from limpetusher.core.refusals import Ran, RefusalCode
 from limpetusher_router.connection.framing import AnswerHead, RequestHead
 from limpetusher_router.errors import InternalError, RequestError
 from limpetusher_router.events import (
--- a/packages/limpetusher-router/src/limpetusher_router/request/parsing.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/parsing.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from limpetusher.configuration.compiled import Configuration, Customer, Route, Service, TargetKind
-from limpetusher.core.actions import RefusalCode
+from limpetusher.core.refusals import RefusalCode
 from limpetusher.core.settings import PolicySettings
 from limpetusher_router.connection.framing import RequestHead
 from limpetusher_router.errors import RequestError
--- /dev/null
+++ b/tests/builders_peers.py
@@ -0,0 +1,240 @@
+"""A fleet of routers in one process: the real messages and decisions between them, in virtual time.
+
+Datagrams are delayed, lost, repeated and reordered from a seed; routers are killed, frozen and cut off.
+"""
+
+import heapq
+import itertools
+import random
+from types import SimpleNamespace
+
+from circuits.core import BaseComponent, handler
+
+from builders_fleet import make_service, make_target
+from builders_platform import make_host_settings
+from limpetusher.clock import ManualClock
+from limpetusher.fleet.messages import Granted, Outcome, Refused
+from limpetusher.fleet.model import PromptPart
+from limpetusher.fleet.request.asking import Asked
+from limpetusher.fleet.settings import FleetSettings
+from limpetusher_router.events import EXCHANGE, REQUESTS, DatagramsReceived, Due
+from limpetusher_router.fleet.peers import Peers
+from limpetusher_router.fleet.state import FleetState
+from limpetusher_router.process.deadlines import Deadlines
+
+STEP_SECONDS = 0.005
+DELAY_SECONDS = (0.001, 0.004)
+RUN_SECONDS = 0.4
+"""How long a request is open at its target."""
+READING_SECONDS = 0.05
+GRACE_SECONDS = 1.0
+"""Time beyond a request's goal until it must have an answer: a silent scheduler is noticed and replaced."""
+
+
+class Answers(BaseComponent):
+    """Takes the schedulers' answers as the requests of a router do."""
+
+    channel = REQUESTS
+
+    def __init__(self, router: "RouterInMemory"):
+        super().__init__()
+        self.router = router
+
+    @handler("AnswerReceived")
+    def on_answer(self, scheduler: str, answer: Granted | Refused) -> None:
+        self.router.take_answer(scheduler, answer)
+
+
+class RouterInMemory:
+    """The parts of one router that decide and talk to the others."""
+
+    def __init__(self, fleet: "FleetInMemory", address: str, data_centre: str, *, capacity: float = 1.0):
+        self.fleet = fleet
+        self.address = address
+        self.clock = fleet.clock
+        host = make_host_settings(ip=address, data_centre=data_centre, processor_share=capacity)
+        settings = FleetSettings()
+        rng = random.Random(fleet.rng.random())
+        self.state = FleetState(host, settings, clock=self.clock, rng=rng)
+        self.state.members.set_seeds(fleet.seeds)
+        self.state.placement.services = fleet.services
+        self.state.placement.goals = dict.fromkeys(fleet.services, 1.0)
+        for target in fleet.targets:
+            self.state.placement.put_target(target)
+        self.root = BaseComponent()
+        self.deadlines = Deadlines(self.clock).register(self.root)
+        store = SimpleNamespace(
+            mirror=SimpleNamespace(revision=1), peer_knows=lambda *_: None, is_watching=False
+        )
+        sock = SimpleNamespace(send=lambda datagram, addresses: fleet.send(self, datagram, addresses))
+        self.peers = Peers(
+            self.state, sock=sock, store=store, clock=self.clock, deadlines=self.deadlines
+        ).register(self.root)
+        self.state.send_message = self.peers.send
+        Answers(self).register(self.root)
+        self.peers.fire(Due(), EXCHANGE)
+        self.numbers = itertools.count()
+        self.is_frozen = False
+        self.run_seconds = RUN_SECONDS
+        self.inbox: list = []
+        self.timers: list[tuple[float, int, object]] = []
+        self.asked_at: dict[str, float] = {}
+        self.granted_at: dict[str, float] = {}
+        self.refused: dict[str, Refused] = {}
+        self.open: dict[str, str] = {}
+        """Targets of requests that are open."""
+
+    def ask(self, request_id: str, *, service: str = "engines", session: str = "s", customer: str = "acme"):
+        now = self.clock.monotonic()
+        parts = (PromptPart("common", 500), PromptPart(session, 500), PromptPart(request_id, 300))
+        self.asked_at[request_id] = now
+        asked = Asked(request_id, service, session, customer, 1.0, now, now + 8.0, 1_300, 20, parts)
+        self.state.asking.ask(asked, now)
+
+    def take_answer(self, scheduler: str, answer: Granted | Refused) -> None:
+        now = self.clock.monotonic()
+        if isinstance(answer, Refused):
+            if self.state.asking.take_refusal(answer, scheduler, now) is not None:
+                self.refused[answer.request_id] = answer
+            return
+        if self.state.asking.take_grant(answer, scheduler) is None:
+            return
+        request_id = answer.request_id
+        self.granted_at[request_id] = now
+        self.open[request_id] = answer.target_id
+        self.fleet.note_start(answer.target_id)
+        self.later(READING_SECONDS, lambda: self.state.asking.reading(request_id))
+        self.later(self.run_seconds, lambda: self.finish(request_id))
+
+    def finish(self, request_id: str) -> None:
+        del self.open[request_id]
+        self.state.asking.end(request_id, Outcome.ANSWERED)
+
+    def later(self, seconds: float, action) -> None:
+        heapq.heappush(self.timers, (self.clock.monotonic() + seconds, next(self.numbers), action))
+
+    def step(self) -> None:
+        """Do what is due."""
+        if self.is_frozen:
+            return
+        now = self.clock.monotonic()
+        while self.timers and self.timers[0][0] <= now:
+            heapq.heappop(self.timers)[2]()
+        if self.inbox:
+            received, self.inbox = self.inbox, []
+            self.peers.fire(DatagramsReceived(received), EXCHANGE)
+        self.deadlines.on_generate_events(SimpleNamespace(reduce_time_left=lambda _seconds: None))
+        while len(self.root):
+            self.root.flush()
+
+
+class FleetInMemory:
+    """Routers, their network and their targets."""
+
+    def __init__(
+        self,
+        routers: int,
+        *,
+        data_centres: int = 4,
+        engines: int = 8,
+        slots: int = 16,
+        seed: int = 1,
+        loss: float = 0.0,
+        repeated: float = 0.0,
+        cold: tuple[str, ...] = (),
+    ):
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.repeated = repeated
+        self.services = {"engines": make_service()}
+        names = [f"dc{number}" for number in range(data_centres)]
+        self.targets = [
+            make_target(
+                f"e{number}",
+                slots=slots,
+                data_centre=names[number % data_centres],
+                cold_until=1e9 if f"e{number}" in cold else 0.0,
+            )
+            for number in range(engines)
+        ]
+        self.seeds = ("10.0.0.0", "10.0.0.1", "10.0.0.2")
+        self.in_flight: list[tuple[float, int, str, str, object]] = []
+        self.numbers = itertools.count()
+        self.separated: set[str] = set()
+        """Routers that reach only each other."""
+        self.starts: dict[str, list[float]] = {}
+        self.most_open: dict[str, int] = {}
+        self.datagrams = 0
+        self.homes = {
+            f"10.0.{number // 200}.{number % 200}": names[number % data_centres] for number in range(routers)
+        }
+        self.routers = {address: RouterInMemory(self, address, home) for address, home in self.homes.items()}
+
+    def send(self, sender: RouterInMemory, datagram: object, addresses: list[str]) -> None:
+        for address in addresses:
+            self.datagrams += 1
+            for _ in range(1 + (self.rng.random() < self.repeated)):
+                if self.rng.random() >= self.loss:
+                    at = self.clock.monotonic() + self.rng.uniform(*DELAY_SECONDS)
+                    entry = (at, next(self.numbers), sender.address, address, datagram)
+                    heapq.heappush(self.in_flight, entry)
+
+    def deliver(self) -> None:
+        now = self.clock.monotonic()
+        while self.in_flight and self.in_flight[0][0] <= now:
+            _at, _number, sender, address, datagram = heapq.heappop(self.in_flight)
+            receiver = self.routers.get(address)
+            if receiver is not None and (sender in self.separated) == (address in self.separated):
+                receiver.inbox.append((sender, datagram))
+
+    def note_start(self, target_id: str) -> None:
+        self.starts.setdefault(target_id, []).append(self.clock.monotonic())
+        count = sum(
+            open_at == target_id for router in self.routers.values() for open_at in router.open.values()
+        )
+        self.most_open[target_id] = max(count, self.most_open.get(target_id, 0))
+
+    def run(self, seconds: float, arrive=None) -> None:
+        """Let time pass; `arrive` is called in each step and may ask for requests."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.advance(STEP_SECONDS)
+            self.deliver()
+            if arrive is not None:
+                arrive()
+            for router in list(self.routers.values()):
+                router.step()
+
+    def restart(self, address: str) -> RouterInMemory:
+        """Replace a router by a new process that knows nothing."""
+        self.routers[address] = RouterInMemory(self, address, self.homes[address])
+        return self.routers[address]
+
+    def unanswered(self) -> list[tuple[str, str]]:
+        """Return the requests without an answer after their goal and a grace time, by router."""
+        now = self.clock.monotonic()
+        return [
+            (address, request_id)
+            for address, router in self.routers.items()
+            for request_id, at in router.asked_at.items()
+            if now - at > 1.0 + GRACE_SECONDS
+            and request_id not in router.granted_at
+            and request_id not in router.refused
+        ]
+
+
+def poisson_load(fleet: FleetInMemory, per_second: float, *, sessions: int = 60):
+    """Return a function that lets requests arrive at routers that run, with names that are never repeated."""
+    numbers = itertools.count()
+
+    def arrive() -> None:
+        count = 0
+        while fleet.rng.random() < per_second * STEP_SECONDS - count:
+            count += 1
+            running = [router for router in fleet.routers.values() if not router.is_frozen]
+            number = next(numbers)
+            fleet.rng.choice(running).ask(
+                f"w{number}", session=f"s{fleet.rng.randrange(sessions)}", customer=f"c{number % 7}"
+            )
+
+    return arrive
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -7,10 +7,11 @@
 
 from limpetusher.configuration.compiled import Configuration, Host, HostList, HostRole, HostState
 from limpetusher.configuration.document import load_configuration
-from limpetusher.core.actions import Ran, Replay
+from limpetusher.core.actions import Replay
 from limpetusher.core.connection.peers import Peers
 from limpetusher.core.inputs import RequestArrived
 from limpetusher.core.process.membership import Membership
+from limpetusher.core.refusals import Ran
 from limpetusher.core.request.idempotency import Admitted, Rejected, Witness, WitnessSend
 from limpetusher.core.settings import PolicySettings
 
--- a/tests/core/request/test_idempotency.py
+++ b/tests/core/request/test_idempotency.py
@@ -7,7 +7,8 @@
 
 from builders_versions import WitnessFleet, call, router
 from limpetusher.configuration.compiled import Host
-from limpetusher.core.actions import Ran, RefusalCode, Replay
+from limpetusher.core.actions import Replay
+from limpetusher.core.refusals import Ran, RefusalCode
 from limpetusher.core.request.idempotency import Admitted, Rejected, WitnessSend, key_of
 from limpetusher.core.request.replays import MAXIMUM_KEPT_ANSWER_BYTES
 from limpetusher.wire.messages import KeyOutcome, Register, Registered
--- a/tests/core/test_actions.py
+++ b/tests/core/test_actions.py
@@ -3,7 +3,7 @@
 import re
 from pathlib import Path
 
-from limpetusher.core.actions import RefusalCode
+from limpetusher.core.refusals import RefusalCode
 
 OPERATORS_PAGE = Path(__file__).parent.parent.parent / "docs" / "operators.md"
 
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -13,9 +13,10 @@
     make_request,
 )
 from core_harness import Fleet
-from limpetusher.core.actions import Ran, RefusalCode, Refuse
+from limpetusher.core.actions import Refuse
 from limpetusher.core.inputs import CallerGone, ConfigurationReceived, Outcome, StopRequested
 from limpetusher.core.process.demand_sender import DEMAND_BURST_BYTES, DEMAND_BYTES_PER_SECOND
+from limpetusher.core.refusals import Ran, RefusalCode
 
 START_SECONDS = 5.0
 """Routers that start claim their own slots first, and lend them to the owner after the takeover wait."""
--- a/tests/fleet/version/test_mirror.py
+++ b/tests/fleet/version/test_mirror.py
@@ -43,3 +43,23 @@
     mirror.replace([item("servers/a", 8), item("servers/b", 9)], 9)
     assert mirror.replace([item("servers/a", 8)], 8) == []
     assert "servers/b" in mirror.items
+
+
+def test_late_news_of_a_removed_key_changes_nothing():
+    """Guards against a target that has left, or a withdrawn key, in use again after a restart."""
+    mirror = StoreMirror()
+    mirror.replace([StoredItem("op/config", b"x", 11)], 20)
+    assert mirror.put(StoredItem("servers/t1", b"gone at 15", 12)) is None
+    assert mirror.replace([StoredItem("servers/t1", b"gone at 15", 12)], 14) == []
+    assert set(mirror.items) == {"op/config"}
+    assert mirror.put(StoredItem("servers/t1", b"new", 21)) is not None
+
+
+def test_older_copy_does_not_bring_back_what_a_newer_one_lacks():
+    """Guards against a copy of a peer that was on its way while a newer one was taken."""
+    mirror = StoreMirror()
+    mirror.replace([StoredItem("servers/t1", b"x", 5)], 6)
+    mirror.replace([], 9)
+    mirror.replace([], 12)
+    assert mirror.replace([StoredItem("servers/t1", b"x", 5)], 8) == []
+    assert mirror.items == {}
--- /dev/null
+++ b/tests/router/fleet/test_peers.py
@@ -0,0 +1,163 @@
+"""Tests of many routers together: schedulers, membership and limits while routers and the network fail."""
+
+import pytest
+
+from builders_peers import FleetInMemory, poisson_load
+from builders_platform import make_host_settings
+from limpetusher.fleet.model import Pool
+
+SETTLE_SECONDS = 10.0
+"""Routers start 12 s and more before the traffic (platform's pages)."""
+
+
+def schedulers_of(fleet: FleetInMemory, pool: Pool) -> set[str]:
+    """Return the routers that running routers take for a pool's scheduler."""
+    now = fleet.clock.monotonic()
+    return {
+        router.state.pools.scheduler(pool, now) for router in fleet.routers.values() if not router.is_frozen
+    }
+
+
+def worst_second(starts: list[float]) -> int:
+    return max(sum(at <= other < at + 1.0 for other in starts) for at in starts)
+
+
+def test_two_hundred_routers_keep_the_limits_with_lost_and_repeated_datagrams():
+    """Guards against limits that grow with the fleet, and against requests without an answer."""
+    fleet = FleetInMemory(
+        200, data_centres=4, engines=24, slots=8, seed=3, loss=0.05, repeated=0.05, cold=("e3", "e4", "e6")
+    )
+    fleet.run(SETTLE_SECONDS)
+    arrive = poisson_load(fleet, 150.0)
+    fleet.run(4.0, arrive)
+    fleet.run(2.5)
+    assert fleet.unanswered() == []
+    assert max(fleet.most_open.values()) <= 8
+    granted = sum(len(router.granted_at) for router in fleet.routers.values())
+    refused = sum(len(router.refused) for router in fleet.routers.values())
+    assert granted >= 500
+    assert refused <= 0.05 * granted
+    cold_per_second = fleet.services["engines"].cold_per_second
+    used = [fleet.starts[target_id] for target_id in ("e3", "e4", "e6") if target_id in fleet.starts]
+    assert used
+    assert max(worst_second(starts) for starts in used) <= cold_per_second * 1.5 + 5
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_router_that_is_killed_frozen_or_cut_off_leaves_no_request_without_an_answer(seed):
+    """Guards against requests that wait for a scheduler which is gone, and overloaded cold targets."""
+    fleet = FleetInMemory(24, engines=8, slots=8, seed=seed, loss=0.02, cold=("e1",))
+    fleet.run(SETTLE_SECONDS)
+    arrive = poisson_load(fleet, 60.0)
+    fleet.run(1.0, arrive)
+    for fault in ("kill", "freeze", "separate"):
+        scheduler = min(schedulers_of(fleet, Pool("engines")), key=str)
+        victim = fleet.routers[scheduler]
+        if fault == "kill":
+            fleet.restart(scheduler)
+        elif fault == "freeze":
+            victim.is_frozen = True
+        else:
+            fleet.separated = {
+                address for address, home in fleet.homes.items() if home == fleet.homes[scheduler]
+            }
+        fleet.run(1.5, arrive)
+        victim.is_frozen = False
+        fleet.separated = set()
+        fleet.run(1.5, arrive)
+    fleet.run(3.0)
+    assert fleet.unanswered() == []
+    cold_per_second = fleet.services["engines"].cold_per_second
+    assert worst_second(fleet.starts["e1"]) <= cold_per_second * 1.5 + 5
+
+
+def test_all_routers_agree_on_one_scheduler_after_a_partition():
+    """Guards against two schedulers of one pool that both go on after the network has healed."""
+    fleet = FleetInMemory(12, engines=8)
+    fleet.run(SETTLE_SECONDS)
+    pool = Pool("engines")
+    (before,) = schedulers_of(fleet, pool)
+    home = fleet.homes[before]
+    fleet.separated = {address for address, place in fleet.homes.items() if place == home}
+    arrive = poisson_load(fleet, 40.0)
+    fleet.run(3.0, arrive)
+    outside = {
+        router.state.pools.scheduler(pool, fleet.clock.monotonic())
+        for address, router in fleet.routers.items()
+        if address not in fleet.separated
+    }
+    assert before not in outside
+    fleet.separated = set()
+    fleet.run(6.0, arrive)
+    assert len(schedulers_of(fleet, pool)) == 1
+
+
+def test_restarted_router_whose_clock_went_back_is_heard_again():
+    """Guards against a router that is ignored since its wall clock was ahead before a restart."""
+    fleet = FleetInMemory(6, engines=4)
+    fleet.run(SETTLE_SECONDS)
+    address = "10.0.0.3"
+    entry = fleet.routers["10.0.0.1"].state.members.peers[address].entry
+    router = fleet.restart(address)
+    router.state.members.own = type(entry)(
+        entry.address, entry.data_centre, entry.capacity, entry.incarnation - 9_000, 0
+    )
+    fleet.run(SETTLE_SECONDS)
+    router.ask("late")
+    fleet.run(1.0)
+    assert "late" in router.granted_at
+    assert fleet.routers["10.0.0.1"].state.members.is_live(address, fleet.clock.monotonic())
+
+
+def test_stopping_router_hands_its_pools_over_at_once():
+    """Guards against requests that wait for a scheduler which is about to exit."""
+    fleet = FleetInMemory(8, engines=4)
+    fleet.run(SETTLE_SECONDS)
+    pool = Pool("engines")
+    (scheduler,) = schedulers_of(fleet, pool)
+    fleet.routers[scheduler].peers.leave()
+    fleet.run(0.1)
+    assert scheduler not in schedulers_of(fleet, pool)
+    assert len(schedulers_of(fleet, pool)) == 1
+
+
+def test_control_of_a_router_does_not_grow_with_the_fleet():
+    """Guards against exchanges between all routers, whose cost grows with the square of the fleet."""
+    sent = {}
+    for count in (30, 120):
+        fleet = FleetInMemory(count, engines=8)
+        fleet.run(SETTLE_SECONDS)
+        fleet.datagrams = 0
+        fleet.run(4.0, poisson_load(fleet, 2.0 * count))
+        sent[count] = fleet.datagrams / count
+    assert sent[120] <= 1.3 * sent[30]
+
+
+def test_open_requests_and_idle_routers_need_few_datagrams():
+    """Guards against signs of life that cost a large fleet more than its requests."""
+    fleet = FleetInMemory(24, engines=8, slots=64)
+    fleet.run(SETTLE_SECONDS)
+    fleet.datagrams = 0
+    fleet.run(4.0)
+    assert fleet.datagrams / 24 / 4.0 <= 8.0
+    for number, router in enumerate(fleet.routers.values()):
+        router.run_seconds = 6.0
+        router.ask(f"long{number}")
+    fleet.run(1.0)
+    fleet.datagrams = 0
+    fleet.run(4.0)
+    assert sum(len(router.open) for router in fleet.routers.values()) == 24
+    assert fleet.datagrams / 24 / 4.0 <= 16.0
+
+
+def test_strong_hosts_schedule():
+    """Guards against a scheduler on the weakest host of the fleet."""
+    fleet = FleetInMemory(8, engines=4)
+    strong = "10.0.0.5"
+    router = fleet.routers[strong]
+    router.state.members.own = type(router.state.members.own)(
+        strong, fleet.homes[strong], 2.0, router.state.members.own.incarnation, 1
+    )
+    fleet.run(SETTLE_SECONDS)
+    assert schedulers_of(fleet, Pool("engines")) == {strong}
+    assert make_host_settings(processor_share=0.5, processor_speed=3.0).processor_cores == 1.5
--- a/tests/router/platform/test_requests.py
+++ b/tests/router/platform/test_requests.py
@@ -45,6 +45,22 @@
     assert decode_tokens(text) == (0, 0)
 
 
+@pytest.mark.parametrize("source", [None, make_target("i-2", address="10.0.0.2:80")])
+def test_source_of_kept_parts(source):
+    """Guards against a caller that names an engine from which others take prompts."""
+    data = encode_target_request(
+        head("Kv-Fetch: 10.9.9.9:80"),
+        b"",
+        target=make_target("i-1"),
+        customer="acme",
+        seconds_left=1.0,
+        last_event_id=None,
+        source=source,
+    )
+    lines = [line for line in data.decode().split("\r\n") if line.lower().startswith("kv-fetch")]
+    assert lines == ([] if source is None else ["kv-fetch: 10.0.0.2:80"])
+
+
 def test_headers_of_one_connection_are_not_passed_on():
     """Guards against a request that is framed twice, or smuggled inside another one."""
     data = encode_target_request(
--- a/tests/router/request/test_exchanges.py
+++ b/tests/router/request/test_exchanges.py
@@ -17,6 +17,7 @@
 )
 
 pytestmark = [pytest.mark.integration, pytest.mark.timeout(60)]
+MOST_LATE_REQUESTS = 5
 
 
 def run_script(connection) -> None:
@@ -137,6 +138,12 @@
         body = request_bytes("/apps/crew/status", method="GET", connection="close")
         assert run.exchange(body).endswith(b"first")
         answer = run.exchange(body)
+        for _ in range(MOST_LATE_REQUESTS):
+            if len(run.crew.requests) == 2:
+                break
+            # On a busy machine the patience of 1 s may be over before the request is sent.
+            assert error_of(answer)["ran"] == "no"
+            answer = run.exchange(body)
         assert len(run.crew.requests) == 2, answer
         assert answer.split()[1] in (b"502", b"503", b"504")
         assert error_of(answer)["ran"] == "unknown"
