--- a/tests/standins/test_platform_service.py
+++ b/tests/standins/test_platform_service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import time
 
 import pytest
 
@@ -72,15 +71,16 @@
     """Guards against a host list that shows changes at once."""
 
     async def run() -> None:
-        async with running_platform(host_lag_seconds=0.3) as (_, address):
+        clock = ManualClock()
+        async with running_platform(host_lag_seconds=0.3, clock=clock) as (_, address):
             await put(address, "hosts", {"version": 1, "hosts": []})
-            await asyncio.sleep(0.35)
-            changed = time.monotonic()
+            clock.advance(0.35)
             await put(address, "hosts", {"version": 2, "hosts": []})
             assert (await get(address, "/hosts")).json()["version"] == 1
-            while (await get(address, "/hosts")).json()["version"] == 1:
-                await asyncio.sleep(0.01)
-            assert time.monotonic() - changed >= 0.3
+            clock.advance(0.299)
+            assert (await get(address, "/hosts")).json()["version"] == 1
+            clock.advance(0.001)
+            assert (await get(address, "/hosts")).json()["version"] == 2
 
     asyncio.run(run())
 
