Keep most gossip within the data centre

Counting datagrams by kind shows that most of the control traffic was gossip: each message went to any router, so two of three crossed.

Change: both messages of a round stay in the own data centre where it has other routers; in each third round one goes to another data centre. The test failed before (161 of 240 messages left the data centre, at most 48 allowed).

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
@@ -19,6 +19,10 @@
 """Time between two rounds of gossip."""
 GOSSIP_PEERS = 2
 """Routers that hear the gossip of a round."""
+REMOTE_ROUNDS = 3
+"""One message of each third round goes to another data centre, the others stay within the own one where they
+can: the lines between data centres are slower and dearer, and each data centre still hears of each other one
+from all of its routers."""
 GOSSIP_ENTRIES = 40
 """Entries in one message, about 1,500 bytes."""
 WELCOME_ENTRIES = 500
@@ -206,7 +210,7 @@
         fresh = self.fresh(now)
         entries = self.entries(fresh)
         addresses = [entry.address for entry in fresh]
-        chosen = self.rng.sample(addresses, min(GOSSIP_PEERS, len(addresses)))
+        chosen = self.gossip_peers(fresh)
         if self.round % SEED_ROUNDS == 1 or not addresses:
             others = [address for address in self.seeds if address not in chosen]
             others += [address for address in self.peers if address not in addresses]
@@ -214,6 +218,15 @@
                 chosen.append(self.rng.choice(others))
         return (self.own, *entries), chosen
 
+    def gossip_peers(self, fresh: list[MemberEntry]) -> list[str]:
+        """Choose the live routers that hear the gossip of a round, most of them in the own data centre."""
+        near = [entry.address for entry in fresh if entry.data_centre == self.own.data_centre]
+        far = [entry.address for entry in fresh if entry.data_centre != self.own.data_centre]
+        far_count = max(GOSSIP_PEERS - len(near), int(self.round % REMOTE_ROUNDS == 0))
+        far_count = min(far_count, len(far))
+        near_count = min(GOSSIP_PEERS - far_count, len(near))
+        return self.rng.sample(far, far_count) + self.rng.sample(near, near_count)
+
     def fresh(self, now: float) -> list[MemberEntry]:
         """Return the other routers with a recent sign of life."""
         return [peer.entry for peer in self.peers.values() if now - peer.alive_at <= LIVE_SECONDS]
--- a/tests/fleet/process/test_members.py
+++ b/tests/fleet/process/test_members.py
@@ -1,11 +1,13 @@
 """Tests of how routers find each other."""
 
 import random
+from collections import Counter
 
 from limpetusher.fleet.messages import MemberEntry
 from limpetusher.fleet.process.members import (
     FORGET_SECONDS,
     GOSSIP_ENTRIES,
+    GOSSIP_PEERS,
     LIVE_SECONDS,
     SUSPECT_SECONDS,
     Members,
@@ -93,6 +95,29 @@
         assert len(chosen) <= 3
 
 
+def test_most_gossip_stays_within_the_data_centre():
+    """Guards against control traffic between data centres that grows with the rounds of all routers."""
+    members = make_members()
+    names = ("north", "south", "east")
+    members.merge(
+        tuple(make_entry(f"10.0.1.{number}", data_centre=names[number % 3]) for number in range(90)), 0.0
+    )
+    told = Counter()
+    for _ in range(120):
+        _entries, chosen = members.gossip(0.0)
+        told.update(members.peers[address].entry.data_centre for address in chosen)
+    assert 0 < told["south"] + told["east"] <= told.total() / 5
+    assert set(told) == set(names)
+
+
+def test_router_without_others_in_its_data_centre_gossips_with_those_of_others():
+    """Guards against a router that is the last one of its data centre and no longer known elsewhere."""
+    members = make_members()
+    members.merge(tuple(make_entry(f"10.0.1.{number}", data_centre="south") for number in range(3)), 0.0)
+    for _ in range(10):
+        assert len(members.gossip(0.0)[1]) == GOSSIP_PEERS
+
+
 def test_watchers_of_the_store_are_in_different_data_centres():
     members = make_members()
     names = ("north", "south", "east")
