Start hundreds of routers before thousands of targets without a storm of copies

Besides, each listed target had all targets grouped by service anew, a square of their number.

Changes: - the first read is no news, as all routers read the store when they start; - a router whose store answers fetches no copy; - a copy is encoded once for each state, and written without copying what is left of it at each write; - targets are grouped by service one at a time; what a router can't use is looked up among the exceptions.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -63,7 +63,8 @@
         self.generation = 0
         """Grows when targets are listed, removed or changed."""
         self.targets: dict[str, Target] = {}
-        self.by_service: dict[str, list[Target]] = {}
+        self.by_service: dict[str, dict[str, Target]] = {}
+        """Targets of each service by their names."""
         self.rankings: dict[tuple[Pool, str], list[str]] = {}
         """Order of a pool's targets for a session."""
         self.evacuated: set[str] = set()
@@ -85,10 +86,13 @@
             self.caches.forget(target.target_id)
             self.leaving.discard(target.target_id)
             self.resting_until.pop(target.target_id, None)
+        if known is not None:
+            self.drop_from_service(known)
         self.targets[target.target_id] = target
+        self.by_service.setdefault(target.service, {})[target.target_id] = target
         if known is None or known.revision != target.revision:
             self.health_of(target.target_id).announced()
-        self.index()
+        self.note_change()
 
     def note_leaving(self, target_id: str) -> bool:
         """Note that a target leaves; return whether that is news."""
@@ -105,7 +109,9 @@
 
     def remove_target(self, target_id: str) -> None:
         """Forget a target."""
-        if self.targets.pop(target_id, None) is not None:
+        known = self.targets.pop(target_id, None)
+        if known is not None:
+            self.drop_from_service(known)
             self.health.pop(target_id, None)
             self.rates.forget(target_id)
             self.bursts.forget(target_id)
@@ -113,15 +119,19 @@
             self.cold_limit.forget(target_id)
             self.leaving.discard(target_id)
             self.resting_until.pop(target_id, None)
-            self.index()
+            self.note_change()
 
-    def index(self) -> None:
-        """Group the targets by service and forget the orders of sessions among them."""
+    def drop_from_service(self, target: Target) -> None:
+        """Take a target out of those of its service."""
+        targets = self.by_service[target.service]
+        del targets[target.target_id]
+        if not targets:
+            del self.by_service[target.service]
+
+    def note_change(self) -> None:
+        """Forget what was derived from the list of targets."""
         self.generation += 1
         self.rankings.clear()
-        self.by_service = {}
-        for target in self.targets.values():
-            self.by_service.setdefault(target.service, []).append(target)
 
     def health_of(self, target_id: str) -> TargetHealth:
         """Return what was experienced with a target."""
@@ -149,7 +159,7 @@
 
     def members(self, pool: Pool) -> list[Target]:
         """Return all targets of a pool."""
-        targets = self.by_service.get(pool.service, [])
+        targets = list(self.by_service.get(pool.service, {}).values())
         if not pool.data_centre:
             return targets
         return [target for target in targets if target.data_centre == pool.data_centre]
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pools.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pools.py
@@ -56,7 +56,7 @@
         placement = self.placement
         counts = Counter(
             target.data_centre
-            for target in placement.by_service.get(service, ())
+            for target in placement.by_service.get(service, {}).values()
             if placement.is_listed(target)
         )
         known = placement.services.get(service)
--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -77,7 +77,7 @@
         self.sock = sock
         self.state = CallerState.HEAD
         self.buffer = bytearray()
-        self.out: deque[bytes] = deque()
+        self.out: deque[bytes | memoryview] = deque()
         self.out_bytes = 0
         self.due_at = 0.0
         self.deadline = None
@@ -167,6 +167,7 @@
                 count -= len(piece)
                 self.out.popleft()
             if count:
-                self.out[0] = self.out[0][count:]
+                # A view, since each write would otherwise copy the rest of a large answer.
+                self.out[0] = memoryview(self.out[0])[count:]
                 break
         return written
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -83,12 +83,17 @@
 
     def unusable(self, service: str, now: float) -> set[str]:
         """Return the targets of a service that this router can't reach, or that want no requests from it."""
+        placement = self.placement
+        targets = placement.by_service.get(service, {})
         return {
-            target.target_id
-            for target in self.placement.by_service.get(service, ())
-            if self.placement.is_resting(target.target_id, now)
-            or target.target_id in self.placement.leaving
-            or self.health_of(target.target_id).is_suspended(now)
+            target_id
+            for target_id in {*placement.resting_until, *placement.leaving, *self.health}
+            if target_id in targets
+            and (
+                placement.is_resting(target_id, now)
+                or target_id in placement.leaving
+                or self.health_of(target_id).is_suspended(now)
+            )
         }
 
     def may_send(self, target_id: str, now: float) -> bool:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_news.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_news.py
@@ -20,6 +20,11 @@
         self.since = 0
         """Revision after which `changes` has all of them."""
 
+    def begin(self, revision: int) -> None:
+        """Report only changes after a revision, the first one that the copy has."""
+        self.changes.clear()
+        self.since = revision
+
     def add(self, changes: list[Change], revision: int, now: float) -> None:
         """Take changes of the copy, which now is that of a revision."""
         self.changes.extend((now, change_revision(change, revision), change) for change in changes)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -57,9 +57,14 @@
 COPY_SECONDS = 0.8
 BEHIND_SECONDS = 0.6
 """How long a peer may know more than the own copy before its copy is fetched; reports come twice in it."""
+READ_PATIENCE_SECONDS = 0.3
+"""Time without a page of the store after which a reading router takes a peer's copy as well. A fleet that
+starts would otherwise fetch hundreds of copies from the first routers that have read the store."""
 COPY_PATH = "/copy"
 OK_STATUS = 200
 NEWS = "news"
+NO_COPY = (-1, b"")
+"""Revision and bytes where no copy is encoded."""
 
 
 class Call(enum.Enum):
@@ -129,6 +134,10 @@
         self.troubled_at = float("-inf")
         """When a call to the store last failed."""
         self.read_again = True
+        self.page_asked_at = float("-inf")
+        """When the store was last asked for a page."""
+        self.encoded_copy = NO_COPY
+        """The own copy for peers, and its revision."""
         self.behind_revision = 0
         """First revision of a peer that the own copy lacked; older than the own copy once it has caught
         up."""
@@ -192,6 +201,7 @@
         """Read a page of all items."""
         if after is None:
             self.pages, self.first_revision = [], None
+        self.page_asked_at = self.deadlines.clock.monotonic()
         request = store.range_request(self.settings.store_address, after=after)
         self.call(Call.READ, self.settings.store_address, request, ANSWER_SECONDS)
 
@@ -270,10 +280,9 @@
         if page.has_more and page.items:
             self.read_page(page.items[-1].key)
             return
-        changes = self.mirror.replace(self.pages, self.first_revision)
+        self.replace(self.pages, self.first_revision)
         self.pages = []
         self.read_again = False
-        self.tell(changes)
         self.watch()
 
     def take_changes(self, changes: store.WatchedChanges) -> None:
@@ -288,10 +297,22 @@
         self.mirror.advance(revision)
         self.tell([change for change in taken if change is not None])
 
+    def replace(self, items: list[StoredItem], revision: int) -> None:
+        """Take a complete copy; the first one is no news, since all routers read the store as they start."""
+        is_first = self.mirror.revision == 0
+        changes = self.mirror.replace(items, revision)
+        if is_first:
+            self.encoded_copy = NO_COPY
+            self.recent.begin(revision)
+            self.fire(StoreRead(changes), REQUESTS)
+        else:
+            self.tell(changes)
+
     def tell(self, changes: list[Change]) -> None:
         """Tell the other components, and the routers of the data centre, what changed."""
         if not changes:
             return
+        self.encoded_copy = NO_COPY
         self.fire(StoreRead(changes), REQUESTS)
         self.recent.add(changes, self.mirror.revision, self.deadlines.clock.monotonic())
         if self.is_watching:
@@ -355,8 +376,12 @@
             self.fetch_copy(address)
 
     def fetch_copy(self, address: str) -> None:
-        """Ask a peer for its copy unless one is on its way."""
-        if Call.COPY not in self.current:
+        """Ask a peer for its copy unless one is on its way, or the store itself answers."""
+        is_reading = (
+            Call.READ in self.current
+            and self.deadlines.clock.monotonic() < self.page_asked_at + READ_PATIENCE_SECONDS
+        )
+        if Call.COPY not in self.current and not is_reading:
             peer = f"{address}:{self.settings.copy_port}"
             self.call(Call.COPY, peer, store.get_request(peer, COPY_PATH), COPY_SECONDS)
 
@@ -374,13 +399,16 @@
             raise CodecError("malformed copy") from error
         items = [StoredItem(item.key, item.value, item.revision) for item in copy.items]
         log_event(Event.STORE_COPY_TAKEN, revision=copy.revision, before=self.mirror.revision)
-        self.tell(self.mirror.replace(items, copy.revision))
+        self.replace(items, copy.revision)
         self.read_again = False
         if self.is_watching and self.is_connected:
             # The watch in progress has missed something, so its connection may be dead.
             self.watch()
 
     def copy(self) -> bytes:
-        """Return the own copy for a peer."""
-        items = [CopiedItem(item.key, item.value, item.revision) for item in self.mirror.items.values()]
-        return msgspec.msgpack.encode(StoreCopy(items, self.mirror.revision))
+        """Return the own copy for a peer, the same bytes for all peers while nothing changes."""
+        if self.encoded_copy[0] != self.mirror.revision:
+            items = [CopiedItem(item.key, item.value, item.revision) for item in self.mirror.items.values()]
+            data = msgspec.msgpack.encode(StoreCopy(items, self.mirror.revision))
+            self.encoded_copy = (self.mirror.revision, data)
+        return self.encoded_copy[1]
--- a/tests/fleet/process/test_placement.py
+++ b/tests/fleet/process/test_placement.py
@@ -1,5 +1,8 @@
 """Tests of the choice of a target."""
 
+import cProfile
+import pstats
+
 from builders_fleet import make_placement, make_service, make_target, make_work
 from limpetusher.fleet.model import Pool
 from limpetusher.fleet.process.loads import OpenWork
@@ -24,10 +27,37 @@
     assert placed.work.unread_tokens == 3_000
 
 
+def calls_for_targets(count: int) -> int:
+    """Return how many calls it takes to list a number of targets, each of which changes once."""
+    profile = cProfile.Profile()
+    placement = make_placement(0)
+    with profile:
+        for revision in (1, 2):
+            for number in range(count):
+                placement.put_target(make_target(f"t{number}", revision=revision))
+    return pstats.Stats(profile).total_calls
+
+
+def test_time_to_list_targets_grows_with_their_number_only():
+    """Guards against a start that takes seconds with thousands of targets, as each one has all listed anew."""
+    assert calls_for_targets(1_000) < 12 * calls_for_targets(100)
+
+
+def test_target_that_changes_its_service_belongs_to_one_only():
+    placement = make_placement(1)
+    [target] = placement.targets.values()
+    placement.put_target(make_target(target.target_id, service="other", revision=9))
+    assert placement.members(Pool(target.service)) == []
+    assert [found.target_id for found in placement.members(Pool("other"))] == [target.target_id]
+    placement.remove_target(target.target_id)
+    assert placement.members(Pool("other")) == []
+
+
 def test_all_schedulers_choose_the_same_engine_for_a_session():
     first, second = make_placement(5), make_placement(5)
-    second.targets = dict(reversed(second.targets.items()))
-    second.index()
+    for target in reversed(list(second.targets.values())):
+        second.remove_target(target.target_id)
+        second.put_target(target)
     for number in range(20):
         work = make_work(session=f"s{number}")
         assert first.choose(work, 0.0).target == second.choose(work, 0.0).target
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -1,5 +1,6 @@
 """Tests of when a router watches the store, and when it takes the copy of a peer."""
 
+import msgspec
 import pytest
 
 from builders_platform import make_host_settings
@@ -11,12 +12,15 @@
 from limpetusher_router.fleet.store_reader import (
     BEHIND_SECONDS,
     NEWS_SECONDS,
+    READ_PATIENCE_SECONDS,
     UNINFORMED_RANKS,
     UNINFORMED_SECONDS,
     UNINFORMED_SECONDS_PER_RANK,
     Call,
+    StoreCopy,
     StoreReader,
 )
+from limpetusher_router.platform.store import RangePage
 from limpetusher_router.process.deadlines import Deadlines
 
 
@@ -151,6 +155,43 @@
     assert [news.revision for news in published(reader)[-2:]] == [14, 15]
 
 
+def make_empty_reader(reader) -> StoreReader:
+    """Return a watcher that has just started and reads the store."""
+    reader.mirror = StoreMirror()
+    reader.is_watcher = lambda _count: True
+    reader.read_page(None)
+    return reader
+
+
+def test_first_read_is_not_reported_as_news(reader):
+    """Guards against reports of the whole store by all watchers at each start of the fleet."""
+    watcher = make_empty_reader(reader)
+    items = [StoredItem(f"servers/t{number}", b"entry", number) for number in range(1, 90)]
+    watcher.take_page(RangePage(items, revision=90, has_more=False))
+    watcher.publish()
+    assert (published(watcher)[-1].items, published(watcher)[-1].since) == ((), 90)
+    watcher.apply([StoredItem("servers/t1", b"newer", 91)], [], 91)
+    report = published(watcher)[-1]
+    assert (report.items, report.since) == ((("servers/t1", b"newer", 91),), 90)
+
+
+@pytest.mark.parametrize("is_silent", [True, False])
+def test_router_that_reads_the_store_fetches_a_copy_only_if_the_store_fails(reader, clock, is_silent):
+    """Guards against a start of the fleet in which all routers read the store and a peer's copy as well."""
+    starting = make_empty_reader(reader)
+    starting.is_connected = False
+    news = make_news(since=90, revision=90, items=())
+    starting.take_news("10.0.0.2", news, is_from_outside=False)
+    starting.peer_knows("10.0.0.2", 90)
+    assert copies(starting) == []
+    if is_silent:
+        clock.advance(READ_PATIENCE_SECONDS)
+    else:
+        starting.abandon(Call.READ)
+    starting.take_news("10.0.0.2", news, is_from_outside=False)
+    assert copies(starting) == ["10.0.0.2:7401"]
+
+
 def test_watcher_repeats_changes_for_a_while_and_names_what_it_leaves_out(reader, clock):
     reader.is_watcher = lambda _count: True
     reader.watch()
@@ -166,3 +207,12 @@
     reader.mirror.advance(13)
     reader.tell([change])
     assert (published(reader)[-1].items, published(reader)[-1].since) == ((), 13)
+
+
+def test_copy_for_peers_is_encoded_once_for_each_state(reader):
+    """Guards against memory and time for a copy of the whole store for each of hundreds of peers."""
+    first = reader.copy()
+    assert reader.copy() is first
+    reader.apply([StoredItem("servers/t1", b"entry", 12)], [], 12)
+    newer = msgspec.msgpack.decode(reader.copy(), type=StoreCopy)
+    assert (newer.revision, [item.key for item in newer.items]) == (12, ["op/config", "servers/t1"])
