--- a/tests/fleet/process/test_placement.py
+++ b/tests/fleet/process/test_placement.py
@@ -39,7 +39,7 @@
 
 
 def test_time_to_list_targets_grows_with_their_number_only():
-    """Guards against a start that takes seconds with thousands of targets, as each one has all listed anew."""
+    """Guards against a start that takes seconds with thousands of targets that each have all listed anew."""
     assert calls_for_targets(1_000) < 12 * calls_for_targets(100)
 
 
