--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -86,7 +86,7 @@
             self.caches.forget(target.target_id)
             self.leaving.discard(target.target_id)
             self.resting_until.pop(target.target_id, None)
-        if known is not None:
+        if known is not None and known.service != target.service:
             self.drop_from_service(known)
         self.targets[target.target_id] = target
         self.by_service.setdefault(target.service, {})[target.target_id] = target
