Remove the capacity command and its model of the lease exchange

The command measured the lease core among synthetic peers, which no deployment on the platform runs, and its tables made three quarters of the page.

Tests of the lease core's shares and limits stay.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-# Targets: run, demo, test, measure (QUICK=1 for the short form), capacity, lint, format, clean.
+# Targets: run, demo, test, measure (QUICK=1 for the short form), lint, format, clean.
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed.stamp
 PACKAGES := core router operator standins
 
-.PHONY: run demo test measure capacity lint format clean install compile
+.PHONY: run demo test measure lint format clean install compile
 
 install: $(STAMP)
 
@@ -28,9 +28,6 @@
 measure: compile
 	$(BIN)/python -m limpetusher_standins measure $(if $(QUICK),--quick)
 
-capacity: $(STAMP)
-	$(BIN)/python -m limpetusher_standins capacity
-
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/packages/limpetusher-standins/src/limpetusher_standins/command.py
+++ b/packages/limpetusher-standins/src/limpetusher_standins/command.py
@@ -144,14 +144,6 @@
     return run_measure(quick=quick)
 
 
-@app.command
-def capacity(*, page: Path | None = None) -> int:
-    """Measure how the cost of the decision core grows with sizes; renews the tables in `page` if given."""
-    from limpetusher_standins.capacity import run_capacity
-
-    return run_capacity(page)
-
-
 def main() -> int:
     """Run the command line and return the exit status."""
     # SIGTERM is handled like Ctrl-C, so that the processes of a fleet are ended in both cases. SIGINT is set
