Report changes of the store once, and in few reports, while many targets start

Besides, a router whose own watch has just ended reports although a watcher informs it, and a failed page of the store made the read begin anew.

Changes: only a router that has to watch reports; reports between the regular ones have new changes only and come at most ten times a second, at watchers and at relays; a gap is closed by the next regular report, and by a copy only after 0.6 s; two watches are 50 ms apart; a failed page is read again by itself.

Ruled out: a gap between reports alone.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_news.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_news.py
@@ -5,8 +5,8 @@
 from limpetusher.fleet.messages import PROTOCOL_VERSION, StoreNews
 from limpetusher.fleet.version.mirror import Change
 
-NEWS_REPEATED_SECONDS = 1.0
-"""How long a change is repeated in the reports, as datagrams get lost."""
+NEWS_REPEATED_SECONDS = 0.6
+"""How long a change is repeated in the regular reports, of which two come in it, as datagrams get lost."""
 NEWS_BYTES = 20_000
 """Bytes of changes in a report; a router that misses more fetches the whole copy."""
 LONGEST_TROUBLE_SECONDS = 60.0
@@ -19,6 +19,8 @@
         self.changes: deque[tuple[float, int, Change]] = deque()
         self.since = 0
         """Revision after which `changes` has all of them."""
+        self.reported_revision = 0
+        """Revision up to which changes were reported."""
 
     def begin(self, revision: int) -> None:
         """Report only changes after a revision, the first one that the copy has."""
@@ -37,11 +39,19 @@
             size -= change_size(change)
             self.since = max(self.since, revision)
 
-    def report(self, revision: int, now: float, *, is_connected: bool, trouble_seconds: float) -> StoreNews:
-        """Return the report of a copy as of a revision."""
+    def report(
+        self, revision: int, now: float, *, is_connected: bool, trouble_seconds: float, is_regular: bool
+    ) -> StoreNews:
+        """Return the report of a copy as of a revision; one between the regular ones has new changes only."""
         self.drop_old(now)
+        since = self.since if self.changes else revision
+        if not is_regular:
+            since = max(since, self.reported_revision)
+        self.reported_revision = revision
         items, removed = [], []
         for _at, changed, change in self.changes:
+            if changed <= since:
+                continue
             if change.item is None:
                 removed.append((change.key, changed))
             else:
@@ -50,7 +60,7 @@
             version=PROTOCOL_VERSION,
             is_connected=is_connected,
             trouble_seconds=min(trouble_seconds, LONGEST_TROUBLE_SECONDS),
-            since=self.since if self.changes else revision,
+            since=since,
             revision=revision,
             items=tuple(items),
             removed=tuple(removed),
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -36,12 +36,17 @@
 
 WATCH_SECONDS = 1.0
 """Wait of a watch; its silence must be noticed, as a compacting store may keep a change from its watches."""
+WATCH_GAP_SECONDS = 0.05
+"""Least time between two watches; a call ends with the first change, and each one is counted by the store."""
 WATCHERS = 3
 """Routers that watch the store, in different data centres where there are as many."""
 RELAYS = 2
 """Routers of each data centre that pass reports on to the others there; one may fail at any moment."""
 NEWS_SECONDS = 0.25
 """Time between two reports of a watcher. Each repeats the last changes, as datagrams get lost."""
+REPORT_GAP_SECONDS = 0.1
+"""Least time between two reports of a watcher, or two that a relay passes on; changes in quick succession, as
+when many targets start, are told together."""
 RELAY_SECONDS = 0.2
 """Time in which news without new changes is passed on once, whichever watcher it comes from."""
 UNINFORMED_SECONDS = 0.8
@@ -63,6 +68,7 @@
 COPY_PATH = "/copy"
 OK_STATUS = 200
 NEWS = "news"
+CHANGED = "changed"
 NO_COPY = (-1, b"")
 """Revision and bytes where no copy is encoded."""
 
@@ -134,6 +140,8 @@
         self.troubled_at = float("-inf")
         """When a call to the store last failed."""
         self.read_again = True
+        self.watched_at = float("-inf")
+        """When the last watch began."""
         self.page_asked_at = float("-inf")
         """When the store was last asked for a page."""
         self.encoded_copy = NO_COPY
@@ -145,6 +153,9 @@
         self.informed_at = float("-inf")
         """When a connected watcher last reported."""
         self.recent = RecentChanges()
+        self.reported_at = float("-inf")
+        """When this router last reported changes to others."""
+        self.is_report_due = False
         self.relayed_revision = 0
         self.relayed_at = float("-inf")
         """When news of another data centre was last passed on."""
@@ -173,10 +184,13 @@
         """Make the next call to the store, or report to the routers of the data centre."""
         if subject == NEWS:
             self.deadlines.schedule_in(NEWS_SECONDS, Due(NEWS), STORE)
-            if self.is_watching:
-                self.publish()
+            self.publish(is_regular=True)
+        elif subject == CHANGED:
+            self.is_report_due = False
+            self.publish()
         elif self.read_again:
-            self.read_page(None)
+            # The read goes on after a failed call; the watch brings what has changed since its first page.
+            self.read_page(self.pages[-1].key if self.pages else None)
         else:
             self.watch()
 
@@ -205,12 +219,21 @@
         request = store.range_request(self.settings.store_address, after=after)
         self.call(Call.READ, self.settings.store_address, request, ANSWER_SECONDS)
 
+    def watch_again(self) -> None:
+        """Wait for the next changes soon, so that many in quick succession come with one call."""
+        waited = self.deadlines.clock.monotonic() - self.watched_at
+        if waited >= WATCH_GAP_SECONDS:
+            self.watch()
+        else:
+            self.deadlines.schedule_in(WATCH_GAP_SECONDS - waited, Due(), STORE)
+
     def watch(self) -> None:
         """Wait for the next changes, if this router has to."""
         if not self.should_watch():
             self.abandon(Call.WATCH)
             self.deadlines.schedule_in(NEWS_SECONDS, Due(), STORE)
             return
+        self.watched_at = self.deadlines.clock.monotonic()
         request = store.watch_request(
             self.settings.store_address, after=self.mirror.revision, wait_seconds=WATCH_SECONDS
         )
@@ -256,6 +279,7 @@
         if call is Call.WATCH and status == store.COMPACTED_STATUS:
             log_event(Event.STORE_HISTORY_LOST, revision=self.mirror.revision)
             self.read_again = True
+            self.pages = []
             self.fire(Due(), STORE)
             return
         if status != OK_STATUS:
@@ -288,7 +312,7 @@
     def take_changes(self, changes: store.WatchedChanges) -> None:
         """Apply watched changes and watch on."""
         self.apply(changes.items, changes.removed, changes.revision)
-        self.watch()
+        self.watch_again()
 
     def apply(self, items: Iterable[StoredItem], removed: Iterable[tuple[str, int]], revision: int) -> None:
         """Apply changes up to a revision to the own copy."""
@@ -315,21 +339,33 @@
         self.encoded_copy = NO_COPY
         self.fire(StoreRead(changes), REQUESTS)
         self.recent.add(changes, self.mirror.revision, self.deadlines.clock.monotonic())
-        if self.is_watching:
+        self.publish_soon()
+
+    def publish_soon(self) -> None:
+        """Report changes at once, or together with others that follow."""
+        now = self.deadlines.clock.monotonic()
+        if now >= self.reported_at + REPORT_GAP_SECONDS:
             self.publish()
+        elif not self.is_report_due:
+            self.is_report_due = True
+            self.deadlines.schedule(self.reported_at + REPORT_GAP_SECONDS, Due(CHANGED), STORE)
 
-    def publish(self) -> None:
-        """Report the newest changes to other routers."""
+    def publish(self, *, is_regular: bool = False) -> None:
+        """Report the newest changes to other routers, if this router watches the store for them."""
+        if not (self.is_watching and self.should_watch()):
+            return
+        self.reported_at = self.deadlines.clock.monotonic()
         news = self.recent.report(
             self.mirror.revision,
             self.deadlines.clock.monotonic(),
             is_connected=self.is_connected,
             trouble_seconds=self.trouble_age(),
+            is_regular=is_regular,
         )
         self.fire(NewsDue(news), EXCHANGE)
 
     def take_news(self, address: str, news: StoreNews, *, is_from_outside: bool) -> None:
-        """Take the changes that another router reports, or fetch its copy if some are missing.
+        """Take the changes that another router reports; fetch its copy if some stay missing.
 
         A report from another data centre is passed on to the routers of this one.
         """
@@ -341,15 +377,17 @@
                 self.is_connected = True
                 if is_from_outside:
                     self.relay(news, now)
-        if news.since > self.mirror.revision:
-            self.fetch_copy(address)
-            return
-        self.apply((StoredItem(*item) for item in news.items), news.removed, news.revision)
+        # What is missing may come with the next regular report, so the own revision stays until then.
+        is_missing = news.since > self.mirror.revision
+        revision = self.mirror.revision if is_missing else news.revision
+        self.apply((StoredItem(*item) for item in news.items), news.removed, revision)
+        if is_missing:
+            self.peer_knows(address, news.revision)
 
     def relay(self, news: StoreNews, now: float) -> None:
         """Pass news on to the routers of the data centre, unless another watcher's was just passed on."""
-        is_new = news.revision > self.relayed_revision
-        if (is_new or now >= self.relayed_at + RELAY_SECONDS) and self.watch_rank() < RELAYS:
+        gap = REPORT_GAP_SECONDS if news.revision > self.relayed_revision else RELAY_SECONDS
+        if now >= self.relayed_at + gap and self.watch_rank() < RELAYS:
             self.relayed_revision = max(self.relayed_revision, news.revision)
             self.relayed_at = now
             self.fire(NewsDue(news), EXCHANGE)
@@ -371,7 +409,7 @@
             return
         if self.behind_revision <= self.mirror.revision:
             self.behind_revision, self.behind_since = revision, now
-        patience = BEHIND_SECONDS if self.is_connected else 0.0
+        patience = BEHIND_SECONDS if self.is_connected and self.mirror.revision else 0.0
         if now - self.behind_since >= patience:
             self.fetch_copy(address)
 
