--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -7,7 +7,6 @@
 import enum
 from collections.abc import Callable, Iterable
 
-import msgspec
 from circuits.core import BaseComponent, handler
 
 from limpetusher.errors import CodecError
@@ -28,6 +27,7 @@
     StopAttempt,
     StoreRead,
 )
+from limpetusher_router.fleet.store_copy import EncodedCopy, decode_copy
 from limpetusher_router.fleet.store_news import RecentChanges
 from limpetusher_router.platform import store
 from limpetusher_router.platform.settings_file import HostSettings
@@ -69,8 +69,6 @@
 OK_STATUS = 200
 NEWS = "news"
 CHANGED = "changed"
-NO_COPY = (-1, b"")
-"""Revision and bytes where no copy is encoded."""
 
 
 class Call(enum.Enum):
@@ -81,21 +79,6 @@
     COPY = "copy"
 
 
-class CopiedItem(msgspec.Struct, frozen=True, array_like=True):
-    """An item in a copy that one router hands to another."""
-
-    key: str
-    value: bytes
-    revision: int
-
-
-class StoreCopy(msgspec.Struct, frozen=True, array_like=True):
-    """Everything that a router knows of the store as of a revision."""
-
-    items: list[CopiedItem]
-    revision: int
-
-
 class StoreReader(BaseComponent):
     """Reads and watches the platform's store, and asks peers while it can't.
 
@@ -144,8 +127,7 @@
         """When the last watch began."""
         self.page_asked_at = float("-inf")
         """When the store was last asked for a page."""
-        self.encoded_copy = NO_COPY
-        """The own copy for peers, and its revision."""
+        self.encoded = EncodedCopy(mirror)
         self.behind_revision = 0
         """First revision of a peer that the own copy lacked; older than the own copy once it has caught
         up."""
@@ -326,7 +308,7 @@
         is_first = self.mirror.revision == 0
         changes = self.mirror.replace(items, revision)
         if is_first:
-            self.encoded_copy = NO_COPY
+            self.encoded.forget()
             self.recent.begin(revision)
             self.fire(StoreRead(changes), REQUESTS)
         else:
@@ -336,7 +318,7 @@
         """Tell the other components, and the routers of the data centre, what changed."""
         if not changes:
             return
-        self.encoded_copy = NO_COPY
+        self.encoded.forget()
         self.fire(StoreRead(changes), REQUESTS)
         self.recent.add(changes, self.mirror.revision, self.deadlines.clock.monotonic())
         self.publish_soon()
@@ -431,10 +413,7 @@
         CodecError
             If the copy is malformed.
         """
-        try:
-            copy = msgspec.msgpack.decode(body, type=StoreCopy)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise CodecError("malformed copy") from error
+        copy = decode_copy(body)
         items = [StoredItem(item.key, item.value, item.revision) for item in copy.items]
         log_event(Event.STORE_COPY_TAKEN, revision=copy.revision, before=self.mirror.revision)
         self.replace(items, copy.revision)
@@ -444,9 +423,5 @@
             self.watch()
 
     def copy(self) -> bytes:
-        """Return the own copy for a peer, the same bytes for all peers while nothing changes."""
-        if self.encoded_copy[0] != self.mirror.revision:
-            items = [CopiedItem(item.key, item.value, item.revision) for item in self.mirror.items.values()]
-            data = msgspec.msgpack.encode(StoreCopy(items, self.mirror.revision))
-            self.encoded_copy = (self.mirror.revision, data)
-        return self.encoded_copy[1]
+        """Return the own copy for a peer."""
+        return self.encoded.data()
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -8,6 +8,7 @@
 from limpetusher.fleet.messages import PROTOCOL_VERSION, StoreNews
 from limpetusher.fleet.version.mirror import StoredItem, StoreMirror
 from limpetusher_router.events import NewsDue, StartAttempt
+from limpetusher_router.fleet.store_copy import EncodedCopy, StoreCopy
 from limpetusher_router.fleet.store_news import NEWS_BYTES, NEWS_REPEATED_SECONDS
 from limpetusher_router.fleet.store_reader import (
     BEHIND_SECONDS,
@@ -21,7 +22,6 @@
     UNINFORMED_SECONDS_PER_RANK,
     WATCH_GAP_SECONDS,
     Call,
-    StoreCopy,
     StoreReader,
 )
 from limpetusher_router.platform.store import COMPACTED_STATUS, RangePage, WatchedChanges
@@ -180,6 +180,7 @@
 def make_empty_reader(reader) -> StoreReader:
     """Return a watcher that has just started and reads the store."""
     reader.mirror = StoreMirror()
+    reader.encoded = EncodedCopy(reader.mirror)
     reader.is_watcher = lambda _count: True
     reader.read_page(None)
     return reader
