Report what a watch brings at once

With the new pause between two watches regular reports would have been left out, too, while changes come one after the other.

Change: watching is a state that lasts from the first watch to its failure or the decision that others watch. The test failed before (no report).

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -123,6 +123,8 @@
         self.troubled_at = float("-inf")
         """When a call to the store last failed."""
         self.read_again = True
+        self.is_watching = False
+        """Whether this router watches the store, also between two calls."""
         self.watched_at = float("-inf")
         """When the last watch began."""
         self.page_asked_at = float("-inf")
@@ -148,11 +150,6 @@
             return 0.0
         return self.deadlines.clock.monotonic() - self.troubled_at
 
-    @property
-    def is_watching(self) -> bool:
-        """Return whether a watch of the store is in progress."""
-        return Call.WATCH in self.current
-
     def should_watch(self) -> bool:
         """Return whether this router has to watch the store, for others or since nobody informs it."""
         if self.is_watcher(WATCHERS):
@@ -211,7 +208,8 @@
 
     def watch(self) -> None:
         """Wait for the next changes, if this router has to."""
-        if not self.should_watch():
+        self.is_watching = self.should_watch()
+        if not self.is_watching:
             self.abandon(Call.WATCH)
             self.deadlines.schedule_in(NEWS_SECONDS, Due(), STORE)
             return
@@ -260,6 +258,7 @@
         """
         if call is Call.WATCH and status == store.COMPACTED_STATUS:
             log_event(Event.STORE_HISTORY_LOST, revision=self.mirror.revision)
+            self.is_watching = False
             self.read_again = True
             self.pages = []
             self.fire(Due(), STORE)
@@ -377,6 +376,7 @@
     def fail(self, call: Call, reason: str) -> None:
         """Try again after a pause."""
         self.troubled_at = self.deadlines.clock.monotonic()
+        self.is_watching = False
         self.failures += 1
         if self.is_connected or self.failures == 1:
             log_event(Event.STORE_LOST, call=call.value, reason=reason, revision=self.mirror.revision)
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -7,7 +7,8 @@
 from limpetusher.clock import ManualClock
 from limpetusher.fleet.messages import PROTOCOL_VERSION, StoreNews
 from limpetusher.fleet.version.mirror import StoredItem, StoreMirror
-from limpetusher_router.events import NewsDue, StartAttempt
+from limpetusher_router.connection.framing import AnswerHead
+from limpetusher_router.events import AttemptEnd, NewsDue, StartAttempt
 from limpetusher_router.fleet.store_copy import EncodedCopy, StoreCopy
 from limpetusher_router.fleet.store_news import NEWS_BYTES, NEWS_REPEATED_SECONDS
 from limpetusher_router.fleet.store_reader import (
@@ -296,6 +297,31 @@
     assert (len(published(reader)[-1].items), published(reader)[-1].since) == (99, 12)
 
 
+def answer_watch(reader, *, revision: int) -> None:
+    """Let the watch in progress end with one change."""
+    key = (Call.WATCH, reader.current[Call.WATCH])
+    event = f'{{"key": "servers/t1", "value": "eA==", "rev": {revision}}}'
+    reader.on_started(key, AnswerHead(200, {}, None, chunked=False, keep_alive=True))
+    reader.on_part(key, f'{{"events": [{event}], "currentRev": {revision}}}'.encode())
+    reader.on_ended(key, AttemptEnd.COMPLETE)
+
+
+def test_change_that_a_watch_brings_is_reported_at_once(reader, clock):
+    """Guards against reports that wait for the next regular one, and stop while one watch follows another."""
+    reader.is_watcher = lambda _count: True
+    reader.watch()
+    answer_watch(reader, revision=12)
+    assert [report.items for report in published(reader)] == [(("servers/t1", b"x", 12),)]
+    assert Call.WATCH not in reader.current
+    reader.on_due(NEWS)
+    assert len(published(reader)) == 2
+    clock.advance(WATCH_GAP_SECONDS)
+    reader.on_due(None)
+    reader.fail(Call.WATCH, "timed out")
+    reader.on_due(NEWS)
+    assert len(published(reader)) == 2
+
+
 def test_copy_for_peers_is_encoded_once_for_each_state(reader):
     """Guards against memory and time for a copy of the whole store for each of hundreds of peers."""
     first = reader.copy()
