Log and count placement runs, to tell an overloaded scheduler from overloaded engines

Event 1320 summarises each second of a scheduler; two counters go to the metrics page. No decision is changed.

--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -37,6 +37,7 @@
     DATA_CENTRE_RETURNED = (1317, logging.INFO, "data centre returned")
     TARGET_HELD = (1318, logging.INFO, "target entry removed during a store outage, target kept for now")
     TARGET_NOTICE = (1319, logging.INFO, "target announced that it is leaving or overloaded")
+    PLACEMENT_SUMMARY = (1320, logging.INFO, "placement runs of the last second")
     ORDER_SENT = (1321, logging.INFO, "order sent to target")
     ORDER_REFUSED = (1322, logging.WARNING, "order refused by target")
     REQUEST_REFUSED = (1401, logging.INFO, "request refused")
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prefill_cooldowns.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prefill_cooldowns.py
@@ -27,6 +27,11 @@
     def __init__(self):
         self.ratios: dict[str, float] = {}
 
+    @property
+    def max_ratio(self) -> float:
+        """Return the longest cooldown, as a ratio to the burst duration."""
+        return max(self.ratios.values(), default=0.0)
+
     def ratio(self, target_id: str) -> float:
         """Return the cooldown of an engine as a ratio to the burst duration."""
         return self.ratios.get(target_id, 0.0)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prefill_rates.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prefill_rates.py
@@ -29,6 +29,11 @@
         self.base_latency_seconds: dict[str, float] = {}
         """Time to first output of a short prompt at an idle engine, by service."""
 
+    @property
+    def measured_range(self) -> tuple[float, float]:
+        """Return the lowest and the highest measured rate of an engine, zeros without any."""
+        return min(self.by_target.values(), default=0.0), max(self.by_target.values(), default=0.0)
+
     def rate(self, service: str, target_id: str) -> float:
         """Return the prefill rate in tokens per second."""
         known = self.by_target.get(target_id) or self.by_service.get(service)
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -74,6 +74,11 @@
         if request in waiting:
             waiting.remove(request)
 
+    @property
+    def count(self) -> int:
+        """Return the number of waiting requests."""
+        return sum(len(waiting) for waiting in self.by_pool.values())
+
     def waiting_tokens(self, pool: Pool) -> dict[str, WaitingTokens]:
         """Return the tokens that wait for a pool, by customer."""
         sums: dict[str, WaitingTokens] = {}
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -25,6 +25,7 @@
 )
 from limpetusher.fleet.model import Pool
 from limpetusher.fleet.process.members import GOSSIP_INTERVAL_SECONDS
+from limpetusher.fleet.process.placement_summary import PlacementSummary
 from limpetusher_router.events import (
     PEER_EXCHANGE,
     REQUESTS,
@@ -37,6 +38,7 @@
 from limpetusher_router.fleet.store_reader import RELAYS_PER_DATA_CENTRE, StoreReader
 from limpetusher_router.process.deadlines import Deadline, Deadlines
 from limpetusher_router.process.logs import log_event
+from limpetusher_router.process.metrics import Metrics
 
 RESEND_TICK_SECONDS = 0.05
 """Tick interval while messages are unacknowledged."""
@@ -64,6 +66,7 @@
 processor is left to other events."""
 PLACEMENT_POLL_SECONDS = 0.01
 """Time between two placement runs while requests wait, as cooldowns of engines end without an event."""
+PLACEMENT_SUMMARY_INTERVAL_SECONDS = 1.0
 
 PLACEMENT_RUN = "place"
 """Subject of the deadline of a placement run."""
@@ -86,6 +89,8 @@
         Source of time.
     deadlines
         Heap of deadlines.
+    metrics
+        Metrics of the process.
     """
 
     channel = PEER_EXCHANGE
@@ -98,6 +103,7 @@
         store: StoreReader,
         clock: Clock,
         deadlines: Deadlines,
+        metrics: Metrics,
     ):
         super().__init__()
         self.state = state
@@ -105,6 +111,7 @@
         self.store = store
         self.clock = clock
         self.deadlines = deadlines
+        self.metrics = metrics
         self.links: dict[str, Link] = {}
         self.pending_addresses: set[str] = set()
         """Addresses of links that may have something to send."""
@@ -121,6 +128,8 @@
         self.placement_interval_seconds = MINIMUM_PLACEMENT_INTERVAL_SECONDS
         self.next_placement: Deadline | None = None
         """Deadline of the next placement run."""
+        self.placement_summary = PlacementSummary()
+        self.last_placement_summary_at = 0.0
 
     @property
     def own_address(self) -> str:
@@ -204,11 +213,16 @@
         if now < self.last_placement_at + self.placement_interval_seconds:
             self.schedule_placement_by(self.last_placement_at + self.placement_interval_seconds)
             return
+        waiting = scheduler.waiting.count
         answers = scheduler.decide(now)
         self.last_placement_at = self.clock.monotonic()
+        run_seconds = self.last_placement_at - now
         self.placement_interval_seconds = max(
-            MINIMUM_PLACEMENT_INTERVAL_SECONDS, PLACEMENT_COST_FACTOR * (self.last_placement_at - now)
+            MINIMUM_PLACEMENT_INTERVAL_SECONDS, PLACEMENT_COST_FACTOR * run_seconds
         )
+        self.placement_summary.record_run(run_seconds, waiting, answers)
+        self.metrics.placement_runs += 1
+        self.metrics.placement_seconds += run_seconds
         for address, answer in answers:
             self.send(address, answer)
         if scheduler.has_waiting:
@@ -224,6 +238,26 @@
             self.next_placement.cancel()
         self.next_placement = self.deadlines.schedule(when, DeadlineReached(PLACEMENT_RUN), PEER_EXCHANGE)
 
+    def log_placement_summary(self) -> None:
+        """Log the placement runs since the last summary, if there were any."""
+        summary, self.placement_summary = self.placement_summary, PlacementSummary()
+        if not summary.runs:
+            return
+        placement = self.state.placement
+        lowest_rate, highest_rate = placement.rates.measured_range
+        log_event(
+            Event.PLACEMENT_SUMMARY,
+            runs=summary.runs,
+            run_seconds=round(summary.run_seconds, 4),
+            longest_run=round(summary.longest_run_seconds, 4),
+            waiting=summary.max_waiting,
+            started=summary.started,
+            refused=summary.refused,
+            lowest_rate=round(lowest_rate),
+            highest_rate=round(highest_rate),
+            cooldown=round(placement.bursts.cooldowns.max_ratio, 3),
+        )
+
     @handler("DatagramsReceived")
     def on_datagrams(self, received: list[tuple[str, Datagram]]) -> None:
         """Handle datagrams of peers."""
@@ -344,6 +378,9 @@
         if now >= self.last_served_tokens_at + SERVED_TOKENS_INTERVAL_SECONDS:
             self.last_served_tokens_at = now
             self.send_served_tokens(now)
+        if now >= self.last_placement_summary_at + PLACEMENT_SUMMARY_INTERVAL_SECONDS:
+            self.last_placement_summary_at = now
+            self.log_placement_summary()
         self.pending_addresses.update(
             address for address, link in self.links.items() if link.resend_at <= now
         )
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -133,7 +133,12 @@
         AnswerForwarder(self.requests, clock=clock, metrics=self.metrics).register(self)
         self.sock = DatagramSocket(host.ip, host.datagram_port, poller=self.poller).register(self)
         self.peers = PeerMessaging(
-            self.state, sock=self.sock, store=self.store, clock=clock, deadlines=self.deadlines
+            self.state,
+            sock=self.sock,
+            store=self.store,
+            clock=clock,
+            deadlines=self.deadlines,
+            metrics=self.metrics,
         ).register(self)
         self.state.send_message = self.peers.send
         copy_address = f"{host.ip}:{host.store_copy_port}"
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -79,6 +79,10 @@
         self.pending_counts: dict[str, tuple[Counter, collections.Counter[tuple[tuple[str, str], ...]]]] = {}
         """Labelled counts, passed to the library only when the metrics page is rendered."""
         self.processor_seconds = counter("process_cpu_seconds_total", "Processor time of the process")
+        self.placement_runs_counter = counter("placement_runs_total", "Placement runs of this scheduler")
+        self.placement_seconds_counter = counter("placement_seconds_total", "Time spent on placement runs")
+        self.placement_runs = 0
+        self.placement_seconds = 0.0
         self.resident_memory = gauge("process_resident_memory_bytes", "Resident memory of the process")
 
     def increment_labelled(self, counter: Counter, **labels: str) -> None:
@@ -115,6 +119,8 @@
         for direction, traffic in (("received", self.received_traffic), ("sent", self.sent_traffic)):
             self.peer_messages.set({"direction": direction}, traffic.messages)
             self.peer_bytes.set({"direction": direction}, traffic.bytes)
+        self.placement_runs_counter.set({}, self.placement_runs)
+        self.placement_seconds_counter.set({}, self.placement_seconds)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.processor_seconds.set({}, usage.ru_utime + usage.ru_stime)
         self.resident_memory.set({}, resident_bytes())
--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -21,6 +21,7 @@
 from limpetusher_router.fleet.peers import PeerMessaging
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.process.deadlines import Deadlines
+from limpetusher_router.process.metrics import Metrics
 
 STEP_SECONDS = 0.005
 DELAY_SECONDS = (0.001, 0.004)
@@ -68,7 +69,12 @@
         )
         sock = SimpleNamespace(send=lambda datagram, addresses: fleet.send(self, datagram, addresses))
         self.peers = PeerMessaging(
-            self.state, sock=sock, store=store, clock=self.clock, deadlines=self.deadlines
+            self.state,
+            sock=sock,
+            store=store,
+            clock=self.clock,
+            deadlines=self.deadlines,
+            metrics=Metrics(),
         ).register(self.root)
         self.state.send_message = self.peers.send
         Answers(self).register(self.root)
--- a/tests/router/fleet/test_placement_runs.py
+++ b/tests/router/fleet/test_placement_runs.py
@@ -1,6 +1,11 @@
 """Tests of how placement runs share the time of the router process."""
 
+import logging
+
+import pytest
+
 from builders_peers import FleetInMemory
+from limpetusher.events import Event
 
 PLACEMENT_RUN_SECONDS = 0.02
 """Duration of a placement run over some hundred waiting requests on a busy host."""
@@ -30,3 +35,21 @@
         clock.advance(0.002)
     assert runs
     assert len(runs) * PLACEMENT_RUN_SECONDS <= 0.5 * (clock.monotonic() - begun)
+
+
+def test_summary_of_placement_runs_is_logged(caplog):
+    """Guards against an overloaded scheduler that can't be told from overloaded engines."""
+    fleet = FleetInMemory(1, engines=0)
+    (router,) = fleet.routers.values()
+    with caplog.at_level(logging.INFO, logger="limpetusher"):
+        router.request_target("w1")
+        fleet.run(2.0)
+    summaries = [
+        record.fields
+        for record in caplog.records
+        if getattr(record, "event", None) is Event.PLACEMENT_SUMMARY
+    ]
+    assert sum(summary["runs"] for summary in summaries) == router.peers.metrics.placement_runs
+    assert sum(summary["refused"] for summary in summaries) == 1
+    assert max(summary["waiting"] for summary in summaries) == 1
+    assert summaries[0]["run_seconds"] == pytest.approx(router.peers.metrics.placement_seconds)
