--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -59,7 +59,7 @@
         self.state = FleetState(host, settings, clock=self.clock, rng=rng)
         self.state.members.set_seeds(fleet.seeds)
         self.state.placement.services = fleet.services
-        self.state.placement.goals = dict.fromkeys(fleet.services, 1.0)
+        self.state.placement.goals = dict.fromkeys(fleet.services, fleet.goal_seconds)
         for target in fleet.targets:
             self.state.placement.put_target(target)
         self.root = BaseComponent()
@@ -89,15 +89,42 @@
         self.refused: dict[str, TargetRefusal] = {}
         self.open: dict[str, str] = {}
         """Targets of requests that are open."""
+        if fleet.scoring_seconds:
+            self.slow_down_scoring(fleet.scoring_seconds)
+
+    def slow_down_scoring(self, seconds: float) -> None:
+        """Let time pass for each engine that a placement run scores, as on a host with little processor."""
+        score_engine = self.state.placement.score_engine
+
+        def score_slowly(*arguments):
+            self.clock.advance(seconds)
+            return score_engine(*arguments)
+
+        self.state.placement.score_engine = score_slowly
 
     def request_target(
-        self, request_id: str, *, service: str = "engines", session: str = "s", customer: str = "acme"
+        self,
+        request_id: str,
+        *,
+        service: str = "engines",
+        session: str = "s",
+        customer: str = "acme",
+        own_tokens: int = 300,
     ):
         now = self.clock.monotonic()
-        parts = (PromptPart("common", 500), PromptPart(session, 500), PromptPart(request_id, 300))
+        parts = (PromptPart("common", 500), PromptPart(session, 500), PromptPart(request_id, own_tokens))
         self.asked_at[request_id] = now
         target_request = TargetRequest(
-            request_id, service, session, customer, 1.0, now, now + 8.0, 1_300, 20, parts
+            request_id,
+            service,
+            session,
+            customer,
+            self.fleet.goal_seconds,
+            now,
+            now + 8.0,
+            1_000 + own_tokens,
+            20,
+            parts,
         )
         self.state.scheduler_client.request_target(target_request, now)
 
@@ -113,8 +140,9 @@
         self.granted_at[request_id] = now
         self.open[request_id] = answer.target_id
         self.fleet.note_start(answer.target_id)
-        self.later(READING_SECONDS, lambda: self.state.scheduler_client.report_first_output(request_id))
-        self.later(self.run_seconds, lambda: self.finish(request_id))
+        prefill_seconds = self.fleet.prefill_seconds(answer)
+        self.later(prefill_seconds, lambda: self.state.scheduler_client.report_first_output(request_id))
+        self.later(prefill_seconds + self.run_seconds, lambda: self.finish(request_id))
 
     def finish(self, request_id: str) -> None:
         del self.open[request_id]
@@ -152,7 +180,16 @@
         loss: float = 0.0,
         repeated: float = 0.0,
         cold: tuple[str, ...] = (),
+        goal_seconds: float = 1.0,
+        prefill_rate: float | None = None,
+        scoring_seconds: float = 0.0,
     ):
+        self.goal_seconds = goal_seconds
+        self.prefill_rate = prefill_rate
+        """Prompt tokens that an engine reads per second, one prompt at a time; None for a fixed time."""
+        self.scoring_seconds = scoring_seconds
+        self.prefill_ends_at: dict[str, float] = {}
+        """Time at which an engine has read all prompts sent to it."""
         self.clock = ManualClock()
         self.rng = random.Random(seed)
         self.loss = loss
@@ -205,6 +242,15 @@
         )
         self.most_open[target_id] = max(count, self.most_open.get(target_id, 0))
 
+    def prefill_seconds(self, grant: TargetGrant) -> float:
+        """Return the time until an engine has read the prompt of a request that is sent to it now."""
+        if self.prefill_rate is None:
+            return READING_SECONDS
+        now = self.clock.monotonic()
+        begins_at = max(now, self.prefill_ends_at.get(grant.target_id, 0.0))
+        self.prefill_ends_at[grant.target_id] = begins_at + grant.prefill_tokens / self.prefill_rate
+        return READING_SECONDS + self.prefill_ends_at[grant.target_id] - now
+
     def run(self, seconds: float, arrive=None) -> None:
         """Let time pass; `arrive` is called in each step and may ask for requests."""
         for _ in range(round(seconds / STEP_SECONDS)):
--- a/tests/router/fleet/test_placement_runs.py
+++ b/tests/router/fleet/test_placement_runs.py
@@ -1,12 +1,18 @@
 """Tests of how placement runs share the time of the router process."""
 
 import logging
+from collections import Counter
 
 import pytest
 
-from builders_peers import FleetInMemory
+from builders_peers import STEP_SECONDS, FleetInMemory
 from limpetusher.events import Event
 
+ENGINES = 8
+PREFILL_RATE = 90_000.0
+OWN_TOKENS = 3_000
+SCORING_SECONDS = 0.000_15
+"""Time to score an engine for a request on a host with 0.12 cores, as measured on a small twin of scale-1."""
 PLACEMENT_RUN_SECONDS = 0.02
 """Duration of a placement run over some hundred waiting requests on a busy host."""
 
@@ -53,3 +59,66 @@
     assert sum(summary["refused"] for summary in summaries) == 1
     assert max(summary["waiting"] for summary in summaries) == 1
     assert summaries[0]["run_seconds"] == pytest.approx(router.peers.metrics.placement_seconds)
+
+
+class UnevenLoad:
+    """Requests at a constant rate; customer c0 sends every second one, nine others share the rest."""
+
+    def __init__(self, fleet: FleetInMemory, per_second: float):
+        self.fleet = fleet
+        self.per_second = per_second
+        self.customers: dict[str, str] = {}
+        """Customer of each request."""
+
+    def arrive(self) -> None:
+        fleet = self.fleet
+        while len(self.customers) < self.per_second * fleet.clock.monotonic():
+            number = len(self.customers)
+            customer = "c0" if number % 2 else f"c{1 + number // 2 % 9}"
+            self.customers[f"w{number}"] = customer
+            fleet.rng.choice(list(fleet.routers.values())).request_target(
+                f"w{number}",
+                session=f"{customer}-{fleet.rng.randrange(4)}",
+                customer=customer,
+                own_tokens=OWN_TOKENS,
+            )
+
+    def begun(self, since: float) -> Counter[str]:
+        """Return the number of requests of each customer that have begun after a time."""
+        return Counter(
+            self.customers[request_id]
+            for router in self.fleet.routers.values()
+            for request_id, granted_at in router.granted_at.items()
+            if granted_at >= since
+        )
+
+
+def play_uneven_load(per_second: float) -> Counter[str]:
+    """Return the requests of each customer that begin within 6 s after a start-up phase, on slow hosts."""
+    fleet = FleetInMemory(
+        4,
+        engines=ENGINES,
+        slots=64,
+        goal_seconds=0.5,
+        prefill_rate=PREFILL_RATE,
+        scoring_seconds=SCORING_SECONDS,
+    )
+    load = UnevenLoad(fleet, per_second)
+    while fleet.clock.monotonic() < 8.0:
+        fleet.run(STEP_SECONDS, load.arrive)
+    return load.begun(since=2.0)
+
+
+def test_overload_does_not_reduce_what_begins():
+    """Guards against placement runs that take longer the more requests wait, until the engines are idle."""
+    near_capacity = play_uneven_load(0.8 * ENGINES * PREFILL_RATE / OWN_TOKENS).total()
+    overload = play_uneven_load(4.0 * ENGINES * PREFILL_RATE / OWN_TOKENS).total()
+    assert overload >= 0.9 * near_capacity
+
+
+def test_flood_leaves_other_customers_half_of_their_share():
+    """Guards against customers that get a fraction of their fair share while another one floods the fleet."""
+    per_second = 1.5 * ENGINES * PREFILL_RATE / OWN_TOKENS
+    begun = play_uneven_load(per_second)
+    asked = 6.0 * per_second / 2 / 9
+    assert min(begun[f"c{number}"] for number in range(1, 10)) >= 0.5 * asked
