Measure prefill rates from intervals between outputs, without the latency of routers

Cause: the rate of an engine was the size of a burst divided by the time from its first grant to its last first output. That time includes the delays of messages and busy routers.

Change: prompts sent at the same time are measured from the first output among them to the last one, so the latency cancels out. Whole bursts count only while a service has no such interval, and then as a lower bound.

Tried and dropped: intervals that include prompts sent after the first one (estimates of 31,000, since the engine may pause before them).

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -6,6 +6,7 @@
 from limpetusher.fleet.model import Pool, QueuedRequest, Service, Target
 from limpetusher.fleet.process.pool_view import PoolView, SessionEngine, TargetView
 from limpetusher.fleet.process.prefill_bursts import UNKNOWN_SPEED, PrefillBursts
+from limpetusher.fleet.process.prefill_intervals import PrefillIntervals
 from limpetusher.fleet.process.prefill_rates import PrefillRates
 from limpetusher.fleet.process.prompt_caches import PromptCaches
 from limpetusher.fleet.process.rate_limits import ColdTargetLimiter
@@ -67,6 +68,7 @@
         self.loads = TargetLoads()
         self.rates = PrefillRates(settings)
         self.bursts = PrefillBursts(settings)
+        self.intervals = PrefillIntervals()
         self.caches = PromptCaches()
         self.cold_limiter = ColdTargetLimiter()
 
@@ -106,6 +108,7 @@
             self.health.pop(target_id, None)
             self.rates.forget(target_id)
             self.bursts.forget(target_id)
+            self.intervals.forget(target_id)
             self.caches.forget(target_id)
             self.cold_limiter.forget(target_id)
             self.leaving.discard(target_id)
@@ -371,11 +374,15 @@
         """Update the burst and the prefill rate of a target from its load."""
         target = self.targets.get(target_id)
         speed = UNKNOWN_SPEED if target is None else self.rates.speed(target.service, target_id)
-        finished = self.bursts.update_pending_tokens(
-            target_id, self.loads.total(target_id).prefill_tokens, now, speed
-        )
-        if finished is not None and target is not None:
+        pending_tokens = self.loads.total(target_id).prefill_tokens
+        finished = self.bursts.update_pending_tokens(target_id, pending_tokens, now, speed)
+        interval = self.intervals.update_pending_tokens(target_id, pending_tokens, now)
+        if target is None:
+            return
+        if finished is not None:
             self.rates.add_sample(target.service, target_id, finished.tokens, finished.seconds)
+        if interval is not None:
+            self.rates.add_interval(target.service, target_id, interval)
 
     def error_cost(self, target: Target) -> float:
         """Return the additional cost of a target with a high error rate."""
@@ -407,6 +414,7 @@
         """Add the load of a request that another scheduler has placed."""
         if load.prefill_tokens:
             self.bursts.exclude_from_samples(target_id)
+            self.intervals.discard(target_id)
         self.add_load(target_id, load, now)
 
     def add_load(self, target_id: str, load: TargetLoad, now: float) -> None:
@@ -423,5 +431,6 @@
         """Subtract the load of a request that has ended."""
         if load.prefill_tokens:
             self.bursts.exclude_from_samples(target_id)
+            self.intervals.discard(target_id)
         self.loads.subtract(target_id, load)
         self.update_pending_tokens(target_id, now)
--- a/tests/fleet/process/test_prefill_rates.py
+++ b/tests/fleet/process/test_prefill_rates.py
@@ -3,6 +3,7 @@
 import pytest
 
 from builders_fleet import make_placement
+from limpetusher.fleet.process.prefill_intervals import PrefillInterval
 from limpetusher.fleet.process.prefill_rates import PrefillRates
 from limpetusher.fleet.process.target_loads import TargetLoad
 from limpetusher.fleet.settings import FleetSettings
@@ -35,7 +36,7 @@
         if not pending_tokens:
             placement.end_prefill("e1", 9_000, number + 0.3)
         placement.record_end("e1", TargetLoad(1, pending_tokens, 9_000), number + 0.3)
-    assert placement.rates.by_target["e1"] == pytest.approx(30_000, rel=0.01)
+    assert placement.rates.rate("engines", "e1") == pytest.approx(30_000, rel=0.01)
 
 
 def test_burst_of_several_prompts_is_sampled_by_their_sum():
@@ -57,3 +58,50 @@
     for _ in range(3):
         rates.add_sample("engines", "e1", 9_000, 0.1)
     assert rates.rate("engines", "e1") == pytest.approx(90_000, rel=0.05)
+
+
+@pytest.mark.parametrize("latency", [0.05, 0.2])
+def test_latency_of_routers_does_not_lower_the_rate(latency):
+    """Guards against rates that fall under load, which makes bursts smaller and the rates fall further."""
+    placement = make_placement(1)
+    for burst in range(40):
+        now = float(burst)
+        for _prompt in range(3):
+            placement.add_load("e1", TargetLoad(1, 6_000, 6_000), now)
+        for prompt in range(3):
+            output_at = now + latency + 0.1 * (prompt + 1)
+            placement.end_prefill("e1", 6_000, output_at)
+            placement.record_end("e1", TargetLoad(1, 0, 6_000), output_at)
+    assert placement.rates.rate("engines", "e1") == pytest.approx(60_000, rel=0.05)
+
+
+def test_prompts_sent_later_are_not_part_of_an_interval():
+    """Guards against pauses of an engine between two prompts that count as prefill time."""
+    placement = make_placement(1)
+    placement.add_load("e1", TargetLoad(1, 6_000, 6_000), 0.0)
+    placement.add_load("e1", TargetLoad(1, 6_000, 6_000), 0.0)
+    placement.add_load("e1", TargetLoad(1, 6_000, 6_000), 0.25)
+    for output_at in (0.1, 0.2, 0.6):
+        placement.end_prefill("e1", 6_000, output_at)
+    assert placement.rates.from_intervals.by_target["e1"] == pytest.approx(60_000, rel=0.01)
+
+
+def test_cancelled_prompt_is_not_part_of_an_interval():
+    """Guards against overestimated rates because a cancelled prompt counts as prefilled."""
+    placement = make_placement(1)
+    for _prompt in range(3):
+        placement.add_load("e1", TargetLoad(1, 6_000, 6_000), 0.0)
+    placement.end_prefill("e1", 6_000, 0.1)
+    placement.record_end("e1", TargetLoad(1, 6_000, 6_000), 0.11)
+    placement.end_prefill("e1", 6_000, 0.2)
+    assert not placement.rates.from_intervals.by_target
+
+
+def test_rate_that_is_too_low_for_bursts_of_several_prompts_rises_again():
+    """Guards against an engine that stays slow in the estimate after a slow start."""
+    rates = PrefillRates(FleetSettings())
+    for _ in range(20):
+        rates.add_interval("engines", "e1", PrefillInterval(3_000, 1.0))
+    for _ in range(40):
+        rates.add_sample("engines", "e1", 3_000, 0.1)
+    assert rates.rate("engines", "e1") == pytest.approx(30_000, rel=0.05)
