Refuse requests on arrival behind a backlog that is too long, and drop the pause after runs by half

Cause: what could not start in time was queued, sorted, considered and removed again, so the time of a run still followed the arrivals; a refused request was looked up twice, the second time over the whole queue. With a pause of four times the duration of a run, a scheduler used 20% of its time while its queue grew.

Change: a run that leaves no engine open keeps its fair levels, and an arriving request that cannot start in time behind them is refused at once. Refused requests are removed from a queue together. The pause is twice the duration of a run, which keeps two thirds of the processor for other events and is as short as the run, whose work is bounded now.

--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -154,6 +154,7 @@
     share_used: float = 0.0
     """Tokens served to the customer relative to the fair level of the next burst, at the last decision about
     the request. From 1 on, requests of less served customers fill the whole burst."""
+    is_queued: bool = False
     considered_at: float = -math.inf
     """Time at which a target was last looked for."""
     prompt_tokens: int = 0
@@ -162,15 +163,14 @@
     excluded: set[str] = field(default_factory=set)
     """Targets that have failed this request."""
 
-    @property
-    def session(self) -> str | None:
-        """Return the identifier by which the request is assigned to an engine, None without prompt parts."""
-        return session_of(self.parts)
+    session: str | None = field(init=False)
+    """Identifier by which the request is assigned to an engine, None without prompt parts."""
+    memory_tokens: int = field(init=False)
+    """Engine memory that the request may take."""
 
-    @property
-    def memory_tokens(self) -> int:
-        """Return the engine memory that the request may take."""
-        return self.prompt_tokens + self.output_tokens
+    def __post_init__(self):
+        self.session = session_of(self.parts)
+        self.memory_tokens = self.prompt_tokens + self.output_tokens
 
 
 def session_of(parts: tuple[PromptPart, ...]) -> str | None:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -147,6 +147,10 @@
             excluded=set(message.excluded),
             caller_data_centre=message.caller_data_centre,
         )
+        refusal = self.waiting.refuse_on_arrival(request, now)
+        if refusal is not None:
+            self.immediate_refusals.append((client, target_refusal(refusal, message.attempt)))
+            return
         self.add_job(client, message.request_id, Job(message.attempt, pool, request))
         self.waiting.add(request)
 
@@ -316,11 +320,17 @@
         request = decision.request
         job = self.jobs[request.client, request.request_id]
         self.remove_job(request.client, request.request_id, now)
-        return TargetRefusal(
-            request_id=request.request_id,
-            attempt=job.attempt,
-            reason=decision.reason,
-            retry_after_seconds=round(decision.retry_after_seconds, 3),
-            backlog_seconds=round(decision.backlog_seconds, 3),
-            served_part=round(request.served_part, 3),
-        )
+        return target_refusal(decision, job.attempt)
+
+
+def target_refusal(decision: RefusalDecision, attempt: int) -> TargetRefusal:
+    """Return the message that tells a router of a refusal."""
+    request = decision.request
+    return TargetRefusal(
+        request_id=request.request_id,
+        attempt=attempt,
+        reason=decision.reason,
+        retry_after_seconds=round(decision.retry_after_seconds, 3),
+        backlog_seconds=round(decision.backlog_seconds, 3),
+        served_part=round(request.served_part, 3),
+    )
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -2,6 +2,7 @@
 
 import bisect
 import heapq
+import itertools
 import math
 from collections import deque
 from dataclasses import dataclass
@@ -9,6 +10,7 @@
 from limpetusher.fleet.model import Pool, QueuedRequest
 from limpetusher.fleet.process.fair_levels import FairLevels, WaitingTokens
 from limpetusher.fleet.process.placement import Placement, TargetChoice
+from limpetusher.fleet.process.pool_view import PoolView
 from limpetusher.fleet.process.served_tokens import OUTPUT_TOKEN_WEIGHT, ServedTokens
 from limpetusher.fleet.settings import FleetSettings
 
@@ -18,6 +20,8 @@
 """Fraction of the goal that is added to the current backlog in the retry-after time of a refusal."""
 MAX_CONSIDERED_REQUESTS = 200
 """Maximum number of requests for which a placement run compares engines."""
+MAX_SATURATION_AGE_SECONDS = 0.25
+"""Time after a run for which its backlog is used to refuse requests on arrival."""
 RECONSIDERATION_SECONDS = 0.05
 """Time for which a request is not considered again while others have not been considered."""
 REFUSAL_SCAN_INTERVAL_SECONDS = 0.02
@@ -42,6 +46,15 @@
     backlog_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class SaturatedPool:
+    """State of a pool after a run that left requests waiting and no target that can accept one."""
+
+    levels: FairLevels
+    prefill_rate: float
+    decided_at: float
+
+
 class WaitingRequests:
     """Requests of the whole fleet that wait for targets of the pools scheduled by this router.
 
@@ -69,26 +82,61 @@
         self.refusals_scanned_at: dict[Pool, float] = {}
         self.incomplete_runs: set[Pool] = set()
         """Pools whose last run did not consider all waiting requests."""
+        self.saturated: dict[Pool, SaturatedPool] = {}
 
     def add(self, request: QueuedRequest) -> None:
         """Queue a request; its maximum wait counts from `queued_at`."""
         request.latest_start_at = request.queued_at + self.placement.max_wait_seconds(request)
         waiting = self.by_pool.setdefault(request.pool, [])
         bisect.insort(waiting, request, key=latest_start)
+        request.is_queued = True
         sums = self.tokens_by_pool.setdefault(request.pool, {})
         sums.setdefault(request.customer, WaitingTokens()).add(
             throughput_tokens(request), unshared_tokens(request)
         )
 
+    def refuse_on_arrival(self, request: QueuedRequest, now: float) -> RefusalDecision | None:
+        """Return the refusal of a request that can't start in time, None if it has to be queued.
+
+        The queue of a pool only grows to what its targets can start in time, however much arrives.
+        """
+        saturated = self.saturated.get(request.pool)
+        if saturated is None or now > saturated.decided_at + MAX_SATURATION_AGE_SECONDS:
+            return None
+        latest_start_at = request.queued_at + self.placement.max_wait_seconds(request)
+        waiting = self.by_pool.get(request.pool, [])
+        index = bisect.bisect_right(waiting, latest_start_at, key=latest_start)
+        tokens_before = sum(
+            throughput_tokens(other)
+            for other in itertools.islice(waiting, index)
+            if other.customer == request.customer
+        )
+        level = self.served.total(request.customer) + tokens_before
+        seconds = saturated.levels.prefill_tokens_up_to(level) / saturated.prefill_rate
+        if saturated.decided_at + seconds <= latest_start_at:
+            return None
+        return self.refusal(request, "the backlog is too long", self.backlog_seconds(request.pool, now))
+
+    def backlog_seconds(self, pool: Pool, now: float) -> float:
+        """Return the time to prefill the prompts that wait for a pool."""
+        prefill_rate = self.placement.prefill_rate(pool, now)
+        tokens = sum(tokens.prefill_tokens for tokens in self.tokens_by_pool.get(pool, {}).values())
+        return tokens / prefill_rate if prefill_rate > 0 else 0.0
+
     def remove(self, request: QueuedRequest) -> None:
         """Remove a waiting request, if it is queued."""
-        waiting = self.by_pool.get(request.pool, [])
+        if not request.is_queued:
+            return
+        waiting = self.by_pool[request.pool]
         index = bisect.bisect_left(waiting, request.latest_start_at, key=latest_start)
-        while index < len(waiting) and waiting[index] is not request:
+        while waiting[index] is not request:
             index += 1
-        if index == len(waiting):
-            return
         del waiting[index]
+        self.subtract_tokens(request)
+
+    def subtract_tokens(self, request: QueuedRequest) -> None:
+        """Subtract a request that is no longer queued from the sums of its customer."""
+        request.is_queued = False
         sums = self.tokens_by_pool[request.pool]
         tokens = sums[request.customer]
         tokens.subtract(throughput_tokens(request), unshared_tokens(request))
@@ -111,6 +159,7 @@
             decisions += self.refuse_requests(pool, levels, now)
             if not self.by_pool[pool]:
                 del self.by_pool[pool], self.tokens_by_pool[pool]
+                self.saturated.pop(pool, None)
         return decisions
 
     def start_requests(self, pool: Pool, levels: FairLevels, now: float) -> list[StartDecision]:
@@ -125,6 +174,7 @@
         level = levels.level(self.placement.prefill_rate(pool, now) * horizon)
         view = self.placement.view(pool, now, is_scarce=level < math.inf)
         if not view.has_room:
+            self.record_saturation(pool, levels, view)
             return starts
         max_served = self.served.max_total()
         queues = self.by_customer(pool)
@@ -156,8 +206,17 @@
                     heapq.heappush(heap, (self.served.total(customer), customer))
                     starts.append(StartDecision(request, choice))
                     break
+        self.record_saturation(pool, levels, view)
         return starts
 
+    def record_saturation(self, pool: Pool, levels: FairLevels, view: PoolView) -> None:
+        """Record whether any target of a pool can accept a request after a run."""
+        prefill_rate = self.placement.prefill_rate(pool, view.now)
+        if view.has_room or not prefill_rate:
+            self.saturated.pop(pool, None)
+        else:
+            self.saturated[pool] = SaturatedPool(levels, prefill_rate, view.now)
+
     def by_customer(self, pool: Pool) -> dict[str, deque[QueuedRequest]]:
         """Return the waiting requests of each customer, the most urgent first."""
         queues: dict[str, deque[QueuedRequest]] = {}
@@ -187,16 +246,16 @@
                     customer_tokens_before += throughput_tokens(request)
                     continue
                 refusals.append(
-                    self.remove_and_refuse(
-                        request, reason, backlog / prefill_rate if prefill_rate > 0 else 0.0
-                    )
+                    self.refusal(request, reason, backlog / prefill_rate if prefill_rate > 0 else 0.0)
                 )
+                self.subtract_tokens(request)
                 backlog -= unshared_tokens(request)
+        if refusals:
+            self.by_pool[pool] = [request for request in self.by_pool[pool] if request.is_queued]
         return refusals
 
-    def remove_and_refuse(self, request: QueuedRequest, reason: str, backlog: float) -> RefusalDecision:
-        """Remove a request and return its refusal, with a retry-after time based on `backlog` seconds."""
-        self.remove(request)
+    def refusal(self, request: QueuedRequest, reason: str, backlog: float) -> RefusalDecision:
+        """Return a refusal with a retry-after time based on `backlog` seconds."""
         delay = backlog + RETRY_AFTER_GOAL_FRACTION * request.goal_seconds
         retry_after = min(max(delay, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
         return RefusalDecision(request, reason, retry_after, backlog)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -61,7 +61,7 @@
 """Minimum time between two corrections sent to a router that asks the wrong scheduler."""
 MINIMUM_PLACEMENT_INTERVAL_SECONDS = 0.004
 """Minimum time between two placement runs, which assign waiting requests to targets."""
-PLACEMENT_COST_FACTOR = 4.0
+PLACEMENT_COST_FACTOR = 2.0
 """Minimum time between two placement runs as a multiple of the duration of the last one, so that most of the
 processor is left to other events."""
 PLACEMENT_POLL_SECONDS = 0.01
--- a/tests/fleet/request/test_waiting_requests.py
+++ b/tests/fleet/request/test_waiting_requests.py
@@ -4,7 +4,7 @@
 import sys
 from collections import Counter
 
-from builders_fleet import ENGINES, make_placement, make_request, make_waiting
+from builders_fleet import ENGINES, make_placement, make_request, make_target, make_waiting
 from limpetusher.fleet.process.target_loads import TargetLoad
 from limpetusher.fleet.request.waiting_requests import (
     MAX_CONSIDERED_REQUESTS,
@@ -272,3 +272,50 @@
         if isinstance(decision, StartDecision)
     ]
     assert started == ["other"]
+
+
+def make_saturated_waiting():
+    """Return a queue whose only engine is busy and whose customer acme has as much waiting as fits."""
+    placement = make_placement(1)
+    placement.take_over("e1", TargetLoad(1, 50_000, 0), 0.0)
+    waiting = make_waiting(placement)
+    for number in range(6):
+        waiting.add(make_request(f"w{number}"))
+    assert waiting.decide(0.0) == []
+    return waiting
+
+
+def test_request_behind_a_long_backlog_is_refused_on_arrival():
+    """Guards against a queue that grows with the load, and with it the time of each placement run."""
+    waiting = make_saturated_waiting()
+    refusal = waiting.refuse_on_arrival(make_request("late", at=0.01), 0.01)
+    assert refusal is not None
+    assert refusal.retry_after_seconds > 0
+    assert waiting.count == 6
+
+
+def test_customer_with_little_service_is_queued_in_overload():
+    """Guards against refusing a customer because of the backlog of others that come after it."""
+    waiting = make_saturated_waiting()
+    waiting.served.add("acme", 100_000.0)
+    request = make_request("small", at=0.01, customer="other", session="s9")
+    assert waiting.refuse_on_arrival(request, 0.01) is None
+
+
+def test_urgent_request_is_queued_before_patient_ones_of_its_customer():
+    """Guards against refusing a request because of requests that start after it."""
+    placement = make_placement(1)
+    placement.take_over("e1", TargetLoad(1, 50_000, 0), 0.0)
+    waiting = make_waiting(placement)
+    for number in range(12):
+        waiting.add(make_request(f"w{number}", goal_seconds=5.0))
+    assert waiting.decide(0.0) == []
+    assert waiting.refuse_on_arrival(make_request("urgent", at=0.01), 0.01) is None
+
+
+def test_request_is_queued_while_an_engine_can_accept_it():
+    """Guards against idle engines beside refused requests."""
+    waiting = make_saturated_waiting()
+    waiting.placement.put_target(make_target("e2"))
+    waiting.decide(0.01)
+    assert waiting.refuse_on_arrival(make_request("late", at=0.02), 0.02) is None
