Reconsider a waiting request only once its best engine can accept it

Cause: each placement run compared engines again for every waiting request, although only the engine that was best for it opening, or an idle engine late in its wait, can change the result. 23,238 comparisons for 825 starts in a trial with 400 requests a second on ten engines.

Change: a request remembers its best engine and the tokens to prefill there, and is skipped for 0.05 s at most while that engine does not admit them. The prefill rate of a pool is computed once per run.

--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -155,6 +155,10 @@
     """Tokens served to the customer relative to the fair level of the next burst, at the last decision about
     the request. From 1 on, requests of less served customers fill the whole burst."""
     is_queued: bool = False
+    awaited_id: str = ""
+    """Engine that was the best one for the request but could not accept it, empty for none."""
+    awaited_tokens: int = 0
+    """Prompt tokens of the request to prefill at that engine."""
     considered_at: float = -math.inf
     """Time at which a target was last looked for."""
     prompt_tokens: int = 0
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -242,6 +242,7 @@
         """
         if request.session in view.closed_sessions and not request.excluded:
             return None
+        request.awaited_id = ""
         engines = self.session_engines(request, view)
         if not any(engine.state.is_open for engine in engines):
             if not request.excluded:
@@ -251,17 +252,23 @@
         if not scored:
             return None
         _cost, _index, best = min(scored)
-        if self.admits_prompt(request, view, best):
+        if self.admits_tokens(request, view, best.state, best.prefill_tokens(request)):
             return self.engine_choice(request, best)
-        min_wait = self.settings.best_engine_wait_fraction * (request.latest_start_at - request.queued_at)
-        if view.now < request.queued_at + min_wait:
+        request.awaited_id = best.state.target.target_id
+        request.awaited_tokens = best.prefill_tokens(request)
+        if view.now < self.earliest_idle_start(request):
             return None
         for _cost, _index, engine in sorted(scored):
             is_idle = self.bursts.is_idle(engine.state.target.target_id, view.now)
-            if is_idle and self.admits_prompt(request, view, engine):
+            if is_idle and self.admits_tokens(request, view, engine.state, engine.prefill_tokens(request)):
                 return self.engine_choice(request, engine)
         return None
 
+    def earliest_idle_start(self, request: QueuedRequest) -> float:
+        """Return the time from which a request may start at an idle engine that is not the best one."""
+        max_wait = request.latest_start_at - request.queued_at
+        return request.queued_at + self.settings.best_engine_wait_fraction * max_wait
+
     def session_engines(self, request: QueuedRequest, view: PoolView) -> list[SessionEngine]:
         """Return the candidate engines of a request; the view keeps them for its session."""
         if request.excluded:
@@ -273,10 +280,16 @@
         return engines
 
     def find_session_engines(self, request: QueuedRequest, view: PoolView) -> list[SessionEngine]:
-        """Return the candidate engines of a request with the cached tokens of its shared prompt parts."""
+        """Return the candidate engines of a request with the cached tokens of its shared prompt parts.
+
+        The list is empty if none of them can accept a request.
+        """
+        candidates = self.candidates(request, view)
+        if not any(state.is_open for state in candidates):
+            return []
         source = self.transfer_source(request, view)
         engines = []
-        for state in self.candidates(request, view):
+        for state in candidates:
             prefill_tokens = self.caches.prefill_tokens(
                 state.target.target_id, request.parts, request.prompt_tokens
             )
@@ -307,12 +320,13 @@
             scored.append((seconds + state.error_cost, rank, engine))
         return scored
 
-    def admits_prompt(self, request: QueuedRequest, view: PoolView, engine: SessionEngine) -> bool:
-        """Return whether the current burst of an engine admits the prompt of a request."""
-        state = engine.state
+    def admits_tokens(
+        self, request: QueuedRequest, view: PoolView, state: TargetView, prefill_tokens: int
+    ) -> bool:
+        """Return whether the current burst of an engine admits a prompt with so many tokens to prefill."""
         return self.bursts.admits(
             state.target.target_id,
-            max(request.prompt_tokens - engine.cached_tokens, 1),
+            prefill_tokens,
             view.burst_seconds * state.speed.rate,
             view.now,
             speed=state.speed,
@@ -323,7 +337,7 @@
     def engine_choice(self, request: QueuedRequest, engine: SessionEngine) -> TargetChoice:
         """Return the choice of an engine for a request."""
         state = engine.state
-        prefill_tokens = max(request.prompt_tokens - engine.cached_tokens, 1)
+        prefill_tokens = engine.prefill_tokens(request)
         return TargetChoice(
             target=state.target,
             load=TargetLoad(1, prefill_tokens, request.memory_tokens),
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from limpetusher.fleet.model import Pool, Target
+from limpetusher.fleet.model import Pool, QueuedRequest, Target
 from limpetusher.fleet.process.prefill_bursts import PrefillSpeed
 from limpetusher.fleet.process.target_loads import TargetLoad
 
@@ -42,6 +42,10 @@
     source_id: str
     """Engine from which cached prompt parts are transferred, empty for no transfer."""
 
+    def prefill_tokens(self, request: QueuedRequest) -> int:
+        """Return the prompt tokens of a request to prefill at the engine."""
+        return max(request.prompt_tokens - self.cached_tokens, 1)
+
 
 class PoolView:
     """Snapshot of a pool's usable targets, used for a series of placement decisions.
@@ -75,6 +79,8 @@
         """Candidate engines of the sessions that were scored so far."""
         self.closed_sessions: set[str] = set()
         """Sessions without a candidate that can accept a request."""
+        self.idle_engine_exists: bool | None = None
+        """Value of `has_idle_engine`, None before it is needed."""
         if self.service is not None:
             for target in placement.usable(pool, now):
                 self.refresh(target)
@@ -84,6 +90,26 @@
         """Return whether any target can accept a request."""
         return self.open_targets > 0
 
+    def is_still_awaited(self, request: QueuedRequest) -> bool:
+        """Return whether a request still waits for the engine that was the best one for it."""
+        state = self.states.get(request.awaited_id)
+        if state is None:
+            return False
+        if state.is_open and self.placement.admits_tokens(request, self, state, request.awaited_tokens):
+            return False
+        return not self.has_idle_engine or self.now < self.placement.earliest_idle_start(request)
+
+    @property
+    def has_idle_engine(self) -> bool:
+        """Return whether an engine was idle at the time of the view; it may have got a request since."""
+        if self.idle_engine_exists is None:
+            bursts = self.placement.bursts
+            self.idle_engine_exists = any(
+                state.is_open and bursts.is_idle(target_id, self.now)
+                for target_id, state in self.states.items()
+            )
+        return self.idle_engine_exists
+
     def refresh(self, target: Target) -> None:
         """Update the state of a target."""
         placement, now = self.placement, self.now
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -23,7 +23,8 @@
 MAX_SATURATION_AGE_SECONDS = 0.25
 """Time after a run for which its backlog is used to refuse requests on arrival."""
 RECONSIDERATION_SECONDS = 0.05
-"""Time for which a request is not considered again while others have not been considered."""
+"""Time for which a request is not considered again while the engine that it waits for can't accept it, or
+while others have not been considered."""
 REFUSAL_SCAN_INTERVAL_SECONDS = 0.02
 """Interval between two scans for requests that can't start in time behind the backlog."""
 
@@ -155,14 +156,17 @@
         for pool in list(self.by_pool):
             waiting = self.tokens_by_pool[pool]
             levels = FairLevels(self.served.totals(waiting), waiting)
-            decisions += self.start_requests(pool, levels, now)
-            decisions += self.refuse_requests(pool, levels, now)
+            prefill_rate = self.placement.prefill_rate(pool, now)
+            decisions += self.start_requests(pool, levels, prefill_rate, now)
+            decisions += self.refuse_requests(pool, levels, prefill_rate, now)
             if not self.by_pool[pool]:
                 del self.by_pool[pool], self.tokens_by_pool[pool]
                 self.saturated.pop(pool, None)
         return decisions
 
-    def start_requests(self, pool: Pool, levels: FairLevels, now: float) -> list[StartDecision]:
+    def start_requests(
+        self, pool: Pool, levels: FairLevels, prefill_rate: float, now: float
+    ) -> list[StartDecision]:
         """Start the requests that targets can take.
 
         The least served customer comes first, with its most urgent request that a target can take. At most
@@ -171,10 +175,10 @@
         """
         starts = []
         horizon = self.placement.burst_seconds(pool.service) + self.settings.burst_pause_seconds
-        level = levels.level(self.placement.prefill_rate(pool, now) * horizon)
+        level = levels.level(prefill_rate * horizon)
         view = self.placement.view(pool, now, is_scarce=level < math.inf)
         if not view.has_room:
-            self.record_saturation(pool, levels, view)
+            self.record_saturation(pool, levels, prefill_rate, view)
             return starts
         max_served = self.served.max_total()
         queues = self.by_customer(pool)
@@ -188,7 +192,8 @@
             queue = queues[customer]
             while queue:
                 request = queue.popleft()
-                if not has_considered_all and now < request.considered_at + RECONSIDERATION_SECONDS:
+                was_considered = now < request.considered_at + RECONSIDERATION_SECONDS
+                if was_considered and (not has_considered_all or view.is_still_awaited(request)):
                     continue
                 if considered >= MAX_CONSIDERED_REQUESTS:
                     self.incomplete_runs.add(pool)
@@ -206,12 +211,11 @@
                     heapq.heappush(heap, (self.served.total(customer), customer))
                     starts.append(StartDecision(request, choice))
                     break
-        self.record_saturation(pool, levels, view)
+        self.record_saturation(pool, levels, prefill_rate, view)
         return starts
 
-    def record_saturation(self, pool: Pool, levels: FairLevels, view: PoolView) -> None:
+    def record_saturation(self, pool: Pool, levels: FairLevels, prefill_rate: float, view: PoolView) -> None:
         """Record whether any target of a pool can accept a request after a run."""
-        prefill_rate = self.placement.prefill_rate(pool, view.now)
         if view.has_room or not prefill_rate:
             self.saturated.pop(pool, None)
         else:
@@ -224,14 +228,15 @@
             queues.setdefault(request.customer, deque()).append(request)
         return queues
 
-    def refuse_requests(self, pool: Pool, levels: FairLevels, now: float) -> list[RefusalDecision]:
+    def refuse_requests(
+        self, pool: Pool, levels: FairLevels, prefill_rate: float, now: float
+    ) -> list[RefusalDecision]:
         """Refuse the requests that have waited too long or can't start in time behind the backlog."""
         is_scan_due = now >= self.refusals_scanned_at.get(pool, -math.inf) + REFUSAL_SCAN_INTERVAL_SECONDS
         if not is_scan_due and self.by_pool[pool] and now < self.by_pool[pool][0].latest_start_at:
             return []
         self.refusals_scanned_at[pool] = now
         refusals = []
-        prefill_rate = self.placement.prefill_rate(pool, now)
         backlog = sum(tokens.prefill_tokens for tokens in self.tokens_by_pool[pool].values())
         for customer, queue in self.by_customer(pool).items():
             served = self.served.total(customer)
