--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -18,9 +18,9 @@
 MAX_RETRY_AFTER_SECONDS = 2.0
 RETRY_AFTER_GOAL_FRACTION = 0.25
 """Fraction of the goal that is added to the current backlog in the retry-after time of a refusal."""
-MAX_CONSIDERED_REQUESTS = 200
+MAX_CONSIDERED_REQUESTS = 64
 """Maximum number of requests for which a placement run compares engines."""
-MAX_SATURATION_AGE_SECONDS = 0.25
+MAX_SATURATION_AGE_SECONDS = 1.0
 """Time after a run for which its backlog is used to refuse requests on arrival."""
 RECONSIDERATION_SECONDS = 0.05
 """Time for which a request is not considered again while the engine that it waits for can't accept it, or
