--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
@@ -1,5 +1,6 @@
 """Snapshot of a pool's targets, used for a series of placement decisions."""
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -110,6 +111,19 @@
             )
         return self.idle_engine_exists
 
+    def availability(self) -> Counter[str]:
+        """Return how many usable targets are open, full, limited because they are cold, or in a burst."""
+        return Counter(
+            "open"
+            if state.is_open
+            else "burst"
+            if state.has_room
+            else "full"
+            if state.load.requests >= state.target.slots
+            else "cold"
+            for state in self.states.values()
+        )
+
     def refresh(self, target: Target) -> None:
         """Update the state of a target."""
         placement, now = self.placement, self.now
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -238,7 +238,7 @@
             self.next_placement.cancel()
         self.next_placement = self.deadlines.schedule(when, DeadlineReached(PLACEMENT_RUN), PEER_EXCHANGE)
 
-    def log_placement_summary(self) -> None:
+    def log_placement_summary(self, now: float) -> None:
         """Log the placement runs since the last summary, if there were any."""
         summary, self.placement_summary = self.placement_summary, PlacementSummary()
         if not summary.runs:
@@ -256,6 +256,10 @@
             lowest_rate=round(lowest_rate),
             highest_rate=round(highest_rate),
             cooldown=round(placement.bursts.cooldowns.max_ratio, 3),
+            targets={
+                str(pool): dict(placement.view(pool, now).availability())
+                for pool in self.state.scheduler.waiting.by_pool
+            },
         )
 
     @handler("DatagramsReceived")
@@ -380,7 +384,7 @@
             self.send_served_tokens(now)
         if now >= self.last_placement_summary_at + PLACEMENT_SUMMARY_INTERVAL_SECONDS:
             self.last_placement_summary_at = now
-            self.log_placement_summary()
+            self.log_placement_summary(now)
         self.pending_addresses.update(
             address for address, link in self.links.items() if link.resend_at <= now
         )
