Continue a pass over the queue across placement runs, so that the limit of a run starves no request

Change: a run that reaches its limit is continued by the next one; requests that were considered in the pass are skipped unless the engine that they wait for opens.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -240,13 +240,16 @@
         has been idle for a while. An engine that only pauses between two bursts is not taken, because
         sessions of its own would have to wait.
         """
+        request.awaited_tokens = 1
         if request.session in view.closed_sessions and not request.excluded:
+            request.awaited_id = view.closed_sessions[request.session]
             return None
         request.awaited_id = ""
         engines = self.session_engines(request, view)
         if not any(engine.state.is_open for engine in engines):
-            if not request.excluded:
-                view.closed_sessions.add(request.session)
+            if engines and not request.excluded:
+                request.awaited_id = engines[0].state.target.target_id
+                view.closed_sessions[request.session] = request.awaited_id
             return None
         scored = self.score_engines(request, view, engines)
         if not scored:
@@ -282,11 +285,11 @@
     def find_session_engines(self, request: QueuedRequest, view: PoolView) -> list[SessionEngine]:
         """Return the candidate engines of a request with the cached tokens of its shared prompt parts.
 
-        The list is empty if none of them can accept a request.
+        The cached tokens are not looked up if none of the engines can accept a request.
         """
         candidates = self.candidates(request, view)
         if not any(state.is_open for state in candidates):
-            return []
+            return [SessionEngine(state, 0, "") for state in candidates]
         source = self.transfer_source(request, view)
         engines = []
         for state in candidates:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
@@ -78,8 +78,8 @@
         """Number of targets that can accept a request."""
         self.engines_by_session: dict[str, list[SessionEngine]] = {}
         """Candidate engines of the sessions that were scored so far."""
-        self.closed_sessions: set[str] = set()
-        """Sessions without a candidate that can accept a request."""
+        self.closed_sessions: dict[str, str] = {}
+        """Preferred engine of each session without a candidate that can accept a request."""
         self.idle_engine_exists: bool | None = None
         """Value of `has_idle_engine`, None before it is needed."""
         if self.service is not None:
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -23,8 +23,7 @@
 MAX_SATURATION_AGE_SECONDS = 1.0
 """Time after a run for which its backlog is used to refuse requests on arrival."""
 RECONSIDERATION_SECONDS = 0.05
-"""Time for which a request is not considered again while the engine that it waits for can't accept it, or
-while others have not been considered."""
+"""Time for which a request is not considered again while the engine that it waits for can't accept it."""
 REFUSAL_SCAN_INTERVAL_SECONDS = 0.02
 """Interval between two scans for requests that can't start in time behind the backlog."""
 
@@ -81,8 +80,8 @@
         self.tokens_by_pool: dict[Pool, dict[str, WaitingTokens]] = {}
         """Sums of the waiting tokens by pool and customer."""
         self.refusals_scanned_at: dict[Pool, float] = {}
-        self.incomplete_runs: set[Pool] = set()
-        """Pools whose last run did not consider all waiting requests."""
+        self.unfinished_passes: dict[Pool, float] = {}
+        """Start of the pass over the queue, for pools whose last run did not consider all requests."""
         self.saturated: dict[Pool, SaturatedPool] = {}
 
     def add(self, request: QueuedRequest) -> None:
@@ -171,7 +170,7 @@
 
         The least served customer comes first, with its most urgent request that a target can take. At most
         `MAX_CONSIDERED_REQUESTS` are considered, so that the duration does not grow with the queue. The next
-        run then begins with the others.
+        runs then consider the others first.
         """
         starts = []
         horizon = self.placement.burst_seconds(pool.service) + self.settings.burst_pause_seconds
@@ -183,8 +182,7 @@
         max_served = self.served.max_total()
         queues = self.by_customer(pool)
         considered = 0
-        has_considered_all = pool not in self.incomplete_runs
-        self.incomplete_runs.discard(pool)
+        pass_started_at = self.unfinished_passes.pop(pool, now)
         heap = [(self.served.total(customer), customer) for customer in queues]
         heapq.heapify(heap)
         while heap and view.has_room:
@@ -192,11 +190,10 @@
             queue = queues[customer]
             while queue:
                 request = queue.popleft()
-                was_considered = now < request.considered_at + RECONSIDERATION_SECONDS
-                if was_considered and (not has_considered_all or view.is_still_awaited(request)):
+                if not is_reconsidered(request, view, pass_started_at):
                     continue
                 if considered >= MAX_CONSIDERED_REQUESTS:
-                    self.incomplete_runs.add(pool)
+                    self.unfinished_passes[pool] = pass_started_at
                     return starts
                 considered += request.session not in view.closed_sessions
                 request.considered_at = now
@@ -266,6 +263,14 @@
         return RefusalDecision(request, reason, retry_after, backlog)
 
 
+def is_reconsidered(request: QueuedRequest, view: PoolView, pass_started_at: float) -> bool:
+    """Return whether a target is looked for again in a run of the pass that began at `pass_started_at`."""
+    if request.considered_at >= pass_started_at:
+        return bool(request.awaited_id) and not view.is_still_awaited(request)
+    is_recent = view.now < request.considered_at + RECONSIDERATION_SECONDS
+    return not (is_recent and view.is_still_awaited(request))
+
+
 def latest_start(request: QueuedRequest) -> float:
     """Return the sort key of waiting requests."""
     return request.latest_start_at
--- a/tests/fleet/request/test_waiting_requests.py
+++ b/tests/fleet/request/test_waiting_requests.py
@@ -4,6 +4,8 @@
 import sys
 from collections import Counter
 
+import pytest
+
 from builders_fleet import ENGINES, make_placement, make_request, make_target, make_waiting
 from limpetusher.fleet.process.target_loads import TargetLoad
 from limpetusher.fleet.request.waiting_requests import (
@@ -251,7 +253,8 @@
     assert calls_of_a_run(2_000) <= 2 * calls_of_a_run(400)
 
 
-def test_requests_beyond_the_limit_of_a_run_are_considered_in_the_next():
+@pytest.mark.parametrize("interval", [0.002, 0.2])
+def test_requests_beyond_the_limit_of_a_run_are_considered_in_the_next(interval):
     """Guards against requests that are never considered because others always come before them."""
     placement = make_placement(2, settings=FleetSettings(max_candidates=1))
     sessions = {"e1": [], "e2": []}
@@ -265,9 +268,10 @@
         waiting.add(make_request(f"a{number}", session=sessions["e1"][number], unshared_tokens=20_000))
     waiting.add(make_request("other", session=sessions["e2"][0], customer="other"))
     waiting.refusals_scanned_at[ENGINES] = 0.01
+    assert interval < waiting.by_pool[ENGINES][0].latest_start_at
     started = [
         decision.request.request_id
-        for now in (0.01, 0.012)
+        for now in (0.01, 0.01 + interval)
         for decision in waiting.decide(now)
         if isinstance(decision, StartDecision)
     ]
