Adapt retransmissions and the suspicion of a scheduler to the delay of its acknowledgements

Cause: a router suspected a scheduler after a fixed silence of 0.3 s, and sent messages again after a fixed 0.03 s. A busy scheduler answers later, gets each message up to six times, and a pool gets a second scheduler that knows neither the load of the engines nor the served tokens.

Change: a link smooths the delay of acknowledgements and its deviation as RFC 6298 does. A scheduler that answers promptly and then stops is replaced as fast as before.

Tried and dropped: the delay of the newest acknowledged message, which underestimates that of a batch.

--- a/packages/limpetusher-core/src/limpetusher/fleet/connection/link.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/connection/link.py
@@ -7,7 +7,11 @@
 from limpetusher.fleet.messages import PROTOCOL_VERSION, Message, Packet
 
 RESEND_SECONDS = 0.03
-"""Initial retransmission timeout, several round trips."""
+"""Minimum of the initial retransmission timeout, several round trips."""
+DELAY_WEIGHT = 1 / 8
+DEVIATION_WEIGHT = 1 / 4
+DEVIATION_FACTOR = 4.0
+"""Weights of the smoothed delay and of its deviation in the retransmission timeout, as in RFC 6298."""
 RESEND_BACKOFF_FACTOR = 1.2
 """Backoff factor of the retransmission timeout; allows five retransmissions before a router counts as
 silent."""
@@ -47,6 +51,11 @@
         self.epoch = 0
         self.outbox: deque[Message] = deque()
         """Unacknowledged messages."""
+        self.queued_at: deque[float] = deque()
+        """Times at which the messages in `outbox` were queued."""
+        self.delay_seconds: float | None = None
+        """Smoothed time from queuing a message to its acknowledgement, None before the first one."""
+        self.delay_deviation_seconds = 0.0
         self.first = 0
         """Sequence number of the first message in `outbox`."""
         self.sent_count = 0
@@ -69,14 +78,17 @@
         if not self.outbox:
             self.unacknowledged_since = now
         self.outbox.append(message)
+        self.queued_at.append(now)
 
     def reset(self, now: float) -> None:
         """Start a new stream; the peer drops the state that it has from the old one."""
         self.epoch += 1
         self.outbox.clear()
+        self.queued_at.clear()
         self.first = self.sent_count = 0
         self.unacknowledged_since = self.resend_at = math.inf
         self.resend_seconds = RESEND_SECONDS
+        self.delay_seconds = None
         self.heard_at = now
 
     def silent_seconds(self, now: float) -> float:
@@ -117,14 +129,32 @@
         count = min(acknowledged - self.first, len(self.outbox))
         if count <= 0:
             return
+        self.add_delay(now - self.queued_at[0])
         for _ in range(count):
             self.outbox.popleft()
+            self.queued_at.popleft()
         self.first += count
         self.sent_count = max(0, self.sent_count - count)
-        self.resend_seconds = RESEND_SECONDS
+        self.resend_seconds = min(max(RESEND_SECONDS, self.expected_delay_seconds), MAX_RESEND_SECONDS)
         self.unacknowledged_since = now if self.outbox else math.inf
         self.resend_at = now + self.resend_seconds if self.sent_count else math.inf
 
+    def add_delay(self, seconds: float) -> None:
+        """Update the smoothed delay and its deviation with the delay of an acknowledgement."""
+        if self.delay_seconds is None:
+            self.delay_seconds, self.delay_deviation_seconds = seconds, seconds / 2
+            return
+        error = seconds - self.delay_seconds
+        self.delay_deviation_seconds += DEVIATION_WEIGHT * (abs(error) - self.delay_deviation_seconds)
+        self.delay_seconds += DELAY_WEIGHT * error
+
+    @property
+    def expected_delay_seconds(self) -> float:
+        """Return the time within which an acknowledgement is expected, 0 before the first one."""
+        if self.delay_seconds is None:
+            return 0.0
+        return self.delay_seconds + DEVIATION_FACTOR * self.delay_deviation_seconds
+
     def packets(self, now: float) -> list[Packet]:
         """Return the packets to send now: retransmissions, new messages, or an acknowledgement alone."""
         packets = []
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -47,8 +47,11 @@
 LATE_TICK_SECONDS = 0.1
 """Delay of a tick from which this process counts as stalled, so that the silence of peers is ignored."""
 SCHEDULER_SILENCE_SECONDS = 0.3
-"""Time without an acknowledgement after which a router is no longer chosen as a scheduler; several times the
-delay of a busy router, and shorter than the tightest goals."""
+"""Time without an acknowledgement after which a router is no longer chosen as a scheduler; shorter than the
+tightest goals."""
+MAXIMUM_SCHEDULER_SILENCE_SECONDS = 0.9
+"""The same for a router whose acknowledgements have been late lately because it is busy. Another scheduler
+would know neither the load of the targets nor what customers were served, so a late answer is better."""
 WAITING_REQUESTS_PING_SECONDS = 0.1
 """Time without a message after which a scheduler that has to answer requests of this router is pinged."""
 OPEN_REQUESTS_PING_SECONDS = 0.4
@@ -399,7 +402,7 @@
             ping_seconds = WAITING_REQUESTS_PING_SECONDS if is_waiting else OPEN_REQUESTS_PING_SECONDS
             link = self.link_to(address)
             silent_seconds = link.silent_seconds(now)
-            if silent_seconds > SCHEDULER_SILENCE_SECONDS:
+            if silent_seconds > silence_limit(link):
                 if self.state.members.suspect(address, now):
                     log_event(Event.PEER_UNREACHABLE, peer=address, silent=round(silent_seconds, 3))
             elif not link.outbox and now - link.heard_at > ping_seconds:
@@ -461,3 +464,8 @@
             ):
                 addresses.append(entry.address)
         self.sock.send(update, addresses)
+
+
+def silence_limit(link: Link) -> float:
+    """Return the time without an acknowledgement after which a scheduler counts as unreachable."""
+    return min(max(SCHEDULER_SILENCE_SECONDS, link.expected_delay_seconds), MAXIMUM_SCHEDULER_SILENCE_SECONDS)
--- a/tests/router/fleet/test_peers.py
+++ b/tests/router/fleet/test_peers.py
@@ -162,3 +162,23 @@
     fleet.run(SETTLE_SECONDS)
     assert schedulers_of(fleet, Pool("engines")) == {strong}
     assert make_host_settings(processor_share=0.5, processor_speed=3.0).processor_cores == 1.5
+
+
+def test_busy_scheduler_is_not_replaced():
+    """Guards against several schedulers of one pool, as routers suspect a scheduler that answers late."""
+    fleet = FleetInMemory(12, engines=8)
+    fleet.run(SETTLE_SECONDS)
+    (scheduler,) = schedulers_of(fleet, Pool("engines"))
+    busy = fleet.routers[scheduler]
+    arrive = poisson_load(fleet, 60.0)
+
+    def run_busy(seconds: float, stall_seconds: float) -> None:
+        for _ in range(round(seconds / stall_seconds)):
+            busy.is_frozen = True
+            fleet.run(stall_seconds, arrive)
+            busy.is_frozen = False
+            fleet.run(0.01, arrive)
+            assert schedulers_of(fleet, Pool("engines")) == {scheduler}, stall_seconds
+
+    for stall_seconds in (0.2, 0.28, 0.36, 0.44):
+        run_busy(3.0, stall_seconds)
