Release the prefill load of prompts that a busy router has not sent

Change: engines prefill in the order of arrival, so a first output shows that prompts granted 0.1 s before it have not arrived; they no longer count as prefill work.

Evidence: test_prompts_of_a_slow_router_do_not_block_the_next_burst fails before.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -430,10 +430,14 @@
     def take_over(self, target_id: str, load: TargetLoad, now: float) -> None:
         """Add the load of a request that another scheduler has placed."""
         if load.prefill_tokens:
-            self.bursts.exclude_from_samples(target_id)
-            self.intervals.discard(target_id)
+            self.exclude_prefill(target_id)
         self.add_load(target_id, load, now)
 
+    def exclude_prefill(self, target_id: str) -> None:
+        """Exclude the current prefill work of a target from the measured rates."""
+        self.bursts.exclude_from_samples(target_id)
+        self.intervals.discard(target_id)
+
     def add_load(self, target_id: str, load: TargetLoad, now: float) -> None:
         """Add load to a target."""
         self.loads.add(target_id, load)
@@ -447,7 +451,6 @@
     def record_end(self, target_id: str, load: TargetLoad, now: float) -> None:
         """Subtract the load of a request that has ended."""
         if load.prefill_tokens:
-            self.bursts.exclude_from_samples(target_id)
-            self.intervals.discard(target_id)
+            self.exclude_prefill(target_id)
         self.loads.subtract(target_id, load)
         self.update_pending_tokens(target_id, now)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -36,6 +36,9 @@
 may be partitioned itself."""
 UNREACHABLE_REPORT_MAX_AGE_SECONDS = 1.0
 """Maximum age of a report that a target is unreachable."""
+OVERTAKEN_SECONDS = 0.1
+"""Time by which a prompt has to be granted before another one to count as overtaken by its first output.
+Covers the usual differences between the routers that send them."""
 MAX_CUSTOMERS_PER_UPDATE = 300
 """Maximum number of customers in one message to the other schedulers, so that it fits into a datagram."""
 
@@ -51,6 +54,7 @@
     load: TargetLoad = field(default_factory=TargetLoad)
     needed_speedup: float = 0.0
     """Last value reported for the stream."""
+    granted_at: float = 0.0
 
 
 class Scheduler:
@@ -75,6 +79,8 @@
         self.jobs: dict[tuple[str, str], Job] = {}
         """Waiting and open requests, by router and request identifier."""
         self.by_client: dict[str, set[str]] = {}
+        self.prefilling: dict[str, dict[tuple[str, str], Job]] = {}
+        """Jobs without a first output by target, in the order of their grants."""
         self.budgets: dict[Pool, RetryBudget] = {}
         self.unreachable_reports: dict[str, dict[str, float]] = {}
         """Times of the last reports that a target is unreachable, by target and router."""
@@ -169,9 +175,29 @@
         job = self.find_job(client, message)
         if job is None or job.target_id is None:
             return
-        target_id = job.target_id
-        self.record_target_reached(target_id, now)
-        self.placement.end_prefill(target_id, job.load.prefill_tokens, now)
+        self.record_target_reached(job.target_id, now)
+        self.end_overtaken_prefills(job, now)
+        self.prefilling.get(job.target_id, {}).pop((client, message.request_id), None)
+        self.end_prefill(job, now)
+
+    def end_overtaken_prefills(self, finished: Job, now: float) -> None:
+        """End the prefill of prompts that were granted well before one that has a first output already.
+
+        An engine prefills prompts in the order of their arrival, so these have not arrived: their routers are
+        too busy to send them. Their tokens must not keep the next burst from the engine.
+        """
+        prefilling = self.prefilling.get(finished.target_id, {})
+        overtaken = [
+            key for key, job in prefilling.items() if job.granted_at < finished.granted_at - OVERTAKEN_SECONDS
+        ]
+        if overtaken:
+            self.placement.exclude_prefill(finished.target_id)
+        for key in overtaken:
+            self.end_prefill(prefilling.pop(key), now)
+
+    def end_prefill(self, job: Job, now: float) -> None:
+        """Subtract the prompt tokens of a job from the load of its target."""
+        self.placement.end_prefill(job.target_id, job.load.prefill_tokens, now)
         job.load = TargetLoad(1, 0, job.load.memory_tokens)
 
     @handle.register
@@ -259,6 +285,10 @@
         if not requests:
             del self.by_client[client]
         if job.target_id is not None:
+            prefilling = self.prefilling.get(job.target_id, {})
+            prefilling.pop((client, request_id), None)
+            if not prefilling:
+                self.prefilling.pop(job.target_id, None)
             self.placement.record_end(job.target_id, job.load, now)
         else:
             self.waiting.remove(job.request)
@@ -299,6 +329,8 @@
         job = self.jobs[request.client, request.request_id]
         job.target_id = choice.target.target_id
         job.load = choice.load
+        job.granted_at = now
+        self.prefilling.setdefault(job.target_id, {})[request.client, request.request_id] = job
         return TargetGrant(
             request_id=request.request_id,
             attempt=job.attempt,
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -158,3 +158,29 @@
     scheduler.receive(ROUTER_1, make_ask("small", service="one", customer="small"), 0.001)
     assert list(grants_by_request(scheduler, 0.01)) == ["small"]
     assert scheduler.served_tokens_update().served["small"] > 0
+
+
+def test_prompts_of_a_slow_router_do_not_block_the_next_burst():
+    """Guards against idle engines that wait for prompts which a busy router has not sent."""
+    scheduler = make_scheduler(make_placement(1))
+    scheduler.receive(ROUTER_2, make_ask("slow"), 0.0)
+    scheduler.decide(0.0)
+    scheduler.receive(ROUTER_1, make_ask("prompt"), 0.2)
+    assert "prompt" in grants_by_request(scheduler, 0.2)
+    scheduler.receive(ROUTER_1, PrefillFinished("prompt", 1), 0.4)
+    assert scheduler.placement.loads.total("e1").prefill_tokens == 0
+    scheduler.receive(ROUTER_2, PrefillFinished("slow", 1), 0.9)
+    scheduler.receive(ROUTER_2, AttemptFinished("slow", 1, int(Outcome.ANSWERED)), 1.0)
+    scheduler.receive(ROUTER_1, AttemptFinished("prompt", 1, int(Outcome.ANSWERED)), 1.0)
+    assert scheduler.placement.loads.total("e1").requests == 0
+    assert not scheduler.prefilling
+
+
+def test_prompts_granted_together_are_not_overtaken():
+    """Guards against prompts that still wait at an engine and no longer count as its load."""
+    scheduler = make_scheduler(make_placement(1))
+    for request_id in ("first", "second"):
+        scheduler.receive(ROUTER_1, make_ask(request_id), 0.0)
+    scheduler.decide(0.0)
+    scheduler.receive(ROUTER_1, PrefillFinished("second", 1), 0.2)
+    assert scheduler.placement.loads.total("e1").prefill_tokens > 0
