Send messages again after a fixed time as before, and keep the adaptive suspicion

A lost datagram delays all later messages of a link until it is sent again, and links lose datagrams under load. The suspicion of a scheduler still follows the delay of its acknowledgements.

--- a/packages/limpetusher-core/src/limpetusher/fleet/connection/link.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/connection/link.py
@@ -7,11 +7,11 @@
 from limpetusher.fleet.messages import PROTOCOL_VERSION, Message, Packet
 
 RESEND_SECONDS = 0.03
-"""Minimum of the initial retransmission timeout, several round trips."""
+"""Initial retransmission timeout, several round trips."""
 DELAY_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
 DEVIATION_FACTOR = 4.0
-"""Weights of the smoothed delay and of its deviation in the retransmission timeout, as in RFC 6298."""
+"""Weights of the smoothed delay and of its deviation in the expected delay, as in RFC 6298."""
 RESEND_BACKOFF_FACTOR = 1.2
 """Backoff factor of the retransmission timeout; allows five retransmissions before a router counts as
 silent."""
@@ -135,7 +135,7 @@
             self.queued_at.popleft()
         self.first += count
         self.sent_count = max(0, self.sent_count - count)
-        self.resend_seconds = min(max(RESEND_SECONDS, self.expected_delay_seconds), MAX_RESEND_SECONDS)
+        self.resend_seconds = RESEND_SECONDS
         self.unacknowledged_since = now if self.outbox else math.inf
         self.resend_at = now + self.resend_seconds if self.sent_count else math.inf
 
