Refuse at the edge behind a backlog that is too long

Change: a refusal because of the backlog tells for how long (0.1 s) requests of the customer with the same or a shorter goal would be refused as well. The router refuses these itself. The protocol version is raised.

--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 MAX_TOKENS = 10**9
 """Upper bound of valid token counts."""
 
@@ -90,6 +90,8 @@
     served_part: float
     is_retry_budget_spent: bool = False
     """Whether the request is refused because the retry budget is spent."""
+    closed_seconds: float = 0.0
+    """Time for which requests of the customer with the same or a shorter goal would be refused as well."""
 
 
 class PrefillFinished(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -365,4 +365,5 @@
         retry_after_seconds=round(decision.retry_after_seconds, 3),
         backlog_seconds=round(decision.backlog_seconds, 3),
         served_part=round(request.served_part, 3),
+        closed_seconds=decision.closed_seconds,
     )
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from limpetusher.fleet.messages import (
     AttemptFinished,
     AttemptOpened,
@@ -17,6 +19,9 @@
 from limpetusher.fleet.model import Pool, PromptPart
 from limpetusher.fleet.process.pools import Pools
 
+MAX_TRIED_POOLS = 2
+"""Maximum number of pools that may refuse a request before it is refused to its caller."""
+
 
 @dataclass(slots=True, eq=False)
 class TargetRequest:
@@ -47,6 +52,15 @@
     has_output: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ClosedPool:
+    """Pool that refuses requests of one customer up to a goal, until a time of the monotonic clock."""
+
+    until: float
+    goal_seconds: float
+    refusal: TargetRefusal
+
+
 class SchedulerClient:
     """Registers requests at schedulers, reports their progress, and moves them when schedulers change.
 
@@ -73,6 +87,8 @@
         self.target_requests: dict[str, TargetRequest] = {}
         self.may_repeat: dict[Pool, bool] = {}
         """Whether the retry budget of a pool allowed a retry at the scheduler's last answer."""
+        self.closed: dict[tuple[Pool, str], ClosedPool] = {}
+        """Pools that refuse requests of a customer at the moment."""
 
     @property
     def own_address(self) -> str:
@@ -89,14 +105,39 @@
         self.choose_pool(target_request, now)
 
     def choose_pool(self, target_request: TargetRequest, now: float) -> None:
-        """Choose a pool and register the request at its scheduler, or at this router if none is reachable."""
-        pool = self.pools.choose(
-            target_request.service, target_request.session, now, tried=target_request.refusing_pools
-        )
+        """Choose a pool and register the request at its scheduler, or at this router if none is reachable.
+
+        A request is refused without a message if the pools that it may try refuse its customer at the moment.
+        """
+        pool = self.untried_pool(target_request, now)
+        while pool is not None and (closed := self.closed_pool(pool, target_request, now)) is not None:
+            target_request.refusing_pools = target_request.refusing_pools | {pool}
+            other = self.untried_pool(target_request, now)
+            if other is None or len(target_request.refusing_pools) >= MAX_TRIED_POOLS:
+                target_request.pool, target_request.scheduler = pool, self.own_address
+                refusal = msgspec.structs.replace(
+                    closed.refusal, request_id=target_request.request_id, attempt=target_request.attempt
+                )
+                self.send(self.own_address, refusal)
+                return
+            pool = other
         target_request.pool = pool or Pool(target_request.service)
         target_request.scheduler = (pool and self.pools.scheduler(pool, now)) or self.own_address
         self.register(target_request, now)
 
+    def untried_pool(self, target_request: TargetRequest, now: float) -> Pool | None:
+        """Return the best pool for a request that has not refused it, None if there is none."""
+        return self.pools.choose(
+            target_request.service, target_request.session, now, tried=target_request.refusing_pools
+        )
+
+    def closed_pool(self, pool: Pool, target_request: TargetRequest, now: float) -> ClosedPool | None:
+        """Return the state of a pool that would refuse a request, None if it has to be asked."""
+        closed = self.closed.get((pool, target_request.customer))
+        if closed is None or target_request.goal_seconds > closed.goal_seconds:
+            return None
+        return closed if now < closed.until else None
+
     def register(self, target_request: TargetRequest, now: float) -> None:
         """Register a waiting or open request at its scheduler."""
         pool = target_request.pool
@@ -156,13 +197,15 @@
         if answer.is_retry_budget_spent:
             self.may_repeat[target_request.pool] = False
         else:
+            if answer.closed_seconds > 0 and scheduler == target_request.scheduler != self.own_address:
+                self.closed[target_request.pool, target_request.customer] = ClosedPool(
+                    now + answer.closed_seconds, target_request.goal_seconds, answer
+                )
             target_request.refusing_pools = target_request.refusing_pools | {target_request.pool}
-            other = self.pools.choose(
-                target_request.service, target_request.session, now, tried=target_request.refusing_pools
-            )
+            other = self.untried_pool(target_request, now)
             if (
                 other is not None
-                and len(target_request.refusing_pools) < 2
+                and len(target_request.refusing_pools) < MAX_TRIED_POOLS
                 and now - target_request.queued_at < target_request.goal_seconds
             ):
                 self.choose_pool(target_request, now)
@@ -196,6 +239,7 @@
 
     def on_tick(self, now: float) -> None:
         """Move requests whose pool has another scheduler, or no reachable one."""
+        self.closed = {key: closed for key, closed in self.closed.items() if now < closed.until}
         self.pools.invalidate_schedulers(now)
         for target_request in list(self.target_requests.values()):
             if target_request.grant is None:
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -20,6 +20,10 @@
 """Fraction of the goal that is added to the current backlog in the retry-after time of a refusal."""
 MAX_CONSIDERED_REQUESTS = 64
 """Maximum number of requests for which a placement run compares engines."""
+CLOSED_SECONDS = 0.1
+"""Time for which a router refuses requests itself after one was refused because of the backlog. During a
+flood, the messages of refused requests would otherwise take most of the scheduler's processor."""
+BACKLOG_TOO_LONG = "the backlog is too long"
 MAX_SATURATION_AGE_SECONDS = 1.0
 """Time after a run for which its backlog is used to refuse requests on arrival."""
 RECONSIDERATION_SECONDS = 0.05
@@ -44,6 +48,8 @@
     reason: str
     retry_after_seconds: float
     backlog_seconds: float
+    closed_seconds: float = 0.0
+    """Time for which requests of the customer with the same or a shorter goal would be refused as well."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +121,7 @@
         seconds = saturated.levels.prefill_tokens_up_to(level) / saturated.prefill_rate
         if saturated.decided_at + seconds <= latest_start_at:
             return None
-        return self.refusal(request, "the backlog is too long", self.backlog_seconds(request.pool, now))
+        return self.refusal(request, BACKLOG_TOO_LONG, self.backlog_seconds(request.pool, now))
 
     def backlog_seconds(self, pool: Pool, now: float) -> float:
         """Return the time to prefill the prompts that wait for a pool."""
@@ -243,7 +249,7 @@
                 if now >= request.latest_start_at:
                     reason = "no target had room in time"
                 elif prefill_rate and now + prefill_tokens_before / prefill_rate > request.latest_start_at:
-                    reason = "the backlog is too long"
+                    reason = BACKLOG_TOO_LONG
                 else:
                     customer_tokens_before += throughput_tokens(request)
                     continue
@@ -260,7 +266,8 @@
         """Return a refusal with a retry-after time based on `backlog` seconds."""
         delay = backlog + RETRY_AFTER_GOAL_FRACTION * request.goal_seconds
         retry_after = min(max(delay, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
-        return RefusalDecision(request, reason, retry_after, backlog)
+        closed_seconds = CLOSED_SECONDS if reason == BACKLOG_TOO_LONG else 0.0
+        return RefusalDecision(request, reason, retry_after, backlog, closed_seconds)
 
 
 def is_reconsidered(request: QueuedRequest, view: PoolView, pass_started_at: float) -> bool:
--- a/tests/fleet/request/test_scheduler_client.py
+++ b/tests/fleet/request/test_scheduler_client.py
@@ -128,3 +128,32 @@
         is target_request
     )
     assert harness.scheduler_client.may_repeat[pool] is False
+
+
+def test_requests_behind_a_long_backlog_are_refused_without_a_message(harness):
+    """Guards against a flood whose refused requests take the processor of the scheduler."""
+    target_request = harness.request_target()
+    refusal = make_refusal(target_request, closed_seconds=0.1)
+    assert harness.scheduler_client.accept_refusal(refusal, OTHER, 0.0) is target_request
+    harness.sent.clear()
+    second = harness.request_target("r2", "s2")
+    ((address, answer),) = harness.sent
+    assert address == OWN
+    assert isinstance(answer, TargetRefusal)
+    assert harness.scheduler_client.accept_refusal(answer, OWN, 0.05) is second
+
+
+@pytest.mark.parametrize(
+    ("customer", "goal_seconds", "now"), [("other", 1.0, 0.05), ("acme", 2.0, 0.05), ("acme", 1.0, 0.11)]
+)
+def test_refusal_applies_to_no_other_customer_goal_or_time(harness, customer, goal_seconds, now):
+    """Guards against requests that are refused although their scheduler would queue them."""
+    target_request = harness.request_target()
+    refusal = make_refusal(target_request, closed_seconds=0.1)
+    harness.scheduler_client.accept_refusal(refusal, OTHER, 0.0)
+    harness.sent.clear()
+    request = TargetRequest("r2", "engines", "s1", customer, goal_seconds, now, now + 8.0, 30, 5, ())
+    harness.scheduler_client.request_target(request, now)
+    ((address, message),) = harness.sent
+    assert address == OTHER
+    assert isinstance(message, TargetQuery)
