--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -215,6 +215,8 @@
             attempt=attempt.number,
             reason=failure.reason,
             may_have_run=failure.may_have_run,
+            output=attempt.has_output,
+            parts=[part.part_id for part in exchange.target_request.parts[:-1]],
             after=round(now - attempt.started_at, 3),
         )
         self.metrics.increment_labelled(
