Show that requests with one part of a prompt crash engines one after the other

The builder of the fleet in memory lets engines crash on given parts, closes their connections and lets routers send the requests once more, as the router does.

--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -29,6 +29,10 @@
 RUN_SECONDS = 0.4
 """How long a request is open at its target."""
 READING_SECONDS = 0.05
+REFUSED_CONNECTION_SECONDS = 0.003
+DOWN_SECONDS = 3.0
+"""Time for which a crashed engine refuses connections."""
+MAX_ATTEMPTS = 2
 GRACE_SECONDS = 1.0
 """Time beyond a request's goal until it must have an answer: a silent scheduler is noticed and replaced."""
 
@@ -90,6 +94,10 @@
         self.refused: dict[str, TargetRefusal] = {}
         self.open: dict[str, str] = {}
         """Targets of requests that are open."""
+        self.open_attempts: dict[str, tuple[str, int]] = {}
+        self.outputs: set[str] = set()
+        """Requests that had a first output."""
+        self.target_requests: dict[str, TargetRequest] = {}
         if fleet.call_seconds:
             self.slow_down_placement(fleet.call_seconds)
 
@@ -122,9 +130,11 @@
         session: str = "s",
         customer: str = "acme",
         own_tokens: int = 300,
+        extra_part: str | None = None,
     ):
         now = self.clock.monotonic()
-        parts = (PromptPart("common", 500), PromptPart(session, 500), PromptPart(request_id, own_tokens))
+        part_ids = ["common", session] if extra_part is None else ["common", extra_part, session]
+        parts = (*(PromptPart(part_id, 500) for part_id in part_ids), PromptPart(request_id, own_tokens))
         self.asked_at[request_id] = now
         target_request = TargetRequest(
             request_id,
@@ -134,10 +144,11 @@
             self.fleet.goal_seconds,
             now,
             now + 8.0,
-            1_000 + own_tokens,
+            sum(part.tokens for part in parts),
             20,
             parts,
         )
+        self.target_requests[request_id] = target_request
         self.state.scheduler_client.request_target(target_request, now)
 
     def take_answer(self, scheduler: str, answer: TargetGrant | TargetRefusal) -> None:
@@ -152,12 +163,48 @@
         self.granted_at[request_id] = now
         self.open[request_id] = answer.target_id
         self.fleet.note_start(answer.target_id)
+        attempt = (request_id, answer.attempt)
+        self.open_attempts[request_id] = attempt
+        if self.fleet.is_down(answer.target_id):
+            self.later(REFUSED_CONNECTION_SECONDS, lambda: self.cut(attempt))
+            return
         prefill_seconds = self.fleet.prefill_seconds(answer)
-        self.later(prefill_seconds, lambda: self.state.scheduler_client.report_first_output(request_id))
-        self.later(prefill_seconds + self.run_seconds, lambda: self.finish(request_id))
+        self.later(prefill_seconds, lambda: self.begin_output(attempt, answer.target_id))
+        self.later(prefill_seconds + self.run_seconds, lambda: self.finish(attempt))
 
-    def finish(self, request_id: str) -> None:
-        del self.open[request_id]
+    def begin_output(self, attempt: tuple[str, int], target_id: str) -> None:
+        """Report the first output of an attempt, or let its engine crash of it."""
+        request_id = attempt[0]
+        if self.open_attempts.get(request_id) != attempt:
+            return
+        parts = self.target_requests[request_id].parts[:-1]
+        if any(part.part_id in self.fleet.deadly_parts for part in parts):
+            self.fleet.crash(target_id)
+            return
+        self.outputs.add(request_id)
+        self.state.scheduler_client.report_first_output(request_id)
+
+    def cut(self, attempt: tuple[str, int]) -> None:
+        """End an attempt whose connection its target has closed, and send the request once more."""
+        request_id = attempt[0]
+        if self.open_attempts.get(request_id) != attempt:
+            return
+        target_id = self.open.pop(request_id)
+        del self.open_attempts[request_id]
+        has_output = request_id in self.outputs
+        self.state.scheduler_client.end(request_id, Outcome.FAILED if has_output else Outcome.UNREACHABLE)
+        target_request = self.target_requests[request_id]
+        if target_request.attempt < MAX_ATTEMPTS:
+            target_request.excluded.add(target_id)
+            target_request.is_retry = True
+            target_request.queued_at = self.clock.monotonic()
+            self.state.scheduler_client.request_target(target_request, self.clock.monotonic())
+
+    def finish(self, attempt: tuple[str, int]) -> None:
+        request_id = attempt[0]
+        if self.open_attempts.get(request_id) != attempt:
+            return
+        del self.open[request_id], self.open_attempts[request_id]
         self.state.scheduler_client.end(request_id, Outcome.ANSWERED)
 
     def later(self, seconds: float, action) -> None:
@@ -200,6 +247,10 @@
         self.prefill_rate = prefill_rate
         """Prompt tokens that an engine reads per second, one prompt at a time; None for a fixed time."""
         self.call_seconds = call_seconds
+        self.deadly_parts: set[str] = set()
+        """Prompt parts on which an engine crashes."""
+        self.crashes: list[tuple[float, str]] = []
+        self.down_until: dict[str, float] = {}
         self.prefill_ends_at: dict[str, float] = {}
         """Time at which an engine has read all prompts sent to it."""
         self.clock = ManualClock()
@@ -254,6 +305,19 @@
         )
         self.most_open[target_id] = max(count, self.most_open.get(target_id, 0))
 
+    def is_down(self, target_id: str) -> bool:
+        return self.clock.monotonic() < self.down_until.get(target_id, 0.0)
+
+    def crash(self, target_id: str) -> None:
+        """Let an engine crash, which closes all connections to it."""
+        now = self.clock.monotonic()
+        self.crashes.append((now, target_id))
+        self.down_until[target_id] = now + DOWN_SECONDS
+        for router in self.routers.values():
+            for request_id, attempt in list(router.open_attempts.items()):
+                if router.open.get(request_id) == target_id:
+                    router.later(0.001, lambda router=router, attempt=attempt: router.cut(attempt))
+
     def prefill_seconds(self, grant: TargetGrant) -> float:
         """Return the time until an engine has read the prompt of a request that is sent to it now."""
         if self.prefill_rate is None:
