Quarantine parts of prompts that crash engines

Cause: nothing related crashes to what the requests had in common, so each new one was sent to a healthy engine.

Change: the scheduler strikes the shared parts of all requests without output at a crashed engine; output clears them. Parts struck by two requests are tried one at a time, by three are quarantined and refused at every router, at once and after a restart. Parts that only came together are told apart by the next request with some of them.

Ruled out: retries (ten of twelve crashes have no request in common with the one before) and load (engines crashed with 3 to 32 open requests).

The tests of outcomes name the new field; the old combination of values can no longer occur. A connection that is broken before the first output is now an outcome of its own, a refused one is unreachable as before.

--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -40,6 +40,7 @@
     PLACEMENT_SUMMARY = (1320, logging.INFO, "placement runs of the last second")
     ORDER_SENT = (1321, logging.INFO, "order sent to target")
     ORDER_REFUSED = (1322, logging.WARNING, "order refused by target")
+    PROMPT_QUARANTINED = (1323, logging.WARNING, "parts of prompts quarantined after crashes of engines")
     REQUEST_REFUSED = (1401, logging.INFO, "request refused")
     REQUEST_FINISHED = (1402, logging.INFO, "request finished")
     REQUEST_RETRIED = (1403, logging.INFO, "request retried")
--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -24,6 +24,8 @@
     """The target could not be reached or has sent no answer."""
     WITHDRAWN = 3
     """The request was not sent or its caller has disconnected; the target's health is unknown."""
+    CUT = 4
+    """The target has broken the connection before the first output."""
 
 
 class TargetQuery(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -158,6 +160,25 @@
     served: dict[str, int]
 
 
+class QuarantineEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Prompt parts, each with its service, of which one crashes engines."""
+
+    parts: tuple[tuple[str, str], ...]
+    seconds: float
+    """Time for which requests with all of the parts are refused."""
+
+
+class QuarantineUpdate(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Quarantined prompt parts that a router announces."""
+
+    entries: tuple[QuarantineEntry, ...]
+
+    @property
+    def has_valid_numbers(self) -> bool:
+        """Return whether all numbers are valid."""
+        return all(math.isfinite(entry.seconds) and entry.seconds >= 0 for entry in self.entries)
+
+
 Message = (
     TargetQuery
     | TargetGrant
@@ -169,6 +190,7 @@
     | TargetNotice
     | Ping
     | ServedTokensUpdate
+    | QuarantineUpdate
 )
 
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -172,6 +172,11 @@
     memory_tokens: int = field(init=False)
     """Engine memory that the request may take."""
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """Return the router and the identifier of the request."""
+        return self.client, self.request_id
+
     def __post_init__(self):
         self.session = session_of(self.parts)
         self.memory_tokens = self.prompt_tokens + self.output_tokens
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -1,5 +1,6 @@
 """Scheduler of the pools assigned to this router."""
 
+import math
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
@@ -9,6 +10,7 @@
     AttemptOpened,
     Outcome,
     PrefillFinished,
+    QuarantineUpdate,
     ServedTokensUpdate,
     StreamProgress,
     TargetGrant,
@@ -20,14 +22,21 @@
 from limpetusher.fleet.process.placement import Placement
 from limpetusher.fleet.process.pools import Pools
 from limpetusher.fleet.process.prefill_cooldowns import COOLDOWN_ADJUST_INTERVAL_SECONDS
+from limpetusher.fleet.process.prompt_quarantine import (
+    MAX_QUARANTINE_SECONDS,
+    SAME_CRASH_SECONDS,
+    PromptQuarantine,
+)
 from limpetusher.fleet.process.rate_limits import RetryBudget
 from limpetusher.fleet.process.served_tokens import ServedTokens
 from limpetusher.fleet.process.target_loads import TargetLoad
 from limpetusher.fleet.request.waiting_requests import (
     MIN_RETRY_AFTER_SECONDS,
+    PROMPT_QUARANTINED,
     RefusalDecision,
     StartDecision,
     WaitingRequests,
+    request_parts,
 )
 from limpetusher.fleet.settings import FleetSettings
 
@@ -75,7 +84,10 @@
         self.placement = placement
         self.pools = pools
         self.served = ServedTokens()
-        self.waiting = WaitingRequests(settings, placement, self.served)
+        self.quarantine = PromptQuarantine()
+        self.waiting = WaitingRequests(settings, placement, self.served, self.quarantine)
+        self.alive_at: dict[str, float] = {}
+        """Times of the last outputs and complete answers of targets."""
         self.jobs: dict[tuple[str, str], Job] = {}
         """Waiting and open requests, by router and request identifier."""
         self.by_client: dict[str, set[str]] = {}
@@ -91,7 +103,7 @@
     @property
     def is_active(self) -> bool:
         """Return whether any request is waiting or open."""
-        return bool(self.jobs)
+        return bool(self.jobs) or bool(self.quarantine.broken)
 
     @property
     def has_waiting(self) -> bool:
@@ -107,7 +119,7 @@
             If its numbers are out of range; the message has no effect then.
         """
         if (
-            isinstance(message, (TargetQuery, AttemptOpened, StreamProgress))
+            isinstance(message, (TargetQuery, AttemptOpened, StreamProgress, QuarantineUpdate))
             and not message.has_valid_numbers
         ):
             raise InvalidInputError(f"numbers out of range in {message!r}")
@@ -153,13 +165,35 @@
             excluded=set(message.excluded),
             caller_data_centre=message.caller_data_centre,
         )
-        refusal = self.waiting.refuse_on_arrival(request, now)
+        refusal = self.refuse_for_parts(message, request, now) or self.waiting.refuse_on_arrival(request, now)
         if refusal is not None:
             self.immediate_refusals.append((client, target_refusal(refusal, message.attempt)))
             return
         self.add_job(client, message.request_id, Job(message.attempt, pool, request))
         self.waiting.add(request)
 
+    def refuse_for_parts(
+        self, message: TargetQuery, request: QueuedRequest, now: float
+    ) -> RefusalDecision | None:
+        """Return the refusal of a request whose prompt may crash engines, None if it may be queued.
+
+        A request that a target has received before is not sent again while one of its parts is suspect.
+        """
+        if self.quarantine.is_idle:
+            return None
+        parts = request_parts(request)
+        seconds = self.quarantine.remaining_seconds(parts, now)
+        if seconds > 0 or (message.is_retry and self.quarantine.suspects(parts)):
+            return RefusalDecision(request, PROMPT_QUARANTINED, max(seconds, MIN_RETRY_AFTER_SECONDS), 0.0)
+        return None
+
+    @handle.register
+    def on_quarantine(self, message: QuarantineUpdate, client: str, now: float) -> None:
+        """Apply the quarantines of another router."""
+        for entry in message.entries:
+            self.quarantine.add(frozenset(entry.parts), min(entry.seconds, MAX_QUARANTINE_SECONDS), now)
+        self.quarantine.take_changed()
+
     @handle.register
     def on_opened(self, message: AttemptOpened, client: str, now: float) -> None:
         """Register an open request that another scheduler has placed."""
@@ -176,6 +210,9 @@
         if job is None or job.target_id is None:
             return
         self.record_target_reached(job.target_id, now)
+        self.alive_at[job.target_id] = now
+        if job.request is not None and not self.quarantine.is_idle:
+            self.quarantine.record_output(request_parts(job.request))
         self.end_overtaken_prefills(job, now)
         self.prefilling.get(job.target_id, {}).pop((client, message.request_id), None)
         self.end_prefill(job, now)
@@ -208,7 +245,8 @@
             job.needed_speedup = message.needed_speedup
 
     def on_tick(self, now: float) -> None:
-        """Adjust the cooldowns of the engines to their running streams."""
+        """Find crashed targets, and adjust the cooldowns of the engines to their running streams."""
+        self.quarantine.confirm(now, self.has_crashed)
         if now < self.cooldowns_adjusted_at + COOLDOWN_ADJUST_INTERVAL_SECONDS:
             return
         self.cooldowns_adjusted_at = now
@@ -231,11 +269,25 @@
         outcome = Outcome(message.outcome)
         if target_id is None or outcome is Outcome.WITHDRAWN:
             return
-        if outcome is Outcome.UNREACHABLE:
+        if outcome is Outcome.CUT and job.request is not None and job.request.parts[:-1]:
+            self.quarantine.record_broken(target_id, job.request.key, request_parts(job.request), now)
+        if outcome in (Outcome.UNREACHABLE, Outcome.CUT):
             self.record_target_unreached(target_id, client, now)
         else:
             self.record_target_reached(target_id, now)
-            self.placement.health_of(target_id).record_answer(is_error=outcome is Outcome.FAILED)
+            self.placement.health_of(target_id).record_answer(is_error=outcome is not Outcome.ANSWERED)
+        if outcome is Outcome.ANSWERED:
+            self.alive_at[target_id] = now
+
+    def has_crashed(self, target_id: str, at: float) -> bool | None:
+        """Return whether a target has crashed, as far as the requests tell that were open there at a time.
+
+        None is returned while some of them are still open.
+        """
+        if self.alive_at.get(target_id, -math.inf) > at + SAME_CRASH_SECONDS:
+            return False
+        is_open = any(job.target_id == target_id and job.granted_at <= at for job in self.jobs.values())
+        return None if is_open else True
 
     @handle.register
     def on_notice(self, message: TargetNotice, client: str, now: float) -> None:
@@ -284,6 +336,8 @@
         requests.discard(request_id)
         if not requests:
             del self.by_client[client]
+        if job.request is not None and not self.quarantine.is_idle:
+            self.quarantine.record_end(job.request.key, request_parts(job.request))
         if job.target_id is not None:
             prefilling = self.prefilling.get(job.target_id, {})
             prefilling.pop((client, request_id), None)
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -11,6 +11,7 @@
 from limpetusher.fleet.process.fair_levels import FairLevels, WaitingTokens
 from limpetusher.fleet.process.placement import Placement, TargetChoice
 from limpetusher.fleet.process.pool_view import PoolView
+from limpetusher.fleet.process.prompt_quarantine import PartKey, PromptQuarantine, shared_parts
 from limpetusher.fleet.process.served_tokens import OUTPUT_TOKEN_WEIGHT, ServedTokens
 from limpetusher.fleet.settings import FleetSettings
 
@@ -24,6 +25,7 @@
 """Time for which a router refuses requests itself after one was refused because of the backlog. During a
 flood, the messages of refused requests would otherwise take most of the scheduler's processor."""
 BACKLOG_TOO_LONG = "the backlog is too long"
+PROMPT_QUARANTINED = "a part of the prompt has crashed engines"
 MAX_SATURATION_AGE_SECONDS = 1.0
 """Time after a run for which its backlog is used to refuse requests on arrival."""
 RECONSIDERATION_SECONDS = 0.05
@@ -75,9 +77,18 @@
         State and choice of the targets.
     served
         Served tokens by customer.
+    quarantine
+        Prompt parts that may crash engines.
     """
 
-    def __init__(self, settings: FleetSettings, placement: Placement, served: ServedTokens):
+    def __init__(
+        self,
+        settings: FleetSettings,
+        placement: Placement,
+        served: ServedTokens,
+        quarantine: PromptQuarantine,
+    ):
+        self.quarantine = quarantine
         self.settings = settings
         self.placement = placement
         self.served = served
@@ -196,7 +207,7 @@
             queue = queues[customer]
             while queue:
                 request = queue.popleft()
-                if not is_reconsidered(request, view, pass_started_at):
+                if not is_reconsidered(request, view, pass_started_at) or self.is_held(request, now):
                     continue
                 if considered >= MAX_CONSIDERED_REQUESTS:
                     self.unfinished_passes[pool] = pass_started_at
@@ -209,6 +220,8 @@
                 if choice is not None:
                     self.remove(request)
                     self.placement.record_start(request, choice, now)
+                    if not self.quarantine.is_idle:
+                        self.quarantine.record_start(request.key, request_parts(request))
                     view.record_start(choice.target, request.session)
                     self.served.add(customer, throughput_tokens(request))
                     heapq.heappush(heap, (self.served.total(customer), customer))
@@ -217,6 +230,15 @@
         self.record_saturation(pool, levels, prefill_rate, view)
         return starts
 
+    def is_held(self, request: QueuedRequest, now: float) -> bool:
+        """Return whether a part of a request's prompt keeps it from starting now."""
+        if self.quarantine.is_idle:
+            return False
+        parts = request_parts(request)
+        return self.quarantine.remaining_seconds(parts, now) > 0 or not self.quarantine.may_start(
+            request.key, parts
+        )
+
     def record_saturation(self, pool: Pool, levels: FairLevels, prefill_rate: float, view: PoolView) -> None:
         """Record whether any target of a pool can accept a request after a run."""
         if view.has_room or not prefill_rate:
@@ -246,7 +268,11 @@
             customer_tokens_before = 0.0
             for request in queue:
                 prefill_tokens_before = levels.prefill_tokens_up_to(served + customer_tokens_before)
-                if now >= request.latest_start_at:
+                if self.quarantine.quarantines and self.quarantine.remaining_seconds(
+                    request_parts(request), now
+                ):
+                    reason = PROMPT_QUARANTINED
+                elif now >= request.latest_start_at:
                     reason = "no target had room in time"
                 elif prefill_rate and now + prefill_tokens_before / prefill_rate > request.latest_start_at:
                     reason = BACKLOG_TOO_LONG
@@ -278,6 +304,11 @@
     return not (is_recent and view.is_still_awaited(request))
 
 
+def request_parts(request: QueuedRequest) -> frozenset[PartKey]:
+    """Return the prompt parts of a request that other requests may share."""
+    return shared_parts(request.pool.service, request.parts)
+
+
 def latest_start(request: QueuedRequest) -> float:
     """Return the sort key of waiting requests."""
     return request.latest_start_at
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -7,7 +7,13 @@
 from limpetusher.fleet.version.routing import choose_service
 from limpetusher_router.connection.framing import RequestHead
 from limpetusher_router.fleet.exchange import Exchange
-from limpetusher_router.fleet.refusals import NOT_FOUND, UNAUTHORIZED, UNAVAILABLE, FleetRefusal
+from limpetusher_router.fleet.refusals import (
+    NOT_FOUND,
+    UNAUTHORIZED,
+    UNAVAILABLE,
+    FleetRefusal,
+    quarantine_refusal,
+)
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.platform.requests import RequestFields
 
@@ -63,6 +69,9 @@
             return FleetRefusal(UNAUTHORIZED, "unknown_key", "the API key is not known", ran=Ran.NO)
         now = self.clock.monotonic()
         target_request = self.make_target_request(request_id, route, fields, customer or "", now)
+        quarantine_seconds = self.state.quarantine_seconds(target_request, now)
+        if quarantine_seconds > 0:
+            return quarantine_refusal(quarantine_seconds)
         return Exchange(request_id, head, body, fields, route, target_request, customer, now)
 
     def make_target_request(
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
@@ -4,7 +4,7 @@
 
 from limpetusher.fleet.messages import Outcome
 from limpetusher_router.events import AttemptResult
-from limpetusher_router.fleet.exchange import Exchange, TargetAttempt
+from limpetusher_router.fleet.exchange import EVENT_STREAM, Exchange, TargetAttempt
 from limpetusher_router.platform.requests import has_seal, requested_backoff_seconds, states_not_run
 
 SERVER_ERROR_STATUSES = range(500, 600)
@@ -31,12 +31,15 @@
         Whether the target may have received any part of the request.
     is_unreachable
         Whether the target could not be reached or sent no answer at all.
+    is_cut
+        Whether the target has broken the connection before the end of the answer.
     """
 
     reason: str
     may_have_run: bool
     request_arrived: bool = True
     is_unreachable: bool = False
+    is_cut: bool = False
 
 
 def classify_failure(attempt: TargetAttempt, end: AttemptResult, detail: str) -> AttemptFailure | None:
@@ -47,7 +50,12 @@
             f"not sent: {detail}", may_have_run=False, request_arrived=False, is_unreachable=True
         )
     if end is AttemptResult.CUT or head is None:
-        return AttemptFailure(f"cut: {detail}", may_have_run=True, is_unreachable=head is None)
+        return AttemptFailure(
+            f"cut: {detail}",
+            may_have_run=True,
+            is_unreachable=head is None,
+            is_cut=end is AttemptResult.CUT,
+        )
     if states_not_run(head):
         return AttemptFailure(f"rejected with {head.status}", may_have_run=False)
     if not has_seal(head) and head.status not in SERVER_ERROR_STATUSES:
@@ -77,6 +85,9 @@
     """Return the outcome that is counted for the target; a rejection with a back-off is no failure."""
     if failure is None:
         return Outcome.FAILED if attempt.head.status in SERVER_ERROR_STATUSES else Outcome.ANSWERED
+    is_stream = attempt.head is not None and attempt.head.content_type == EVENT_STREAM
+    if failure.is_cut and not attempt.has_output and (attempt.head is None or is_stream):
+        return Outcome.CUT
     if failure.is_unreachable:
         return Outcome.UNREACHABLE
     if attempt.head is not None and requested_backoff_seconds(attempt.head) > 0:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -18,6 +18,7 @@
     Message,
     Packet,
     Ping,
+    QuarantineUpdate,
     StoreUpdate,
     TargetGrant,
     TargetQuery,
@@ -295,6 +296,7 @@
         if received.has_restarted:
             self.state.scheduler.remove_client(address, now)
             self.state.scheduler_client.register_again(address, now)
+            self.send_quarantines(address, now)
         for message in received.messages:
             try:
                 self.handle_message(address, message, now)
@@ -320,6 +322,7 @@
             log_event(Event.PEER_REACHABLE, peer=peer, told_by=address)
         if address in changed_peers or self.state.members.is_sender_behind(gossip.entries, now):
             self.send_gossip(self.state.members.join_entries(now), [address])
+            self.send_quarantines(address, now)
         if self.state.members.own.incarnation != own_incarnation:
             self.raise_incarnation(self.state.members.own.incarnation, now)
         self.store.note_peer_revision(address, gossip.revision)
@@ -379,6 +382,7 @@
         self.state.drop_expired_targets()
         self.state.scheduler_client.on_tick(now)
         self.state.scheduler.on_tick(now)
+        self.announce_quarantines(now)
         if now >= self.last_gossip_at + GOSSIP_INTERVAL_SECONDS:
             self.last_gossip_at = now
             self.run_gossip_round(now)
@@ -394,6 +398,25 @@
         self.place_waiting_requests(now)
         self.transmit(now)
 
+    def announce_quarantines(self, now: float) -> None:
+        """Send new quarantines of prompt parts to all routers, which refuse requests with them."""
+        quarantine = self.state.scheduler.quarantine
+        entries = quarantine.entries(quarantine.take_changed(), now)
+        if not entries:
+            return
+        for entry in entries:
+            parts = [part_id for _service, part_id in entry.parts]
+            log_event(Event.PROMPT_QUARANTINED, parts=parts, seconds=entry.seconds)
+        for member in self.state.members.live(now):
+            if member.address != self.own_address:
+                self.send(member.address, QuarantineUpdate(entries))
+
+    def send_quarantines(self, address: str, now: float) -> None:
+        """Send all quarantines of prompt parts to a router that may not know them."""
+        quarantine = self.state.scheduler.quarantine
+        if quarantine.quarantines:
+            self.send(address, QuarantineUpdate(quarantine.entries(quarantine.quarantines, now)))
+
     def check_schedulers(self, now: float) -> None:
         """Suspect schedulers that acknowledge nothing, and ping those that have sent nothing lately."""
         for address, is_waiting in self.state.scheduler_client.schedulers().items():
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
@@ -1,6 +1,7 @@
 """Error answers of the router itself."""
 
 from limpetusher.core.refusals import Ran
+from limpetusher.fleet.request.waiting_requests import PROMPT_QUARANTINED
 from limpetusher_router.events import SendAnswer
 from limpetusher_router.platform.requests import error_headers
 from limpetusher_router.request.answers import error_body
@@ -39,6 +40,17 @@
         self.retry_after_seconds = retry_after_seconds
 
 
+def quarantine_refusal(retry_after_seconds: float) -> FleetRefusal:
+    """Return the refusal of a request that did not run because a part of its prompt has crashed engines."""
+    return FleetRefusal(
+        UNAVAILABLE,
+        "prompt_quarantined",
+        PROMPT_QUARANTINED,
+        ran=Ran.NO,
+        retry_after_seconds=retry_after_seconds,
+    )
+
+
 def error_answer(request_id: str, caller_request_id: str, refusal: FleetRefusal) -> SendAnswer:
     """Return the message that sends a refusal to its caller."""
     headers = error_headers(caller_request_id, refusal.retry_after_seconds)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -32,6 +32,7 @@
     UNAVAILABLE,
     FleetRefusal,
     error_answer,
+    quarantine_refusal,
 )
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.platform import names
@@ -132,6 +133,11 @@
             return
         exchange = self.exchanges[target_request.request_id]
         now = self.clock.monotonic()
+        quarantine_seconds = self.state.quarantine_seconds(target_request, now)
+        if quarantine_seconds > 0:
+            # The scheduler may have started after the quarantine and not know it yet.
+            self.fail_request(exchange, quarantine_refusal(quarantine_seconds))
+            return
         if not self.state.can_send(answer.target_id, now):
             self.return_grant(exchange, answer, now)
             return
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -12,9 +12,10 @@
 from limpetusher.fleet.process.members import Members
 from limpetusher.fleet.process.placement import Placement
 from limpetusher.fleet.process.pools import Pools
+from limpetusher.fleet.process.prompt_quarantine import shared_parts
 from limpetusher.fleet.process.scheduler import Scheduler
 from limpetusher.fleet.process.target_health import TargetHealth
-from limpetusher.fleet.request.scheduler_client import SchedulerClient
+from limpetusher.fleet.request.scheduler_client import SchedulerClient, TargetRequest
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.mirror import Change, StoreMirror
 from limpetusher.fleet.version.routing import RouteTable
@@ -106,6 +107,14 @@
             and not self.placement.is_backing_off(target_id, now)
         )
 
+    def quarantine_seconds(self, target_request: TargetRequest, now: float) -> float:
+        """Return for how long requests with the parts of a prompt are refused, 0 if they are not."""
+        quarantine = self.scheduler.quarantine
+        if not quarantine.quarantines:
+            return 0.0
+        parts = shared_parts(target_request.service, target_request.parts)
+        return quarantine.remaining_seconds(parts, now)
+
     def transfer_source(self, target_id: str, now: float) -> Target | None:
         """Return the engine from which cached prompt parts are fetched, None if there is no usable one."""
         return self.placement.targets[target_id] if self.can_send(target_id, now) else None
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -14,6 +14,7 @@
     Target,
 )
 from limpetusher.fleet.process.placement import Placement
+from limpetusher.fleet.process.prompt_quarantine import PromptQuarantine
 from limpetusher.fleet.process.served_tokens import ServedTokens
 from limpetusher.fleet.request.waiting_requests import WaitingRequests
 from limpetusher.fleet.settings import FleetSettings
@@ -108,4 +109,4 @@
 
 def make_waiting(placement: Placement | None = None) -> WaitingRequests:
     placement = placement or make_placement()
-    return WaitingRequests(placement.settings, placement, ServedTokens())
+    return WaitingRequests(placement.settings, placement, ServedTokens(), PromptQuarantine())
--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -98,6 +98,8 @@
         self.outputs: set[str] = set()
         """Requests that had a first output."""
         self.target_requests: dict[str, TargetRequest] = {}
+        self.refused_at_the_edge: set[str] = set()
+        """Requests with quarantined parts that this router has refused itself."""
         if fleet.call_seconds:
             self.slow_down_placement(fleet.call_seconds)
 
@@ -149,6 +151,9 @@
             parts,
         )
         self.target_requests[request_id] = target_request
+        if self.state.quarantine_seconds(target_request, now) > 0:
+            self.refused_at_the_edge.add(request_id)
+            return
         self.state.scheduler_client.request_target(target_request, now)
 
     def take_answer(self, scheduler: str, answer: TargetGrant | TargetRefusal) -> None:
@@ -160,13 +165,17 @@
         if self.state.scheduler_client.accept_grant(answer, scheduler) is None:
             return
         request_id = answer.request_id
+        if self.state.quarantine_seconds(self.target_requests[request_id], now) > 0:
+            self.refused_at_the_edge.add(request_id)
+            self.state.scheduler_client.end(request_id, Outcome.WITHDRAWN)
+            return
         self.granted_at[request_id] = now
         self.open[request_id] = answer.target_id
         self.fleet.note_start(answer.target_id)
         attempt = (request_id, answer.attempt)
         self.open_attempts[request_id] = attempt
         if self.fleet.is_down(answer.target_id):
-            self.later(REFUSED_CONNECTION_SECONDS, lambda: self.cut(attempt))
+            self.later(REFUSED_CONNECTION_SECONDS, lambda: self.cut(attempt, is_cut=False))
             return
         prefill_seconds = self.fleet.prefill_seconds(answer)
         self.later(prefill_seconds, lambda: self.begin_output(attempt, answer.target_id))
@@ -184,7 +193,7 @@
         self.outputs.add(request_id)
         self.state.scheduler_client.report_first_output(request_id)
 
-    def cut(self, attempt: tuple[str, int]) -> None:
+    def cut(self, attempt: tuple[str, int], *, is_cut: bool = True) -> None:
         """End an attempt whose connection its target has closed, and send the request once more."""
         request_id = attempt[0]
         if self.open_attempts.get(request_id) != attempt:
@@ -192,11 +201,12 @@
         target_id = self.open.pop(request_id)
         del self.open_attempts[request_id]
         has_output = request_id in self.outputs
-        self.state.scheduler_client.end(request_id, Outcome.FAILED if has_output else Outcome.UNREACHABLE)
+        outcome = Outcome.UNREACHABLE if not is_cut else Outcome.FAILED if has_output else Outcome.CUT
+        self.state.scheduler_client.end(request_id, outcome)
         target_request = self.target_requests[request_id]
         if target_request.attempt < MAX_ATTEMPTS:
             target_request.excluded.add(target_id)
-            target_request.is_retry = True
+            target_request.is_retry = is_cut
             target_request.queued_at = self.clock.monotonic()
             self.state.scheduler_client.request_target(target_request, self.clock.monotonic())
 
@@ -313,9 +323,13 @@
         now = self.clock.monotonic()
         self.crashes.append((now, target_id))
         self.down_until[target_id] = now + DOWN_SECONDS
+        self.reset_connections(target_id)
+
+    def reset_connections(self, target_id: str | None = None) -> None:
+        """Break the connections to one target or to all, which continue to run."""
         for router in self.routers.values():
             for request_id, attempt in list(router.open_attempts.items()):
-                if router.open.get(request_id) == target_id:
+                if target_id in (None, router.open.get(request_id)):
                     router.later(0.001, lambda router=router, attempt=attempt: router.cut(attempt))
 
     def prefill_seconds(self, grant: TargetGrant) -> float:
@@ -352,6 +366,7 @@
             if now - at > 1.0 + GRACE_SECONDS
             and request_id not in router.granted_at
             and request_id not in router.refused
+            and request_id not in router.refused_at_the_edge
         ]
 
 
--- a/tests/router/fleet/test_outcomes.py
+++ b/tests/router/fleet/test_outcomes.py
@@ -31,13 +31,13 @@
 def test_request_without_any_answer_may_have_run():
     """Guards against reporting "not run" after a reset, and against more requests to a dead target."""
     failure = classify_failure(make_attempt(), AttemptResult.CUT, "reset")
-    assert failure == AttemptFailure("cut: reset", may_have_run=True, is_unreachable=True)
+    assert failure == AttemptFailure("cut: reset", may_have_run=True, is_unreachable=True, is_cut=True)
 
 
 def test_target_that_cuts_an_answer_is_reachable():
     """Guards against suspending a target that has just answered."""
     failure = classify_failure(make_attempt(200, **{names.SEAL: "s"}), AttemptResult.CUT, "reset")
-    assert failure == AttemptFailure("cut: reset", may_have_run=True)
+    assert failure == AttemptFailure("cut: reset", may_have_run=True, is_cut=True)
 
 
 def test_rejected_request_has_not_run():
@@ -67,5 +67,18 @@
     attempt = make_attempt(503, **{names.NOT_RUN: "1"})
     assert target_outcome(attempt, classify_failure(attempt, AttemptResult.COMPLETE, "")) is Outcome.FAILED
     cut = make_attempt()
-    assert target_outcome(cut, classify_failure(cut, AttemptResult.CUT, "reset")) is Outcome.UNREACHABLE
+    assert target_outcome(cut, classify_failure(cut, AttemptResult.CUT, "reset")) is Outcome.CUT
+    refused = classify_failure(cut, AttemptResult.UNREACHABLE, "refused")
+    assert target_outcome(cut, refused) is Outcome.UNREACHABLE
     assert target_outcome(make_attempt(200), None) is Outcome.ANSWERED
+
+
+def test_cut_before_the_first_output_is_told_from_one_after_it():
+    """Guards against striking prompt parts because of an answer that was cut halfway."""
+    attempt = make_attempt(200, **{names.SEAL: "s", "content-type": "text/event-stream"})
+    cut = classify_failure(attempt, AttemptResult.CUT, "reset")
+    assert target_outcome(attempt, cut) is Outcome.CUT
+    attempt.has_output = True
+    assert target_outcome(attempt, cut) is Outcome.FAILED
+    plain = make_attempt(200, **{names.SEAL: "s"})
+    assert target_outcome(plain, cut) is Outcome.FAILED
--- a/tests/router/fleet/test_prompt_quarantine.py
+++ b/tests/router/fleet/test_prompt_quarantine.py
@@ -5,6 +5,9 @@
 import pytest
 
 from builders_peers import STEP_SECONDS, FleetInMemory
+from limpetusher.fleet.messages import QuarantineEntry
+from limpetusher.fleet.model import Pool
+from limpetusher.fleet.process.prompt_quarantine import PromptQuarantine
 
 SETTLE_SECONDS = 5.0
 STABLE_WINDOW_SECONDS = 3.0
@@ -74,3 +77,150 @@
     if len(fleet.crashes) >= 5:
         late_from = fleet.crashes[4][0] + STABLE_WINDOW_SECONDS
         assert len(load.granted(tainted=True, since=late_from)) <= MAX_LATE_REQUESTS
+
+
+def quarantined_parts(fleet: FleetInMemory) -> list[set[str]]:
+    """Return the parts that each router knows as quarantined."""
+    return [
+        {
+            part_id
+            for quarantine in router.state.scheduler.quarantine.quarantines
+            for _service, part_id in quarantine.parts
+        }
+        for router in fleet.routers.values()
+    ]
+
+
+def scheduler_of(fleet: FleetInMemory) -> str:
+    router = next(iter(fleet.routers.values()))
+    return router.state.pools.scheduler(Pool("engines"), fleet.clock.monotonic())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_sound_requests_beside_deadly_ones_are_served(seed):
+    """Guards against sessions and common parts that are refused because deadly requests use them as well."""
+    fleet = make_fleet(seed)
+    load = TaintedLoad(fleet, 40.0, every=6, sessions=12)
+    load.run(12.0)
+    assert quarantined_parts(fleet) == [{DEADLY_PART}] * len(fleet.routers)
+    since = fleet.clock.monotonic()
+    asked_before = sum(not is_tainted for is_tainted in load.is_tainted.values())
+    load.run(6.0)
+    asked = sum(not is_tainted for is_tainted in load.is_tainted.values()) - asked_before
+    assert len(load.granted(tainted=False, since=since)) >= 0.95 * asked
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("killed_after", [0.3, 1.0, 3.0])
+def test_deadly_requests_are_kept_from_engines_when_the_scheduler_is_killed(seed, killed_after):
+    """Guards against engines that crash again because the router that knew the reason has stopped."""
+    fleet = make_fleet(seed)
+    load = TaintedLoad(fleet, 40.0, every=8)
+    load.run(1.0)
+    while not fleet.crashes:
+        load.run(0.1)
+    load.run(killed_after)
+    fleet.restart(scheduler_of(fleet))
+    load.run(20.0)
+    if len(fleet.crashes) >= 5:
+        late_from = fleet.crashes[4][0] + STABLE_WINDOW_SECONDS
+        assert len(load.granted(tainted=True, since=late_from)) <= MAX_LATE_REQUESTS
+
+
+def test_restarted_router_learns_of_quarantined_parts():
+    """Guards against requests that a router sends because it has started after the quarantine."""
+    fleet = make_fleet()
+    load = TaintedLoad(fleet, 40.0, every=6)
+    load.run(10.0)
+    restarted = fleet.restart(next(address for address in fleet.routers if address != scheduler_of(fleet)))
+    fleet.run(2.0)
+    assert restarted.state.scheduler.quarantine.quarantines
+
+
+def test_reset_connections_quarantine_nothing():
+    """Guards against refusing sound requests after the network or a router has reset connections."""
+    fleet = make_fleet()
+    load = TaintedLoad(fleet, 60.0, every=10**9, sessions=3)
+    for _ in range(12):
+        load.run(0.3)
+        fleet.reset_connections()
+    load.run(1.0)
+    assert not any(quarantined_parts(fleet))
+
+
+def test_lost_answers_of_a_running_engine_quarantine_nothing():
+    """Guards against refusing the sessions of an engine that loses some of its answers."""
+    fleet = make_fleet(engines=2)
+    load = TaintedLoad(fleet, 60.0, every=10**9, sessions=3)
+    for _ in range(60):
+        load.run(0.1)
+        router = fleet.rng.choice([router for router in fleet.routers.values() if router.open_attempts])
+        router.cut(fleet.rng.choice(list(router.open_attempts.values())))
+    load.run(1.0)
+    assert not any(quarantined_parts(fleet))
+
+
+def crash(quarantine: PromptQuarantine, number: int, *part_ids: str) -> None:
+    """Let a target crash with one request without output."""
+    now = 10.0 * number
+    parts = frozenset(("engines", part_id) for part_id in part_ids)
+    quarantine.record_broken(f"e{number}", ("10.0.0.1", f"r{number}"), parts, now)
+    quarantine.confirm(now + 0.2, lambda _target_id, _at: True)
+
+
+def parts_of(quarantine: PromptQuarantine) -> list[set[str]]:
+    return [{part_id for _service, part_id in entry.parts} for entry in quarantine.quarantines]
+
+
+def test_output_tells_a_deadly_part_from_one_that_always_came_with_it():
+    """Guards against refusing all requests of a session because of a part that only some of them have."""
+    quarantine = PromptQuarantine()
+    for number in range(1, 4):
+        crash(quarantine, number, "common", "session", DEADLY_PART)
+        quarantine.record_output(frozenset({("engines", "common")}))
+    assert parts_of(quarantine) == [{"session", DEADLY_PART}]
+    session_only = frozenset({("engines", "session")})
+    assert quarantine.remaining_seconds(session_only, 40.0) == 0.0
+    quarantine.record_start(("10.0.0.1", "probe"), session_only)
+    assert not quarantine.may_start(("10.0.0.1", "other"), session_only)
+    quarantine.record_output(session_only)
+    assert parts_of(quarantine) == [{DEADLY_PART}]
+    assert quarantine.remaining_seconds(frozenset({("engines", DEADLY_PART)}), 40.0) > 0
+
+
+def test_crash_tells_a_deadly_part_from_one_that_always_came_with_it():
+    """Guards against deadly requests that continue because a part is missing with which they came before."""
+    quarantine = PromptQuarantine()
+    for number in range(1, 4):
+        crash(quarantine, number, "session", DEADLY_PART)
+    crash(quarantine, 4, DEADLY_PART, "other")
+    assert parts_of(quarantine) == [{DEADLY_PART}]
+
+
+def test_repeated_crashes_of_one_request_are_one_strike():
+    """Guards against quarantined sessions whose request was sent again and was open at a second crash."""
+    quarantine = PromptQuarantine()
+    parts = frozenset({("engines", "session")})
+    for number in range(1, 6):
+        quarantine.record_broken(f"e{number}", ("10.0.0.1", "r1"), parts, 10.0 * number)
+        quarantine.confirm(10.0 * number + 0.2, lambda _target_id, _at: True)
+    assert not quarantine.quarantines
+    assert not quarantine.suspects(parts)
+
+
+def test_one_request_starts_after_a_quarantine_and_renews_it_if_it_crashes_its_engine():
+    """Guards against parts that stay refused for good, and against engines that crash of them again."""
+    quarantine = PromptQuarantine()
+    for number in range(1, 4):
+        crash(quarantine, number, DEADLY_PART)
+    parts = frozenset({("engines", DEADLY_PART)})
+    (first,) = quarantine.entries(quarantine.take_changed(), 30.2)
+    later = 30.2 + first.seconds + 1.0
+    assert quarantine.remaining_seconds(parts, later) <= 0
+    quarantine.record_start(("10.0.0.1", "probe"), parts)
+    assert not quarantine.may_start(("10.0.0.1", "other"), parts)
+    quarantine.record_broken("e9", ("10.0.0.1", "probe"), parts, later)
+    quarantine.confirm(later + 0.2, lambda _target_id, _at: True)
+    assert quarantine.entries(quarantine.take_changed(), later + 0.2) == (
+        QuarantineEntry((("engines", DEADLY_PART),), 2 * first.seconds),
+    )
