Keep following the store past an odd entry of another writer

Here, a deeply nested entry raised RecursionError through the handler: all later changes of the same batch were lost, since the copy of the store had advanced. Entries with a port out of range, a number too large or a host that is no address were used as targets.

Change: decoders treat deep nesting as malformed; ports, slots, start times and cold times have bounds; a change that fails for another reason is logged and the others of its batch are applied.

Evidence: the added cases of test_malformed_target_entry_is_refused, test_deeply_nested_documents_are_refused and test_odd_entry_does_not_affect_the_others_of_its_batch fail before.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -197,8 +197,7 @@
     def on_store_read(self, changes: list[Change]) -> None:
         """Apply changes of the store."""
         before = self.state.configuration
-        for change in changes:
-            self.state.apply_change(change)
+        self.state.apply_changes(changes)
         configuration = self.state.configuration
         if configuration is not None and configuration is not before:
             if before is None:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -1,8 +1,9 @@
 """State of the fleet as one router knows it: configuration, targets, members and open requests."""
 
+import logging
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from limpetusher.clock import Clock
 from limpetusher.errors import ConfigurationError
@@ -32,6 +33,8 @@
 after the store has recovered, and are back within about two seconds of the recovery. A target that has left
 must get no requests later than 2 s after its entry was removed, which leaves 0.5 s for those in transit."""
 
+logger = logging.getLogger(__name__)
+
 
 class FleetState:
     """Applies the changes of the platform's store and owns the scheduling components.
@@ -119,6 +122,14 @@
         """Return the engine from which cached prompt parts are fetched, None if there is no usable one."""
         return self.placement.targets[target_id] if self.can_send(target_id, now) else None
 
+    def apply_changes(self, changes: Iterable[Change]) -> None:
+        """Apply changes of the store; one that can't be applied does not affect the others."""
+        for change in changes:
+            try:
+                self.apply_change(change)
+            except Exception:
+                logger.exception("failed to apply a change of %s", change.key)
+
     def apply_change(self, change: Change) -> None:
         """Apply one change of the store."""
         if change.key == names.CONFIGURATION_KEY:
--- a/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
@@ -1,6 +1,6 @@
 """Decoding of the values in the platform's store into the types of the fleet model."""
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -15,10 +15,17 @@
     Service,
     Target,
 )
+from limpetusher_router.connection.settings import is_address
 
 MILLISECONDS_PER_SECOND = 1_000.0
 BITS_PER_MEGABIT = 1_000_000
 BITS_PER_BYTE = 8
+MAX_SLOTS = 1_000_000
+MAX_COLD_MILLISECONDS = 86_400_000.0
+MAX_WALL_CLOCK_MILLISECONDS = 2**53
+"""Largest integer that all JSON implementations represent exactly."""
+MALFORMED = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""Errors of the decoders for documents of other writers; deeply nested ones exceed the recursion limit."""
 
 
 class _Destination(msgspec.Struct, frozen=True):
@@ -121,11 +128,11 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    cold_left_ms: float
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_MILLISECONDS)]
     # Start time; some deployments omit it.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_CLOCK_MILLISECONDS)] = 0
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -142,7 +149,7 @@
     """
     try:
         document = _configuration_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED as error:
         raise ConfigurationError([f"configuration: {error}"]) from error
     customers = document.tenants or ()
     return FleetConfiguration(
@@ -170,11 +177,10 @@
     """
     try:
         entry = _target_decoder.decode(data)
-        host, _, port = entry.address.rpartition(":")
-        if not host or not port.isdigit():
-            raise ConfigurationError([f"target {target_id}: address {entry.address!r}; allowed: ip:port"])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED as error:
         raise ConfigurationError([f"target {target_id}: {error}"]) from error
+    if not is_address(entry.address):
+        raise ConfigurationError([f"target {target_id}: address {entry.address!r}; allowed: ip:port"])
     return Target(
         target_id=target_id,
         service=entry.service,
--- a/packages/limpetusher-router/src/limpetusher_router/platform/store.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/store.py
@@ -80,7 +80,7 @@
 def _decode(decoder: msgspec.json.Decoder, body: bytes, name: str) -> Any:
     try:
         return decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError(f"malformed {name}") from error
 
 
--- a/tests/router/fleet/test_state.py
+++ b/tests/router/fleet/test_state.py
@@ -50,3 +50,30 @@
     clock.advance(DRAIN_SECONDS)
     state.drop_expired_targets()
     assert "t1" in state.placement.targets
+
+
+def test_odd_entry_does_not_affect_the_others_of_its_batch():
+    """Guards against a router that stops following the store because of one entry of another writer."""
+    state = make_state(ManualClock())
+    entry = json.dumps(target_document("10.0.0.8:80")).encode()
+    nested = entry[:-1] + b', "extra": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    far_port = json.dumps(target_document("10.0.0.9:70000")).encode()
+    state.apply_changes(
+        [
+            Change("servers/odd1", StoredItem("servers/odd1", nested, 6)),
+            Change("servers/odd2", StoredItem("servers/odd2", far_port, 7)),
+            Change("servers/t2", StoredItem("servers/t2", entry, 8)),
+        ]
+    )
+    assert set(state.placement.targets) == {"t1", "t2"}
+
+
+def test_change_that_fails_unexpectedly_does_not_affect_the_others(monkeypatch):
+    """Guards against lost changes, as a copy of the store is not read again after a failure."""
+    state = make_state(ManualClock())
+    monkeypatch.setattr(state, "set_evacuated", lambda *_: 1 / 0)
+    entry = json.dumps(target_document("10.0.0.8:80")).encode()
+    state.apply_changes(
+        [Change("op/evacuate/north", None), Change("servers/t2", StoredItem("servers/t2", entry, 8))]
+    )
+    assert "t2" in state.placement.targets
--- a/tests/router/platform/test_documents.py
+++ b/tests/router/platform/test_documents.py
@@ -80,6 +80,15 @@
         {"slots": "many"},
         {"coldLeftMs": None},
         {"born": 1.5},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:99999999999999999999"},
+        {"address": "10.0.0.1:\u0663"},
+        {"address": "no-address:80"},
+        {"slots": 10**400},
+        {"slots": -1},
+        {"coldLeftMs": 10**30},
+        {"born": 2**64},
     ],
 )
 def test_malformed_target_entry_is_refused(changes):
@@ -87,3 +96,14 @@
     document = {**target_document("10.0.0.1:80"), **changes}
     with pytest.raises(ConfigurationError):
         decode_target("i-1", encode(document), revision=1, now=0.0)
+
+
+@pytest.mark.parametrize(("begin", "end"), [(b"[", b"]"), (b'{"a":', b"}")])
+def test_deeply_nested_documents_are_refused(begin, end):
+    """Guards against a router that stops following the store because of one entry of another writer."""
+    nested = begin * 100_000 + b"1" + end * 100_000
+    entry = encode(target_document("10.0.0.1:80"))[:-1] + b', "extra": ' + nested + b"}"
+    with pytest.raises(ConfigurationError):
+        decode_target("i-1", entry, revision=1, now=0.0)
+    with pytest.raises(ConfigurationError):
+        decode_configuration(b'{"version": 1, "extra": ' + nested + b"}")
