Do not take a refusal without the identifier of the request for its answer

Here a repeated refusal with the earlier identifier was skipped; one without an identifier was taken for the answer.

Change: a rejection counts as 'not run' only if it names the request, unless the request has no identifier.

Evidence: test_earlier_refusal_sent_again_does_not_count_for_the_next_request[None] fails before: 503, ran 'no', for a request that the target answered 0.05 s later.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -178,7 +178,9 @@
         exchange = self.find_exchange(key)
         if exchange is None:
             return
-        failure = classify_failure(exchange.attempt, end, detail)
+        failure = classify_failure(
+            exchange.attempt, end, detail, request_id=exchange.fields.caller_request_id
+        )
         attempt = self.requests.close_attempt(exchange, target_outcome(exchange.attempt, failure))
         if failure is None:
             self.complete_exchange(exchange, attempt)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
@@ -5,6 +5,7 @@
 from limpetusher.fleet.messages import Outcome
 from limpetusher_router.events import AttemptResult
 from limpetusher_router.fleet.exchange import EVENT_STREAM, Exchange, TargetAttempt
+from limpetusher_router.platform import names
 from limpetusher_router.platform.requests import has_seal, requested_backoff_seconds, states_not_run
 
 SERVER_ERROR_STATUSES = range(500, 600)
@@ -42,8 +43,14 @@
     is_cut: bool = False
 
 
-def classify_failure(attempt: TargetAttempt, end: AttemptResult, detail: str) -> AttemptFailure | None:
-    """Return why an attempt failed, None for a complete answer of its target."""
+def classify_failure(
+    attempt: TargetAttempt, end: AttemptResult, detail: str, *, request_id: str = ""
+) -> AttemptFailure | None:
+    """Return why an attempt failed, None for a complete answer of its target.
+
+    A rejection without `request_id`, the identifier of the request, may be one of an earlier request that
+    the target has sent again.
+    """
     head = attempt.head
     if end in (AttemptResult.UNREACHABLE, AttemptResult.EXPIRED):
         return AttemptFailure(
@@ -56,6 +63,8 @@
             is_unreachable=head is None,
             is_cut=end is AttemptResult.CUT,
         )
+    if states_not_run(head) and request_id and names.REQUEST_ID not in head.headers:
+        return AttemptFailure("rejected without the identifier of the request", may_have_run=True)
     if states_not_run(head):
         return AttemptFailure(f"rejected with {head.status}", may_have_run=False)
     if not has_seal(head) and head.status not in SERVER_ERROR_STATUSES:
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -514,3 +514,29 @@
         at = rejected_at[0]
         assert not [when for name, when in answered if name == "t1" and at < when < at + 1.45]
         assert [when for name, when in answered if name == "t1" and when > at]
+
+
+@pytest.mark.parametrize("identifier", ["x-request-id: first", None])
+def test_earlier_refusal_sent_again_does_not_count_for_the_next_request(tmp_path, identifier):
+    """Guards against "not run" for a request that a target runs, and against running it at a second one."""
+    refusal = ["HTTP/1.1 503 Service Unavailable", "x-not-executed: 1", "content-length: 0"]
+    refusal += [identifier] if identifier else []
+    refusal_bytes = "\r\n".join([*refusal, "", ""]).encode()
+
+    def script(call, _number) -> None:
+        if call.headers["x-request-id"] == "first":
+            call.sock.sendall("\r\n".join([*refusal[:3], "x-request-id: first", "", ""]).encode())
+            return
+        call.sock.sendall(refusal_bytes)
+        time.sleep(0.05)
+        with contextlib.suppress(OSError):
+            call.answer(b"ran")
+
+    with fleet_run(tmp_path, script) as run:
+        assert run.ask("/unsafe/1", method="POST", body="x", x_request_id="first")[0] == 503
+        run.calls.clear()
+        status, body = run.ask("/unsafe/1", method="POST", body="x", x_request_id="second")
+        assert (status, body) == (200, b"ran") or (
+            status == 502 and json.loads(body)["error"]["ran"] == "unknown"
+        )
+        assert sum(call.headers["x-request-id"] == "second" for call in run.calls) == 1
