Abort a stream that its targets do not complete

A stream that ended inside an event, with or without chunks, reached the caller as complete with half an event.

Change: only a sealed stream can continue a stream that the caller has received in part, and a stream that ends inside an event counts as broken off. It is resumed if its route allows it, and the answer is aborted otherwise.

Evidence: six of the added tests fail before (four statuses, an unframed and a chunked stream with half an event).

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -15,7 +15,7 @@
     SendHead,
     SendPart,
 )
-from limpetusher_router.fleet.exchange import Exchange, TargetAttempt
+from limpetusher_router.fleet.exchange import Exchange, TargetAttempt, is_event_stream
 from limpetusher_router.fleet.outcomes import (
     SERVER_ERROR_STATUSES,
     AttemptFailure,
@@ -180,7 +180,7 @@
             return
         failure = classify_failure(
             exchange.attempt, end, detail, request_id=exchange.fields.caller_request_id
-        )
+        ) or self.stream_failure(exchange)
         attempt = self.requests.close_attempt(exchange, target_outcome(exchange.attempt, failure))
         if failure is None:
             self.complete_exchange(exchange, attempt)
@@ -189,6 +189,19 @@
             self.suspend_target(attempt, detail)
         self.requests.handle_attempt_failure(exchange, attempt, failure)
 
+    def stream_failure(self, exchange: Exchange) -> AttemptFailure | None:
+        """Return why a complete answer can't end the stream of an exchange, None if it can.
+
+        A stream that ends inside an event has been broken off. Only a stream can continue one that the caller
+        has already received in part.
+        """
+        head = exchange.attempt.head
+        if is_event_stream(head) and exchange.relay.buffer:
+            return AttemptFailure("cut: the stream ended inside an event", may_have_run=True)
+        if exchange.relay.event_count and not (is_event_stream(head) and has_seal(head)):
+            return AttemptFailure(f"status {head.status} instead of the rest of a stream", may_have_run=True)
+        return None
+
     def suspend_target(self, attempt: TargetAttempt, reason: str) -> None:
         """Request no grants for a while on a target that could not be reached or did not answer."""
         now = self.clock.monotonic()
@@ -213,12 +226,9 @@
             return
         self.requests.remove_exchange(exchange)
         if exchange.is_head_sent:
-            remainder = exchange.relay.take_remainder()
-            if remainder:
-                self.fire(SendPart(exchange.request_id, remainder), CALLERS)
             self.fire(SendEnd(exchange.request_id), CALLERS)
         else:
-            body = bytes(attempt.buffer) or exchange.relay.take_remainder()
+            body = bytes(attempt.buffer)
             answer = SendAnswer(exchange.request_id, head.status, end_to_end_headers(head.headers), body)
             self.fire(answer, CALLERS)
         self.requests.log_outcome(Event.REQUEST_FINISHED, exchange, status=head.status)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/event_relay.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/event_relay.py
@@ -42,9 +42,3 @@
     def discard_partial_event(self) -> None:
         """Discard the incomplete event of an attempt that was cut off."""
         self.buffer.clear()
-
-    def take_remainder(self) -> bytes:
-        """Remove and return what follows the last whole event; used at the end of a complete answer."""
-        rest = bytes(self.buffer)
-        self.buffer.clear()
-        return rest
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -13,6 +13,11 @@
 EVENT_STREAM = "text/event-stream"
 
 
+def is_event_stream(head: AnswerHead) -> bool:
+    """Return whether an answer is a stream of events."""
+    return head.status == 200 and head.content_type == EVENT_STREAM
+
+
 @dataclass(slots=True)
 class TargetAttempt:
     """One attempt to run a request on a target; times are readings of the monotonic clock."""
@@ -74,8 +79,7 @@
     @property
     def is_stream(self) -> bool:
         """Return whether the current answer is a stream of events."""
-        head = self.attempt.head
-        return head.status == 200 and head.content_type == EVENT_STREAM
+        return is_event_stream(self.attempt.head)
 
     @property
     def last_event_id(self) -> str | None:
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -516,6 +516,92 @@
         assert [when for name, when in answered if name == "t1" and when > at]
 
 
+def break_off(call, *, resumed) -> None:
+    """Send three events and break off; `resumed` answers the request that resumes the stream."""
+    if "last-event-id" in call.headers:
+        resumed(call)
+        return
+    call.begin_stream()
+    call.send_events(1, 3)
+    time.sleep(0.1)
+    call.cut_connection()
+
+
+@pytest.mark.parametrize(
+    ("status", "fields"),
+    [
+        ("500 Internal Server Error", ()),
+        ("404 Not Found", ()),
+        ("400 Bad Request", ("content-type: text/event-stream",)),
+        ("200 OK", ("content-type: text/plain",)),
+        ("503 Service Unavailable", ("x-not-executed: 1",)),
+        ("204 No Content", ()),
+    ],
+)
+def test_error_of_the_next_target_is_not_part_of_a_resumed_stream(tmp_path, status, fields):
+    """Guards against an error text within a stream, and against a stream that looks complete after it."""
+
+    def script(call, _number) -> None:
+        body = b"" if status.startswith("204") else b"id: 9\ndata: error text\n\n"
+        break_off(call, resumed=lambda call: call.answer(body, *fields, status=status))
+
+    with fleet_run(tmp_path, script) as run:
+        _status, body = run.ask("/stream/1", method="POST", body="x")
+        assert unchunk(body) == (b"".join(event(number) for number in range(1, 4)), False)
+
+
+def begin_unframed_stream(call) -> None:
+    """Send the head of an event stream with neither a length nor chunks."""
+    lines = ["HTTP/1.1 200 OK", SEAL, f"x-request-id: {call.headers['x-request-id']}"]
+    call.sock.sendall("\r\n".join([*lines, "content-type: text/event-stream", "", ""]).encode())
+
+
+def test_unframed_stream_ends_with_its_connection(tmp_path):
+    def script(call, _number) -> None:
+        begin_unframed_stream(call)
+        call.sock.sendall(b"".join(event(number) for number in range(1, 4)))
+        call.cut_connection()
+
+    with fleet_run(tmp_path, script) as run:
+        _status, body = run.ask("/stream/1", method="POST", body="x")
+        assert unchunk(body) == (b"".join(event(number) for number in range(1, 4)), True)
+        assert len(run.calls) == 1
+
+
+def test_stream_that_ends_inside_an_event_is_resumed(tmp_path):
+    """Guards against a stream that broke off and reaches the caller as a complete one with half an event."""
+
+    def script(call, _number) -> None:
+        first = int(call.headers.get("last-event-id", 0)) + 1
+        if first == 1:
+            begin_unframed_stream(call)
+            call.sock.sendall(b"".join(event(number) for number in range(1, 4)) + event(4)[:9])
+            call.cut_connection()
+        else:
+            call.begin_stream()
+            call.send_events(first, 6)
+            call.end_stream()
+
+    with fleet_run(tmp_path, script) as run:
+        _status, body = run.ask("/stream/1", method="POST", body="x")
+        assert unchunk(body) == (b"".join(event(number) for number in range(1, 7)), True)
+
+
+def test_chunked_stream_that_ends_inside_an_event_does_not_look_complete(tmp_path):
+    """Guards against half an event at the end of a stream that can't be resumed."""
+
+    def script(call, _number) -> None:
+        call.begin_stream()
+        call.send_events(1, 3)
+        call.send_chunk(event(4)[:9])
+        call.end_stream()
+
+    with fleet_run(tmp_path, script) as run:
+        run.apply_routes(route_document(kind="streaming", resumable=False))
+        _status, body = run.ask("/safe/1", method="POST", body="x")
+        assert unchunk(body) == (b"".join(event(number) for number in range(1, 4)), False)
+
+
 @pytest.mark.parametrize("identifier", ["x-request-id: first", None])
 def test_earlier_refusal_sent_again_does_not_count_for_the_next_request(tmp_path, identifier):
     """Guards against "not run" for a request that a target runs, and against running it at a second one."""
