--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -26,7 +26,6 @@
 )
 from limpetusher.fleet.model import Pool
 from limpetusher.fleet.process.members import GOSSIP_INTERVAL_SECONDS
-from limpetusher.fleet.process.placement_summary import PlacementSummary
 from limpetusher_router.events import (
     PEER_EXCHANGE,
     REQUESTS,
@@ -35,6 +34,7 @@
     TransmitPeerMessages,
 )
 from limpetusher_router.fleet.datagrams import DatagramSocket
+from limpetusher_router.fleet.placement_runs import PlacementRuns
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.fleet.store_reader import RELAYS_PER_DATA_CENTRE, StoreReader
 from limpetusher_router.process.deadlines import Deadline, Deadlines
@@ -63,15 +63,6 @@
 """Time between two messages to the other schedulers of a service on how much each customer was served."""
 MINIMUM_CORRECTION_INTERVAL_SECONDS = 0.2
 """Minimum time between two corrections sent to a router that asks the wrong scheduler."""
-MINIMUM_PLACEMENT_INTERVAL_SECONDS = 0.004
-"""Minimum time between two placement runs, which assign waiting requests to targets."""
-PLACEMENT_COST_FACTOR = 2.0
-"""Minimum time between two placement runs as a multiple of the duration of the last one, so that most of the
-processor is left to other events."""
-PLACEMENT_POLL_SECONDS = 0.01
-"""Time between two placement runs while requests wait, as cooldowns of engines end without an event."""
-PLACEMENT_SUMMARY_INTERVAL_SECONDS = 1.0
-
 PLACEMENT_RUN = "place"
 """Subject of the deadline of a placement run."""
 
@@ -115,7 +106,6 @@
         self.store = store
         self.clock = clock
         self.deadlines = deadlines
-        self.metrics = metrics
         self.links: dict[str, Link] = {}
         self.pending_addresses: set[str] = set()
         """Addresses of links that may have something to send."""
@@ -126,14 +116,11 @@
         """Deadline of the next tick, which checks the links, schedulers and clients."""
         self.last_gossip_at = 0.0
         self.last_served_tokens_at = 0.0
-        self.last_placement_at = 0.0
         self.last_correction_at: dict[str, float] = {}
         """When each router was last told that it asked the wrong scheduler."""
-        self.placement_interval_seconds = MINIMUM_PLACEMENT_INTERVAL_SECONDS
+        self.placement_runs = PlacementRuns(state, clock=clock, metrics=metrics)
         self.next_placement: Deadline | None = None
         """Deadline of the next placement run."""
-        self.placement_summary = PlacementSummary()
-        self.last_placement_summary_at = 0.0
 
     @property
     def own_address(self) -> str:
@@ -214,25 +201,14 @@
         scheduler = self.state.scheduler
         if not scheduler.has_waiting:
             return
-        if now < self.last_placement_at + self.placement_interval_seconds:
-            self.schedule_placement_by(self.last_placement_at + self.placement_interval_seconds)
+        runs = self.placement_runs
+        if now < runs.earliest_at:
+            self.schedule_placement_by(runs.earliest_at)
             return
-        waiting = scheduler.waiting.count
-        answers = scheduler.decide(now)
-        self.last_placement_at = self.clock.monotonic()
-        run_seconds = self.last_placement_at - now
-        self.placement_interval_seconds = max(
-            MINIMUM_PLACEMENT_INTERVAL_SECONDS, PLACEMENT_COST_FACTOR * run_seconds
-        )
-        self.placement_summary.record_run(run_seconds, waiting, answers)
-        self.metrics.placement_runs += 1
-        self.metrics.placement_seconds += run_seconds
-        for address, answer in answers:
+        for address, answer in runs.run(now):
             self.send(address, answer)
         if scheduler.has_waiting:
-            self.schedule_placement_by(
-                self.last_placement_at + max(self.placement_interval_seconds, PLACEMENT_POLL_SECONDS)
-            )
+            self.schedule_placement_by(runs.next_poll_at)
 
     def schedule_placement_by(self, when: float) -> None:
         """Schedule a placement run at `when` unless an earlier one is scheduled."""
@@ -242,30 +218,6 @@
             self.next_placement.cancel()
         self.next_placement = self.deadlines.schedule(when, DeadlineReached(PLACEMENT_RUN), PEER_EXCHANGE)
 
-    def log_placement_summary(self, now: float) -> None:
-        """Log the placement runs since the last summary, if there were any."""
-        summary, self.placement_summary = self.placement_summary, PlacementSummary()
-        if not summary.runs:
-            return
-        placement = self.state.placement
-        lowest_rate, highest_rate = placement.rates.measured_range
-        log_event(
-            Event.PLACEMENT_SUMMARY,
-            runs=summary.runs,
-            run_seconds=round(summary.run_seconds, 4),
-            longest_run=round(summary.longest_run_seconds, 4),
-            waiting=summary.max_waiting,
-            started=summary.started,
-            refused=summary.refused,
-            lowest_rate=round(lowest_rate),
-            highest_rate=round(highest_rate),
-            cooldown=round(placement.bursts.cooldowns.max_ratio, 3),
-            targets={
-                str(pool): dict(placement.view(pool, now).availability())
-                for pool in self.state.scheduler.waiting.by_pool
-            },
-        )
-
     @handler("DatagramsReceived")
     def on_datagrams(self, received: list[tuple[str, Datagram]]) -> None:
         """Handle datagrams of peers."""
@@ -389,9 +341,7 @@
         if now >= self.last_served_tokens_at + SERVED_TOKENS_INTERVAL_SECONDS:
             self.last_served_tokens_at = now
             self.send_served_tokens(now)
-        if now >= self.last_placement_summary_at + PLACEMENT_SUMMARY_INTERVAL_SECONDS:
-            self.last_placement_summary_at = now
-            self.log_placement_summary(now)
+        self.placement_runs.log_summary(now)
         self.pending_addresses.update(
             address for address, link in self.links.items() if link.resend_at <= now
         )
--- a/tests/router/fleet/test_placement_runs.py
+++ b/tests/router/fleet/test_placement_runs.py
@@ -55,10 +55,10 @@
         for record in caplog.records
         if getattr(record, "event", None) is Event.PLACEMENT_SUMMARY
     ]
-    assert sum(summary["runs"] for summary in summaries) == router.peers.metrics.placement_runs
+    assert sum(summary["runs"] for summary in summaries) == router.peers.placement_runs.metrics.placement_runs
     assert sum(summary["refused"] for summary in summaries) == 1
     assert max(summary["waiting"] for summary in summaries) == 1
-    assert summaries[0]["run_seconds"] == pytest.approx(router.peers.metrics.placement_seconds)
+    assert summaries[0]["run_seconds"] == pytest.approx(router.peers.placement_runs.metrics.placement_seconds)
 
 
 class UnevenLoad:
