Let a request start after a quarantine, and forget old signs of life

Found by reading: after a quarantine, its remaining time was negative and counted as a reason to refuse the one request that may start then. The last outputs of targets were kept for good.

test_one_request_starts_after_a_quarantine_and_renews_it_if_it_crashes_its_engine asserts 0 now, which fails before.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_quarantine.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_quarantine.py
@@ -92,10 +92,8 @@
 
     def remaining_seconds(self, parts: frozenset[PartKey], now: float) -> float:
         """Return the time for which requests with the parts are refused, 0 if they are not."""
-        return max(
-            (quarantine.until - now for quarantine in self.quarantines if quarantine.parts <= parts),
-            default=0.0,
-        )
+        remaining = (quarantine.until - now for quarantine in self.quarantines if quarantine.parts <= parts)
+        return max(0.0, max(remaining, default=0.0))
 
     def suspects(self, parts: frozenset[PartKey]) -> set[PartKey]:
         """Return the suspect parts among the given ones."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -23,6 +23,7 @@
 from limpetusher.fleet.process.pools import Pools
 from limpetusher.fleet.process.prefill_cooldowns import COOLDOWN_ADJUST_INTERVAL_SECONDS
 from limpetusher.fleet.process.prompt_quarantine import (
+    MAX_CONFIRMATION_SECONDS,
     MAX_QUARANTINE_SECONDS,
     SAME_CRASH_SECONDS,
     PromptQuarantine,
@@ -102,7 +103,7 @@
 
     @property
     def is_active(self) -> bool:
-        """Return whether any request is waiting or open."""
+        """Return whether any request is waiting or open, or a crash has to be confirmed."""
         return bool(self.jobs) or bool(self.quarantine.broken)
 
     @property
@@ -250,6 +251,8 @@
         if now < self.cooldowns_adjusted_at + COOLDOWN_ADJUST_INTERVAL_SECONDS:
             return
         self.cooldowns_adjusted_at = now
+        oldest = now - MAX_CONFIRMATION_SECONDS - SAME_CRASH_SECONDS
+        self.alive_at = {target_id: at for target_id, at in self.alive_at.items() if at >= oldest}
         cooldowns = self.placement.bursts.cooldowns
         speedups: dict[str, list[float]] = {target_id: [] for target_id in cooldowns.ratios}
         for job in self.jobs.values():
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -197,7 +197,7 @@
         if answer.is_retry_budget_spent:
             self.may_repeat[target_request.pool] = False
         else:
-            if answer.closed_seconds > 0 and scheduler == target_request.scheduler != self.own_address:
+            if answer.closed_seconds > 0 and scheduler != self.own_address:
                 self.closed[target_request.pool, target_request.customer] = ClosedPool(
                     now + answer.closed_seconds, target_request.goal_seconds, answer
                 )
--- a/tests/router/fleet/test_prompt_quarantine.py
+++ b/tests/router/fleet/test_prompt_quarantine.py
@@ -216,7 +216,7 @@
     parts = frozenset({("engines", DEADLY_PART)})
     (first,) = quarantine.entries(quarantine.take_changed(), 30.2)
     later = 30.2 + first.seconds + 1.0
-    assert quarantine.remaining_seconds(parts, later) <= 0
+    assert quarantine.remaining_seconds(parts, later) == 0.0
     quarantine.record_start(("10.0.0.1", "probe"), parts)
     assert not quarantine.may_start(("10.0.0.1", "other"), parts)
     quarantine.record_broken("e9", ("10.0.0.1", "probe"), parts, later)
