--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -1,5 +1,9 @@
 """Builders of test data for the fleet package."""
 
+import sys
+from collections.abc import Callable
+from typing import TypeVar
+
 from limpetusher.fleet.model import (
     CallerLimits,
     Destination,
@@ -24,6 +28,8 @@
 MEMORY_TOKENS = 240_000
 COLD_PER_SECOND = 9.0
 
+Result = TypeVar("Result")
+
 
 def make_route(**changes: object) -> Route:
     values = {
@@ -110,3 +116,28 @@
 def make_waiting(placement: Placement | None = None) -> WaitingRequests:
     placement = placement or make_placement()
     return WaitingRequests(placement.settings, placement, ServedTokens(), PromptQuarantine())
+
+
+def sessions_by_engine(placement: Placement, count: int) -> dict[str, list[str]]:
+    """Return the names of `count` sessions by the engine that is ranked first for them."""
+    sessions: dict[str, list[str]] = {target_id: [] for target_id in placement.targets}
+    for number in range(count):
+        session = f"s{number}"
+        sessions[placement.ranking(make_request(session=session))[0]].append(session)
+    return sessions
+
+
+def count_calls(function: Callable[[], Result]) -> tuple[Result, int]:
+    """Call a function; return its result and the number of function calls that it has made."""
+    calls = 0
+
+    def count(_frame: object, event: str, _argument: object) -> None:
+        nonlocal calls
+        calls += event in ("call", "c_call")
+
+    sys.setprofile(count)
+    try:
+        result = function()
+    finally:
+        sys.setprofile(None)
+    return result, calls
--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -6,12 +6,11 @@
 import heapq
 import itertools
 import random
-import sys
 from types import SimpleNamespace
 
 from circuits.core import BaseComponent, handler
 
-from builders_fleet import make_service, make_target
+from builders_fleet import count_calls, make_service, make_target
 from builders_platform import make_host_settings
 from limpetusher.clock import ManualClock
 from limpetusher.fleet.messages import Outcome, TargetGrant, TargetRefusal
@@ -106,21 +105,11 @@
     def slow_down_placement(self, seconds: float) -> None:
         """Let time pass for each function call of a placement run, as on a host with little processor."""
         decide = self.state.scheduler.decide
-        calls = 0
-
-        def count(_frame: object, event: str, _argument: object) -> None:
-            nonlocal calls
-            calls += event in ("call", "c_call")
 
         def decide_slowly(now: float) -> list:
-            nonlocal calls
-            calls = 0
-            sys.setprofile(count)
-            try:
-                return decide(now)
-            finally:
-                sys.setprofile(None)
-                self.clock.advance(calls * seconds)
+            answers, calls = count_calls(lambda: decide(now))
+            self.clock.advance(calls * seconds)
+            return answers
 
         self.state.scheduler.decide = decide_slowly
 
--- a/tests/fleet/request/test_waiting_requests.py
+++ b/tests/fleet/request/test_waiting_requests.py
@@ -1,12 +1,19 @@
 """Tests of the order of starts and of refusals, by simulated load on simulated engines."""
 
 import random
-import sys
 from collections import Counter
 
 import pytest
 
-from builders_fleet import ENGINES, make_placement, make_request, make_target, make_waiting
+from builders_fleet import (
+    ENGINES,
+    count_calls,
+    make_placement,
+    make_request,
+    make_target,
+    make_waiting,
+    sessions_by_engine,
+)
 from limpetusher.fleet.process.target_loads import TargetLoad
 from limpetusher.fleet.request.waiting_requests import (
     MAX_CONSIDERED_REQUESTS,
@@ -168,10 +175,7 @@
 def test_long_queue_of_a_customer_does_not_count_as_service():
     """Guards against a customer that comes last because many of its requests wait for a busy engine."""
     placement = make_placement(2, settings=FleetSettings(max_candidates=1))
-    sessions = {"e1": [], "e2": []}
-    for number in range(400):
-        request = make_request(session=f"s{number}")
-        sessions[placement.ranking(request)[0]].append(f"s{number}")
+    sessions = sessions_by_engine(placement, 400)
     placement.take_over("e1", TargetLoad(1, 50_000, 0), 0.0)
     waiting = make_waiting(placement)
     waiting.served.add("other", 100_000.0)
@@ -233,18 +237,8 @@
     for number in range(waiting_requests):
         customer = f"c{number % 10}"
         waiting.add(make_request(f"w{number}", session=f"{customer}-{number % 4}", customer=customer))
-    calls = 0
-
-    def count(_frame: object, event: str, _argument: object) -> None:
-        nonlocal calls
-        calls += event in ("call", "c_call")
-
     waiting.refusals_scanned_at[ENGINES] = 0.01
-    sys.setprofile(count)
-    try:
-        waiting.decide(0.01)
-    finally:
-        sys.setprofile(None)
+    _decisions, calls = count_calls(lambda: waiting.decide(0.01))
     return calls
 
 
@@ -257,10 +251,7 @@
 def test_requests_beyond_the_limit_of_a_run_are_considered_in_the_next(interval):
     """Guards against requests that are never considered because others always come before them."""
     placement = make_placement(2, settings=FleetSettings(max_candidates=1))
-    sessions = {"e1": [], "e2": []}
-    for number in range(2_000):
-        request = make_request(session=f"s{number}")
-        sessions[placement.ranking(request)[0]].append(f"s{number}")
+    sessions = sessions_by_engine(placement, 2_000)
     placement.take_over("e1", TargetLoad(1, 4_000, 0), 0.0)
     waiting = make_waiting(placement)
     waiting.served.add("other", 100_000.0)
