Compute the tokens to prefill of a request at an engine in one place

score_engines repeated SessionEngine.prefill_tokens, and the tokens of the best engine were computed twice. No decision changes; 179 tests of the scheduling and of the fleet in memory passed.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -255,10 +255,10 @@
         if not scored:
             return None
         _cost, _index, best = min(scored)
-        if self.admits_tokens(request, view, best.state, best.prefill_tokens(request)):
+        request.awaited_tokens = best.prefill_tokens(request)
+        if self.admits_tokens(request, view, best.state, request.awaited_tokens):
             return self.engine_choice(request, best)
         request.awaited_id = best.state.target.target_id
-        request.awaited_tokens = best.prefill_tokens(request)
         if view.now < self.earliest_idle_start(request):
             return None
         for _cost, _index, engine in sorted(scored):
@@ -318,7 +318,7 @@
             load = state.load
             if not state.has_room or (load.requests and load.memory_tokens > memory_limit):
                 continue
-            prefill_tokens = max(request.prompt_tokens - engine.cached_tokens, 1)
+            prefill_tokens = engine.prefill_tokens(request)
             seconds = (load.prefill_tokens + uncached_token_cost * prefill_tokens) / state.speed.rate
             scored.append((seconds + state.error_cost, rank, engine))
         return scored
