Log the request rates that targets announce

Event 1324 names a target, the requests per second that it takes from all routers together, and the router that learned of it; the adapter decodes the header. Without it, a limit that no router reads can't be told from one that each router keeps for itself. No decision is changed.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -64,6 +64,8 @@
         """Targets that have announced in an answer that they are leaving, until they restart."""
         self.backoff_until: dict[str, float] = {}
         """Times until which overloaded targets have asked for no requests."""
+        self.rate_limits: dict[str, float] = {}
+        """Requests per second that targets have announced as the limit for all routers together."""
         self.health: dict[str, TargetHealth] = {}
         self.loads = TargetLoads()
         self.rates = PrefillRates(settings)
@@ -79,6 +81,7 @@
             self.caches.forget(target.target_id)
             self.leaving.discard(target.target_id)
             self.backoff_until.pop(target.target_id, None)
+            self.rate_limits.pop(target.target_id, None)
         if previous is not None and previous.service != target.service:
             self.drop_from_service(previous)
         self.targets[target.target_id] = target
@@ -100,6 +103,16 @@
         if target_id in self.targets:
             self.backoff_until[target_id] = max(until, self.backoff_until.get(target_id, 0.0))
 
+    def set_rate_limit(self, target_id: str, per_second: float) -> bool:
+        """Record the announced request rate of a target, infinite for none; return whether it has changed."""
+        if target_id not in self.targets or per_second == self.rate_limits.get(target_id, math.inf):
+            return False
+        if per_second < math.inf:
+            self.rate_limits[target_id] = per_second
+        else:
+            del self.rate_limits[target_id]
+        return True
+
     def remove_target(self, target_id: str) -> None:
         """Remove a target and all state about it."""
         previous = self.targets.pop(target_id, None)
@@ -113,6 +126,7 @@
             self.cold_limiter.forget(target_id)
             self.leaving.discard(target_id)
             self.backoff_until.pop(target_id, None)
+            self.rate_limits.pop(target_id, None)
             self.invalidate_derived_state()
 
     def drop_from_service(self, target: Target) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -1,5 +1,7 @@
 """Forwarding of targets' answers to callers."""
 
+import math
+
 from circuits.core import BaseComponent, handler
 
 from limpetusher.clock import Clock
@@ -27,6 +29,7 @@
 from limpetusher_router.fleet.requests import FleetRequests
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.platform.requests import (
+    announced_rate_limit,
     announces_leaving,
     end_to_end_headers,
     has_seal,
@@ -98,6 +101,7 @@
             self.state.settings, attempt.last_received_at
         )
         self.handle_target_notice(exchange, head)
+        self.handle_rate_limit(exchange, head)
 
     def handle_target_notice(self, exchange: Exchange, head: AnswerHead) -> None:
         """Apply a target's notice that it leaves or asks for a back-off, and forward it to the scheduler."""
@@ -112,6 +116,12 @@
                 exchange.target_request.scheduler, TargetNotice(target_id, leaves, backoff_seconds)
             )
 
+    def handle_rate_limit(self, exchange: Exchange, head: AnswerHead) -> None:
+        """Record the request rate that a target announces, or that its answer no longer names one."""
+        limit = announced_rate_limit(head)
+        if limit < math.inf or has_seal(head):
+            self.state.record_rate_limit(exchange.attempt.target.target_id, limit)
+
     @handler("AnswerPartReceived")
     def on_answer_part(self, key: AttemptKey, data: bytes) -> None:
         """Forward a part of an answer, or buffer it while it can't be forwarded yet."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -110,6 +110,12 @@
             and not self.placement.is_backing_off(target_id, now)
         )
 
+    def record_rate_limit(self, target_id: str, per_second: float) -> None:
+        """Record the request rate that a target has named in an answer, infinite if it names none."""
+        if self.placement.set_rate_limit(target_id, per_second):
+            limit = per_second if per_second < math.inf else None
+            log_event(Event.TARGET_RATE_LIMITED, target=target_id, limit=limit)
+
     def quarantine_seconds(self, target_request: TargetRequest, now: float) -> float:
         """Return for how long requests with the parts of a prompt are refused, 0 if they are not."""
         quarantine = self.scheduler.quarantine
--- a/packages/limpetusher-router/src/limpetusher_router/platform/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/requests.py
@@ -1,5 +1,6 @@
 """Decoding and encoding of the platform's headers in requests of callers and answers of targets."""
 
+import math
 from dataclasses import dataclass
 
 from limpetusher.fleet.model import PromptPart, Target, session_of
@@ -167,6 +168,18 @@
     return min(seconds, MAXIMUM_BACKOFF_SECONDS) if seconds > 0 else 0.0
 
 
+def announced_rate_limit(head: AnswerHead) -> float:
+    """Return the requests per second that a target takes from all routers, infinite without a limit.
+
+    Values that are not a number of at least 0 state no limit.
+    """
+    try:
+        per_second = float(head.headers.get(names.REQUEST_RATE_LIMIT, "inf"))
+    except ValueError:
+        return math.inf
+    return per_second if per_second >= 0 else math.inf
+
+
 def has_seal(head: AnswerHead) -> bool:
     """Return whether an answer has the seal header that targets set."""
     return names.SEAL in head.headers
--- a/tests/router/platform/test_requests.py
+++ b/tests/router/platform/test_requests.py
@@ -1,11 +1,14 @@
 """Tests of decoding and encoding the platform's request headers."""
 
+import math
+
 import pytest
 
 from builders_fleet import make_target
 from limpetusher.fleet.model import PromptPart
-from limpetusher_router.connection.framing import parse_request_head
+from limpetusher_router.connection.framing import parse_answer_head, parse_request_head
 from limpetusher_router.platform.requests import (
+    announced_rate_limit,
     decode_parts,
     decode_request,
     decode_tokens,
@@ -84,3 +87,20 @@
         "last-event-id": "12",
         "content-length": "4",
     }
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ((), math.inf),
+        (("Server-Limit: 3.2",), 3.2),
+        (("Server-Limit: 0",), 0.0),
+        (("Server-Limit: -1",), math.inf),
+        (("Server-Limit: nan",), math.inf),
+        (("Server-Limit: few",), math.inf),
+    ],
+)
+def test_announced_rate_limit_is_decoded(fields, expected):
+    """Guards against a malformed limit that stops or corrupts the scheduling of its target."""
+    lines = ["HTTP/1.1 200 OK", "Content-Length: 0", *fields, "", ""]
+    assert announced_rate_limit(parse_answer_head("\r\n".join(lines).encode())) == expected
