Limit the requests of the whole fleet to the rate that a target names

Callers were not wronged by it directly: targets in need got several times the requests that they had asked for. Cause: no router decoded the limit, and rate limits existed for cold targets only. Change: the router that learns of a limit from an answer tells the scheduler of the target. The scheduler spaces the requests of all routers, as it does for cold targets, and tells all routers, since any of them may become the scheduler; routers that join are told as well. An answer to a request that was sent before the last change is ignored, as it may be older than the change. The limiter no longer loses the time by which a request starts late.

Ruled out: a limit kept by each router for itself (the sum of 8 to 195 routers is a multiple), and one known to the scheduler alone (the tests that kill, restart or stop it three times).

--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 MAX_TOKENS = 10**9
 """Upper bound of valid token counts."""
 
@@ -179,6 +179,34 @@
         return all(math.isfinite(entry.seconds) and entry.seconds >= 0 for entry in self.entries)
 
 
+class RateLimitNotice(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Tells a scheduler which request rate a target has named, infinite if it names none any more."""
+
+    target_id: str
+    per_second: float
+
+    @property
+    def has_valid_numbers(self) -> bool:
+        """Return whether the number is valid."""
+        return self.per_second >= 0
+
+
+class RateLimitUpdate(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Request rates of targets that a router tells others.
+
+    A scheduler tells all routers of changes. A router that joins is told the limits in force.
+    """
+
+    is_change: bool
+    limits: tuple[tuple[str, float], ...]
+    """Targets and their requests per second, infinite without a limit."""
+
+    @property
+    def has_valid_numbers(self) -> bool:
+        """Return whether all numbers are valid."""
+        return all(per_second >= 0 for _target_id, per_second in self.limits)
+
+
 Message = (
     TargetQuery
     | TargetGrant
@@ -191,6 +219,8 @@
     | Ping
     | ServedTokensUpdate
     | QuarantineUpdate
+    | RateLimitNotice
+    | RateLimitUpdate
 )
 
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass
 
 from limpetusher.fleet.model import Pool, QueuedRequest, Service, Target
+from limpetusher.fleet.process.announced_limits import AnnouncedLimits
 from limpetusher.fleet.process.pool_view import PoolView, SessionEngine, TargetView
 from limpetusher.fleet.process.prefill_bursts import UNKNOWN_SPEED, PrefillBursts
 from limpetusher.fleet.process.prefill_intervals import PrefillIntervals
 from limpetusher.fleet.process.prefill_rates import PrefillRates
 from limpetusher.fleet.process.prompt_caches import PromptCaches
-from limpetusher.fleet.process.rate_limits import ColdTargetLimiter
+from limpetusher.fleet.process.rate_limits import TargetRateLimiter
 from limpetusher.fleet.process.target_health import TargetHealth
 from limpetusher.fleet.process.target_loads import TargetLoad, TargetLoads
 from limpetusher.fleet.process.transfers import TransferSource, prefill_tokens_with_transfer
@@ -64,15 +65,14 @@
         """Targets that have announced in an answer that they are leaving, until they restart."""
         self.backoff_until: dict[str, float] = {}
         """Times until which overloaded targets have asked for no requests."""
-        self.rate_limits: dict[str, float] = {}
-        """Requests per second that targets have announced as the limit for all routers together."""
+        self.limits = AnnouncedLimits()
         self.health: dict[str, TargetHealth] = {}
         self.loads = TargetLoads()
         self.rates = PrefillRates(settings)
         self.bursts = PrefillBursts(settings)
         self.intervals = PrefillIntervals()
         self.caches = PromptCaches()
-        self.cold_limiter = ColdTargetLimiter()
+        self.rate_limiter = TargetRateLimiter()
 
     def put_target(self, target: Target) -> None:
         """Add or update a target."""
@@ -81,7 +81,7 @@
             self.caches.forget(target.target_id)
             self.leaving.discard(target.target_id)
             self.backoff_until.pop(target.target_id, None)
-            self.rate_limits.pop(target.target_id, None)
+            self.limits.forget(target.target_id)
         if previous is not None and previous.service != target.service:
             self.drop_from_service(previous)
         self.targets[target.target_id] = target
@@ -103,16 +103,6 @@
         if target_id in self.targets:
             self.backoff_until[target_id] = max(until, self.backoff_until.get(target_id, 0.0))
 
-    def set_rate_limit(self, target_id: str, per_second: float) -> bool:
-        """Record the announced request rate of a target, infinite for none; return whether it has changed."""
-        if target_id not in self.targets or per_second == self.rate_limits.get(target_id, math.inf):
-            return False
-        if per_second < math.inf:
-            self.rate_limits[target_id] = per_second
-        else:
-            del self.rate_limits[target_id]
-        return True
-
     def remove_target(self, target_id: str) -> None:
         """Remove a target and all state about it."""
         previous = self.targets.pop(target_id, None)
@@ -123,10 +113,10 @@
             self.bursts.forget(target_id)
             self.intervals.forget(target_id)
             self.caches.forget(target_id)
-            self.cold_limiter.forget(target_id)
+            self.rate_limiter.forget(target_id)
             self.leaving.discard(target_id)
             self.backoff_until.pop(target_id, None)
-            self.rate_limits.pop(target_id, None)
+            self.limits.forget(target_id)
             self.invalidate_derived_state()
 
     def drop_from_service(self, target: Target) -> None:
@@ -423,9 +413,18 @@
         """Return whether a target is cold, or has to be treated as cold."""
         return now < target.cold_until or self.health_of(target.target_id).is_assumed_cold(now)
 
-    def allows_cold_request(self, target: Target, service: Service, now: float) -> bool:
-        """Return whether the rate limit of a cold target allows a request now."""
-        return service.cold_per_second <= 0 or self.cold_limiter.allows(target.target_id, now)
+    def max_request_rate(self, target: Target, service: Service, now: float) -> float:
+        """Return the requests per second that a target takes from all routers, infinite without a limit."""
+        rate = self.limits.per_second(target.target_id)
+        if service.cold_per_second > 0 and self.is_cold(target, now):
+            rate = min(rate, service.cold_per_second)
+        return rate
+
+    def allows_request(self, target: Target, service: Service, now: float) -> bool:
+        """Return whether the request rate of a target allows a request now."""
+        return self.rate_limiter.allows(target.target_id, now) or math.isinf(
+            self.max_request_rate(target, service, now)
+        )
 
     def cache_capacity_tokens(self, service: Service) -> float:
         """Return the capacity of an engine's prompt cache in tokens."""
@@ -438,8 +437,9 @@
         self.add_load(target_id, choice.load, now)
         if service.engine is not None:
             self.caches.record_use(target_id, request.parts[:-1], self.cache_capacity_tokens(service))
-        if choice.is_cold and service.cold_per_second > 0:
-            self.cold_limiter.record_sent(target_id, service.cold_per_second, now)
+        rate = self.max_request_rate(choice.target, service, now)
+        if rate < math.inf:
+            self.rate_limiter.record_sent(target_id, rate, now)
 
     def take_over(self, target_id: str, load: TargetLoad, now: float) -> None:
         """Add the load of a request that another scheduler has placed."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
@@ -22,7 +22,7 @@
     speed: PrefillSpeed
     is_cold: bool
     has_room: bool = False
-    """Whether the target has a free slot and, if cold, may get another request."""
+    """Whether the target has a free slot and its request rate allows another request."""
     admits_prompt: bool = False
     """Whether the burst limit admits a prompt of the least served customer."""
     error_cost: float = 0.0
@@ -112,7 +112,7 @@
         return self.idle_engine_exists
 
     def availability(self) -> Counter[str]:
-        """Return how many usable targets are open, full, limited because they are cold, or in a burst."""
+        """Return how many usable targets are open, full, cold, limited by an announced rate or in a burst."""
         return Counter(
             "open"
             if state.is_open
@@ -121,6 +121,8 @@
             else "full"
             if state.load.requests >= state.target.slots
             else "cold"
+            if state.is_cold
+            else "limited"
             for state in self.states.values()
         )
 
@@ -142,9 +144,7 @@
             state = self.states[target_id] = TargetView(target, load, speed, is_cold)
         self.open_targets -= state.is_open
         state.load, state.speed, state.is_cold = load, speed, is_cold
-        state.has_room = load.requests < target.slots and (
-            not is_cold or placement.allows_cold_request(target, self.service, now)
-        )
+        state.has_room = load.requests < target.slots and placement.allows_request(target, self.service, now)
         state.admits_prompt = admits_prompt
         state.error_cost = placement.error_cost(target)
         self.open_targets += state.is_open
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/rate_limits.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/rate_limits.py
@@ -1,11 +1,12 @@
-"""Rate limits for retries and for cold targets, enforced by the scheduler of a pool."""
+"""Rate limits for retries and for targets with a limited rate, enforced by the scheduler of a pool."""
 
 from dataclasses import dataclass
 
-COLD_RATE_FRACTION = 0.8
-"""Fraction of a cold target's rate that one scheduler uses. After a scheduler was silent or has just started,
-two routers may both send to the target for a moment; twice this fraction stays below what the platform
-tolerates."""
+USED_RATE_FRACTION = 0.8
+"""Fraction of a target's rate that one scheduler uses. After a scheduler was silent or has just started, two
+routers may both send to the target for a moment; twice this fraction is below what the platform tolerates."""
+MIN_RATE_PER_SECOND = 0.25
+"""Lowest rate to a target that takes fewer requests or none, as only an answer tells the end of its limit."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,19 +74,23 @@
         return True
 
 
-class ColdTargetLimiter:
-    """Limits the request rate to each cold target."""
+class TargetRateLimiter:
+    """Limits the request rate to each target that is cold or has announced a limit."""
 
     def __init__(self):
         self.next_at: dict[str, float] = {}
 
     def allows(self, target_id: str, now: float) -> bool:
-        """Return whether a request may be sent to the cold target now."""
+        """Return whether a request may be sent to a target with a limited rate now."""
         return now >= self.next_at.get(target_id, 0.0)
 
     def record_sent(self, target_id: str, per_second: float, now: float) -> None:
-        """Record a request sent to the cold target."""
-        self.next_at[target_id] = now + 1.0 / (COLD_RATE_FRACTION * per_second)
+        """Record a request sent to a target that takes `per_second` requests.
+
+        A request that was sent late, by up to one interval, does not delay the next one.
+        """
+        interval = 1.0 / (USED_RATE_FRACTION * max(per_second, MIN_RATE_PER_SECOND))
+        self.next_at[target_id] = max(self.next_at.get(target_id, 0.0) + interval, now)
 
     def forget(self, target_id: str) -> None:
         """Remove the state of a target."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -11,6 +11,8 @@
     Outcome,
     PrefillFinished,
     QuarantineUpdate,
+    RateLimitNotice,
+    RateLimitUpdate,
     ServedTokensUpdate,
     StreamProgress,
     TargetGrant,
@@ -41,6 +43,15 @@
 )
 from limpetusher.fleet.settings import FleetSettings
 
+MESSAGES_WITH_NUMBERS = (
+    TargetQuery,
+    AttemptOpened,
+    StreamProgress,
+    QuarantineUpdate,
+    RateLimitNotice,
+    RateLimitUpdate,
+)
+"""Messages whose numbers are validated before they have an effect."""
 MIN_UNREACHABLE_REPORTS = 2
 """Number of routers that must report a target as unreachable before it is suspended for all; a single router
 may be partitioned itself."""
@@ -119,10 +130,7 @@
         InvalidInputError
             If its numbers are out of range; the message has no effect then.
         """
-        if (
-            isinstance(message, (TargetQuery, AttemptOpened, StreamProgress, QuarantineUpdate))
-            and not message.has_valid_numbers
-        ):
+        if isinstance(message, MESSAGES_WITH_NUMBERS) and not message.has_valid_numbers:
             raise InvalidInputError(f"numbers out of range in {message!r}")
         self.handle(message, client, now)
 
@@ -300,6 +308,24 @@
         if message.backoff_seconds > 0:
             self.placement.set_backoff(message.target_id, now + message.backoff_seconds)
 
+    @handle.register
+    def on_rate_limit(self, message: RateLimitNotice, client: str, now: float) -> None:
+        """Apply the request rate that a target has named in an answer to a router."""
+        if message.target_id in self.placement.targets:
+            self.placement.limits.record_report(message.target_id, message.per_second, now)
+
+    @handle.register
+    def on_rate_limits(self, message: RateLimitUpdate, client: str, now: float) -> None:
+        """Apply the request rates that another router has learned."""
+        limits = self.placement.limits
+        for target_id, per_second in message.limits:
+            if target_id not in self.placement.targets:
+                continue
+            if message.is_change:
+                limits.record_announcement(client, target_id, per_second, now)
+            elif target_id not in limits.limits:
+                limits.learn(target_id, per_second, now)
+
     @handle.register
     def on_served_tokens(self, message: ServedTokensUpdate, client: str, now: float) -> None:
         """Update the tokens that another scheduler has served."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -120,7 +120,13 @@
         """Record the request rate that a target announces, or that its answer no longer names one."""
         limit = announced_rate_limit(head)
         if limit < math.inf or has_seal(head):
-            self.state.record_rate_limit(exchange.attempt.target.target_id, limit)
+            attempt = exchange.attempt
+            self.state.record_rate_limit(
+                attempt.target.target_id,
+                limit,
+                sent_at=attempt.started_at,
+                scheduler=exchange.target_request.scheduler,
+            )
 
     @handler("AnswerPartReceived")
     def on_answer_part(self, key: AttemptKey, data: bytes) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -19,6 +19,7 @@
     Packet,
     Ping,
     QuarantineUpdate,
+    RateLimitUpdate,
     StoreUpdate,
     TargetGrant,
     TargetQuery,
@@ -248,7 +249,7 @@
         if received.has_restarted:
             self.state.scheduler.remove_client(address, now)
             self.state.scheduler_client.register_again(address, now)
-            self.send_quarantines(address, now)
+            self.send_shared_state(address, now)
         for message in received.messages:
             try:
                 self.handle_message(address, message, now)
@@ -274,7 +275,7 @@
             log_event(Event.PEER_REACHABLE, peer=peer, told_by=address)
         if address in changed_peers or self.state.members.is_sender_behind(gossip.entries, now):
             self.send_gossip(self.state.members.join_entries(now), [address])
-            self.send_quarantines(address, now)
+            self.send_shared_state(address, now)
         if self.state.members.own.incarnation != own_incarnation:
             self.raise_incarnation(self.state.members.own.incarnation, now)
         self.store.note_peer_revision(address, gossip.revision)
@@ -335,6 +336,7 @@
         self.state.scheduler_client.on_tick(now)
         self.state.scheduler.on_tick(now)
         self.announce_quarantines(now)
+        self.announce_limits(now)
         if now >= self.last_gossip_at + GOSSIP_INTERVAL_SECONDS:
             self.last_gossip_at = now
             self.run_gossip_round(now)
@@ -357,15 +359,28 @@
         for entry in entries:
             parts = [part_id for _service, part_id in entry.parts]
             log_event(Event.PROMPT_QUARANTINED, parts=parts, seconds=entry.seconds)
+        self.send_to_all(QuarantineUpdate(entries), now)
+
+    def announce_limits(self, now: float) -> None:
+        """Send new limits of request rates to all routers, as each of them may become a scheduler."""
+        limits = self.state.placement.limits.take_unannounced()
+        if limits:
+            self.send_to_all(RateLimitUpdate(True, limits), now)
+
+    def send_to_all(self, message: Message, now: float) -> None:
+        """Send a message to all other live routers."""
         for member in self.state.members.live(now):
             if member.address != self.own_address:
-                self.send(member.address, QuarantineUpdate(entries))
+                self.send(member.address, message)
 
-    def send_quarantines(self, address: str, now: float) -> None:
-        """Send all quarantines of prompt parts to a router that may not know them."""
+    def send_shared_state(self, address: str, now: float) -> None:
+        """Send the quarantined prompt parts and the limits of targets to a router that may not know them."""
         quarantine = self.state.scheduler.quarantine
         if quarantine.quarantines:
             self.send(address, QuarantineUpdate(quarantine.entries(quarantine.quarantines, now)))
+        limits = self.state.placement.limits.known_limits()
+        if limits:
+            self.send(address, RateLimitUpdate(False, limits))
 
     def check_schedulers(self, now: float) -> None:
         """Suspect schedulers that acknowledge nothing, and ping those that have sent nothing lately."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -8,7 +8,7 @@
 from limpetusher.clock import Clock
 from limpetusher.errors import ConfigurationError
 from limpetusher.events import Event
-from limpetusher.fleet.messages import MemberEntry, Message
+from limpetusher.fleet.messages import MemberEntry, Message, RateLimitNotice
 from limpetusher.fleet.model import FleetConfiguration, Route, Target
 from limpetusher.fleet.process.members import Members
 from limpetusher.fleet.process.placement import Placement
@@ -110,11 +110,19 @@
             and not self.placement.is_backing_off(target_id, now)
         )
 
-    def record_rate_limit(self, target_id: str, per_second: float) -> None:
-        """Record the request rate that a target has named in an answer, infinite if it names none."""
-        if self.placement.set_rate_limit(target_id, per_second):
+    def record_rate_limit(self, target_id: str, per_second: float, *, sent_at: float, scheduler: str) -> None:
+        """Record the request rate named in an answer, infinite for none, and tell the scheduler.
+
+        `sent_at` is when this router sent the request. The scheduler limits the requests of all routers.
+        """
+        if target_id not in self.placement.targets:
+            return
+        limits = self.placement.limits
+        if limits.learn_from_answer(target_id, per_second, sent_at=sent_at, now=self.clock.monotonic()):
             limit = per_second if per_second < math.inf else None
             log_event(Event.TARGET_RATE_LIMITED, target=target_id, limit=limit)
+        if limits.needs_report(target_id, scheduler):
+            self.send(scheduler, RateLimitNotice(target_id, limits.per_second(target_id)))
 
     def quarantine_seconds(self, target_request: TargetRequest, now: float) -> float:
         """Return for how long requests with the parts of a prompt are refused, 0 if they are not."""
