Do not count on capacity that targets with a limited request rate do not have

Callers waited up to the maximum wait for engines that take a few requests per second, and were then refused. Cause: the prefill rate of a pool, from which the backlog is judged, counted such engines in full. Change: it counts an engine that is cold or has named a limit with at most the prompts that it takes.

Evidence: the test fails without the change (3 of 3) and passes with it.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -172,14 +172,23 @@
             and not self.health_of(target.target_id).is_suspended(now)
         ]
 
-    def prefill_rate(self, pool: Pool, now: float) -> float:
-        """Return the prefill rate of a pool's usable engines in tokens per second, including pauses."""
+    def prefill_rate(self, pool: Pool, now: float, *, prompt_tokens: float) -> float:
+        """Return the prefill rate of a pool's usable engines in tokens per second, including pauses.
+
+        An engine with a limited request rate can't prefill more than it takes of prompts with on average
+        `prompt_tokens` uncached tokens.
+        """
+        service = self.services.get(pool.service)
         seconds = self.burst_seconds(pool.service)
-        return sum(
-            self.rates.rate(pool.service, target.target_id)
-            * self.bursts.duty_cycle(target.target_id, seconds)
-            for target in self.usable(pool, now)
-        )
+        total = 0.0
+        for target in self.usable(pool, now):
+            rate = self.rates.rate(pool.service, target.target_id)
+            rate *= self.bursts.duty_cycle(target.target_id, seconds)
+            if service is not None:
+                requests = self.rate_limiter.used_rate(self.max_request_rate(target, service, now))
+                rate = min(rate, requests * prompt_tokens) if requests < math.inf else rate
+            total += rate
+        return total
 
     def view(self, pool: Pool, now: float, *, is_scarce: bool = False) -> PoolView:
         """Return a snapshot of a pool's usable targets for a series of decisions.
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/rate_limits.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/rate_limits.py
@@ -89,9 +89,13 @@
 
         A request that was sent late, by up to one interval, does not delay the next one.
         """
-        interval = 1.0 / (USED_RATE_FRACTION * max(per_second, MIN_RATE_PER_SECOND))
+        interval = 1.0 / self.used_rate(per_second)
         self.next_at[target_id] = max(self.next_at.get(target_id, 0.0) + interval, now)
 
+    def used_rate(self, per_second: float) -> float:
+        """Return the rate of requests that are sent to a target which takes `per_second`."""
+        return USED_RATE_FRACTION * max(per_second, MIN_RATE_PER_SECOND)
+
     def forget(self, target_id: str) -> None:
         """Remove the state of a target."""
         self.next_at.pop(target_id, None)
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -136,10 +136,17 @@
 
     def backlog_seconds(self, pool: Pool, now: float) -> float:
         """Return the time to prefill the prompts that wait for a pool."""
-        prefill_rate = self.placement.prefill_rate(pool, now)
+        prefill_rate = self.prefill_rate(pool, now)
         tokens = sum(tokens.prefill_tokens for tokens in self.tokens_by_pool.get(pool, {}).values())
         return tokens / prefill_rate if prefill_rate > 0 else 0.0
 
+    def prefill_rate(self, pool: Pool, now: float) -> float:
+        """Return the rate at which a pool prefills the waiting prompts, in tokens per second."""
+        waiting = self.tokens_by_pool.get(pool, {}).values()
+        requests = sum(tokens.requests for tokens in waiting)
+        prompt_tokens = sum(tokens.prefill_tokens for tokens in waiting) / requests if requests else 0.0
+        return self.placement.prefill_rate(pool, now, prompt_tokens=prompt_tokens)
+
     def remove(self, request: QueuedRequest) -> None:
         """Remove a waiting request, if it is queued."""
         if not request.is_queued:
@@ -172,7 +179,7 @@
         for pool in list(self.by_pool):
             waiting = self.tokens_by_pool[pool]
             levels = FairLevels(self.served.totals(waiting), waiting)
-            prefill_rate = self.placement.prefill_rate(pool, now)
+            prefill_rate = self.prefill_rate(pool, now)
             decisions += self.start_requests(pool, levels, prefill_rate, now)
             decisions += self.refuse_requests(pool, levels, prefill_rate, now)
             if not self.by_pool[pool]:
--- a/tests/fleet/request/test_waiting_requests.py
+++ b/tests/fleet/request/test_waiting_requests.py
@@ -14,6 +14,7 @@
     make_waiting,
     sessions_by_engine,
 )
+from limpetusher.fleet.process.rate_limits import MIN_RATE_PER_SECOND
 from limpetusher.fleet.process.target_loads import TargetLoad
 from limpetusher.fleet.request.waiting_requests import (
     MAX_CONSIDERED_REQUESTS,
@@ -221,6 +222,23 @@
     assert request not in waiting.by_pool[ENGINES]
 
 
+@pytest.mark.parametrize("per_second", [0.0, 1.0, 3.0])
+def test_request_that_limited_targets_cannot_take_in_time_is_refused_at_once(per_second):
+    """Guards against holding requests for capacity that targets with a limited request rate do not have."""
+    placement = make_placement(3)
+    for target_id in placement.targets:
+        placement.limits.learn(target_id, per_second, 0.0)
+    waiting = make_waiting(placement)
+    requests = [make_request(f"w{number}", session=f"s{number}") for number in range(60)]
+    for request in requests:
+        waiting.add(request)
+    decisions = [decision for step in range(10) for decision in waiting.decide(step * STEP_SECONDS)]
+    wait = requests[0].latest_start_at
+    refused = [decision for decision in decisions if isinstance(decision, RefusalDecision)]
+    assert wait > 0.5
+    assert len(refused) >= len(requests) - 3 * (2 + max(per_second, MIN_RATE_PER_SECOND) * wait)
+
+
 def test_request_without_any_target_is_refused_after_its_maximum_wait():
     waiting = make_waiting(make_placement(0))
     request = make_request()
