Log the generation and revision of the store at each full read

Event 1113 tells a store that was restored from an older copy (greater generation, lower revision) from one that is not read at all. No decision is changed.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -127,6 +127,8 @@
         self.calls_in_progress: dict[StoreCall, int] = {}
         """Number of the call in progress for each purpose."""
         self.failures = 0
+        self.generation = 0
+        """Generation of the store in its last answer."""
         self.is_connected = False
         self.last_failure_at = float("-inf")
         """When a call to the store last failed."""
@@ -261,6 +263,8 @@
         try:
             if not is_complete:
                 raise CodecError(detail or end.value)
+            if call is not StoreCall.COPY:
+                self.generation = store.decode_generation(head)
             self.handle_answer(call, head.status, bytes(body))
         except CodecError as error:
             if call is not StoreCall.COPY:
@@ -303,6 +307,12 @@
         if page.has_more and page.items:
             self.request_page(page.items[-1].key)
             return
+        log_event(
+            Event.STORE_READ,
+            generation=self.generation,
+            revision=self.first_page_revision,
+            before=self.mirror.revision,
+        )
         self.replace_copy(self.page_items, self.first_page_revision)
         self.page_items = []
         self.is_read_needed = False
--- a/packages/limpetusher-router/src/limpetusher_router/platform/names.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/names.py
@@ -23,6 +23,9 @@
 )
 """Headers that are dropped from the requests of callers, as only the router may set them."""
 
+STORE_GENERATION = "store-era"
+"""In all answers of the store: a number that rises each time the store is restored from an older copy."""
+
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 TARGET_PREFIX = "servers/"
--- a/packages/limpetusher-router/src/limpetusher_router/platform/store.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/store.py
@@ -10,6 +10,8 @@
 
 from limpetusher.errors import CodecError
 from limpetusher.fleet.version.mirror import StoredItem
+from limpetusher_router.connection.framing import AnswerHead
+from limpetusher_router.platform import names
 
 ALL_KEYS_PREFIX = ""
 """Key prefix that matches all keys."""
@@ -77,6 +79,20 @@
     )
 
 
+def decode_generation(head: AnswerHead) -> int:
+    """Return the generation of the store, which rises each time it is restored from an older copy.
+
+    Raises
+    ------
+    CodecError
+        If the generation is not a whole number.
+    """
+    text = head.headers.get(names.STORE_GENERATION, "0").strip()
+    if not (text.isascii() and text.isdigit()):
+        raise CodecError(f"generation {text!r} of the store")
+    return int(text)
+
+
 def _decode(decoder: msgspec.json.Decoder, body: bytes, name: str) -> Any:
     try:
         return decoder.decode(body)
