--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -132,6 +132,9 @@
         self.revision = 1
         self.compacted_revision = 0
         """Revision up to which the history is compacted and can't be watched any more."""
+        self.generation = 1
+        """Number that rises each time the store is restored from an older copy."""
+        self.read_calls = 0
         self.withholds_changes = False
         """Whether watches return no changes."""
         self.is_failing = False
@@ -158,6 +161,21 @@
             self.history.append({"key": key, "rev": self.revision, "deleted": True})
             self.condition.notify_all()
 
+    def copy(self) -> tuple[dict[str, tuple[bytes, int]], int]:
+        """Return a copy of the items and the revision, for `restore`."""
+        with self.condition:
+            return dict(self.items), self.revision
+
+    def restore(self, copy: tuple[dict[str, tuple[bytes, int]], int]) -> None:
+        """Return to an older copy, which loses all later changes and gives out their revisions again."""
+        with self.condition:
+            items, self.revision = copy
+            self.items = dict(items)
+            self.history.clear()
+            self.compacted_revision = self.revision
+            self.generation += 1
+            self.condition.notify_all()
+
     def item_document(self, key: str) -> dict:
         data, revision = self.items[key]
         return {
@@ -182,6 +200,7 @@
             self.reply(503, {})
         elif url.path == "/kv-range":
             with store.condition:
+                store.read_calls += 1
                 items = [
                     store.item_document(key) for key in sorted(store.items) if key > query.get("after", "")
                 ]
@@ -194,12 +213,18 @@
     def watch(self, after: int, seconds: float) -> None:
         store = self.server
         with store.condition:
-            if after < store.compacted_revision:
-                self.reply(410, {"currentRev": store.revision})
-                return
+            generation = store.generation
             store.condition.wait_for(
-                lambda: store.revision > after and not store.withholds_changes, timeout=seconds
+                lambda: (
+                    store.generation != generation
+                    or not store.compacted_revision <= after <= store.revision
+                    or (store.revision > after and not store.withholds_changes)
+                ),
+                timeout=seconds,
             )
+            if not store.compacted_revision <= after <= store.revision:
+                self.reply(410, {"currentRev": store.revision})
+                return
             events = [event for event in store.history if event["rev"] > after]
             if store.withholds_changes:
                 self.reply(200, {"events": [], "currentRev": after})
@@ -212,6 +237,7 @@
             self.send_response(status)
             self.send_header("Content-Type", "application/json")
             self.send_header("Content-Length", str(len(body)))
+            self.send_header("Store-Era", str(self.server.generation))
             self.end_headers()
             self.wfile.write(body)
 
