Follow the store when it is restored from an older copy

Cause: revisions of the store were compared as if they only grew. After a restore the store gives out lower numbers again, so every newer value counted as older, and the watch from the old number got 410 in a loop of reads without a pause.

Change: the adapter makes one growing revision of the generation (Store-Era) and the number, so that all comparisons, between routers as well, order values across a restore. A watch answered by a newer generation is not applied, and a read restarts if the store is restored between two pages. Routers that learn of a restore from a peer read the store themselves, or fetch the copy of a peer if they can't. What the restored store lists is older than what is known, until it is written again: missing entries stay in force for 2.5 s, and older entries of targets that have left or drain are not applied for 6 s. The order of configuration versions holds as before.

Ruled out: watches that hang (reads succeeded all the time) and configurations that were refused (no 1102 or 1104).

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -182,6 +182,7 @@
             self.state.scheduler_client.target_requests
             or self.state.scheduler.is_active
             or self.state.held_until
+            or self.state.withheld
         )
 
     @property
@@ -333,6 +334,7 @@
             self.check_schedulers(now)
             self.check_clients(now)
         self.state.drop_expired_targets()
+        self.state.apply_withheld_changes()
         self.state.scheduler_client.on_tick(now)
         self.state.scheduler.on_tick(now)
         self.announce_quarantines(now)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from limpetusher.clock import Clock
 from limpetusher.errors import ConfigurationError
@@ -18,7 +19,7 @@
 from limpetusher.fleet.process.target_health import TargetHealth
 from limpetusher.fleet.request.scheduler_client import SchedulerClient, TargetRequest
 from limpetusher.fleet.settings import FleetSettings
-from limpetusher.fleet.version.mirror import Change, StoreMirror
+from limpetusher.fleet.version.mirror import Change, StoreMirror, describe_revision
 from limpetusher.fleet.version.routing import RouteTable
 from limpetusher_router.platform import names
 from limpetusher_router.platform.documents import decode_configuration, decode_target
@@ -32,6 +33,12 @@
 """How long a target whose entry may only have expired is still used. Such entries are removed some time
 after the store has recovered, and are back within about two seconds of the recovery. A target that has left
 must get no requests later than 2 s after its entry was removed, which leaves 0.5 s for those in transit."""
+LOST_ENTRY_SECONDS = 2.5
+"""How long an entry stays in force that a restored store has lost. Targets write their entries again within
+about two seconds of the store's return."""
+OUTDATED_ENTRY_SECONDS = 6.0
+"""How long an older entry of a restored store is not applied. The entry of a target that has left lapses in
+this time: three heartbeats of 1.2 s, and the time until the store notices it."""
 
 logger = logging.getLogger(__name__)
 
@@ -75,6 +82,8 @@
         """Health of targets as observed by this router."""
         self.held_until: dict[str, float] = {}
         """Until when targets stay in use whose entries were removed around a failure of the store."""
+        self.withheld: dict[str, tuple[float, Change]] = {}
+        """Changes of a restored store that may be outdated, and when they are applied, by key."""
         self.store_failure_age: Callable[[], float] = lambda: math.inf
         """Returns how many seconds ago a call to the store last failed."""
 
@@ -145,7 +154,15 @@
                 logger.exception("failed to apply a change of %s", change.key)
 
     def apply_change(self, change: Change) -> None:
-        """Apply one change of the store."""
+        """Apply one change of the store, or withhold it for a while if it may be outdated."""
+        if (
+            change.is_outdated
+            and change.key != names.CONFIGURATION_KEY
+            and not self.ends_use_of_target(change)
+        ):
+            self.withhold(change)
+            return
+        self.withheld.pop(change.key, None)
         if change.key == names.CONFIGURATION_KEY:
             if change.item is not None:
                 self.apply_configuration(change.item.value)
@@ -154,6 +171,28 @@
         elif change.key.startswith(names.TARGET_PREFIX):
             self.apply_target(change.key.removeprefix(names.TARGET_PREFIX), change)
 
+    def withhold(self, change: Change) -> None:
+        """Keep what is known of a key for a while, unless the key is written again."""
+        seconds = LOST_ENTRY_SECONDS if change.item is None else OUTDATED_ENTRY_SECONDS
+        self.withheld[change.key] = self.clock.monotonic() + seconds, replace(change, is_outdated=False)
+        log_event(Event.STORE_ENTRY_WITHHELD, key=change.key, removed=change.item is None, seconds=seconds)
+
+    def ends_use_of_target(self, change: Change) -> bool:
+        """Return whether a change lists a target as draining or can't be read."""
+        if change.item is None or not change.key.startswith(names.TARGET_PREFIX):
+            return False
+        target_id = change.key.removeprefix(names.TARGET_PREFIX)
+        try:
+            return decode_target(target_id, change.item.value, revision=0, now=0.0).is_draining
+        except ConfigurationError:
+            return True
+
+    def apply_withheld_changes(self) -> None:
+        """Apply the changes that were withheld for long enough."""
+        now = self.clock.monotonic()
+        due = [change for until, change in self.withheld.values() if now >= until]
+        self.apply_changes(due)
+
     def apply_configuration(self, value: bytes) -> None:
         """Apply a newer configuration; an older or malformed one is ignored."""
         try:
@@ -161,7 +200,9 @@
         except ConfigurationError as error:
             log_event(Event.CONFIGURATION_REFUSED, reason=str(error))
             return
-        if self.configuration is not None and configuration.version <= self.configuration.version:
+        if self.configuration is not None and configuration.version == self.configuration.version:
+            return
+        if self.configuration is not None and configuration.version < self.configuration.version:
             log_event(Event.CONFIGURATION_OLDER_IGNORED, version=configuration.version)
             return
         self.configuration = configuration
@@ -227,7 +268,7 @@
             address=target.address,
             draining=target.is_draining,
             cold=round(max(0.0, target.cold_until - self.clock.monotonic()), 3),
-            revision=target.revision,
+            revision=describe_revision(target.revision),
         )
 
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -13,7 +13,13 @@
 from limpetusher.errors import CodecError
 from limpetusher.events import Event
 from limpetusher.fleet.messages import StoreUpdate
-from limpetusher.fleet.version.mirror import Change, StoredItem, StoreMirror
+from limpetusher.fleet.version.mirror import (
+    Change,
+    StoredItem,
+    StoreMirror,
+    describe_revision,
+    generation_of,
+)
 from limpetusher_router.connection.framing import AnswerHead
 from limpetusher_router.events import (
     PEER_EXCHANGE,
@@ -127,8 +133,6 @@
         self.calls_in_progress: dict[StoreCall, int] = {}
         """Number of the call in progress for each purpose."""
         self.failures = 0
-        self.generation = 0
-        """Generation of the store in its last answer."""
         self.is_connected = False
         self.last_failure_at = float("-inf")
         """When a call to the store last failed."""
@@ -263,15 +267,13 @@
         try:
             if not is_complete:
                 raise CodecError(detail or end.value)
-            if call is not StoreCall.COPY:
-                self.generation = store.decode_generation(head)
-            self.handle_answer(call, head.status, bytes(body))
+            self.handle_answer(call, head.status, bytes(body), store.decode_generation(head))
         except CodecError as error:
             if call is not StoreCall.COPY:
                 self.handle_failure(call, error.reason)
 
-    def handle_answer(self, call: StoreCall, status: int, body: bytes) -> None:
-        """Handle a complete answer.
+    def handle_answer(self, call: StoreCall, status: int, body: bytes, generation: int = 0) -> None:
+        """Handle a complete answer of a generation of the store.
 
         Raises
         ------
@@ -279,44 +281,55 @@
             If the call was refused or its answer is malformed.
         """
         if call is StoreCall.WATCH and status == store.COMPACTED_STATUS:
-            log_event(Event.STORE_HISTORY_LOST, revision=self.mirror.revision)
-            self.is_watching = False
-            self.is_read_needed = True
-            self.page_items = []
-            self.fire(DeadlineReached(), STORE)
+            log_event(Event.STORE_HISTORY_LOST, revision=describe_revision(self.mirror.revision))
+            self.restart_read()
             return
         if status != OK_STATUS:
             raise CodecError(f"status {status}")
         if call is StoreCall.COPY:
             self.handle_copy(body)
             return
+        if generation < generation_of(self.mirror.revision):
+            raise CodecError(f"generation {generation}, which is older than the own copy")
         if not self.is_connected:
             self.is_connected = True
             log_event(Event.STORE_REGAINED, failures=self.failures)
         self.failures = 0
         if call is StoreCall.READ:
-            self.handle_page(store.decode_range(body))
+            self.handle_page(store.decode_range(body, generation))
+        elif generation > generation_of(self.mirror.revision):
+            # The number that the watch started from belongs to another state of the store.
+            self.restart_read()
         else:
-            self.handle_watched_changes(store.decode_watch(body))
+            self.handle_watched_changes(store.decode_watch(body, generation))
+
+    def restart_read(self) -> None:
+        """Read all entries again, as the changes since the own copy can't be watched."""
+        self.is_watching = False
+        self.is_read_needed = True
+        self.page_items = []
+        self.fire(DeadlineReached(), STORE)
 
     def handle_page(self, page: store.RangePage) -> None:
         """Add a page; after the last one, watch from the revision of the first one."""
         if self.first_page_revision is None:
             self.first_page_revision = page.revision
+        elif generation_of(page.revision) != generation_of(self.first_page_revision):
+            self.request_page(None)
+            return
         self.page_items += page.items
         if page.has_more and page.items:
             self.request_page(page.items[-1].key)
             return
         log_event(
             Event.STORE_READ,
-            generation=self.generation,
-            revision=self.first_page_revision,
-            before=self.mirror.revision,
+            revision=describe_revision(self.first_page_revision),
+            before=describe_revision(self.mirror.revision),
         )
         self.replace_copy(self.page_items, self.first_page_revision)
         self.page_items = []
         self.is_read_needed = False
-        self.start_watch()
+        self.schedule_watch()
 
     def handle_watched_changes(self, changes: store.StoreChanges) -> None:
         """Apply watched changes and schedule the next watch."""
@@ -333,10 +346,14 @@
         self.announce_changes([change for change in applied if change is not None])
 
     def replace_copy(self, items: list[StoredItem], revision: int) -> None:
-        """Replace the own copy; the first one causes no update, as all routers read the store at start."""
-        is_first = self.mirror.revision == 0
+        """Replace the own copy.
+
+        The first one and that of a restored store cause no update: all routers read the store at their start
+        and when they learn of a restore.
+        """
+        is_read_by_all = self.mirror.revision == 0 or self.has_newer_generation(revision)
         changes = self.mirror.replace(items, revision)
-        if is_first:
+        if is_read_by_all:
             self.copy_encoder.invalidate()
             self.recent_changes.reset(revision)
             self.fire(StoreChanged(changes), REQUESTS)
@@ -392,6 +409,9 @@
                 self.is_connected = True
                 if is_from_other_data_centre:
                     self.relay_update(update, now)
+        if self.has_newer_generation(update.revision):
+            self.note_peer_revision(address, update.revision)
+            return
         # The next regular update may contain the missing changes, so the own revision does not advance yet.
         is_missing = update.since > self.mirror.revision
         revision = self.mirror.revision if is_missing else update.revision
@@ -417,22 +437,33 @@
         self.is_watching = False
         self.failures += 1
         if self.is_connected or self.failures == 1:
-            log_event(Event.STORE_LOST, call=call.value, reason=reason, revision=self.mirror.revision)
+            revision = describe_revision(self.mirror.revision)
+            log_event(Event.STORE_LOST, call=call.value, reason=reason, revision=revision)
         self.is_connected = False
         seconds = min(RETRY_DELAY_SECONDS * self.failures, MAXIMUM_RETRY_DELAY_SECONDS)
         self.deadlines.schedule_in(seconds, DeadlineReached(), STORE)
 
     def note_peer_revision(self, address: str, revision: int) -> None:
-        """Fetch the copy of a peer if the own copy has lagged behind for too long."""
+        """Fetch the copy of a peer if the own copy has lagged behind for too long.
+
+        When the store was restored, it is read again by each router that reaches it.
+        """
         now = self.deadlines.clock.monotonic()
         if revision <= self.mirror.revision:
             return
+        if self.has_newer_generation(revision) and self.is_connected:
+            self.is_read_needed = True
+            return
         if self.behind_revision <= self.mirror.revision:
             self.behind_revision, self.behind_since = revision, now
         maximum_lag = MAXIMUM_LAG_SECONDS if self.is_connected and self.mirror.revision else 0.0
         if now - self.behind_since >= maximum_lag:
             self.fetch_copy(address)
 
+    def has_newer_generation(self, revision: int) -> bool:
+        """Return whether a peer's revision shows that the store was restored since the own copy was read."""
+        return self.mirror.revision > 0 and generation_of(revision) > generation_of(self.mirror.revision)
+
     def fetch_copy(self, address: str) -> None:
         """Request a peer's copy unless one is already requested or a page of the store is expected soon."""
         is_reading = (
@@ -453,7 +484,11 @@
         """
         copy = decode_copy(body)
         items = [StoredItem(item.key, item.value, item.revision) for item in copy.items]
-        log_event(Event.STORE_COPY_TAKEN, revision=copy.revision, before=self.mirror.revision)
+        log_event(
+            Event.STORE_COPY_TAKEN,
+            revision=describe_revision(copy.revision),
+            before=describe_revision(self.mirror.revision),
+        )
         self.replace_copy(items, copy.revision)
         self.is_read_needed = False
         if self.is_watching and self.is_connected:
--- a/packages/limpetusher-router/src/limpetusher_router/platform/store.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/store.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from limpetusher.errors import CodecError
-from limpetusher.fleet.version.mirror import StoredItem
+from limpetusher.fleet.version.mirror import StoredItem, make_revision, number_of
 from limpetusher_router.connection.framing import AnswerHead
 from limpetusher_router.platform import names
 
@@ -75,7 +75,7 @@
 def watch_request(address: str, *, after: int, wait_seconds: float) -> bytes:
     """Return a watch request for all changes after a revision."""
     return get_request(
-        address, "/kv-watch", prefix=ALL_KEYS_PREFIX, after=after, waitMs=int(wait_seconds * 1_000)
+        address, "/kv-watch", prefix=ALL_KEYS_PREFIX, after=number_of(after), waitMs=int(wait_seconds * 1_000)
     )
 
 
@@ -100,16 +100,17 @@
         raise CodecError(f"malformed {name}") from error
 
 
-def _decode_item(item: _Item) -> StoredItem:
+def _decode_item(item: _Item, generation: int) -> StoredItem:
+    revision = make_revision(generation, item.rev)
     try:
-        return StoredItem(item.key, base64.b64decode(item.value or "", validate=True), item.rev)
+        return StoredItem(item.key, base64.b64decode(item.value or "", validate=True), revision)
     except (binascii.Error, ValueError):
         # The value is unusable, but the key and its revision are valid.
-        return StoredItem(item.key, b"", item.rev)
+        return StoredItem(item.key, b"", revision)
 
 
-def decode_range(body: bytes) -> RangePage:
-    """Decode a page of a range read.
+def decode_range(body: bytes, generation: int = 0) -> RangePage:
+    """Decode a page of a range read from a generation of the store.
 
     Raises
     ------
@@ -117,11 +118,12 @@
         If the answer is malformed.
     """
     page = _decode(_range_decoder, body, "range")
-    return RangePage([_decode_item(item) for item in page.items], page.current_rev, page.has_more)
+    items = [_decode_item(item, generation) for item in page.items]
+    return RangePage(items, make_revision(generation, page.current_rev), page.has_more)
 
 
-def decode_watch(body: bytes) -> StoreChanges:
-    """Decode the changes returned by a watch.
+def decode_watch(body: bytes, generation: int = 0) -> StoreChanges:
+    """Decode the changes returned by a watch of a generation of the store.
 
     Raises
     ------
@@ -129,6 +131,6 @@
         If the answer is malformed.
     """
     watch = _decode(_watch_decoder, body, "watch")
-    items = [_decode_item(event) for event in watch.events if not event.deleted]
-    removed = [(event.key, event.rev) for event in watch.events if event.deleted]
-    return StoreChanges(items, removed, watch.current_rev)
+    items = [_decode_item(event, generation) for event in watch.events if not event.deleted]
+    removed = [(event.key, make_revision(generation, event.rev)) for event in watch.events if event.deleted]
+    return StoreChanges(items, removed, make_revision(generation, watch.current_rev))
--- a/tests/fleet/version/test_mirror.py
+++ b/tests/fleet/version/test_mirror.py
@@ -1,6 +1,6 @@
 """Tests of the copy of the platform's store."""
 
-from limpetusher.fleet.version.mirror import StoredItem, StoreMirror
+from limpetusher.fleet.version.mirror import Change, StoredItem, StoreMirror, make_revision
 
 
 def make_item(key: str, revision: int, value: bytes = b"x") -> StoredItem:
@@ -63,3 +63,66 @@
     mirror.replace([], 12)
     assert mirror.replace([StoredItem("servers/t1", b"x", 5)], 8) == []
     assert mirror.items == {}
+
+
+def make_mirror_before_restore() -> StoreMirror:
+    """Return the copy of a store in generation 1, whose revisions 8 to 20 are then lost."""
+    mirror = StoreMirror()
+    items = [
+        StoredItem("servers/same", b"same", make_revision(1, 3)),
+        StoredItem("servers/changed", b"new", make_revision(1, 12)),
+        StoredItem("servers/registered", b"new", make_revision(1, 14)),
+        StoredItem("servers/gone", b"old", make_revision(1, 5)),
+    ]
+    mirror.replace(items, make_revision(1, 14))
+    mirror.remove("servers/gone", make_revision(1, 20))
+    mirror.advance(make_revision(1, 20))
+    return mirror
+
+
+def restored_item(key: str, number: int, value: bytes = b"old") -> StoredItem:
+    return StoredItem(key, value, make_revision(2, number))
+
+
+def test_older_state_of_a_restored_store_is_marked_as_outdated():
+    """Guards against using a target again that has left, and against losing those that registered since."""
+    mirror = make_mirror_before_restore()
+    same = restored_item("servers/same", 3, b"same")
+    changed = restored_item("servers/changed", 6)
+    gone = restored_item("servers/gone", 5)
+    changes = mirror.replace([same, changed, gone], make_revision(2, 8))
+    assert changes == [
+        Change("servers/changed", changed, is_outdated=True),
+        Change("servers/gone", gone, is_outdated=True),
+        Change("servers/registered", None, is_outdated=True),
+    ]
+    assert mirror.revision == make_revision(2, 8)
+
+
+def test_values_written_after_a_restore_are_not_outdated():
+    """Guards against holding back what the operator and the targets have written again."""
+    mirror = make_mirror_before_restore()
+    mirror.replace([restored_item("servers/changed", 6)], make_revision(2, 8))
+    assert mirror.put(restored_item("servers/changed", 9, b"newest")) == Change(
+        "servers/changed", restored_item("servers/changed", 9, b"newest")
+    )
+    assert not mirror.put(restored_item("servers/gone", 10)).is_outdated
+
+
+def test_greater_number_after_a_restore_is_a_new_value():
+    mirror = make_mirror_before_restore()
+    new = [restored_item("servers/changed", 13, b"newest"), restored_item("servers/other", 4)]
+    changes = mirror.replace(new, make_revision(2, 22))
+    assert [change.is_outdated for change in changes if change.item is not None] == [False, False]
+
+
+def test_late_update_from_before_a_restore_changes_nothing():
+    """Guards against an update of a router that does not know of the restore yet."""
+    mirror = make_mirror_before_restore()
+    mirror.replace([restored_item("servers/changed", 6)], make_revision(2, 8))
+    assert mirror.put(StoredItem("servers/changed", b"late", make_revision(1, 30))) is None
+    assert (
+        mirror.replace([StoredItem("servers/late", b"late", make_revision(1, 30))], make_revision(1, 30))
+        == []
+    )
+    assert mirror.remove("servers/changed", make_revision(1, 31)) is None
--- a/tests/router/fleet/test_state.py
+++ b/tests/router/fleet/test_state.py
@@ -3,11 +3,11 @@
 import json
 import random
 
-from builders_platform import make_host_settings, target_document
+from builders_platform import configuration_document, make_host_settings, target_document
 from limpetusher.clock import ManualClock
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.mirror import Change, StoredItem
-from limpetusher_router.fleet.state import FleetState
+from limpetusher_router.fleet.state import LOST_ENTRY_SECONDS, OUTDATED_ENTRY_SECONDS, FleetState
 
 DRAIN_SECONDS = 2.0
 """Time after which a target that has left must get no requests, as the platform requires."""
@@ -77,3 +77,75 @@
         [Change("op/evacuate/north", None), Change("servers/t2", StoredItem("servers/t2", entry, 8))]
     )
     assert "t2" in state.placement.targets
+
+
+def outdated_entry(**changes: object) -> Change:
+    """Return the older entry of a target in a restored store."""
+    entry = json.dumps(target_document("10.0.0.7:80", **changes)).encode()
+    return Change("servers/t1", StoredItem("servers/t1", entry, 4), is_outdated=True)
+
+
+def test_older_entry_of_a_restored_store_is_applied_if_it_does_not_lapse():
+    """Guards against using a target that has left, and against never using one that lives."""
+    clock = ManualClock()
+    state = make_state(clock)
+    state.store_failure_age = lambda: 60.0
+    state.apply_change(Change("servers/t1", None))
+    state.apply_change(outdated_entry())
+    clock.advance(OUTDATED_ENTRY_SECONDS - 0.1)
+    state.apply_withheld_changes()
+    assert "t1" not in state.placement.targets
+    clock.advance(0.2)
+    state.apply_withheld_changes()
+    assert "t1" in state.placement.targets
+    assert not state.withheld
+
+
+def test_target_that_a_restored_store_has_lost_is_dropped_if_it_does_not_register_again():
+    clock = ManualClock()
+    state = make_state(clock)
+    state.apply_change(Change("servers/t1", None, is_outdated=True))
+    clock.advance(LOST_ENTRY_SECONDS - 0.1)
+    state.apply_withheld_changes()
+    assert "t1" in state.placement.targets
+    state.store_failure_age = lambda: 60.0
+    clock.advance(0.2)
+    state.apply_withheld_changes()
+    assert "t1" not in state.placement.targets
+
+
+def test_entry_that_is_written_again_after_a_restore_is_applied_at_once():
+    """Guards against withholding the entry of a target that registers again or starts to drain."""
+    clock = ManualClock()
+    state = make_state(clock)
+    state.apply_change(Change("servers/t1", None, is_outdated=True))
+    entry = json.dumps(target_document("10.0.0.8:80")).encode()
+    state.apply_change(Change("servers/t1", StoredItem("servers/t1", entry, 9)))
+    assert state.placement.targets["t1"].address == "10.0.0.8:80"
+    clock.advance(OUTDATED_ENTRY_SECONDS)
+    state.apply_withheld_changes()
+    assert state.placement.targets["t1"].address == "10.0.0.8:80"
+    state.apply_change(outdated_entry(state="draining"))
+    assert state.placement.targets["t1"].is_draining
+
+
+def test_evacuation_that_a_restored_store_has_lost_stays_in_force():
+    """Guards against requests to a data centre that is evacuated."""
+    clock = ManualClock()
+    state = make_state(clock)
+    state.apply_change(Change("op/evacuate/north", StoredItem("op/evacuate/north", b"{}", 6)))
+    state.apply_change(Change("op/evacuate/north", None, is_outdated=True))
+    assert state.placement.evacuated == {"north"}
+    clock.advance(LOST_ENTRY_SECONDS)
+    state.apply_withheld_changes()
+    assert state.placement.evacuated == set()
+
+
+def test_older_configuration_of_a_restored_store_is_ignored():
+    """Guards against a withdrawn key or a dropped route that is in use again."""
+    state = make_state(ManualClock())
+    for version, is_outdated in ((5, False), (4, True), (5, True)):
+        document = json.dumps(configuration_document(version)).encode()
+        item = StoredItem("op/config", document, version)
+        state.apply_change(Change("op/config", item, is_outdated=is_outdated))
+    assert state.configuration.version == 5
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -5,8 +5,9 @@
 
 from builders_platform import make_host_settings
 from limpetusher.clock import ManualClock
+from limpetusher.errors import CodecError
 from limpetusher.fleet.messages import PROTOCOL_VERSION, StoreUpdate
-from limpetusher.fleet.version.mirror import StoredItem, StoreMirror
+from limpetusher.fleet.version.mirror import StoredItem, StoreMirror, make_revision
 from limpetusher_router.connection.framing import AnswerHead
 from limpetusher_router.events import AttemptResult, SendStoreUpdate, StartAttempt
 from limpetusher_router.fleet.recent_changes import CHANGE_REPEAT_SECONDS, MAXIMUM_UPDATE_BYTES
@@ -352,3 +353,51 @@
         calls += [event for event in reader.fired[before:] if isinstance(event, StartAttempt)]
         clock.advance(MINIMUM_WATCH_INTERVAL_SECONDS / 10)
     assert 9 <= len(calls) <= 11
+
+
+def test_watch_of_a_restored_store_is_not_applied(reader):
+    """Guards against changes of another state of the store, whose numbers continue those of the own copy."""
+    reader.start_watch()
+    body = b'{"events": [{"key": "servers/t1", "value": "eA==", "rev": 12}], "currentRev": 12}'
+    reader.handle_answer(StoreCall.WATCH, 200, body, 1)
+    assert "servers/t1" not in reader.mirror.items
+    reader.on_due(None)
+    assert len(requested_pages(reader)) == 1
+
+
+def test_read_restarts_when_the_store_is_restored_between_two_pages(reader):
+    """Guards against a copy that mixes two states of the store."""
+    reader.request_page(None)
+    page = '{"items": [{"key": "servers/%s", "value": "eA==", "rev": 5}], "currentRev": 9, "hasMore": %s}'
+    reader.handle_answer(StoreCall.READ, 200, (page % ("a", "true")).encode(), 1)
+    reader.handle_answer(StoreCall.READ, 200, (page % ("b", "false")).encode(), 2)
+    pages = requested_pages(reader)
+    assert pages[-1] == pages[0]
+    reader.handle_answer(StoreCall.READ, 200, (page % ("c", "false")).encode(), 2)
+    assert (set(reader.mirror.items), reader.mirror.revision) == ({"servers/c"}, make_revision(2, 9))
+
+
+def test_answer_of_an_older_generation_of_the_store_is_a_failure(reader):
+    reader.mirror.replace([], make_revision(2, 1))
+    reader.start_watch()
+    with pytest.raises(CodecError):
+        reader.handle_answer(StoreCall.WATCH, 200, b'{"events": [], "currentRev": 12}', 1)
+
+
+def test_router_reads_the_restored_store_itself_if_it_reaches_the_store(reader):
+    """Guards against applying an update of a restored store to an older copy, and a storm of copies."""
+    revision = make_revision(1, 5)
+    update = make_store_update(
+        since=revision, revision=make_revision(1, 6), items=(("servers/t1", b"new", revision),)
+    )
+    reader.handle_update("10.0.0.2", update, is_from_other_data_centre=False)
+    assert "servers/t1" not in reader.mirror.items
+    assert requested_copies(reader) == []
+    reader.on_due(None)
+    assert len(requested_pages(reader)) == 1
+
+
+def test_router_without_the_store_fetches_the_copy_of_a_restored_store(reader):
+    reader.is_connected = False
+    reader.note_peer_revision("10.0.0.2", make_revision(1, 5))
+    assert requested_copies(reader) == ["10.0.0.2:7401"]
