Give routers that start after a restore of the store the configuration in force

Between a restore of the store and the moment at which the operator's configuration is written again, only the routers have the newest one. Cause: a router that started then took the older configuration of the store, and no peer told it of a newer one: withdrawn keys and dropped routes were in use again there. Change: gossip names the version in force, copies for peers contain the configuration in force, and a router that starts is not ready before the first message of a peer (1 s at most), nor while a peer is known to have a newer configuration (3 s at most).

--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -259,11 +259,13 @@
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=22):
-    """Entries of the sender and of some routers that it knows, and the revision of its copy of the store."""
+    """Entries of the sender and of some routers that it knows, and the state of its copy of the store."""
 
     version: int
     entries: tuple[MemberEntry, ...]
     revision: int
+    configuration_version: int = 0
+    """Version of the configuration in force at the sender, 0 for none."""
 
 
 class StoreUpdate(msgspec.Struct, frozen=True, array_like=True, tag=23):
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -280,10 +280,17 @@
         if self.state.members.own.incarnation != own_incarnation:
             self.raise_incarnation(self.state.members.own.incarnation, now)
         self.store.note_peer_revision(address, gossip.revision)
+        self.store.note_peer_configuration(address, gossip.configuration_version)
 
     def send_gossip(self, entries: tuple[MemberEntry, ...], addresses: list[str]) -> None:
-        """Send membership entries and the revision of the own store copy to routers."""
-        self.sock.send(Gossip(PROTOCOL_VERSION, entries, self.store.mirror.revision), addresses)
+        """Send membership entries and the state of the own store copy to routers."""
+        gossip = Gossip(
+            PROTOCOL_VERSION,
+            entries,
+            self.store.mirror.revision,
+            self.state.configuration_in_force.version,
+        )
+        self.sock.send(gossip, addresses)
 
     @handle_datagram.register
     def handle_store_update(self, update: StoreUpdate, address: str, now: float) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -58,6 +58,9 @@
 STOP_MARGIN_SECONDS = 0.6
 """How long before the end of the grace time the process exits at the latest."""
 FLUSH_POLL_SECONDS = 0.05
+FIRST_PEER_MESSAGE_SECONDS = 1.0
+"""Maximum time for which a router that starts waits for a message of a peer before it becomes ready; peers
+answer its first message within milliseconds."""
 SETTINGS_POLL_SECONDS = 1.0
 RESERVED_DESCRIPTORS = 700
 """Descriptors kept for targets, peers, the store and the interpreter."""
@@ -110,6 +113,8 @@
         self.host = host
         self.clock = clock
         self.stop_requested_at: float | None = None
+        self.has_been_ready = False
+        self.started_at = clock.monotonic()
         self.settings = router_settings(host)
         self.state = FleetState(host, fleet_settings(host), clock=clock, rng=random.Random())
         self.set_seed_addresses(host)
@@ -125,6 +130,7 @@
             deadlines=self.deadlines,
             watch_rank=lambda: self.state.members.rank(clock.monotonic()),
             is_watcher=self.is_watcher,
+            configuration=lambda: self.state.configuration_in_force,
         ).register(self)
         self.state.store_failure_age = self.store.failure_age
         self.requests = FleetRequests(
@@ -168,7 +174,25 @@
 
     def is_ready(self) -> bool:
         """Return whether the router should get requests."""
-        return self.stop_requested_at is None and self.state.configuration is not None
+        self.has_been_ready = self.has_been_ready or self.has_newest_configuration()
+        return self.has_been_ready and self.stop_requested_at is None
+
+    def has_newest_configuration(self) -> bool:
+        """Return whether no newer configuration than the own one is known to be in force at a peer.
+
+        After a restore of the store, only peers may have the newest one, so a router that starts waits a
+        moment for the first message of a peer.
+        """
+        waits_for_peers = (
+            bool(self.state.members.seeds)
+            and not self.store.has_heard_peer
+            and self.clock.monotonic() < self.started_at + FIRST_PEER_MESSAGE_SECONDS
+        )
+        return (
+            self.state.configuration is not None
+            and not waits_for_peers
+            and not self.store.lacks_known_configuration
+        )
 
     def is_watcher(self, count: int) -> bool:
         """Return whether this router is one of the `count` routers that watch the store for the fleet."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -21,6 +21,7 @@
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.mirror import Change, StoreMirror, describe_revision
 from limpetusher.fleet.version.routing import RouteTable
+from limpetusher_router.fleet.store_copy import ConfigurationInForce
 from limpetusher_router.platform import names
 from limpetusher_router.platform.documents import decode_configuration, decode_target
 from limpetusher_router.platform.settings_file import HostSettings
@@ -84,6 +85,7 @@
         """Until when targets stay in use whose entries were removed around a failure of the store."""
         self.withheld: dict[str, tuple[float, Change]] = {}
         """Changes of a restored store that may be outdated, and when they are applied, by key."""
+        self.configuration_in_force = ConfigurationInForce()
         self.store_failure_age: Callable[[], float] = lambda: math.inf
         """Returns how many seconds ago a call to the store last failed."""
 
@@ -206,6 +208,7 @@
             log_event(Event.CONFIGURATION_OLDER_IGNORED, version=configuration.version)
             return
         self.configuration = configuration
+        self.configuration_in_force = ConfigurationInForce(configuration.version, value)
         self.routes = RouteTable(configuration)
         self.placement.services = configuration.services
         self.placement.goals = lowest_goals(configuration, lambda route: route.goal_seconds)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -35,7 +35,12 @@
     StoreChanged,
 )
 from limpetusher_router.fleet.recent_changes import RecentChanges
-from limpetusher_router.fleet.store_copy import StoreCopyEncoder, decode_copy
+from limpetusher_router.fleet.store_copy import (
+    ConfigurationInForce,
+    StoreCopyEncoder,
+    configuration_change,
+    decode_copy,
+)
 from limpetusher_router.platform import store
 from limpetusher_router.platform.settings_file import HostSettings
 from limpetusher_router.process.deadlines import Deadlines
@@ -71,6 +76,8 @@
 MAXIMUM_LAG_SECONDS = 0.6
 """How long the own copy may lag behind that of a peer before the peer's copy is fetched; two regular updates
 come in that time."""
+MAXIMUM_UNREADY_SECONDS = 3.0
+"""How long a router that starts waits for the newer configuration of a peer before it becomes ready."""
 PAGE_TIMEOUT_SECONDS = 0.3
 """Time to wait for a page of the store before a peer's copy is fetched as well. Without this wait, a starting
 fleet would fetch hundreds of copies from the first routers that have read the store."""
@@ -105,6 +112,8 @@
         Returns how many responsive routers of the data centre precede this one in an order common to all.
     is_watcher
         Returns whether this router is one of a number of routers that watch the store for the fleet.
+    configuration
+        Returns the configuration in force, which a restored store may have lost.
     """
 
     channel = STORE
@@ -117,6 +126,7 @@
         deadlines: Deadlines,
         watch_rank: Callable[[], int],
         is_watcher: Callable[[int], bool],
+        configuration: Callable[[], ConfigurationInForce] = ConfigurationInForce,
     ):
         super().__init__()
         self.settings = settings
@@ -144,11 +154,16 @@
         """When the last watch call started."""
         self.page_requested_at = float("-inf")
         """When a page was last requested from the store."""
-        self.copy_encoder = StoreCopyEncoder(mirror)
+        self.configuration = configuration
+        self.copy_encoder = StoreCopyEncoder(mirror, configuration)
         self.behind_revision = 0
         """Revision of a peer by which the own copy was first found to lag; reached once it has caught up."""
         self.behind_since = 0.0
         """When that lag was found."""
+        self.has_heard_peer = False
+        """Whether any peer has told which configuration it has in force."""
+        self.older_configuration_since: float | None = None
+        """When a peer was first found to have a newer configuration in force, None if none has one."""
         self.last_update_received_at = float("-inf")
         """When the last update of a watcher that reaches the store arrived."""
         self.recent_changes = RecentChanges()
@@ -460,6 +475,24 @@
         if now - self.behind_since >= maximum_lag:
             self.fetch_copy(address)
 
+    @property
+    def lacks_known_configuration(self) -> bool:
+        """Return whether a peer was lately found to have a newer configuration that is not in force here."""
+        since = self.older_configuration_since
+        return since is not None and self.deadlines.clock.monotonic() - since < MAXIMUM_UNREADY_SECONDS
+
+    def note_peer_configuration(self, address: str, version: int) -> None:
+        """Fetch the copy of a peer if it has had a newer configuration in force for too long."""
+        self.has_heard_peer = True
+        if version <= self.configuration().version:
+            self.older_configuration_since = None
+            return
+        now = self.deadlines.clock.monotonic()
+        if self.older_configuration_since is None:
+            self.older_configuration_since = now
+        if now - self.older_configuration_since >= MAXIMUM_LAG_SECONDS:
+            self.fetch_copy(address)
+
     def has_newer_generation(self, revision: int) -> bool:
         """Return whether a peer's revision shows that the store was restored since the own copy was read."""
         return self.mirror.revision > 0 and generation_of(revision) > generation_of(self.mirror.revision)
@@ -490,6 +523,8 @@
             before=describe_revision(self.mirror.revision),
         )
         self.replace_copy(items, copy.revision)
+        if copy.configuration:
+            self.fire(StoreChanged([configuration_change(copy)]), REQUESTS)
         self.is_read_needed = False
         if self.is_watching and self.is_connected:
             # The watch in progress has missed changes, so its connection may be dead.
--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -70,7 +70,10 @@
         self.root = BaseComponent()
         self.deadlines = Deadlines(self.clock).register(self.root)
         store = SimpleNamespace(
-            mirror=SimpleNamespace(revision=1), note_peer_revision=lambda *_: None, is_watching=False
+            mirror=SimpleNamespace(revision=1),
+            note_peer_revision=lambda *_: None,
+            note_peer_configuration=lambda *_: None,
+            is_watching=False,
         )
         sock = SimpleNamespace(send=lambda datagram, addresses: fleet.send(self, datagram, addresses))
         self.peers = PeerMessaging(
--- a/tests/router/fleet/test_state.py
+++ b/tests/router/fleet/test_state.py
@@ -148,4 +148,4 @@
         document = json.dumps(configuration_document(version)).encode()
         item = StoredItem("op/config", document, version)
         state.apply_change(Change("op/config", item, is_outdated=is_outdated))
-    assert state.configuration.version == 5
+    assert state.configuration.version == state.configuration_in_force.version == 5
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -9,9 +9,9 @@
 from limpetusher.fleet.messages import PROTOCOL_VERSION, StoreUpdate
 from limpetusher.fleet.version.mirror import StoredItem, StoreMirror, make_revision
 from limpetusher_router.connection.framing import AnswerHead
-from limpetusher_router.events import AttemptResult, SendStoreUpdate, StartAttempt
+from limpetusher_router.events import AttemptResult, SendStoreUpdate, StartAttempt, StoreChanged
 from limpetusher_router.fleet.recent_changes import CHANGE_REPEAT_SECONDS, MAXIMUM_UPDATE_BYTES
-from limpetusher_router.fleet.store_copy import StoreCopy, StoreCopyEncoder
+from limpetusher_router.fleet.store_copy import ConfigurationInForce, StoreCopy, StoreCopyEncoder
 from limpetusher_router.fleet.store_reader import (
     EARLY_UPDATE,
     MAXIMUM_LAG_SECONDS,
@@ -401,3 +401,21 @@
     reader.is_connected = False
     reader.note_peer_revision("10.0.0.2", make_revision(1, 5))
     assert requested_copies(reader) == ["10.0.0.2:7401"]
+
+
+def test_newer_configuration_of_a_peer_is_fetched_with_its_copy(reader, clock):
+    """Guards against a router that starts after a restore and takes the older configuration of the store."""
+    reader.configuration = lambda: ConfigurationInForce(4, b"older")
+    reader.note_peer_configuration("10.0.0.2", 5)
+    clock.advance(MAXIMUM_LAG_SECONDS)
+    reader.note_peer_configuration("10.0.0.2", 5)
+    assert requested_copies(reader) == ["10.0.0.2:7401"]
+    peer = StoreCopyEncoder(reader.mirror, lambda: ConfigurationInForce(5, b"newer"))
+    reader.handle_copy(peer.encode())
+    values = [
+        change.item.value
+        for event in reader.fired
+        if isinstance(event, StoreChanged)
+        for change in event.args[0]
+    ]
+    assert values == [b"newer"]
--- a/tests/router/fleet/test_store_restore.py
+++ b/tests/router/fleet/test_store_restore.py
@@ -7,8 +7,11 @@
 from builders_platform import (
     FleetRun,
     configuration_document,
+    exchange,
     fleet_run,
+    request_text,
     route_document,
+    split_answer,
     target_document,
     wait_for,
 )
@@ -131,3 +134,12 @@
         run.store.put("servers/t1", target_document(run.targets["t1"].address))
         time.sleep(DRAIN_SECONDS)
         assert run.ask()[0] == 200
+
+
+def test_router_that_starts_after_a_restore_gets_the_configuration_of_its_peers(tmp_path):
+    """Guards against an older configuration that a restarted router takes from the restored store."""
+    with fleet_run(tmp_path, answer) as run:
+        restore_before_new_route(run)
+        other = run.start_router(ip="127.0.0.2", ports=run.router.ports, seeds=("127.0.0.1:1",))
+        other.wait_ready()
+        assert split_answer(exchange(other.caller, request_text("/new/1")))[0] == 200
