Show that an answer that ends inside its head is no success

Another operator's report: a target stopped in the middle of its answer's head, and callers got a 200 with an empty or short body. It can't happen here as far as tried: seven positions in the head, closed or reset, for requests that run once and for streams that may be resumed, always 502 or 504 with "ran: unknown". No code is changed.

--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -5,6 +5,7 @@
 import resource
 import signal
 import socket
+import struct
 import threading
 import time
 from collections import Counter
@@ -193,6 +194,34 @@
         assert len(run.calls) == 1
 
 
+@pytest.mark.parametrize("is_stream", [False, True])
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_answer_that_ends_inside_its_head_is_no_success(tmp_path, is_stream, is_reset):
+    """Guards against a target that stops in the middle of its head, which becomes an empty success."""
+    media_type = "text/event-stream" if is_stream else "text/plain"
+    fields = (f"x-server-seal: {SEAL}", f"content-type: {media_type}", "x-weight-versions: 1")
+    head = "\r\n".join(["HTTP/1.1 200 OK", *fields, "content-length: 4", "", ""]).encode()
+    lengths = [5, 12, 17, 60, len(head) - 30, len(head) - 3, len(head) - 1]
+
+    def stop_in_head(call, _number) -> None:
+        call.sock.sendall(head[: lengths.pop(0)])
+        if is_reset:
+            call.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            call.sock.close()
+        else:
+            call.cut_connection()
+
+    with fleet_run(tmp_path, stop_in_head) as run:
+        run.apply_routes(route_document(kind="streaming" if is_stream else "unsafe"))
+        while lengths:
+            before = len(run.calls)
+            status, body = run.ask(method="POST", body="x")
+            expected = {(502, "unknown"), (504, "unknown")} if len(run.calls) > before else {(503, "no")}
+            assert (status, json.loads(body)["error"]["ran"]) in expected
+            # Both targets are suspended after their failures.
+            time.sleep(0.3)
+
+
 def test_broken_stream_that_can_not_resume_does_not_look_complete(tmp_path):
     def break_off(call, _number) -> None:
         call.begin_stream()
