Answer the requests that outlast a planned stop

Another operator's report: in a planned stop, requests were cut with no answer at the end of the grace time, among them requests that may not be repeated. Cause here: at the end of the grace time the process exited with its open requests. Change: 0.2 s before, each of them is ended with an answer: 504 with "ran: unknown" if it was sent to a target, otherwise 503 as not run; a stream that has begun is aborted.

Evidence: test_requests_that_outlast_a_planned_stop_get_an_answer got closed connections without an answer before and passes now.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -13,14 +13,13 @@
     UNAVAILABLE,
     FleetRefusal,
     quarantine_refusal,
+    stopping_refusal,
 )
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.platform.requests import RequestFields
 
 NOT_READY_RETRY_SECONDS = 0.5
 """Roughly how long a router that has just started takes to get the configuration."""
-STOPPING_RETRY_SECONDS = 0.05
-"""Short, as another router can serve the request at once."""
 
 
 class Admission:
@@ -46,13 +45,7 @@
         """Return the exchange of a request, or the refusal if it is not admitted."""
         configuration = self.state.configuration
         if self.is_closing:
-            return FleetRefusal(
-                UNAVAILABLE,
-                "stopping",
-                "this router stops",
-                ran=Ran.NO,
-                retry_after_seconds=STOPPING_RETRY_SECONDS,
-            )
+            return stopping_refusal(ran=Ran.NO)
         if configuration is None:
             return FleetRefusal(
                 UNAVAILABLE,
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -57,6 +57,8 @@
 two failed readiness checks, one a second."""
 STOP_MARGIN_SECONDS = 0.6
 """How long before the end of the grace time the process exits at the latest."""
+LAST_ANSWERS_SECONDS = 0.2
+"""How long before that the requests that still run are ended with an answer, which then has to be written."""
 FLUSH_POLL_SECONDS = 0.05
 FIRST_PEER_MESSAGE_SECONDS = 1.0
 """Maximum time for which a router that starts waits for a message of a peer before it becomes ready; peers
@@ -284,6 +286,8 @@
             self.fire(StopAccepting(), CALLERS)
             self.fire(CloseIdleConnections(), CALLERS)
         exit_at = self.stop_requested_at + self.host.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
+        if self.clock.monotonic() >= exit_at - LAST_ANSWERS_SECONDS:
+            self.requests.end_all()
         if self.callers.is_busy and self.clock.monotonic() < exit_at:
             self.deadlines.schedule_in(FLUSH_POLL_SECONDS, DeadlineReached("flush"), PROCESS)
             return
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
@@ -11,6 +11,8 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
+STOPPING_RETRY_SECONDS = 0.05
+"""Short, as another router can serve the request at once."""
 
 
 class FleetRefusal:
@@ -51,6 +53,15 @@
     )
 
 
+def stopping_refusal(*, ran: Ran) -> FleetRefusal:
+    """Return the refusal of a request that the router can't complete because it stops."""
+    if ran is Ran.NO:
+        return FleetRefusal(
+            UNAVAILABLE, "stopping", "this router stops", ran=ran, retry_after_seconds=STOPPING_RETRY_SECONDS
+        )
+    return FleetRefusal(GATEWAY_TIMEOUT, "stopping", "this router stops", ran=ran)
+
+
 def error_answer(request_id: str, caller_request_id: str, refusal: FleetRefusal) -> SendAnswer:
     """Return the message that sends a refusal to its caller."""
     headers = error_headers(caller_request_id, refusal.retry_after_seconds)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -33,6 +33,7 @@
     FleetRefusal,
     error_answer,
     quarantine_refusal,
+    stopping_refusal,
 )
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.platform import names
@@ -319,6 +320,15 @@
             refusal = FleetRefusal(UNAVAILABLE, "timeout", "no target in time", ran=Ran.NO)
         self.fail_request(exchange, refusal)
 
+    def end_all(self) -> None:
+        """End all requests with an answer, as the router is about to exit."""
+        for exchange in list(self.exchanges.values()):
+            if exchange.attempt is not None:
+                self.stop_attempt(exchange)
+                self.metrics.waiting_requests += 1
+            ran = Ran.UNKNOWN if exchange.possible_runs else Ran.NO
+            self.fail_request(exchange, stopping_refusal(ran=ran))
+
     @handler("CallerDisconnected")
     def on_caller_lost(self, request_id: str) -> None:
         """Cancel a request whose caller has disconnected."""
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -16,6 +16,7 @@
 
 from builders_platform import (
     SEAL,
+    FleetRun,
     configuration_document,
     event,
     exchange,
@@ -397,6 +398,62 @@
         assert run.router.process.wait(8) == 0
 
 
+class RequestsDuringStop:
+    """Requests that are sent at intervals from their own threads while a router stops."""
+
+    def __init__(self, run: FleetRun, *, deadline_ms: int):
+        self.run = run
+        self.request = request_text("/safe/1", method="POST", body="x", x_deadline_ms=str(deadline_ms))
+        self.answers: list[bytes] = []
+        self.threads: list[threading.Thread] = []
+
+    def ask(self) -> None:
+        """Record the whole answer to one request, empty if its connection is closed without one."""
+        try:
+            self.answers.append(exchange(self.run.router.caller, self.request))
+        except ConnectionRefusedError:
+            # The router has closed its port and read nothing.
+            return
+        except ConnectionError:
+            self.answers.append(b"")
+
+    def send(self) -> None:
+        """Send one request."""
+        self.threads.append(threading.Thread(target=self.ask))
+        self.threads[-1].start()
+
+    def outcomes(self) -> list[tuple[int, str]]:
+        """Return the status of each request and whether it ran, (0, "") without an answer."""
+        for thread in self.threads:
+            thread.join()
+        outcomes = []
+        for whole in self.answers:
+            status, body = split_answer(whole) if whole else (0, b"")
+            ran = "yes" if status == 200 else json.loads(body)["error"]["ran"] if body else ""
+            outcomes.append((status, ran))
+        return outcomes
+
+
+def test_requests_that_outlast_a_planned_stop_get_an_answer(tmp_path):
+    """Guards against a planned stop that closes connections without an answer at the end of the grace."""
+    grace_seconds = 4.0
+    with fleet_run(
+        tmp_path, lambda call, _number: time.sleep(3 * grace_seconds), stop_grace_seconds=grace_seconds
+    ) as run:
+        run.apply_routes(route_document(kind="unsafe", timeoutMs=30_000))
+        requests = RequestsDuringStop(run, deadline_ms=30_000)
+        requests.send()
+        wait_for(lambda: run.calls)
+        run.router.process.terminate()
+        for _ in range(3):
+            time.sleep(0.4)
+            requests.send()
+        outcomes = requests.outcomes()
+        assert run.router.process.wait(grace_seconds) == 0
+        assert len(outcomes) == 4
+        assert set(outcomes) <= {(504, "unknown"), (503, "no")}
+
+
 def test_stream_that_sends_only_single_bytes_continues_at_another_target(tmp_path):
     """Guards against counting single bytes of a stalled stream as activity."""
 
