Take no requests that a short grace time cuts off

With a grace time of 4 s, requests of one second were taken until 3 s after SIGTERM and cut off. Cause: the accepting phase of a stop was 3 s whatever the grace time is. Change: it is at most 0.375 of it, which is 3 s for the 8 s of the present deployments.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -51,10 +51,13 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.3
 """Timeout of connections inside the deployment, which normally take a few milliseconds."""
-STOP_ACCEPTING_SECONDS = 3.0
+MAX_ACCEPTING_SECONDS = 3.0
 """Time from the stop signal until new requests are refused as not run, since the rest of the grace time may
 be too short for a long stream. By then the platform has taken the router out of service, which it does after
 two failed readiness checks, one a second."""
+MAX_ACCEPTING_FRACTION = 0.375
+"""Fraction of the grace time after which new requests are refused in any case, so that with a short grace
+time more than half of it is left for the last ones."""
 STOP_MARGIN_SECONDS = 0.6
 """How long before the end of the grace time the process exits at the latest."""
 LAST_ANSWERS_SECONDS = 0.2
@@ -272,7 +275,10 @@
         )
         self.peers.announce_departure()
         self.fire(CloseAfterAnswers(), CALLERS)
-        self.deadlines.schedule_in(STOP_ACCEPTING_SECONDS, DeadlineReached("stop"), PROCESS)
+        accepting_seconds = min(
+            MAX_ACCEPTING_SECONDS, MAX_ACCEPTING_FRACTION * self.host.bounds.stop_grace_seconds
+        )
+        self.deadlines.schedule_in(accepting_seconds, DeadlineReached("stop"), PROCESS)
 
     @handler("DeadlineReached")
     def on_due(self, subject: object) -> None:
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -454,6 +454,27 @@
         assert set(outcomes) <= {(504, "unknown"), (503, "no")}
 
 
+@pytest.mark.parametrize("grace_seconds", [4.0, 8.0])
+def test_short_requests_are_not_cut_at_the_end_of_a_planned_stop(tmp_path, grace_seconds):
+    """Guards against requests that are taken so late in the grace time that they can't end within it."""
+
+    def work(call, _number) -> None:
+        time.sleep(1.0)
+        call.answer(b"done")
+
+    with fleet_run(tmp_path, work, stop_grace_seconds=grace_seconds) as run:
+        run.apply_routes(route_document(kind="unsafe", timeoutMs=3_000))
+        requests = RequestsDuringStop(run, deadline_ms=3_000)
+        run.router.process.terminate()
+        for _ in range(int(grace_seconds / 0.2)):
+            requests.send()
+            time.sleep(0.2)
+        outcomes = requests.outcomes()
+        assert run.router.process.wait(grace_seconds) == 0
+        assert outcomes.count((200, "yes")) >= 4
+        assert set(outcomes) <= {(200, "yes"), (503, "no")}
+
+
 def test_stream_that_sends_only_single_bytes_continues_at_another_target(tmp_path):
     """Guards against counting single bytes of a stalled stream as activity."""
 
