Take the time for older entries of a restored store from the targets' heartbeat

The time was 6 s whatever the heartbeat is; the entry of a target that has left lapses after three of them, so with a heartbeat of 3 s it would have been used again. The platform's settings name the heartbeat; five of them are 6 s at present.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -34,12 +34,13 @@
 """How long a target whose entry may only have expired is still used. Such entries are removed some time
 after the store has recovered, and are back within about two seconds of the recovery. A target that has left
 must get no requests later than 2 s after its entry was removed, which leaves 0.5 s for those in transit."""
+MILLISECONDS_PER_SECOND = 1_000.0
 LOST_ENTRY_SECONDS = 2.5
 """How long an entry stays in force that a restored store has lost. Targets write their entries again within
 about two seconds of the store's return."""
-OUTDATED_ENTRY_SECONDS = 6.0
-"""How long an older entry of a restored store is not applied. The entry of a target that has left lapses in
-this time: three heartbeats of 1.2 s, and the time until the store notices it."""
+OUTDATED_ENTRY_HEARTBEATS = 5
+"""How long an older entry of a restored store is not applied, in heartbeats of targets. The entry of a target
+that has left lapses after three of them; the others cover the time until the store has removed it."""
 
 logger = logging.getLogger(__name__)
 
@@ -83,6 +84,9 @@
         """Health of targets as observed by this router."""
         self.held_until: dict[str, float] = {}
         """Until when targets stay in use whose entries were removed around a failure of the store."""
+        self.outdated_entry_seconds = (
+            OUTDATED_ENTRY_HEARTBEATS * host.target_heartbeat_milliseconds / MILLISECONDS_PER_SECOND
+        )
         self.withheld: dict[str, tuple[float, Change]] = {}
         """Changes of a restored store that may be outdated, and when they are applied, by key."""
         self.configuration_in_force = ConfigurationInForce()
@@ -175,7 +179,7 @@
 
     def withhold(self, change: Change) -> None:
         """Keep what is known of a key for a while, unless the key is written again."""
-        seconds = LOST_ENTRY_SECONDS if change.item is None else OUTDATED_ENTRY_SECONDS
+        seconds = LOST_ENTRY_SECONDS if change.item is None else self.outdated_entry_seconds
         self.withheld[change.key] = self.clock.monotonic() + seconds, replace(change, is_outdated=False)
         log_event(Event.STORE_ENTRY_WITHHELD, key=change.key, removed=change.item is None, seconds=seconds)
 
--- a/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
@@ -26,7 +26,8 @@
 
     `internal_ports` are the first and the last port of the range for messages between routers. `seeds` are
     addresses of some routers of the fleet; their port is not used for messages between routers. The router
-    may use `processor_share` of a core, which is `processor_speed` times as fast as a standard core.
+    may use `processor_share` of a core, which is `processor_speed` times as fast as a standard core. Targets
+    renew their entries in the store every `target_heartbeat_milliseconds`.
     """
 
     host_id: str
@@ -39,6 +40,7 @@
     store_address: str
     maximum_descriptors: int
     bounds: Bounds
+    target_heartbeat_milliseconds: float = 1_200.0
     processor_share: float = 1.0
     processor_speed: float = 1.0
     metrics_port: int = METRICS_PORT
--- a/tests/router/fleet/test_state.py
+++ b/tests/router/fleet/test_state.py
@@ -7,14 +7,17 @@
 from limpetusher.clock import ManualClock
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.mirror import Change, StoredItem
-from limpetusher_router.fleet.state import LOST_ENTRY_SECONDS, OUTDATED_ENTRY_SECONDS, FleetState
+from limpetusher_router.fleet.state import LOST_ENTRY_SECONDS, OUTDATED_ENTRY_HEARTBEATS, FleetState
 
+HEARTBEAT_SECONDS = 3.0
+OUTDATED_ENTRY_SECONDS = OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_SECONDS
 DRAIN_SECONDS = 2.0
 """Time after which a target that has left must get no requests, as the platform requires."""
 
 
 def make_state(clock: ManualClock) -> FleetState:
-    state = FleetState(make_host_settings(), FleetSettings(), clock=clock, rng=random.Random(1))
+    host = make_host_settings(target_heartbeat_milliseconds=1_000.0 * HEARTBEAT_SECONDS)
+    state = FleetState(host, FleetSettings(), clock=clock, rng=random.Random(1))
     entry = json.dumps(target_document("10.0.0.7:80")).encode()
     state.apply_change(Change("servers/t1", StoredItem("servers/t1", entry, 5)))
     return state
--- a/tests/router/platform/test_settings_file.py
+++ b/tests/router/platform/test_settings_file.py
@@ -19,6 +19,7 @@
     "portRange": [7400, 7415],
     "seeds": ["10.1.0.33:8785"],
     "provider.address": "10.200.1.7:8781",
+    "heartbeatMs": 1500,
     "limits.maxFds": 4100,
     "limits.cpuShare": 0.537,
     "limits.cores": 2,
@@ -43,6 +44,7 @@
     assert settings.store_copy_port == 7401
     assert settings.processor_cores == pytest.approx(1.074)
     assert settings.bounds.stop_grace_seconds == 8.0
+    assert settings.target_heartbeat_milliseconds == 1500
 
 
 @pytest.mark.parametrize(("before", "after"), [('"front-1"', "7"), ('"host_id"', '"host"'), ("{", "")])
