Let peers that lag as well not restart the wait for a newer configuration

A router fetched the copy of a peer with a newer configuration only if no peer with an older one was heard for 0.6 s in between, so that after a restore a router that started could go on with the older configuration. Cause: the time at which the newer one was found was forgotten at each message of a peer that lags. Change: it is kept until the version is in force, as for revisions of the store. Found by reading the diff; the test with a second peer that lags fails without the change.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -162,8 +162,10 @@
         """When that lag was found."""
         self.has_heard_peer = False
         """Whether any peer has told which configuration it has in force."""
-        self.older_configuration_since: float | None = None
-        """When a peer was first found to have a newer configuration in force, None if none has one."""
+        self.newer_configuration_version = 0
+        """Version in force at a peer by which the own one was first found to be older."""
+        self.newer_configuration_found_at = 0.0
+        """When it was found."""
         self.last_update_received_at = float("-inf")
         """When the last update of a watcher that reaches the store arrived."""
         self.recent_changes = RecentChanges()
@@ -478,19 +480,20 @@
     @property
     def lacks_known_configuration(self) -> bool:
         """Return whether a peer was lately found to have a newer configuration that is not in force here."""
-        since = self.older_configuration_since
-        return since is not None and self.deadlines.clock.monotonic() - since < MAXIMUM_UNREADY_SECONDS
+        waited_seconds = self.deadlines.clock.monotonic() - self.newer_configuration_found_at
+        is_older = self.configuration().version < self.newer_configuration_version
+        return is_older and waited_seconds < MAXIMUM_UNREADY_SECONDS
 
     def note_peer_configuration(self, address: str, version: int) -> None:
         """Fetch the copy of a peer if it has had a newer configuration in force for too long."""
         self.has_heard_peer = True
-        if version <= self.configuration().version:
-            self.older_configuration_since = None
+        own_version = self.configuration().version
+        if version <= own_version:
             return
         now = self.deadlines.clock.monotonic()
-        if self.older_configuration_since is None:
-            self.older_configuration_since = now
-        if now - self.older_configuration_since >= MAXIMUM_LAG_SECONDS:
+        if self.newer_configuration_version <= own_version:
+            self.newer_configuration_version, self.newer_configuration_found_at = version, now
+        if now - self.newer_configuration_found_at >= MAXIMUM_LAG_SECONDS:
             self.fetch_copy(address)
 
     def has_newer_generation(self, revision: int) -> bool:
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -407,8 +407,11 @@
     """Guards against a router that starts after a restore and takes the older configuration of the store."""
     reader.configuration = lambda: ConfigurationInForce(4, b"older")
     reader.note_peer_configuration("10.0.0.2", 5)
-    clock.advance(MAXIMUM_LAG_SECONDS)
-    reader.note_peer_configuration("10.0.0.2", 5)
+    for _ in range(5):
+        assert requested_copies(reader) == []
+        clock.advance(MAXIMUM_LAG_SECONDS / 5)
+        reader.note_peer_configuration("10.0.0.3", 4)
+        reader.note_peer_configuration("10.0.0.2", 5)
     assert requested_copies(reader) == ["10.0.0.2:7401"]
     peer = StoreCopyEncoder(reader.mirror, lambda: ConfigurationInForce(5, b"newer"))
     reader.handle_copy(peer.encode())
