Tell the limits of targets in messages that fit into a datagram

A router that joins was told all limits in one message: 4.4 KB for 300 limited targets, where a packet of the links is made for small messages. Change: at most 20 limits in a message. The test fails without the change (4,414 bytes, 4,000 allowed).

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -64,6 +64,8 @@
 """Time between two messages to the other schedulers of a service on how much each customer was served."""
 MINIMUM_CORRECTION_INTERVAL_SECONDS = 0.2
 """Minimum time between two corrections sent to a router that asks the wrong scheduler."""
+MAXIMUM_LIMITS_PER_UPDATE = 20
+"""Maximum number of limits of targets in one message; six messages of about 500 bytes share a datagram."""
 PLACEMENT_RUN = "place"
 """Subject of the deadline of a placement run."""
 
@@ -373,8 +375,8 @@
     def announce_limits(self, now: float) -> None:
         """Send new limits of request rates to all routers, as each of them may become a scheduler."""
         limits = self.state.placement.limits.take_unannounced()
-        if limits:
-            self.send_to_all(RateLimitUpdate(True, limits), now)
+        for update in rate_limit_updates(limits, is_change=True):
+            self.send_to_all(update, now)
 
     def send_to_all(self, message: Message, now: float) -> None:
         """Send a message to all other live routers."""
@@ -388,8 +390,8 @@
         if quarantine.quarantines:
             self.send(address, QuarantineUpdate(quarantine.entries(quarantine.quarantines, now)))
         limits = self.state.placement.limits.known_limits()
-        if limits:
-            self.send(address, RateLimitUpdate(False, limits))
+        for update in rate_limit_updates(limits, is_change=False):
+            self.send(address, update)
 
     def check_schedulers(self, now: float) -> None:
         """Suspect schedulers that acknowledge nothing, and ping those that have sent nothing lately."""
@@ -463,6 +465,14 @@
         self.sock.send(update, addresses)
 
 
+def rate_limit_updates(limits: tuple[tuple[str, float], ...], *, is_change: bool) -> list[RateLimitUpdate]:
+    """Return the messages that tell limits of targets, several of which fit into a datagram."""
+    return [
+        RateLimitUpdate(is_change, limits[first : first + MAXIMUM_LIMITS_PER_UPDATE])
+        for first in range(0, len(limits), MAXIMUM_LIMITS_PER_UPDATE)
+    ]
+
+
 def silence_limit(link: Link) -> float:
     """Return the time without an acknowledgement after which a scheduler counts as unreachable."""
     return min(max(SCHEDULER_SILENCE_SECONDS, link.expected_delay_seconds), MAXIMUM_SCHEDULER_SILENCE_SECONDS)
--- a/tests/router/fleet/test_rate_limited_targets.py
+++ b/tests/router/fleet/test_rate_limited_targets.py
@@ -1,5 +1,6 @@
 """Tests of fleets whose targets name the requests per second that they take from all routers together."""
 
+import msgspec
 import pytest
 
 from builders_peers import READING_SECONDS, RUN_SECONDS, FleetInMemory, poisson_load
@@ -11,6 +12,8 @@
 TOLERATED_FACTOR = 1.5
 TOLERATED_EXTRA = 5
 LOAD_PER_SECOND = 80.0
+MAX_DATAGRAM_BYTES = 4_000
+"""Six messages of about 500 bytes, and room for their packet."""
 
 
 def limited_engines(fleet: FleetInMemory, every: int) -> list[str]:
@@ -81,3 +84,24 @@
     fleet.run(4.0, arrive)
     most = slots * 4.0 / (READING_SECONDS + RUN_SECONDS)
     assert sum(at >= since for at in fleet.starts["e1"]) >= 0.5 * most
+
+
+def test_router_that_starts_learns_hundreds_of_limits_in_small_messages():
+    """Guards against limits that never arrive because their message does not fit into a datagram."""
+    fleet = FleetInMemory(4, engines=300, seed=2)
+    fleet.run(SETTLE_SECONDS)
+    sizes = []
+    send = fleet.send
+
+    def send_and_measure(sender, datagram, addresses):
+        sizes.append(len(msgspec.msgpack.encode(datagram)))
+        send(sender, datagram, addresses)
+
+    fleet.send = send_and_measure
+    for router in fleet.routers.values():
+        for target in fleet.targets:
+            router.state.placement.limits.learn(target.target_id, 2.5, fleet.clock.monotonic())
+    started = fleet.restart("10.0.0.3")
+    fleet.run(SETTLE_SECONDS)
+    assert len(started.state.placement.limits.known_limits()) == len(fleet.targets)
+    assert max(sizes) <= MAX_DATAGRAM_BYTES
