--- a/review/standins.py
+++ b/review/standins.py
@@ -44,16 +44,16 @@
     def __init__(self, path: Path):
         self.path = path
         self.started_at = time.monotonic()
-        self.lines: list[str] = []
+        path.write_text("")
 
     def add(self, text: str) -> None:
-        """Add a line and write the file."""
-        self.lines.append(f"{time.monotonic() - self.started_at:8.3f} {text}")
-        self.path.write_text("\n".join(self.lines) + "\n")
+        """Add a line."""
+        with self.path.open("a") as file:
+            file.write(f"{time.monotonic() - self.started_at:8.3f} {text}\n")
 
 
 def free_port(ip: str) -> int:
-    """Return a TCP port that is free at an address, below those that the system gives to outgoing channels."""
+    """Return a TCP port that is free at an address, below those of outgoing channels."""
     for _ in range(200):
         port = random.randrange(12_000, 31_000)
         with socket.socket() as sock, contextlib.suppress(OSError):
