--- a/review/fair.py
+++ b/review/fair.py
@@ -1,4 +1,4 @@
-"""Steady model requests of two tenants, and the check of FAIR for the one whose requesters use one machine."""
+"""Steady model requests of two tenants, and the check of FAIR for the one that uses a single machine."""
 
 import asyncio
 import time
