Report fairness between customers from the log lines of routers

An operator could not see how near a customer was to unfair service: event 1320 names only the customer with the lowest met share at one scheduler, and the request lines lacked the cost of a request. Events 1405, 1401, 1402, 1407 and 1408 now have the cost in tokens, 1405 also the goal. The command `limpetusher fairness LOG...` computes the ratio of each customer and window of six seconds as the users' rule does, with the reasons of refusals.

No decision changes.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/served_tokens.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/served_tokens.py
@@ -89,6 +89,11 @@
         return max((self.total(customer) for customer in self.customers), default=0.0)
 
 
+def throughput_cost(prompt_tokens: float, output_tokens: float) -> float:
+    """Return the throughput that a request costs its customer, independent of cached parts."""
+    return prompt_tokens + OUTPUT_TOKEN_WEIGHT * output_tokens
+
+
 def decayed(sums: Mapping[str, float], factor: float) -> dict[str, float]:
     """Return the sums multiplied by a factor, without negligible ones."""
     return {
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -12,7 +12,7 @@
 from limpetusher.fleet.process.placement import Placement, TargetChoice
 from limpetusher.fleet.process.pool_view import PoolView
 from limpetusher.fleet.process.prompt_quarantine import PartKey, PromptQuarantine, shared_parts
-from limpetusher.fleet.process.served_tokens import OUTPUT_TOKEN_WEIGHT, ServedTokens
+from limpetusher.fleet.process.served_tokens import ServedTokens, throughput_cost
 from limpetusher.fleet.settings import FleetSettings
 
 MIN_RETRY_AFTER_SECONDS = 0.05
@@ -408,4 +408,4 @@
 
 def throughput_tokens(request: QueuedRequest) -> float:
     """Return the throughput that a request costs its customer, independent of cached parts."""
-    return request.prompt_tokens + OUTPUT_TOKEN_WEIGHT * request.output_tokens
+    return throughput_cost(request.prompt_tokens, request.output_tokens)
--- a/packages/limpetusher-operator/src/limpetusher_operator/command.py
+++ b/packages/limpetusher-operator/src/limpetusher_operator/command.py
@@ -29,7 +29,8 @@
 from limpetusher_operator import admin, report
 from limpetusher_operator.drains import with_data_centre_state
 from limpetusher_operator.errors import OperatorError
-from limpetusher_operator.files import read_document, read_file, write_document, write_output
+from limpetusher_operator.fairness import FairnessReport, format_report
+from limpetusher_operator.files import read_document, read_file, read_lines, write_document, write_output
 from limpetusher_operator.keys import NewApiKey, generate_api_key
 
 ERROR_EXIT_STATUS = 2
@@ -232,6 +233,21 @@
         raise OperatorError(*failures)
 
 
+@app.command
+def fairness(*logs: Path, worst: int = 10) -> None:
+    """Show how fairly customers were served, from the log lines of all routers.
+
+    Parameters
+    ----------
+    logs
+        Files with log lines of routers, by default standard input.
+    worst
+        Number of windows to list, those with the lowest ratios.
+    """
+    lines = (line for path in logs for line in read_lines(path)) if logs else sys.stdin
+    print(format_report(FairnessReport(lines).windows(), worst))
+
+
 def write_template(output: Path | None) -> None:
     """Write example answers."""
     write_output(output, example_answers().model_dump_json(indent=2).encode() + b"\n")
--- a/packages/limpetusher-operator/src/limpetusher_operator/files.py
+++ b/packages/limpetusher-operator/src/limpetusher_operator/files.py
@@ -3,6 +3,7 @@
 import os
 import sys
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 
 from limpetusher.configuration.document import ConfigurationModel, dump_document, parse_document
@@ -24,6 +25,21 @@
         raise OperatorError(f"{path}: can't be read ({error.strerror})") from None
 
 
+def read_lines(path: Path) -> Iterator[str]:
+    """Yield the lines of a text file; bytes that are not UTF-8 are replaced.
+
+    Raises
+    ------
+    OperatorError
+        If the file can't be read.
+    """
+    try:
+        with path.open(errors="replace") as file:
+            yield from file
+    except OSError as error:
+        raise OperatorError(f"{path}: can't be read ({error.strerror})") from None
+
+
 def read_document(path: Path) -> ConfigurationModel:
     """Read and validate a configuration document.
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -4,6 +4,7 @@
 
 from limpetusher.fleet.messages import TargetGrant
 from limpetusher.fleet.model import Route, Target
+from limpetusher.fleet.process.served_tokens import throughput_cost
 from limpetusher.fleet.request.scheduler_client import TargetRequest
 from limpetusher_router.connection.framing import AnswerHead, RequestHead
 from limpetusher_router.fleet.event_relay import EventRelay
@@ -78,6 +79,11 @@
             return None
         return round(self.first_event_at - self.arrived_at, 3)
 
+    @property
+    def throughput_cost(self) -> float:
+        """Return the throughput that the request costs its customer, in tokens."""
+        return throughput_cost(self.target_request.prompt_tokens, self.target_request.output_tokens)
+
     @property
     def is_stream(self) -> bool:
         """Return whether the current answer is a stream of events."""
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -131,6 +131,19 @@
         assert len(run.calls) == 1
 
 
+def test_log_lines_of_a_request_name_its_cost_and_customer(tmp_path):
+    """Guards against a log from which the service of customers can't be compared."""
+    with fleet_run(tmp_path, answer) as run:
+        assert run.ask(x_token_usage="100,20") == (200, b"done")
+        finished = Event.REQUEST_FINISHED
+        wait_for(lambda: run.logged_count(finished), run.router.log)
+        events = {Event.REQUEST_SENT.number, finished.number}
+        lines = [json.loads(line) for line in run.router.log.read_text().splitlines()]
+        lines = [line for line in lines if line.get("event") in events]
+        assert {line["event"] for line in lines} == events
+        assert {(line["customer"], line["tokens"]) for line in lines} == {("acme", 140.0)}
+
+
 def test_failure_after_a_run_is_retried_for_a_safe_request(tmp_path):
     """Guards against an error to the caller of a safe request while another target can answer it."""
     target = FailingOnce(b"", "503 Service Unavailable")
