Count only sends that may have run as service in the fairness report

A router that can't connect to targets logs a send (1405) and then that the attempt was not sent (1406, may_have_run false).

--- a/packages/limpetusher-operator/src/limpetusher_operator/fairness.py
+++ b/packages/limpetusher-operator/src/limpetusher_operator/fairness.py
@@ -31,9 +31,10 @@
     time: datetime
     event: int
     request: str
-    customer: str
-    tokens: float
+    customer: str = ""
+    tokens: float = 0.0
     sends: int = 0
+    may_have_run: bool = True
     attempt: int = 1
     seconds: float = 0.0
     waited: float = 0.0
@@ -48,7 +49,7 @@
     asked: Counter[int] = field(default_factory=Counter)
     """Tokens of the requests that arrived."""
     got: Counter[int] = field(default_factory=Counter)
-    """Tokens of the requests that were sent to a target for the first time."""
+    """Tokens of the requests, at the time of the first send that may have run."""
     unmet: set[int] = field(default_factory=set)
     """Seconds with a request that was refused or waited longer than its goal."""
     reasons: defaultdict[int, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
@@ -76,13 +77,15 @@
     Parameters
     ----------
     lines
-        Log lines of all routers, in any order; lines about something else are skipped. Text before the JSON
-        object of a line, such as a prefix of a log collector, is ignored.
+        Log lines of all routers, those of one router in their order; lines about something else are skipped.
+        Text before the JSON object of a line, such as a prefix of a log collector, is ignored.
     """
 
     def __init__(self, lines: Iterable[str]):
         self.customers: defaultdict[str, CustomerRecord] = defaultdict(CustomerRecord)
-        self.sent_requests: set[str] = set()
+        self.sends: dict[str, tuple[int, RequestLine]] = {}
+        """Second and line of the first send of each request that may have run."""
+        self.asked_requests: set[str] = set()
         self.largest_tokens = 0.0
         decoder = msgspec.json.Decoder(RequestLine)
         for line in lines:
@@ -96,21 +99,39 @@
     def record(self, line: RequestLine) -> None:
         """Record a log line."""
         now = line.time.timestamp()
+        if line.event == Event.ATTEMPT_FAILED.number and not line.may_have_run:
+            self.retract_send(line, now)
+            return
+        if not line.customer:
+            return
         customer = self.customers[line.customer]
         self.largest_tokens = max(self.largest_tokens, line.tokens)
         if line.event == Event.REQUEST_SENT.number:
-            if line.request not in self.sent_requests:
-                self.sent_requests.add(line.request)
-                customer.asked[int(now - line.waited)] += line.tokens
+            self.record_asked(line, now - line.waited)
+            if line.request not in self.sends:
+                self.sends[line.request] = int(now), line
                 customer.got[int(now)] += line.tokens
                 if line.waited > line.goal:
                     customer.unmet.add(int(now))
-        elif line.event in OUTCOMES and line.sends == 0:
-            arrived_at = int(now - line.seconds)
-            customer.asked[arrived_at] += line.tokens
-            customer.unmet |= {arrived_at, int(now)}
+        elif line.event in OUTCOMES and line.request not in self.sends:
+            self.record_asked(line, now - line.seconds)
+            customer.unmet |= {int(now - line.seconds), int(now)}
             customer.reasons[int(now)][line.reason] += 1
 
+    def record_asked(self, line: RequestLine, arrived_at: float) -> None:
+        """Record the arrival of a request."""
+        if line.request not in self.asked_requests:
+            self.asked_requests.add(line.request)
+            self.customers[line.customer].asked[int(arrived_at)] += line.tokens
+
+    def retract_send(self, line: RequestLine, now: float) -> None:
+        """Retract the send of a request that has not reached its target."""
+        if line.request in self.sends:
+            second, sent = self.sends.pop(line.request)
+            customer = self.customers[sent.customer]
+            customer.got[second] -= sent.tokens
+            customer.unmet.add(int(now))
+
     def windows(self) -> list[FairnessWindow]:
         """Return the windows of all customers with unmet requests in each second, the lowest ratio first."""
         seconds = {second for record in self.customers.values() for second in record.asked}
--- a/tests/operator_tool/test_fairness.py
+++ b/tests/operator_tool/test_fairness.py
@@ -58,6 +58,15 @@
     assert sum(report.customers["large"].got.values()) == 12_000.0
 
 
+def test_send_that_did_not_reach_its_target_does_not_count_as_service():
+    """Guards against counting service of a router that can't connect to targets."""
+    lines = customer_lines("large", sent=2, refused=10)
+    failed = log_line(1406, 0.8, 0, "large", may_have_run=False).replace('"customer"', '"ignored"')
+    report = FairnessReport([*lines, failed])
+    assert report.customers["large"].got[int(BEGIN.timestamp())] == 1_000.0
+    assert sum(report.customers["large"].asked.values()) == 72_000.0
+
+
 def test_lines_about_something_else_are_skipped():
     lines = [
         "",
