--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -31,6 +31,7 @@
 """How long a request is open at its target."""
 READING_SECONDS = 0.05
 REFUSED_CONNECTION_SECONDS = 0.003
+CONNECT_TIMEOUT_SECONDS = 0.3
 DOWN_SECONDS = 3.0
 """Time for which a crashed engine refuses connections."""
 MAX_ATTEMPTS = 2
@@ -95,6 +96,10 @@
         self.timers: list[tuple[float, int, object]] = []
         self.asked_at: dict[str, float] = {}
         self.granted_at: dict[str, float] = {}
+        self.begun_at: dict[str, float] = {}
+        """Times at which requests were sent to the targets that have run them."""
+        self.connect_failure_rate = 0.0
+        """Part of the sends for which no connection can be opened in time, as on a congested link."""
         self.refused: dict[str, TargetRefusal] = {}
         self.open: dict[str, str] = {}
         """Targets of requests that are open."""
@@ -177,6 +182,10 @@
         if self.fleet.is_down(answer.target_id):
             self.later(REFUSED_CONNECTION_SECONDS, lambda: self.cut(attempt, is_cut=False))
             return
+        if self.connect_failure_rate and self.fleet.rng.random() < self.connect_failure_rate:
+            self.later(CONNECT_TIMEOUT_SECONDS, lambda: self.cut(attempt, is_cut=False))
+            return
+        self.begun_at.setdefault(request_id, now)
         prefill_seconds = self.fleet.prefill_seconds(answer)
         self.later(prefill_seconds, lambda: self.begin_output(attempt, answer.target_id))
         self.later(prefill_seconds + self.run_seconds, lambda: self.finish(attempt))
--- a/tests/router/fleet/test_fair_service.py
+++ b/tests/router/fleet/test_fair_service.py
@@ -64,6 +64,8 @@
         self.per_second = per_second
         self.weights = weights
         self.begun_at = fleet.clock.monotonic()
+        self.addresses: dict[str, list[str]] = {}
+        """Routers that get the requests of a customer; those of others come at any router."""
         self.kinds: dict[str, tuple[str, RequestClass]] = {}
         self.arrived_at: dict[str, float] = {}
         self.retries: list[tuple[float, str, RequestClass]] = []
@@ -75,7 +77,8 @@
         request_id = f"{'r' if is_retry else 'w'}{len(self.kinds)}"
         self.kinds[request_id] = customer, kind
         self.arrived_at[request_id] = fleet.clock.monotonic()
-        fleet.rng.choice(list(fleet.routers.values())).request_target(
+        address = fleet.rng.choice(self.addresses.get(customer) or list(fleet.routers))
+        fleet.routers[address].request_target(
             request_id,
             session=f"{customer}-{CLASSES.index(kind)}-{fleet.rng.randrange(SESSIONS)}",
             customer=customer,
@@ -121,11 +124,14 @@
         asked, got = defaultdict(Counter), defaultdict(Counter)
         unmet = defaultdict(set)
         for router in self.fleet.routers.values():
-            for request_id, granted_at in router.granted_at.items():
+            for request_id, begun_at in router.begun_at.items():
                 customer, kind = self.kinds[request_id]
-                got[customer][int(granted_at)] += kind.throughput_tokens
-                if granted_at > self.arrived_at[request_id] + kind.goal_seconds:
-                    unmet[customer].add(int(granted_at))
+                got[customer][int(begun_at)] += kind.throughput_tokens
+                if begun_at > self.arrived_at[request_id] + kind.goal_seconds:
+                    unmet[customer].add(int(begun_at))
+            for request_id in router.granted_at.keys() - router.begun_at.keys():
+                customer, _kind = self.kinds[request_id]
+                unmet[customer].add(int(self.arrived_at[request_id]))
         for request_id, (customer, kind) in self.kinds.items():
             asked[customer][int(self.arrived_at[request_id])] += kind.throughput_tokens
             if request_id in self.handled:
@@ -178,6 +184,27 @@
     return load.ratios()
 
 
+@functools.cache
+def congested_ratios(seed: int) -> list[tuple[float, int, str]]:
+    """Return the ratios of a load in which two routers get all requests of c0 and often fail to connect."""
+    fleet = make_fleet(seed)
+    load = DayLoad(fleet, REQUESTS_PER_SECOND, WEIGHTS)
+    load.addresses["c0"] = list(fleet.routers)[:2]
+    for address in load.addresses["c0"]:
+        fleet.routers[address].connect_failure_rate = 0.8
+    load.run(12.0)
+    return load.ratios()
+
+
+@pytest.mark.parametrize("ratio", [FAIR_RATIO, AIMED_RATIO])
+@pytest.mark.parametrize("seed", range(3))
+def test_sends_that_do_not_reach_their_target_do_not_count_as_service(seed, ratio):
+    """Guards against refusing a customer as served although its routers can't connect to the targets."""
+    ratios = congested_ratios(seed)
+    assert ratios
+    assert ratios[0][0] >= ratio, ratios[:5]
+
+
 @pytest.mark.parametrize("ratio", [FAIR_RATIO, AIMED_RATIO])
 @pytest.mark.parametrize("seed", [0, 1, 2, 3, 5])
 def test_customers_get_their_fair_share_of_an_overloaded_fleet(seed, ratio):
