Do not count attempts that have not run as service of their customer

What callers saw: a customer whose requests did not reach the engines was refused as the most served one ("the backlog is too long"), while others were served.

Cause: a scheduler adds the tokens of a request to its customer's service with the grant of a target, and kept them if the attempt then did not reach the target. The class of fault is accounting by decision instead of by outcome.

Change: the end of an attempt states whether the request may have run. The tokens of one that has not run are retracted, less what has decayed since; tokens that did not count anyway (limit_totals) are retracted first. Attempts that were cut off, or whose caller has left, still count, as the target may have run them. A router that has no grant yet reports the same, so that a grant which crosses the end of a request is not charged. Older routers send no such statement; their attempts count as before.

Not shown: that the users' case has this cause.

--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -113,6 +113,8 @@
     request_id: str
     attempt: int
     outcome: int
+    may_have_run: bool = True
+    """Whether the target may have run the request."""
 
 
 class AttemptOpened(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -315,6 +315,9 @@
         self.remove_job(client, message.request_id, now)
         target_id = job.target_id
         outcome = Outcome(message.outcome)
+        if target_id is not None and job.request is not None and not message.may_have_run:
+            self.served.decay(now)
+            self.served.retract(job.request.customer, throughput_tokens(job.request), job.granted_at)
         if target_id is None or outcome is Outcome.WITHDRAWN:
             return
         if job.has_shared_parts:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/served_tokens.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/served_tokens.py
@@ -29,7 +29,7 @@
         """Apply the decay up to `now`."""
         if now <= self.decayed_at:
             return
-        factor = math.exp2(-(now - self.decayed_at) / HALF_LIFE_SECONDS)
+        factor = decay_factor(now - self.decayed_at)
         self.own = decayed(self.own, factor)
         self.asked = decayed(self.asked, factor)
         self.disregarded = decayed(self.disregarded, factor)
@@ -42,6 +42,18 @@
         """Add the tokens of a request sent to a target."""
         self.own[customer] = self.own.get(customer, 0.0) + tokens
 
+    def retract(self, customer: str, tokens: float, added_at: float) -> None:
+        """Retract the tokens of a request that was added at `added_at` and has not run.
+
+        Tokens that do not count against the customer are retracted first, so that only what was counted is
+        given back.
+        """
+        remaining = tokens * decay_factor(self.decayed_at - added_at)
+        own = self.own.get(customer, 0.0)
+        self.own[customer] = max(0.0, own - remaining)
+        if customer in self.disregarded:
+            self.disregarded[customer] = max(0.0, self.disregarded[customer] - remaining)
+
     def add_asked(self, customer: str, tokens: float) -> None:
         """Add the tokens of a request that has arrived."""
         self.asked[customer] = self.asked.get(customer, 0.0) + tokens
@@ -94,6 +106,11 @@
     return prompt_tokens + OUTPUT_TOKEN_WEIGHT * output_tokens
 
 
+def decay_factor(seconds: float) -> float:
+    """Return the part of a sum that remains after some time."""
+    return math.exp2(-seconds / HALF_LIFE_SECONDS)
+
+
 def decayed(sums: Mapping[str, float], factor: float) -> dict[str, float]:
     """Return the sums multiplied by a factor, without negligible ones."""
     return {
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -278,13 +278,17 @@
                 StreamProgress(request_id, target_request.attempt, round(needed_speedup, 2)),
             )
 
-    def end(self, request_id: str, outcome: Outcome, now: float) -> None:
+    def end(self, request_id: str, outcome: Outcome, now: float, *, may_have_run: bool = True) -> None:
         """Report the end of a request or of its current attempt."""
         target_request = self.target_requests.pop(request_id, None)
         if target_request is None:
             return
-        self.send(target_request.scheduler, AttemptFinished(request_id, target_request.attempt, int(outcome)))
-        if target_request.grant is None:
+        is_granted = target_request.grant is not None
+        finished = AttemptFinished(
+            request_id, target_request.attempt, int(outcome), is_granted and may_have_run
+        )
+        self.send(target_request.scheduler, finished)
+        if not is_granted:
             return
         if outcome in (Outcome.CUT, Outcome.BROKEN_OFF):
             self.keep_break(target_request, now)
@@ -370,23 +374,27 @@
         """Move a waiting request if its scheduler has changed or is unreachable."""
         scheduler = self.pools.scheduler(target_request.pool, now)
         if scheduler is None and target_request.scheduler != self.own_address:
-            self.send(
-                target_request.scheduler,
-                AttemptFinished(target_request.request_id, target_request.attempt, int(Outcome.WITHDRAWN)),
-            )
+            self.withdraw(target_request)
             self.choose_pool(target_request, now)
         elif scheduler is not None and scheduler != target_request.scheduler:
             self.move_to_scheduler(target_request, scheduler, now)
 
     def move_to_scheduler(self, target_request: TargetRequest, scheduler: str, now: float) -> None:
         """Withdraw a request from its scheduler and register it at another one."""
-        self.send(
-            target_request.scheduler,
-            AttemptFinished(target_request.request_id, target_request.attempt, int(Outcome.WITHDRAWN)),
-        )
+        self.withdraw(target_request)
         target_request.scheduler = scheduler
         self.register(target_request, now)
 
+    def withdraw(self, target_request: TargetRequest) -> None:
+        """Withdraw a request from its scheduler; it runs on if it is open at a target."""
+        finished = AttemptFinished(
+            target_request.request_id,
+            target_request.attempt,
+            int(Outcome.WITHDRAWN),
+            may_have_run=target_request.grant is not None,
+        )
+        self.send(target_request.scheduler, finished)
+
     def register_again(self, scheduler: str, now: float) -> None:
         """Tell a scheduler that has lost its state of its requests, and of the broken attempts."""
         for target_request in self.target_requests.values():
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -210,7 +210,11 @@
         failure = classify_failure(
             exchange.attempt, end, detail, request_id=exchange.fields.caller_request_id
         ) or self.stream_failure(exchange, end)
-        attempt = self.requests.close_attempt(exchange, target_outcome(exchange.attempt, failure))
+        attempt = self.requests.close_attempt(
+            exchange,
+            target_outcome(exchange.attempt, failure),
+            may_have_run=failure is None or failure.may_have_run,
+        )
         if failure is None:
             self.complete_exchange(exchange, attempt)
             return
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -202,7 +202,7 @@
     def return_grant(self, exchange: Exchange, answer: TargetGrant, now: float) -> None:
         """Return a grant whose target must get no request and ask for another target."""
         target_request = exchange.target_request
-        self.state.scheduler_client.end(target_request.request_id, Outcome.WITHDRAWN, now)
+        self.state.scheduler_client.end(target_request.request_id, Outcome.WITHDRAWN, now, may_have_run=False)
         target_request.excluded.add(answer.target_id)
         if len(target_request.excluded) <= MAXIMUM_RETURNED_GRANTS:
             self.state.scheduler_client.request_target(target_request, now)
@@ -254,12 +254,15 @@
         else:
             self.fail_request(exchange, no_capacity_refusal(failure.reason, exchange.route.goal_seconds / 2))
 
-    def close_attempt(self, exchange: Exchange, outcome: Outcome) -> TargetAttempt:
+    def close_attempt(
+        self, exchange: Exchange, outcome: Outcome, *, may_have_run: bool = True
+    ) -> TargetAttempt:
         """Remove the current attempt and report its outcome to the scheduler."""
         attempt = exchange.attempt
         exchange.attempt = None
         self.metrics.running_requests -= 1
-        self.state.scheduler_client.end(exchange.request_id, outcome, self.clock.monotonic())
+        now = self.clock.monotonic()
+        self.state.scheduler_client.end(exchange.request_id, outcome, now, may_have_run=may_have_run)
         return attempt
 
     def stop_attempt(self, exchange: Exchange, outcome: Outcome = Outcome.WITHDRAWN) -> TargetAttempt:
--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -172,7 +172,7 @@
         request_id = answer.request_id
         if self.state.quarantine_seconds(self.target_requests[request_id], now) > 0:
             self.refused_at_the_edge.add(request_id)
-            self.state.scheduler_client.end(request_id, Outcome.WITHDRAWN, now)
+            self.state.scheduler_client.end(request_id, Outcome.WITHDRAWN, now, may_have_run=False)
             return
         self.granted_at[request_id] = now
         self.open[request_id] = answer.target_id
@@ -219,7 +219,7 @@
         del self.open_attempts[request_id]
         has_output = request_id in self.outputs
         outcome = Outcome.UNREACHABLE if not is_cut else Outcome.BROKEN_OFF if has_output else Outcome.CUT
-        self.state.scheduler_client.end(request_id, outcome, self.clock.monotonic())
+        self.state.scheduler_client.end(request_id, outcome, self.clock.monotonic(), may_have_run=is_cut)
         target_request = self.target_requests[request_id]
         if target_request.attempt < MAX_ATTEMPTS:
             target_request.excluded.add(target_id)
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -81,6 +81,33 @@
     assert not scheduler.is_active
 
 
+def test_attempt_that_has_not_run_does_not_count_as_service(scheduler):
+    """Guards against charging a customer for sends that never reached a target."""
+    scheduler.receive(ROUTER_1, make_ask(), 0.0)
+    grants_by_request(scheduler)
+    assert scheduler.served.total("acme") == 3_100.0
+    scheduler.receive(ROUTER_1, AttemptFinished("r1", 1, Outcome.UNREACHABLE, may_have_run=False), 0.3)
+    assert scheduler.served.total("acme") == pytest.approx(0.0)
+
+
+def test_attempt_that_was_cut_off_counts_as_service(scheduler):
+    """Guards against service without limit for a customer whose requests crash targets."""
+    scheduler.receive(ROUTER_1, make_ask(), 0.0)
+    grants_by_request(scheduler)
+    scheduler.receive(ROUTER_1, AttemptFinished("r1", 1, Outcome.CUT), 0.0)
+    assert scheduler.served.total("acme") == 3_100.0
+
+
+def test_retracted_service_does_not_lower_a_total_below_its_limit(scheduler):
+    """Guards against a customer that gets more than others as its requests do not reach their targets."""
+    scheduler.served.add("acme", 10_000.0)
+    assert scheduler.served.limit_totals(6_000.0)
+    scheduler.served.retract("acme", 3_000.0, 0.0)
+    assert scheduler.served.total("acme") == 6_000.0
+    scheduler.served.retract("acme", 3_000.0, 0.0)
+    assert scheduler.served.total("acme") == 4_000.0
+
+
 def test_messages_of_an_earlier_attempt_are_ignored(scheduler):
     """Guards against a late end of a failed attempt that ends the next attempt too."""
     scheduler.receive(ROUTER_1, make_ask(), 0.0)
--- a/tests/fleet/request/test_scheduler_client.py
+++ b/tests/fleet/request/test_scheduler_client.py
@@ -66,6 +66,16 @@
     )
 
 
+def test_end_of_a_request_without_a_grant_is_reported_as_not_run(harness):
+    """Guards against charging a customer for a grant that reaches its router after the request has ended."""
+    harness.request_target()
+    harness.scheduler_client.end("r1", Outcome.WITHDRAWN, 0.1)
+    assert harness.sent[-1][1] == AttemptFinished("r1", 1, int(Outcome.WITHDRAWN), may_have_run=False)
+    harness.grant(harness.request_target())
+    harness.scheduler_client.end("r1", Outcome.WITHDRAWN, 0.2)
+    assert harness.sent[-1][1].may_have_run
+
+
 def test_request_goes_to_the_scheduler_and_excludes_unusable_targets(harness):
     target_request = harness.request_target()
     ((address, message),) = harness.sent
