Handle what has arrived before time-outs when a process was held up

What callers may see: a router that was held up refuses requests, and takes sound targets for unreachable.

Cause: the loop fires the deadlines that are due before it polls. After the process was held up, by other processes or a long placement run, the time-outs of all connections fire before the data that has arrived meanwhile is read: established connections end with "connecting took too long", requests are withdrawn from engines as silent, and the scheduler is told that the targets can't be reached.

Change: when a deadline is late by more than 0.05 s, the loop polls and handles what has arrived before it fires deadlines; the next iteration fires them in any case.

test_connection_established_while_the_process_was_held_up_is_used and test_late_deadlines_fire_after_one_round_of_io failed before. test_deadlines_fire_in_order_and_only_once advanced the clock by a second beyond a deadline, which is now such a case; it advances to each deadline instead and checks what it did before.

--- a/packages/limpetusher-router/src/limpetusher_router/process/deadlines.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/deadlines.py
@@ -10,6 +10,10 @@
 COMPACTION_THRESHOLD_ENTRIES = 1024
 
 
+HELD_UP_SECONDS = 0.05
+"""Delay of a deadline from which on the process was held up, as by other processes or a long message."""
+
+
 class Deadline:
     """An event that is fired at a given time unless it is cancelled before."""
 
@@ -37,6 +41,8 @@
         self.heap: list[tuple[float, int, Deadline]] = []
         self.sequence_numbers = itertools.count()
         self.compaction_threshold = COMPACTION_THRESHOLD_ENTRIES
+        self.is_io_due = False
+        """Whether the process was held up and polls for I/O before it fires deadlines."""
 
     def schedule(self, when: float, event: Event, channel: str) -> Deadline:
         """Fire `event` on `channel` at `when`, a reading of the monotonic clock in seconds."""
@@ -58,8 +64,17 @@
 
     @handler("generate_events", channel="*", priority=10)
     def on_generate_events(self, event: Event) -> None:
-        """Fire the events that are due, and let the poller block no longer than until the next deadline."""
+        """Fire the events that are due, and let the poller block no longer than until the next deadline.
+
+        After the process was held up, what has arrived meanwhile is handled first. Otherwise time-outs would
+        end connections whose data has only not been read yet.
+        """
         now = self.clock.monotonic()
+        was_held_up = bool(self.heap) and self.heap[0][0] + HELD_UP_SECONDS < now
+        self.is_io_due = was_held_up and not self.is_io_due
+        if self.is_io_due:
+            event.reduce_time_left(0)
+            return
         while self.heap and (self.heap[0][2].cancelled or self.heap[0][0] <= now):
             deadline = heapq.heappop(self.heap)[2]
             if not deadline.cancelled:
