Count a send that waits for a connection as service only once it has run

Sends are retracted when they fail, 0.3 s or more after the grant.

Change: a request whose router reports that it has no connection yet is retracted at once, and counted again with its first output or its answer.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -87,6 +87,8 @@
 
     is_send_delayed: bool = False
     """Whether its router has no connection to the target yet."""
+    charged_at: float | None = None
+    """Time from which the request counts as service of its customer, None if it does not count."""
 
     taken_over_parts: frozenset[PartKey] = frozenset()
     """Shared prompt parts of a request that another scheduler has placed."""
@@ -260,6 +262,7 @@
             return
         self.record_target_reached(job.target_id, now)
         self.record_target_alive(job, now)
+        self.charge(job, now)
         job.output_at = now
         if job.has_shared_parts:
             self.quarantine.record_output(job.target_id, (client, message.request_id), job.shared_parts, now)
@@ -289,9 +292,24 @@
         if job is None or job.target_id is None or job.output_at is not None:
             return
         job.is_send_delayed = True
+        self.retract_charge(job, now)
         if self.alive_at.get(job.target_id, -math.inf) > job.granted_at:
             self.end_delayed_prefills(job.target_id, now)
 
+    def retract_charge(self, job: Job, now: float) -> None:
+        """Do not count a request as service that has not run, or not yet."""
+        if job.charged_at is not None:
+            self.served.decay(now)
+            self.served.retract(job.request.customer, throughput_tokens(job.request), job.charged_at)
+            job.charged_at = None
+
+    def charge(self, job: Job, now: float) -> None:
+        """Count a request as service that has run after all."""
+        if job.request is not None and job.charged_at is None:
+            job.charged_at = now
+            self.served.decay(now)
+            self.served.add(job.request.customer, throughput_tokens(job.request))
+
     def end_delayed_prefills(self, target_id: str, now: float) -> None:
         """End the prefill of the prompts whose routers have no connection to a target that is alive.
 
@@ -346,11 +364,12 @@
         self.remove_job(client, message.request_id, now)
         target_id = job.target_id
         outcome = Outcome(message.outcome)
-        if target_id is not None and job.request is not None and not message.may_have_run:
-            self.served.decay(now)
-            self.served.retract(job.request.customer, throughput_tokens(job.request), job.granted_at)
+        if not message.may_have_run:
+            self.retract_charge(job, now)
         if target_id is None or outcome is Outcome.WITHDRAWN:
             return
+        if message.may_have_run:
+            self.charge(job, now)
         if job.has_shared_parts:
             self.record_quarantine_evidence(job, (client, message.request_id), outcome, now)
         if outcome in (Outcome.UNREACHABLE, Outcome.CUT):
@@ -512,6 +531,7 @@
         job.target_id = choice.target.target_id
         job.load = choice.load
         job.granted_at = now
+        job.charged_at = now
         self.prefilling.setdefault(job.target_id, {})[request.client, request.request_id] = job
         return TargetGrant(
             request_id=request.request_id,
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -91,6 +91,18 @@
     assert scheduler.served.total("acme") == pytest.approx(0.0)
 
 
+def test_prompt_that_can_not_be_sent_yet_counts_once_it_has_run(scheduler):
+    """Guards against refusing a customer as served while its router waits for connections."""
+    scheduler.receive(ROUTER_1, make_ask(), 0.0)
+    grants_by_request(scheduler)
+    scheduler.receive(ROUTER_1, SendDelayed("r1", 1), 0.0)
+    assert scheduler.served.total("acme") == pytest.approx(0.0)
+    scheduler.receive(ROUTER_1, PrefillFinished("r1", 1), 0.2)
+    assert scheduler.served.total("acme") == 3_100.0
+    scheduler.receive(ROUTER_1, AttemptFinished("r1", 1, Outcome.ANSWERED), 0.2)
+    assert scheduler.served.total("acme") == 3_100.0
+
+
 def test_attempt_that_was_cut_off_counts_as_service(scheduler):
     """Guards against service without limit for a customer whose requests crash targets."""
     scheduler.receive(ROUTER_1, make_ask(), 0.0)
