Count the tokens of a request once as asked for, however often it is sent

A scheduler shortens the wait for the best engine for customers that get little of what they ask for. Sends that fail before they reach a target are no retries to it, and each counted as tokens asked for again, so customers whose targets crash or whose routers are congested seemed to get less than they do.

Tried, not kept: routers refuse customers behind for as long as their own requests wait, at most 0.3 s.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -200,7 +200,7 @@
             excluded=set(message.excluded),
             caller_data_centre=message.caller_data_centre,
         )
-        if not message.is_retry:
+        if message.attempt == 1:
             self.served.decay(now)
             self.served.add_asked(request.customer, throughput_tokens(request))
         refusal = self.refuse_for_parts(message, request, now) or self.waiting.refuse_on_arrival(request, now)
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -91,6 +91,16 @@
     assert scheduler.served.total("acme") == pytest.approx(0.0)
 
 
+def test_request_that_is_sent_again_counts_once_as_asked(scheduler):
+    """Guards against a customer that seems to get little as its requests fail to reach targets."""
+    scheduler.receive(ROUTER_1, make_ask(), 0.0)
+    grants_by_request(scheduler)
+    scheduler.receive(ROUTER_1, AttemptFinished("r1", 1, Outcome.UNREACHABLE, may_have_run=False), 0.0)
+    scheduler.receive(ROUTER_1, make_ask(attempt=2), 0.0)
+    grants_by_request(scheduler)
+    assert scheduler.served.met_share("acme") == 1.0
+
+
 def test_prompt_that_can_not_be_sent_yet_counts_once_it_has_run(scheduler):
     """Guards against refusing a customer as served while its router waits for connections."""
     scheduler.receive(ROUTER_1, make_ask(), 0.0)
