Let only routers of the users' platform read before late deadlines

The deadlines of the lease core end rights that messages use, such as leases, so they must fire before messages that arrived during the pause.

The order is a parameter of Deadlines now, which the router of the platform sets.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -124,7 +124,7 @@
         self.state = FleetState(host, fleet_settings(host), clock=clock, rng=random.Random())
         self.set_seed_addresses(host)
         self.poller = EPoll().register(self)
-        self.deadlines = Deadlines(clock).register(self)
+        self.deadlines = Deadlines(clock, reads_first=True).register(self)
         shared = {"deadlines": self.deadlines, "poller": self.poller, "metrics": self.metrics}
         id_generator = RequestIdGenerator(host.host_id, int(clock.wall() * 1_000))
         self.callers = CallerServer(self.settings, id_generator=id_generator, **shared).register(self)
--- a/packages/limpetusher-router/src/limpetusher_router/process/deadlines.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/deadlines.py
@@ -31,12 +31,23 @@
 
 
 class Deadlines(BaseComponent):
-    """Fires events at times of the monotonic clock, and limits how long the poller blocks accordingly."""
+    """Fires events at times of the monotonic clock, and limits how long the poller blocks accordingly.
+
+    Parameters
+    ----------
+    clock
+        Source of time.
+    reads_first
+        Whether a process that was held up handles what has arrived meanwhile before its deadlines. Otherwise
+        time-outs end connections whose data has only not been read yet. Not for deadlines that end a right
+        which the messages would use, such as leases.
+    """
 
     channel = "deadlines"
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, *, reads_first: bool = False):
         super().__init__()
+        self.reads_first = reads_first
         self.clock = clock
         self.heap: list[tuple[float, int, Deadline]] = []
         self.sequence_numbers = itertools.count()
@@ -64,14 +75,10 @@
 
     @handler("generate_events", channel="*", priority=10)
     def on_generate_events(self, event: Event) -> None:
-        """Fire the events that are due, and let the poller block no longer than until the next deadline.
-
-        After the process was held up, what has arrived meanwhile is handled first. Otherwise time-outs would
-        end connections whose data has only not been read yet.
-        """
+        """Fire the events that are due, and let the poller block no longer than until the next deadline."""
         now = self.clock.monotonic()
         was_held_up = bool(self.heap) and self.heap[0][0] + HELD_UP_SECONDS < now
-        self.is_io_due = was_held_up and not self.is_io_due
+        self.is_io_due = self.reads_first and was_held_up and not self.is_io_due
         if self.is_io_due:
             event.reduce_time_left(0)
             return
