Do not send a request whose deadline has passed

A router that was held up reads the grants that arrived meanwhile before it handles the deadlines of their requests, so it would send requests whose callers have given up, with no time left. Such a request is refused as not run. A request that ends without being sent is no longer counted as service of its customer, also if it had a grant.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -134,6 +134,9 @@
             return
         exchange = self.exchanges[target_request.request_id]
         now = self.clock.monotonic()
+        if now >= target_request.give_up_at:
+            self.time_out_request(exchange)
+            return
         quarantine_seconds = self.state.quarantine_seconds(target_request, now)
         if quarantine_seconds > 0:
             # The scheduler may have started after the quarantine and not know it yet.
@@ -290,7 +293,9 @@
         del self.exchanges[exchange.request_id]
         if exchange.deadline is not None:
             exchange.deadline.cancel()
-        self.state.scheduler_client.end(exchange.request_id, Outcome.WITHDRAWN, self.clock.monotonic())
+        # An attempt that was sent has been closed before.
+        now = self.clock.monotonic()
+        self.state.scheduler_client.end(exchange.request_id, Outcome.WITHDRAWN, now, may_have_run=False)
 
     def log_outcome(self, event: Event, exchange: Exchange, **inputs: object) -> None:
         """Log and count the outcome of a request."""
