Share what ends unsent prefills, and what reports the end of an attempt

end_overtaken_prefills and end_delayed_prefills had the same loop, and on_send_delayed repeated the check that end_delayed_prefills makes. SchedulerClient built the message of an attempt's end in two places.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -280,10 +280,7 @@
         overtaken = [
             key for key, job in prefilling.items() if job.granted_at < finished.granted_at - OVERTAKEN_SECONDS
         ]
-        if overtaken:
-            self.placement.exclude_prefill(finished.target_id)
-        for key in overtaken:
-            self.end_prefill(prefilling.pop(key), now)
+        self.end_unsent_prefills(finished.target_id, overtaken, now)
 
     @handle.register
     def on_send_delayed(self, message: SendDelayed, client: str, now: float) -> None:
@@ -293,8 +290,7 @@
             return
         job.is_send_delayed = True
         self.retract_charge(job, now)
-        if self.alive_at.get(job.target_id, -math.inf) > job.granted_at:
-            self.end_delayed_prefills(job.target_id, now)
+        self.end_delayed_prefills(job.target_id, now)
 
     def retract_charge(self, job: Job, now: float) -> None:
         """Do not count a request as service that has not run, or not yet."""
@@ -316,16 +312,20 @@
         The routers are congested, and the engine must not wait for prompts that it does not get. The prompts
         keep a target without a sign of life from getting more of them.
         """
-        prefilling = self.prefilling.get(target_id, {})
+        alive_at = self.alive_at.get(target_id, -math.inf)
         delayed = [
             key
-            for key, job in prefilling.items()
-            if job.is_send_delayed and job.granted_at < self.alive_at[target_id]
+            for key, job in self.prefilling.get(target_id, {}).items()
+            if job.is_send_delayed and job.granted_at < alive_at
         ]
-        if delayed:
+        self.end_unsent_prefills(target_id, delayed, now)
+
+    def end_unsent_prefills(self, target_id: str, keys: list[tuple[str, str]], now: float) -> None:
+        """End the prefill of prompts that a target has not got, which measure no prefill rate."""
+        if keys:
             self.placement.exclude_prefill(target_id)
-        for key in delayed:
-            self.end_prefill(prefilling.pop(key), now)
+        for key in keys:
+            self.end_prefill(self.prefilling[target_id].pop(key), now)
 
     def end_prefill(self, job: Job, now: float) -> None:
         """Subtract the prompt tokens of a job from the load of its target."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -290,12 +290,8 @@
         target_request = self.target_requests.pop(request_id, None)
         if target_request is None:
             return
-        is_granted = target_request.grant is not None
-        finished = AttemptFinished(
-            request_id, target_request.attempt, int(outcome), is_granted and may_have_run
-        )
-        self.send(target_request.scheduler, finished)
-        if not is_granted:
+        self.report_end(target_request, outcome, may_have_run=may_have_run)
+        if target_request.grant is None:
             return
         if outcome in (Outcome.CUT, Outcome.BROKEN_OFF):
             self.keep_break(target_request, now)
@@ -381,24 +377,26 @@
         """Move a waiting request if its scheduler has changed or is unreachable."""
         scheduler = self.pools.scheduler(target_request.pool, now)
         if scheduler is None and target_request.scheduler != self.own_address:
-            self.withdraw(target_request)
+            self.report_end(target_request, Outcome.WITHDRAWN)
             self.choose_pool(target_request, now)
         elif scheduler is not None and scheduler != target_request.scheduler:
             self.move_to_scheduler(target_request, scheduler, now)
 
     def move_to_scheduler(self, target_request: TargetRequest, scheduler: str, now: float) -> None:
         """Withdraw a request from its scheduler and register it at another one."""
-        self.withdraw(target_request)
+        self.report_end(target_request, Outcome.WITHDRAWN)
         target_request.scheduler = scheduler
         self.register(target_request, now)
 
-    def withdraw(self, target_request: TargetRequest) -> None:
-        """Withdraw a request from its scheduler; it runs on if it is open at a target."""
+    def report_end(
+        self, target_request: TargetRequest, outcome: Outcome, *, may_have_run: bool = True
+    ) -> None:
+        """Tell the scheduler of a request how its attempt has ended; one without a grant has not run."""
         finished = AttemptFinished(
             target_request.request_id,
             target_request.attempt,
-            int(Outcome.WITHDRAWN),
-            may_have_run=target_request.grant is not None,
+            int(outcome),
+            may_have_run=may_have_run and target_request.grant is not None,
         )
         self.send(target_request.scheduler, finished)
 
