Remove fields that the fairness report does not read

The report decides by its own record of sends, so `sends` and `attempt` of a line are not needed. AnswerForwarder uses its own property for the state of the fleet. No behaviour changes.

--- a/packages/limpetusher-operator/src/limpetusher_operator/fairness.py
+++ b/packages/limpetusher-operator/src/limpetusher_operator/fairness.py
@@ -33,9 +33,7 @@
     request: str
     customer: str = ""
     tokens: float = 0.0
-    sends: int = 0
     may_have_run: bool = True
-    attempt: int = 1
     seconds: float = 0.0
     waited: float = 0.0
     goal: float = 0.0
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -206,7 +206,7 @@
         """Tell the scheduler of a request that could not be sent yet."""
         exchange = self.find_exchange(key)
         if exchange is not None:
-            self.requests.state.scheduler_client.report_send_delayed(exchange.request_id)
+            self.state.scheduler_client.report_send_delayed(exchange.request_id)
 
     @handler("AttemptEnded")
     def on_answer_ended(self, key: AttemptKey, end: AttemptResult, detail: str = "") -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/process/deadlines.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/deadlines.py
@@ -8,8 +8,6 @@
 from limpetusher.clock import Clock
 
 COMPACTION_THRESHOLD_ENTRIES = 1024
-
-
 HELD_UP_SECONDS = 0.05
 """Delay of a deadline from which on the process was held up, as by other processes or a long message."""
 
