Add failing tests of bytes that targets send within a stream

Nine kinds of bytes that are no event of the run (no identifier, an empty one, the one before, a later one, no number, two of them, no data, no event at all, such bytes glued to the event) at the first event, in the middle, before and after the last one, in chunked and unframed answers, on resumable and on plain streams, through a real router process.

The begin of an unframed stream moves from test_process.py to the builders, unchanged.

--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -270,6 +270,11 @@
         lines += ["content-type: text/event-stream", "transfer-encoding: chunked", "", ""]
         self.sock.sendall("\r\n".join(lines).encode())
 
+    def begin_unframed_stream(self) -> None:
+        """Send the head of an event stream with neither a length nor chunks."""
+        lines = ["HTTP/1.1 200 OK", SEAL, f"x-request-id: {self.headers['x-request-id']}"]
+        self.sock.sendall("\r\n".join([*lines, "content-type: text/event-stream", "", ""]).encode())
+
     def send_chunk(self, data: bytes) -> None:
         self.sock.sendall(b"%x\r\n%b\r\n" % (len(data), data))
 
@@ -290,6 +295,20 @@
     return f"id: {number}\ndata: token-{number}\n\n".encode()
 
 
+INVALID_EVENTS: dict[str, Callable[[int], bytes]] = {
+    "without an id": lambda due: b"data: token-%d\n\n" % due,
+    "with an empty id": lambda due: b"id: \ndata: token-%d\n\n" % due,
+    "with the id before": lambda due: event(due - 1),
+    "with a later id": lambda due: event(due + 1),
+    "with an id that is no number": lambda due: b"id: %dx\ndata: token-%d\n\n" % (due, due),
+    "with two ids": lambda due: b"id: %d\nid: %d\ndata: token-%d\n\n" % (due, due, due),
+    "without data": lambda due: b"id: %d\n\n" % due,
+    "of bytes that are no event": lambda _due: b"\x8f\x02 not an event\n\n",
+    "after bytes that are no event": lambda due: b"\x8f\x02 not an event\n" + event(due),
+}
+"""Bytes that are no event of the run, by their description, as functions of the number that is due."""
+
+
 class TargetStandIn(TargetListener):
     """Target that answers each request by a script, which gets the call and its number."""
 
@@ -304,6 +323,41 @@
         self.script(call, len(self.calls))
 
 
+class InvalidEventScript:
+    """Script of a target that sends bytes which are no event within the first answer to each request.
+
+    The path of a request ends with the framing of the answer, `chunked` or `unframed`, and the number of the
+    event before which the bytes come.
+    """
+
+    LAST_EVENT = 6
+
+    def __init__(self, invalid_event: Callable[[int], bytes]):
+        self.invalid_event = invalid_event
+        self.answered: set[str] = set()
+
+    def __call__(self, call: TargetCall, _number: int) -> None:
+        *_, framing, position = call.line.split()[1].split("/")
+        first = int(call.headers.get("last-event-id", 0)) + 1
+        parts = [event(number) for number in range(first, self.LAST_EVENT + 1)]
+        if call.headers["x-request-id"] not in self.answered:
+            self.answered.add(call.headers["x-request-id"])
+            parts.insert(int(position) - first, self.invalid_event(int(position)))
+        with contextlib.suppress(OSError):
+            self.send(call, parts, is_chunked=framing == "chunked")
+
+    def send(self, call: TargetCall, parts: list[bytes], *, is_chunked: bool) -> None:
+        if is_chunked:
+            call.begin_stream()
+            for part in parts:
+                call.send_chunk(part)
+            call.end_stream()
+        else:
+            call.begin_unframed_stream()
+            call.sock.sendall(b"".join(parts))
+            call.cut_connection()
+
+
 class FleetRouterProcess:
     """A real router process of a platform host."""
 
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -775,15 +775,9 @@
         assert unchunk(body) == (b"".join(event(number) for number in range(1, 4)), False)
 
 
-def begin_unframed_stream(call) -> None:
-    """Send the head of an event stream with neither a length nor chunks."""
-    lines = ["HTTP/1.1 200 OK", SEAL, f"x-request-id: {call.headers['x-request-id']}"]
-    call.sock.sendall("\r\n".join([*lines, "content-type: text/event-stream", "", ""]).encode())
-
-
 def test_unframed_stream_ends_with_its_connection(tmp_path):
     def script(call, _number) -> None:
-        begin_unframed_stream(call)
+        call.begin_unframed_stream()
         call.sock.sendall(b"".join(event(number) for number in range(1, 4)))
         call.cut_connection()
 
@@ -799,7 +793,7 @@
     def script(call, _number) -> None:
         first = int(call.headers.get("last-event-id", 0)) + 1
         if first == 1:
-            begin_unframed_stream(call)
+            call.begin_unframed_stream()
             call.sock.sendall(b"".join(event(number) for number in range(1, 4)) + event(4)[:9])
             call.cut_connection()
         else:
