Forward only the events of the run within a stream

Cause: EventRelay took any bytes up to an empty line for an event. Nothing checked that they have the form of an event, or the number after that of the event before, although the router resumes streams by just these numbers; an empty identifier was also dropped when a stream was resumed.

Now a relay returns only events with the next number, with data and nothing but fields. Comments and empty lines are left out. Skipping wrong bytes on a plain stream was not chosen: what a target sends after them can't be trusted to be the run's. Event streams on routes of another kind (applications) are not checked, as the platform promises no numbers there.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -2,10 +2,11 @@
 
 from limpetusher.clock import Clock
 from limpetusher.core.refusals import Ran
-from limpetusher.fleet.model import Route
+from limpetusher.fleet.model import RequestKind, Route
 from limpetusher.fleet.request.scheduler_client import TargetRequest
 from limpetusher.fleet.version.routing import choose_service
 from limpetusher_router.connection.framing import RequestHead
+from limpetusher_router.fleet.event_relay import EventRelay
 from limpetusher_router.fleet.exchange import Exchange
 from limpetusher_router.fleet.refusals import (
     NOT_FOUND,
@@ -65,7 +66,8 @@
         quarantine_seconds = self.state.quarantine_seconds(target_request, now)
         if quarantine_seconds > 0:
             return quarantine_refusal(quarantine_seconds)
-        return Exchange(request_id, head, body, fields, route, target_request, customer, now)
+        relay = EventRelay(fields.last_event_id, is_numbered=route.kind is RequestKind.STREAMING)
+        return Exchange(request_id, head, body, fields, route, target_request, customer, now, relay)
 
     def make_target_request(
         self, request_id: str, route: Route, fields: RequestFields, customer: str, now: float
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -146,6 +146,9 @@
                 self.record_first_output(exchange)
                 exchange.record_event(now)
                 self.forward(exchange, part)
+            if exchange.relay.error:
+                self.abort_attempt(exchange, exchange.relay.error)
+                return
         elif exchange.is_head_sent and not exchange.relay.event_count:
             attempt.last_received_at = now
             self.forward(exchange, data)
@@ -156,9 +159,12 @@
             attempt.unused_bytes > MAXIMUM_UNUSED_BYTES
             or max(len(attempt.buffer), len(exchange.relay.buffer)) > MAXIMUM_BUFFERED_BYTES
         ):
-            self.requests.stop_attempt(exchange, Outcome.FAILED)
-            failure = AttemptFailure("too many bytes that are no answer", may_have_run=True)
-            self.requests.handle_attempt_failure(exchange, attempt, failure)
+            self.abort_attempt(exchange, "too many bytes that are no answer")
+
+    def abort_attempt(self, exchange: Exchange, reason: str) -> None:
+        """Cancel an attempt whose target sends bytes that are no answer to its request."""
+        attempt = self.requests.stop_attempt(exchange, Outcome.FAILED)
+        self.requests.handle_attempt_failure(exchange, attempt, AttemptFailure(reason, may_have_run=True))
 
     def buffer(self, exchange: Exchange, data: bytes) -> None:
         """Buffer a part of an answer, discard it if it has no use, or forward it if it becomes too large."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/event_relay.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/event_relay.py
@@ -3,42 +3,117 @@
 import re
 
 EVENT_END = b"\n\n"
-EVENT_ID_PATTERN = re.compile(rb"^id: ?([^\n\r]*)", re.MULTILINE)
+FIRST_EVENT_NUMBER = 1
+MAXIMUM_DIGITS = 18
+COMMON_EVENT_PATTERN = re.compile(rb"id: ?([0-9]+)\ndata:[^\n]*\n\n")
+"""An event as targets usually send it, which needs no further checks than its number."""
+FIELD_PATTERN = re.compile(rb"([A-Za-z-]*):(?: ?)([^\n]*)")
+"""A line of an event. Without a name it is a comment."""
+MAXIMUM_QUOTED_CHARACTERS = 40
 
 
 class EventRelay:
     """Collects the parts of a stream and returns whole events, across all attempts that produce it.
 
+    Only the events of the run are returned: each has the number after that of the event before. What else a
+    target sends between empty lines ends the attempt, except for comments and further empty lines, which are
+    left out.
+
+    Parameters
+    ----------
+    last_event_id
+        Identifier of the event after which the caller resumes the stream, None from its beginning.
+    is_numbered
+        Whether the events have numbers. Otherwise all of them are returned.
+
     Attributes
     ----------
     buffer
         Bytes after the last whole event.
     last_event_id
-        Identifier of the last event that was returned, None before the first.
+        Identifier of the last event that was returned; before the first, that which the caller has sent.
+    due_number
+        Number of the next event, None if any may follow.
     event_count
         Number of events that were returned.
+    error
+        Why the bytes after the last event are no event of the run, empty if they may be one.
     """
 
-    def __init__(self):
+    def __init__(self, last_event_id: str | None = None, *, is_numbered: bool = True):
+        self.last_event_id = last_event_id
+        self.is_numbered = is_numbered
+        self.due_number = number_after(last_event_id) if is_numbered else None
         self.buffer = bytearray()
-        self.last_event_id: str | None = None
         self.event_count = 0
+        self.error = ""
 
     def feed(self, data: bytes) -> bytes:
-        """Add a part of the stream and return the events that are complete."""
+        """Add a part of the stream and return the next events; `error` tells why no more follow."""
         self.buffer += data
-        end = self.buffer.rfind(EVENT_END)
-        if end < 0:
-            return b""
-        end += len(EVENT_END)
-        part = bytes(self.buffer[:end])
-        del self.buffer[:end]
-        identifiers = EVENT_ID_PATTERN.findall(part)
-        if identifiers:
-            self.last_event_id = identifiers[-1].decode("latin-1")
-        self.event_count += part.count(EVENT_END)
-        return part
+        events = []
+        position = 0
+        while not self.error:
+            while self.buffer.startswith(b"\n", position):
+                position += 1
+            end = self.buffer.find(EVENT_END, position)
+            if end < 0:
+                break
+            end += len(EVENT_END)
+            block = bytes(self.buffer[position:end])
+            if self.accept(block):
+                events.append(block)
+            if not self.error:
+                position = end
+        del self.buffer[:position]
+        self.event_count += len(events)
+        return b"".join(events)
+
+    def accept(self, block: bytes) -> bool:
+        """Return whether a block of lines is the next event; set `error` if it must not be skipped either."""
+        match = COMMON_EVENT_PATTERN.fullmatch(block)
+        if match is not None:
+            return self.accept_identifier(match[1])
+        if not self.is_numbered:
+            return True
+        fields = [FIELD_PATTERN.fullmatch(line) for line in block.removesuffix(EVENT_END).split(b"\n")]
+        if None in fields:
+            self.error = "invalid event: a line is no field of an event"
+            return False
+        if not any(field[1] for field in fields):
+            return False
+        identifiers = [field[2] for field in fields if field[1] == b"id"]
+        if len(identifiers) != 1:
+            self.error = f"invalid event: {len(identifiers)} identifiers"
+            return False
+        if not any(field[1] == b"data" for field in fields):
+            self.error = "invalid event: no data"
+            return False
+        return self.accept_identifier(identifiers[0])
+
+    def accept_identifier(self, identifier: bytes) -> bool:
+        """Return whether an identifier is that of the next event, and store it then."""
+        text = identifier.decode("latin-1")
+        if self.is_numbered:
+            following = number_after(text)
+            if following is None or self.due_number not in (None, following - 1):
+                expected = "a number" if self.due_number is None else self.due_number
+                self.error = f"invalid event: id {text[:MAXIMUM_QUOTED_CHARACTERS]!r} instead of {expected}"
+                return False
+            self.due_number = following
+        self.last_event_id = text
+        return True
 
     def discard_partial_event(self) -> None:
-        """Discard the incomplete event of an attempt that was cut off."""
+        """Discard what an attempt that has ended had sent after its last event."""
         self.buffer.clear()
+        self.error = ""
+
+
+def number_after(identifier: str | None) -> int | None:
+    """Return the number of the event after one with an identifier, None if that is no number."""
+    if identifier is None:
+        return FIRST_EVENT_NUMBER
+    if len(identifier) <= MAXIMUM_DIGITS and identifier.isdecimal() and identifier.isascii():
+        return int(identifier) + 1
+    return None
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -49,7 +49,7 @@
     """The fields of the request that its scheduler needs."""
     customer: str | None
     arrived_at: float
-    relay: EventRelay = field(default_factory=EventRelay)
+    relay: EventRelay
     attempt: TargetAttempt | None = None
     attempt_count: int = 0
     possible_runs: int = 0
@@ -92,4 +92,4 @@
     @property
     def last_event_id(self) -> str | None:
         """Return the identifier of the event after which the next attempt resumes."""
-        return self.relay.last_event_id or self.fields.last_event_id
+        return self.relay.last_event_id
--- a/tests/router/fleet/test_requests.py
+++ b/tests/router/fleet/test_requests.py
@@ -12,6 +12,7 @@
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher_router.connection.framing import RequestHead
 from limpetusher_router.events import CALLERS, TARGETS
+from limpetusher_router.fleet.event_relay import EventRelay
 from limpetusher_router.fleet.exchange import Exchange
 from limpetusher_router.fleet.refusals import UNAVAILABLE
 from limpetusher_router.fleet.requests import FleetRequests
@@ -56,8 +57,9 @@
     target_request = TargetRequest(
         "r1", SERVICE, "s1", "acme", 1.0, clock.monotonic(), clock.monotonic() + TIMEOUT_SECONDS, 30, 5, ()
     )
+    fields = decode_request(head)
     exchange = Exchange(
-        "r1", head, b"", decode_request(head), make_route(), target_request, "acme", clock.monotonic()
+        "r1", head, b"", fields, make_route(), target_request, "acme", clock.monotonic(), EventRelay()
     )
     requests.exchanges["r1"] = exchange
     state.scheduler_client.request_target(target_request, clock.monotonic())
