--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -775,6 +775,30 @@
         assert unchunk(body) == (b"".join(event(number) for number in range(1, 4)), False)
 
 
+@pytest.mark.parametrize("framing", ["transfer-encoding: chunked", "content-length: 90000"])
+def test_answer_that_is_no_stream_is_not_continued_by_another_run(tmp_path, framing):
+    """Guards against joining the answers of two runs where a resumable route gets a large plain answer."""
+    whole = b"".join(b"%05d\n" % number for number in range(15_000))
+    is_chunked = framing.startswith("transfer-encoding")
+
+    def script(call, _number) -> None:
+        lines = ["HTTP/1.1 200 OK", SEAL, f"x-request-id: {call.headers['x-request-id']}", framing]
+        call.sock.sendall("\r\n".join([*lines, "content-type: text/plain", "", ""]).encode())
+        is_cut = call is run.calls[0]
+        part = whole[:80_000] if is_cut else whole
+        with contextlib.suppress(OSError):
+            call.send_chunk(part) if is_chunked else call.sock.sendall(part)
+            time.sleep(0.1)
+            call.cut_connection() if is_cut else call.end_stream()
+
+    with fleet_run(tmp_path, script) as run:
+        _status, body = run.ask("/stream/1", method="POST", body="x")
+        content, is_complete = unchunk(body) if is_chunked else (body, len(body) >= len(whole))
+        assert whole.startswith(content)
+        assert not is_complete
+        assert len(run.calls) == 1
+
+
 def test_unframed_stream_ends_with_its_connection(tmp_path):
     def script(call, _number) -> None:
         call.begin_unframed_stream()
