--- a/packages/limpetusher-router/src/limpetusher_router/fleet/event_relay.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/event_relay.py
@@ -5,10 +5,10 @@
 EVENT_END = b"\n\n"
 FIRST_EVENT_NUMBER = 1
 MAXIMUM_DIGITS = 18
-COMMON_EVENT_PATTERN = re.compile(rb"id: ?([0-9]+)\ndata:[^\n]*\n\n")
+COMMON_EVENT_PATTERN = re.compile(rb"id: ?([0-9]+)\ndata:[^\r\n]*\n\n")
 """An event as targets usually send it, which needs no further checks than its number."""
-FIELD_PATTERN = re.compile(rb"([A-Za-z-]*):(?: ?)([^\n]*)")
-"""A line of an event. Without a name it is a comment."""
+FIELD_PATTERN = re.compile(rb"([A-Za-z-]*):(?: ?)([^\r\n]*)")
+"""A line of an event. Without a name it is a comment. None may contain a CR, as callers end a line there."""
 MAXIMUM_QUOTED_CHARACTERS = 40
 
 
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -305,6 +305,8 @@
     "without data": lambda due: b"id: %d\n\n" % due,
     "of bytes that are no event": lambda _due: b"\x8f\x02 not an event\n\n",
     "after bytes that are no event": lambda due: b"\x8f\x02 not an event\n" + event(due),
+    "with a second one after a CR": lambda due: b"id: %d\ndata: a\r\rdata: token-%d\n\n" % (due, due),
+    "with lines that end with CRs": lambda due: b"id: %d\ndata: a\rid: \rdata: b\n\n" % due,
 }
 """Bytes that are no event of the run, by their description, as functions of the number that is due."""
 
