Return event streams of routes without numbers unchanged

The check of numbered events also left out empty lines of event streams on safe and unsafe routes, whose body must be that of the target; the relay before it returned them. Streams with CRLF were never forwarded there, before as well: their callers got 502 for a complete answer.

On routes without numbers the relay now returns all bytes up to the end of an event, marked by LF or CRLF, and the line ends after it. It no longer reads identifiers there, so only numbered streams are continued at another target.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/event_relay.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/event_relay.py
@@ -3,6 +3,8 @@
 import re
 
 EVENT_END = b"\n\n"
+UNNUMBERED_EVENT_ENDS = (EVENT_END, b"\r\n\r\n")
+LINE_ENDS = b"\r\n"
 FIRST_EVENT_NUMBER = 1
 MAXIMUM_DIGITS = 18
 COMMON_EVENT_PATTERN = re.compile(rb"id: ?([0-9]+)\ndata:[^\r\n]*\n\n")
@@ -24,7 +26,7 @@
     last_event_id
         Identifier of the event after which the caller resumes the stream, None from its beginning.
     is_numbered
-        Whether the events have numbers. Otherwise all of them are returned.
+        Whether the events have numbers. Otherwise all bytes up to the end of an event are returned.
 
     Attributes
     ----------
@@ -51,6 +53,8 @@
     def feed(self, data: bytes) -> bytes:
         """Add a part of the stream and return the next events; `error` tells why no more follow."""
         self.buffer += data
+        if not self.is_numbered:
+            return self.take_unnumbered()
         events = []
         position = 0
         while not self.error:
@@ -69,13 +73,25 @@
         self.event_count += len(events)
         return b"".join(events)
 
+    def take_unnumbered(self) -> bytes:
+        """Return the buffered bytes up to the end of the last event and the line ends after it, unchanged."""
+        end = max(
+            self.buffer.rfind(mark) + len(mark) if mark in self.buffer else 0
+            for mark in UNNUMBERED_EVENT_ENDS
+        )
+        if end or self.event_count:
+            while end < len(self.buffer) and self.buffer[end] in LINE_ENDS:
+                end += 1
+        part = bytes(self.buffer[:end])
+        del self.buffer[:end]
+        self.event_count += sum(part.count(mark) for mark in UNNUMBERED_EVENT_ENDS)
+        return part
+
     def accept(self, block: bytes) -> bool:
         """Return whether a block of lines is the next event; set `error` if it must not be skipped either."""
         match = COMMON_EVENT_PATTERN.fullmatch(block)
         if match is not None:
             return self.accept_identifier(match[1])
-        if not self.is_numbered:
-            return True
         fields = [FIELD_PATTERN.fullmatch(line) for line in block.removesuffix(EVENT_END).split(b"\n")]
         if None in fields:
             self.error = "invalid event: a line is no field of an event"
@@ -94,13 +110,12 @@
     def accept_identifier(self, identifier: bytes) -> bool:
         """Return whether an identifier is that of the next event, and store it then."""
         text = identifier.decode("latin-1")
-        if self.is_numbered:
-            following = number_after(text)
-            if following is None or self.due_number not in (None, following - 1):
-                expected = "a number" if self.due_number is None else self.due_number
-                self.error = f"invalid event: id {text[:MAXIMUM_QUOTED_CHARACTERS]!r} instead of {expected}"
-                return False
-            self.due_number = following
+        following = number_after(text)
+        if following is None or self.due_number not in (None, following - 1):
+            expected = "a number" if self.due_number is None else self.due_number
+            self.error = f"invalid event: id {text[:MAXIMUM_QUOTED_CHARACTERS]!r} instead of {expected}"
+            return False
+        self.due_number = following
         self.last_event_id = text
         return True
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
@@ -97,14 +97,17 @@
 def can_retry(exchange: Exchange) -> bool:
     """Return whether a request that may have run may be sent again, leaving aside the retry budget.
 
-    Only a stream of events can be continued once its caller has received a part of the answer.
+    Only a stream of numbered events can be continued once its caller has received a part of the answer.
     """
     route = exchange.route
+    relay = exchange.relay
     return (
         route.is_idempotent
         and exchange.possible_runs < route.attempts
         and exchange.attempt_count < MAXIMUM_ATTEMPTS_PER_REQUEST
-        and (not exchange.is_head_sent or (route.is_resumable and exchange.relay.event_count > 0))
+        and (
+            not exchange.is_head_sent or (route.is_resumable and relay.is_numbered and relay.event_count > 0)
+        )
     )
 
 
--- a/tests/router/fleet/test_event_relay.py
+++ b/tests/router/fleet/test_event_relay.py
@@ -92,3 +92,21 @@
     stream = b"data: a\n\nid: z\ndata: b\n\n"
     assert relay.feed(stream) == stream
     assert not relay.error
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    "stream",
+    [
+        b"\ndata: a\n\n",
+        b"data: a\n\n\ndata: b\n\n",
+        b"id: 1\ndata: a\n\n\n\ndata: b\n\n\n",
+        b"data: a\r\n\r\ndata: b\r\n\r\n",
+        b"id: 1\r\ndata: a\r\n\r\n: note\n\n",
+    ],
+)
+def test_streams_of_routes_without_numbers_are_returned_unchanged(stream, seed):
+    """Guards against a body that is not the whole one of its target, without its empty lines or at all."""
+    relay = EventRelay(is_numbered=False)
+    assert feed_in_pieces(relay, stream, seed) == stream
+    assert not relay.buffer
