--- a/packages/limpetusher-router/src/limpetusher_router/request/relay.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/relay.py
@@ -11,6 +11,7 @@
 DONE_PATTERN = re.compile(rb"^data: ?\[DONE\]\s*\Z", re.MULTILINE)
 DONE_SEARCH_BYTES = 64
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+EMPTY_LINE_PATTERN = re.compile(rb"\n\r?\n")
 EVENT_BUFFER_LIMIT_BYTES = 262_144
 ANSWER_BUFFER_LIMIT_BYTES = 65_536
 TAIL_BYTES = 4_096
@@ -87,7 +88,8 @@
             end = len(self.buffer)
         part = bytes(self.buffer[:end])
         del self.buffer[:end]
-        self.event_count += part.count(b"\ndata:") + part.startswith(b"data:")
+        for block in EMPTY_LINE_PATTERN.split(part):
+            self.event_count += block.startswith(b"data:") or b"\ndata:" in block
         self.done = DONE_PATTERN.search(part, max(0, len(part) - DONE_SEARCH_BYTES)) is not None
         return self.forward(part)
 
--- a/tests/router/request/test_relay.py
+++ b/tests/router/request/test_relay.py
@@ -38,6 +38,15 @@
         assert relay.event_count == sum(event.startswith(b"data:") for event in events) + 2
 
 
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_event_with_several_lines_of_data_counts_once(line_end):
+    """Guards against resuming a stream too late, as its next event is the one with the counted number."""
+    relay = new_relay()
+    for block in (b"event: a\ndata: 1\ndata: 2\n\n", b": data: b\n\n", b"data: 3\n\ndata: 4\n\n"):
+        relay.feed(block.replace(b"\n", line_end))
+    assert relay.event_count == 3
+
+
 def test_done_within_text_does_not_end_a_stream():
     """Guards against treating a stream as complete because its text contains the end marker."""
     relay = new_relay()
