Refuse successes without the identifier of their request

Targets echo the identifier in their answers, and it tells a late second answer from that to the next request.

Now a sealed success without it ends its attempt as a failure that may have run, before anything is forwarded. Rejections have their rule already; failures and unsealed answers are as before.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -24,6 +24,7 @@
     can_retry,
     classify_failure,
     has_usable_body,
+    lacks_request_id,
     silence_timeout,
     target_outcome,
 )
@@ -104,6 +105,8 @@
         )
         self.handle_target_notice(exchange, head)
         self.handle_rate_limit(exchange, head)
+        if lacks_request_id(head, exchange.fields.caller_request_id):
+            self.abort_attempt(exchange, "answer without the identifier of the request")
 
     def handle_target_notice(self, exchange: Exchange, head: AnswerHead) -> None:
         """Apply a target's notice that it leaves or asks for a back-off, and forward it to the scheduler."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
@@ -14,6 +14,7 @@
     would_deny_run,
 )
 
+SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
 MAXIMUM_ATTEMPTS_PER_REQUEST = 4
 STREAM_SILENCE_SECONDS = 1.5
@@ -87,6 +88,17 @@
     return has_seal(head) or head.status in SERVER_ERROR_STATUSES
 
 
+def lacks_request_id(head: AnswerHead, request_id: str) -> bool:
+    """Return whether a sealed success lacks the identifier of its request; it may be that of another one."""
+    return (
+        head.status in SUCCESS_STATUSES
+        and has_seal(head)
+        and bool(request_id)
+        and not states_not_run(head)
+        and names.REQUEST_ID not in head.headers
+    )
+
+
 def silence_timeout(exchange: Exchange) -> float:
     """Return how long the target of an exchange may stay silent, in seconds."""
     if exchange.attempt.has_output:
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -799,6 +799,23 @@
         assert len(run.calls) == 1
 
 
+@pytest.mark.parametrize("path", ["/unsafe/1", "/once/1"])
+@pytest.mark.parametrize("content_type", ["text/plain", "text/event-stream"])
+def test_answer_without_the_identifier_of_the_request_is_not_passed_on(tmp_path, path, content_type):
+    """Guards against the late second answer to another request, which the identifier tells apart."""
+
+    def script(call, _number) -> None:
+        lines = ["HTTP/1.1 200 OK", SEAL, f"content-type: {content_type}", f"content-length: {len(event(1))}"]
+        with contextlib.suppress(OSError):
+            call.sock.sendall("\r\n".join([*lines, "", ""]).encode() + event(1))
+
+    with fleet_run(tmp_path, script) as run:
+        status, body = run.ask(path, method="POST", body="x")
+        assert status == 502
+        assert json.loads(body)["error"]["ran"] == "unknown"
+        assert len(run.calls) == 1
+
+
 def test_unframed_stream_ends_with_its_connection(tmp_path):
     def script(call, _number) -> None:
         call.begin_unframed_stream()
