Forward no events of an answer that states that it has not run

Events of a sealed stream were forwarded as they came, whatever else its head said; at its end X-Not-Executed made it a rejection, and another target was asked to go on, on plain streams as well: the caller got the events of both as one complete stream. Other answers are checked before a part is forwarded (has_usable_body). No record shows a target that sends such a head.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -141,7 +141,7 @@
             return
         attempt = exchange.attempt
         now = self.clock.monotonic()
-        if exchange.is_stream and has_seal(attempt.head):
+        if exchange.is_stream and has_usable_body(attempt.head):
             part = exchange.relay.feed(data)
             if part:
                 # Only whole events count as activity: a stalled target may still send single bytes.
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -816,6 +816,28 @@
         assert len(run.calls) == 1
 
 
+@pytest.mark.parametrize("path", ["/stream/1", "/once/1"])
+def test_events_of_a_target_that_states_not_run_are_not_passed_on(tmp_path, path):
+    """Guards against joining the events of an answer that is then taken for a rejection to those of a run."""
+
+    def script(call, _number) -> None:
+        if call is not run.calls[0]:
+            call.begin_stream()
+            call.send_events(int(call.headers.get("last-event-id", 0)) + 1, 6)
+            call.end_stream()
+            return
+        lines = ["HTTP/1.1 200 OK", SEAL, f"x-request-id: {call.headers['x-request-id']}"]
+        lines += ["x-not-executed: 1", "content-type: text/event-stream"]
+        lines += [f"content-length: {len(rejected)}", "", ""]
+        call.sock.sendall("\r\n".join(lines).encode() + rejected)
+
+    rejected = b"".join(b"id: %d\ndata: of no run\n\n" % number for number in (1, 2))
+    with fleet_run(tmp_path, script) as run:
+        _status, body = run.ask(path, method="POST", body="x")
+        assert unchunk(body) == (b"".join(event(number) for number in range(1, 7)), True)
+        assert len(run.calls) == 2
+
+
 def test_unframed_stream_ends_with_its_connection(tmp_path):
     def script(call, _number) -> None:
         call.begin_unframed_stream()
