--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -51,6 +51,8 @@
     prompt_tokens: int
     output_tokens: int
     parts: tuple[PromptPart, ...]
+    digest: str = ""
+    """Digest that all repeats of the request have in common."""
     attempt: int = 0
     """Number of the current attempt; answers to earlier ones are ignored."""
     excluded: set[str] = field(default_factory=set)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -6,6 +6,7 @@
 from limpetusher.fleet.request.scheduler_client import TargetRequest
 from limpetusher.fleet.version.routing import choose_service
 from limpetusher_router.connection.framing import RequestHead
+from limpetusher_router.fleet.digests import request_digest
 from limpetusher_router.fleet.event_relay import EventRelay
 from limpetusher_router.fleet.exchange import Exchange
 from limpetusher_router.fleet.refusals import (
@@ -63,6 +64,7 @@
             return FleetRefusal(UNAUTHORIZED, "unknown_key", "the API key is not known", ran=Ran.NO)
         now = self.clock.monotonic()
         target_request = self.make_target_request(request_id, route, fields, customer or "", now)
+        target_request.digest = request_digest(head, body, customer or "")
         quarantine_seconds = self.state.quarantine_seconds(target_request, now)
         if quarantine_seconds > 0:
             return quarantine_refusal(quarantine_seconds)
