Test requests that crash each target and come again

The fleet in memory has application targets, digests of requests and a record of the requests that reach targets. Each of its requests has another digest unless a test states one.

--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -7,6 +7,7 @@
 import itertools
 import math
 import random
+from dataclasses import dataclass
 from types import SimpleNamespace
 
 import msgspec
@@ -30,6 +31,11 @@
 DELAY_SECONDS = (0.001, 0.004)
 RUN_SECONDS = 0.4
 """How long a request is open at its target."""
+APPLICATION = "desk"
+"""Service of application targets."""
+APPLICATION_RUN_SECONDS = 0.03
+APPLICATION_SLOTS = 6
+APPLICATION_GOAL_SECONDS = 0.15
 READING_SECONDS = 0.05
 REFUSED_CONNECTION_SECONDS = 0.003
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -40,6 +46,16 @@
 """Time beyond a request's goal until it must have an answer: a silent scheduler is noticed and replaced."""
 
 
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Request that has reached a target that was up."""
+
+    at: float
+    request_id: str
+    digest: str
+    target_id: str
+
+
 class Answers(BaseComponent):
     """Takes the schedulers' answers as the requests of a router do."""
 
@@ -67,7 +83,7 @@
         self.state = FleetState(host, settings, clock=self.clock, rng=rng)
         self.state.members.set_seeds(fleet.seeds)
         self.state.placement.services = fleet.services
-        self.state.placement.goals = dict.fromkeys(fleet.services, fleet.goal_seconds)
+        self.state.placement.goals = dict(fleet.goals)
         for target in fleet.targets:
             self.state.placement.put_target(target)
         self.root = BaseComponent()
@@ -108,6 +124,9 @@
         self.outputs: set[str] = set()
         """Requests that had a first output."""
         self.target_requests: dict[str, TargetRequest] = {}
+        self.answered: set[str] = set()
+        self.single_runs: set[str] = set()
+        """Requests that must not run twice."""
         self.refused_at_the_edge: set[str] = set()
         """Requests with quarantined parts that this router has refused itself."""
         if fleet.call_seconds:
@@ -136,25 +155,35 @@
         output_tokens: int = 20,
         goal_seconds: float | None = None,
         extra_part: str | None = None,
+        digest: str | None = None,
+        has_parts: bool = True,
+        is_idempotent: bool = True,
     ):
+        """Ask for a target. Requests with one `digest` are repeats, by default each has another one."""
         now = self.clock.monotonic()
+        digest = digest or request_id
         part_ids = ["common", session] if extra_part is None else ["common", extra_part, session]
         parts = (
             *(PromptPart(part_id, shared_tokens) for part_id in part_ids),
-            PromptPart(request_id, own_tokens),
+            PromptPart(digest, own_tokens),
         )
+        if service == APPLICATION or not has_parts:
+            parts, session = (), request_id
         self.asked_at[request_id] = now
+        if not is_idempotent:
+            self.single_runs.add(request_id)
         target_request = TargetRequest(
             request_id,
             service,
             session,
             customer,
-            goal_seconds or self.fleet.goal_seconds,
+            goal_seconds or self.fleet.goals[service],
             now,
             now + 8.0,
             sum(part.tokens for part in parts),
-            output_tokens,
+            output_tokens if service != APPLICATION else 0,
             parts,
+            digest,
         )
         self.target_requests[request_id] = target_request
         if self.state.quarantine_seconds(target_request, now) > 0:
@@ -190,21 +219,33 @@
             self.later(CONNECT_TIMEOUT_SECONDS, lambda: self.cut(attempt, is_cut=False))
             return
         self.begun_at.setdefault(request_id, now)
+        target_request = self.target_requests[request_id]
+        self.fleet.sends.append(Send(now, request_id, target_request.digest, answer.target_id))
+        is_application = target_request.service == APPLICATION
         prefill_seconds = self.fleet.prefill_seconds(answer)
+        run_seconds = APPLICATION_RUN_SECONDS if is_application else self.run_seconds
         self.later(prefill_seconds, lambda: self.begin_output(attempt, answer.target_id))
-        self.later(prefill_seconds + self.run_seconds, lambda: self.finish(attempt))
+        self.later(prefill_seconds + run_seconds, lambda: self.finish(attempt))
+
+    def is_deadly(self, target_request: TargetRequest) -> bool:
+        """Return whether a request crashes the targets that run it."""
+        return target_request.digest in self.fleet.deadly_digests or any(
+            part.part_id in self.fleet.deadly_parts for part in target_request.parts[:-1]
+        )
 
     def begin_output(self, attempt: tuple[str, int], target_id: str) -> None:
         """Report the first output of an attempt, or let its engine crash of it."""
         request_id = attempt[0]
         if self.open_attempts.get(request_id) != attempt:
             return
-        parts = self.target_requests[request_id].parts[:-1]
-        if any(part.part_id in self.fleet.deadly_parts for part in parts):
-            if self.fleet.crash_delay_seconds is None:
+        is_application = self.target_requests[request_id].service == APPLICATION
+        if self.is_deadly(self.target_requests[request_id]):
+            if self.fleet.crash_delay_seconds is None or is_application:
                 self.fleet.crash(target_id)
                 return
             self.later(self.fleet.crash_delay_seconds, lambda: self.fleet.crash(target_id))
+        if is_application:
+            return
         self.state.record_rate_limit(
             target_id,
             self.fleet.rate_limits.get(target_id, math.inf),
@@ -225,7 +266,7 @@
         outcome = Outcome.UNREACHABLE if not is_cut else Outcome.BROKEN_OFF if has_output else Outcome.CUT
         self.state.scheduler_client.end(request_id, outcome, self.clock.monotonic(), may_have_run=is_cut)
         target_request = self.target_requests[request_id]
-        if target_request.attempt < MAX_ATTEMPTS:
+        if target_request.attempt < MAX_ATTEMPTS and not (is_cut and request_id in self.single_runs):
             target_request.excluded.add(target_id)
             target_request.is_retry = is_cut
             target_request.queued_at = self.clock.monotonic()
@@ -236,6 +277,7 @@
         if self.open_attempts.get(request_id) != attempt:
             return
         del self.open[request_id], self.open_attempts[request_id]
+        self.answered.add(request_id)
         self.state.scheduler_client.end(request_id, Outcome.ANSWERED, self.clock.monotonic())
 
     def later(self, seconds: float, action) -> None:
@@ -274,15 +316,19 @@
         prefill_rate: float | None = None,
         call_seconds: float = 0.0,
         max_datagram_bytes: float = math.inf,
+        application_targets: int = 0,
     ):
         self.max_datagram_bytes = max_datagram_bytes
         """Size above which datagrams are lost."""
-        self.goal_seconds = goal_seconds
+        self.goals = {"engines": goal_seconds, APPLICATION: APPLICATION_GOAL_SECONDS}
         self.prefill_rate = prefill_rate
         """Prompt tokens that an engine reads per second, one prompt at a time; None for a fixed time."""
         self.call_seconds = call_seconds
         self.deadly_parts: set[str] = set()
         """Prompt parts on which an engine crashes."""
+        self.deadly_digests: set[str] = set()
+        """Digests of requests on which a target crashes."""
+        self.sends: list[Send] = []
         self.crash_delay_seconds: float | None = None
         """Time from the first output of such a request to the crash, None for a crash in its place."""
         self.rate_limits: dict[str, float] = {}
@@ -295,7 +341,7 @@
         self.rng = random.Random(seed)
         self.loss = loss
         self.repeated = repeated
-        self.services = {"engines": make_service()}
+        self.services = {"engines": make_service(), APPLICATION: make_service(name=APPLICATION, engine=None)}
         names = [f"dc{number}" for number in range(data_centres)]
         self.targets = [
             make_target(
@@ -306,6 +352,15 @@
             )
             for number in range(engines)
         ]
+        self.targets += [
+            make_target(
+                f"d{number}",
+                service=APPLICATION,
+                slots=APPLICATION_SLOTS,
+                data_centre=names[number % data_centres],
+            )
+            for number in range(application_targets)
+        ]
         self.seeds = ("10.0.0.0", "10.0.0.1", "10.0.0.2")
         self.in_flight: list[tuple[float, int, str, str, object]] = []
         self.numbers = itertools.count()
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-from builders_router import PACKAGES, TargetListener, free_addresses, read_all
+from builders_router import PACKAGES, TargetListener, free_addresses, read_all, read_head
 from limpetusher.events import Event
 from limpetusher_router.platform.settings_file import Bounds, HostSettings
 
@@ -360,6 +360,78 @@
             call.cut_connection()
 
 
+class CrashingTarget:
+    """Target that a request with a certain body crashes. It listens again after some time.
+
+    Parameters
+    ----------
+    deadly_body
+        Body of the requests that crash the target.
+    down_seconds
+        Time for which it refuses connections after a crash.
+    """
+
+    def __init__(self, deadly_body: bytes, *, down_seconds: float):
+        self.deadly_body = deadly_body
+        self.down_seconds = down_seconds
+        self.address = free_addresses(1)[0]
+        self.crash_count = 0
+        self.is_closed = False
+        self.socks: list[socket.socket] = []
+        self.listen()
+
+    def document(self) -> dict:
+        """Return the target's entry in the store."""
+        return target_document(self.address)
+
+    def listen(self) -> None:
+        """Start to listen, unless the target was closed meanwhile."""
+        if self.is_closed:
+            return
+        host, port = self.address.split(":")
+        self.listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+
+    def accept(self, listener: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _address = listener.accept()
+                self.socks.append(sock)
+                threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError), sock.makefile("rb") as source:
+            while head := read_head(source):
+                call = TargetCall(sock, head, b"")
+                call.body = source.read(int(call.headers.get("content-length", 0)))
+                if call.body == self.deadly_body:
+                    time.sleep(0.06)
+                    self.crash()
+                    return
+                call.answer(b"done")
+
+    def crash(self) -> None:
+        """Close all connections and listen again later."""
+        self.crash_count += 1
+        self.stop()
+        threading.Timer(self.down_seconds, self.listen).start()
+
+    def stop(self) -> None:
+        """Stop listening and close all connections."""
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        socks, self.socks = self.socks, []
+        for sock in socks:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Stop for good."""
+        self.is_closed = True
+        self.stop()
+
+
 class FleetRouterProcess:
     """A real router process of a platform host."""
 
