--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -26,16 +26,10 @@
 from limpetusher.fleet.process.placement import Placement
 from limpetusher.fleet.process.pools import Pools
 from limpetusher.fleet.process.prefill_cooldowns import COOLDOWN_ADJUST_INTERVAL_SECONDS
-from limpetusher.fleet.process.prompt_quarantine import (
-    MAX_CONFIRMATION_SECONDS,
-    REPORT_DELAY_SECONDS,
-    BrokenConnection,
-    PartKey,
-    PromptQuarantine,
-    RequestKey,
-)
+from limpetusher.fleet.process.prompt_quarantine import MAX_CONFIRMATION_SECONDS, PromptQuarantine
 from limpetusher.fleet.process.rate_limits import RetryBudget
 from limpetusher.fleet.process.served_tokens import ServedTokens
+from limpetusher.fleet.process.strikes import REPORT_DELAY_SECONDS, BrokenConnection, PartKey, RequestKey
 from limpetusher.fleet.process.target_loads import TargetLoad
 from limpetusher.fleet.request.waiting_requests import (
     MIN_RETRY_AFTER_SECONDS,
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -21,11 +21,8 @@
 )
 from limpetusher.fleet.model import Pool, PromptPart
 from limpetusher.fleet.process.pools import Pools
-from limpetusher.fleet.process.prompt_quarantine import (
-    MAX_STRIKE_AGE_SECONDS,
-    REPORT_DELAY_SECONDS,
-    RETRACTION_SECONDS,
-)
+from limpetusher.fleet.process.prompt_quarantine import MAX_STRIKE_AGE_SECONDS, RETRACTION_SECONDS
+from limpetusher.fleet.process.strikes import REPORT_DELAY_SECONDS
 
 MAX_TRIED_POOLS = 2
 """Maximum number of pools that may refuse a request before it is refused to its caller."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -11,8 +11,9 @@
 from limpetusher.fleet.process.fair_levels import FairLevels, WaitingTokens
 from limpetusher.fleet.process.placement import Placement, TargetChoice
 from limpetusher.fleet.process.pool_view import PoolView
-from limpetusher.fleet.process.prompt_quarantine import PartKey, PromptQuarantine, shared_parts
+from limpetusher.fleet.process.prompt_quarantine import PromptQuarantine, shared_parts
 from limpetusher.fleet.process.served_tokens import ServedTokens, throughput_cost
+from limpetusher.fleet.process.strikes import PartKey
 from limpetusher.fleet.settings import FleetSettings
 
 MIN_RETRY_AFTER_SECONDS = 0.05
--- a/tests/router/fleet/test_prompt_quarantine.py
+++ b/tests/router/fleet/test_prompt_quarantine.py
@@ -7,7 +7,8 @@
 from builders_peers import STEP_SECONDS, FleetInMemory
 from limpetusher.fleet.messages import QuarantineEntry
 from limpetusher.fleet.model import Pool
-from limpetusher.fleet.process.prompt_quarantine import BrokenConnection, PromptQuarantine
+from limpetusher.fleet.process.prompt_quarantine import PromptQuarantine
+from limpetusher.fleet.process.strikes import BrokenConnection
 
 SETTLE_SECONDS = 5.0
 STABLE_WINDOW_SECONDS = 3.0
