Quarantine requests that crash the targets that run them

Cause: only parts of prompts were blamed for crashes. A request without shared parts had nothing that linked its repeats, and routers kept no report of its broken attempts for the next scheduler.

Change: - The digest of a request goes with it to its scheduler, and is struck by the confirmed crashes at which it was open or had just been answered. A complete answer of a target that lives on clears it; a 5xx does not. - From the first crash on one repeat is open at a time. After two crashes, confirmed or not, a request that a target has received is not sent again, at any pool. One crash alone does not stop the retry: nearly all requests that are open at a crash are sound. - A digest open at three crashes (four if most of its connections had lasting output) over 0.25 s or more is quarantined alone, for 300 s, at all routers. One request then starts, and a crash doubles the time. The crashes of the most blamed digest are set aside first, so that requests open beside it are not blamed. - Repeats of a digest are one request in the blame of prompt parts. A quarantined digest leaves its parts one strike, as a part may be deadly as well. - Strikes not cleared within 0.5 s are told to the other schedulers, as repeats may come to other data centres or services. Routers report broken attempts with their digests to the next scheduler, which quarantines nothing before a further crash: a router does not know that a repeat was answered elsewhere. - Events 1326 and 1327 name digest, service, customer, crashes. Refusals have the code request_quarantined.

Why this works: a digest has no other requests than repeats, so three crashes without an answer between them say enough. A sound digest that comes often is answered between crashes that are 0.25 s apart.

Not covered: crashes that break no connection (a silent target), and digests of more than one customer.

--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -45,6 +45,8 @@
     PROMPT_QUARANTINED = (1323, logging.WARNING, "parts of prompts quarantined after crashes of engines")
     TARGET_RATE_LIMITED = (1324, logging.INFO, "target announced a limit of its request rate, or its end")
     PROMPT_CLEARED = (1325, logging.INFO, "parts of prompts no longer quarantined")
+    REQUEST_QUARANTINED = (1326, logging.WARNING, "request quarantined after crashes of targets")
+    REQUEST_CLEARED = (1327, logging.INFO, "request no longer quarantined")
     REQUEST_REFUSED = (1401, logging.INFO, "request refused")
     REQUEST_FINISHED = (1402, logging.INFO, "request finished")
     REQUEST_RETRIED = (1403, logging.INFO, "request retried")
--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -53,6 +53,8 @@
     caller_data_centre: str
     is_retry: bool
     """Whether a target has received the request before."""
+    digest: str = ""
+    """Digest that all repeats of the request have in common."""
 
     @property
     def has_valid_numbers(self) -> bool:
@@ -98,6 +100,8 @@
     """Whether the request is refused because the retry budget is spent."""
     closed_seconds: float = 0.0
     """Time for which requests of the customer with the same or a shorter goal would be refused as well."""
+    may_crash_targets: bool = False
+    """Whether the request is refused because it may crash targets, for which other pools must not get it."""
 
 
 class PrefillFinished(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -138,6 +142,8 @@
     """Identifiers of the prompt parts that other requests may share."""
     output_age_seconds: float | None = None
     """Time since the first output, None without any."""
+    digest: str = ""
+    """Digest that all repeats of the request have in common."""
 
     @property
     def has_valid_numbers(self) -> bool:
@@ -184,7 +190,10 @@
 
 
 class QuarantineEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Prompt parts, each with its service, of which one crashes engines."""
+    """Prompt parts, each with its service, of which one crashes engines, or a request that crashes targets.
+
+    The request is an empty service and its digest.
+    """
 
     parts: tuple[tuple[str, str], ...]
     seconds: float
@@ -196,7 +205,7 @@
 
     entries: tuple[QuarantineEntry, ...]
     cleared: tuple[tuple[str, str], ...] = ()
-    """Prompt parts, each with its service, that are known not to crash engines."""
+    """Prompt parts, each with its service, or requests that are known not to crash targets."""
 
     @property
     def is_empty(self) -> bool:
@@ -210,7 +219,7 @@
 
 
 class BrokenAttempt(msgspec.Struct, frozen=True, array_like=True, tag=14):
-    """Attempt whose connection a target broke before the scheduler knew of its request."""
+    """Attempt whose connection a target broke before the scheduler knew of it, or in another pool."""
 
     request_id: str
     service: str
@@ -221,6 +230,9 @@
     """Time since the connection was broken."""
     output_seconds: float | None
     """Time from the first output to the break, None without output."""
+    digest: str = ""
+    """Digest that all repeats of the request have in common."""
+    customer: str = ""
 
     @property
     def has_valid_numbers(self) -> bool:
--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -171,6 +171,8 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
+    digest: str = ""
+    """Digest that all repeats of the request have in common."""
     excluded: set[str] = field(default_factory=set)
     """Targets that have failed this request."""
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_quarantine.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompt parts that crash engines.
+"""Quarantine of prompt parts that crash engines, and of requests that crash targets.
 
 A request with such a part crashes each engine that answers it, whatever else its prompt holds, before its
 first output or at any time until the end of its answer. At a crash, the parts of all requests are struck that
@@ -10,9 +10,11 @@
 at a crash or have lasting output. A part that several requests with little or no output are blamed for is
 suspect: only one request with it is open at a time. After one more crash the most blamed parts are
 quarantined. If several parts have only occurred together, requests with all of them are refused, and one with
-some of them shows which it is.
+some of them shows which it is. The key of a whole request is handled as a part of it that only its repeats
+have, with the rules of `struck_requests`.
 """
 
+import itertools
 import math
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -20,7 +22,7 @@
 
 import msgspec
 
-from limpetusher.fleet.messages import QuarantineEntry, QuarantineUpdate
+from limpetusher.fleet.messages import BrokenAttempt, QuarantineEntry, QuarantineUpdate
 from limpetusher.fleet.model import PromptPart
 from limpetusher.fleet.process.strikes import (
     SURVIVAL_SECONDS,
@@ -32,7 +34,11 @@
     StruckPart,
     Survival,
     is_caused_by,
+    is_request,
+    repeat_key,
+    request_part,
 )
+from limpetusher.fleet.process.struck_requests import SUSPECT_CRASHES, StruckRequests
 
 LOW_BLAME = 0.2
 """Crashes for each request with a part from which the part may be quarantined. Several deadly requests may be
@@ -58,15 +64,29 @@
 
 @dataclass(slots=True)
 class Quarantine:
-    """Parts of which one crashes engines. `until` is a reading of the monotonic clock."""
+    """Parts of which one crashes engines, or the key of a request that crashes targets.
+
+    `until` is a reading of the monotonic clock.
+    """
 
     parts: frozenset[PartKey]
     until: float
     seconds: float
+    service: str = ""
+    """Service of a request, empty if unknown."""
+    customer: str = ""
+    """Customer of a request, empty if unknown."""
+    crashes: int = 0
+    """Number of crashes of a request that this scheduler has counted."""
+
+    @property
+    def is_request(self) -> bool:
+        """Return whether a whole request is quarantined."""
+        return any(map(is_request, self.parts))
 
 
 class PromptQuarantine:
-    """Struck, suspect and quarantined prompt parts."""
+    """Struck, suspect and quarantined prompt parts and requests."""
 
     def __init__(self):
         self.broken: dict[str, list[BrokenConnection]] = {}
@@ -77,6 +97,9 @@
         """Times of the last crashes of targets."""
         self.struck: dict[PartKey, StruckPart] = {}
         """Struck parts, the last struck one last."""
+        self.requests = StruckRequests()
+        self.repeated_crashes: set[int] = set()
+        """Crashes of quarantined requests after the first one of each."""
         self.probes: dict[PartKey, RequestKey] = {}
         """Open request of each suspect part."""
         self.quarantines: list[Quarantine] = []
@@ -92,24 +115,48 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no part is struck or quarantined."""
-        return not self.struck and not self.quarantines
+        """Return whether no part or request is struck, quarantined or about to be struck."""
+        return not (self.struck or self.requests.struck or self.quarantines or self.broken)
 
     @property
     def is_pending(self) -> bool:
         """Return whether a crash has to be confirmed, or an answer that may clear parts."""
         return bool(self.broken) or (bool(self.survivals) and not self.is_idle)
 
+    def find(self, parts: frozenset[PartKey], now: float) -> Quarantine | None:
+        """Return the longest quarantine for which requests with the parts are refused, None without any."""
+        found = [
+            quarantine
+            for quarantine in self.quarantines
+            if quarantine.parts <= parts and now < quarantine.until
+        ]
+        return max(found, key=lambda quarantine: quarantine.until, default=None)
+
     def remaining_seconds(self, parts: frozenset[PartKey], now: float) -> float:
         """Return the time for which requests with the parts are refused, 0 if they are not."""
-        remaining = (quarantine.until - now for quarantine in self.quarantines if quarantine.parts <= parts)
-        return max(0.0, max(remaining, default=0.0))
+        quarantine = self.find(parts, now)
+        return quarantine.until - now if quarantine is not None else 0.0
 
     def suspects(self, parts: frozenset[PartKey]) -> set[PartKey]:
         """Return the suspect parts among the given ones."""
         suspects = {part for part in parts if part in self.struck and self.struck[part].is_suspect}
+        suspects |= {part for part in parts if is_request(part) and self.requests.is_suspect(part)}
         return suspects.union(*(quarantine.parts & parts for quarantine in self.quarantines))
 
+    def may_repeat(self, parts: frozenset[PartKey]) -> bool:
+        """Return whether a request that a target has received before may be sent again.
+
+        One that was open at a single crash may, as most of these are sound.
+        """
+        suspects = self.suspects(parts)
+        if not all(map(is_request, suspects)) or any(
+            quarantine.parts <= suspects for quarantine in self.quarantines
+        ):
+            return False
+        return all(
+            self.requests.crash_count(request) < SUSPECT_CRASHES for request in filter(is_request, parts)
+        )
+
     def may_start(self, request: RequestKey, parts: frozenset[PartKey]) -> bool:
         """Return whether a request may start: no other one with any of its suspect parts is open."""
         return all(self.probes.get(part, request) == request for part in self.suspects(parts))
@@ -151,6 +198,11 @@
 
     def discard_strikes(self, matches: Callable[[int, BrokenConnection], bool]) -> None:
         """Remove the strikes for which `matches`, called with crash and connection, returns True."""
+        self.discard_part_strikes(matches)
+        self.requests.discard(matches)
+
+    def discard_part_strikes(self, matches: Callable[[int, BrokenConnection], bool]) -> None:
+        """Remove the strikes of prompt parts for which `matches` returns True."""
         for part, struck in list(self.struck.items()):
             struck.discard(matches)
             if not struck.strikes:
@@ -160,6 +212,7 @@
         """Clear the parts of a request that has not crashed its target."""
         for part in parts:
             self.struck.pop(part, None)
+            self.requests.struck.pop(part, None)
             self.probes.pop(part, None)
         for quarantine in self.quarantines:
             self.cleared |= quarantine.parts & parts
@@ -174,13 +227,16 @@
         now: float,
         *,
         output_at: float | None = None,
+        service: str = "",
+        customer: str = "",
     ) -> None:
         """Record that a target has broken the connection of a request.
 
         The request counts as open until it is known whether the target has crashed.
         """
-        connection = BrokenConnection(target_id, request, parts, now, output_at)
+        connection = BrokenConnection(target_id, request, parts, now, output_at, service, customer)
         self.broken.setdefault(target_id, []).append(connection)
+        self.requests.record_broken(connection)
         for part in self.suspects(parts):
             self.probes.setdefault(part, request)
 
@@ -210,6 +266,7 @@
             if verdict is None and now < broken_at + MAX_CONFIRMATION_SECONDS:
                 continue
             del self.broken[target_id]
+            self.requests.set_unconfirmed(itertools.chain(*self.broken.values()))
             for connection in broken:
                 self.record_end(connection.request, connection.parts)
             if verdict:
@@ -224,8 +281,12 @@
 
     def discard_expired(self, now: float) -> None:
         """Remove old strikes and crashes."""
-        self.discard_strikes(lambda _crash, connection: now > connection.broken_at + MAX_STRIKE_AGE_SECONDS)
+        self.discard_part_strikes(
+            lambda _crash, connection: now > connection.broken_at + MAX_STRIKE_AGE_SECONDS
+        )
+        self.requests.discard_expired(now)
         self.crashes = [crash for crash in self.crashes if now <= crash.at + MAX_STRIKE_AGE_SECONDS]
+        self.repeated_crashes &= {crash.number for crash in self.crashes}
         oldest = now - SURVIVAL_SECONDS - MAX_CONFIRMATION_SECONDS - RETRACTION_SECONDS
         self.crashed_at = {target_id: at for target_id, at in self.crashed_at.items() if at >= oldest}
 
@@ -252,7 +313,9 @@
                 continue
             self.record_end(survival.request, survival.parts)
             for part in survival.parts & self.struck.keys():
-                self.struck[part].sound.add(survival.request)
+                self.struck[part].sound.add(repeat_key(survival.request, survival.parts))
+            for request in survival.parts & self.requests.struck.keys():
+                self.requests.struck[request].sound.add(survival.request)
         self.survivals.extendleft(reversed(undecided))
 
     def record_crash(
@@ -266,7 +329,11 @@
             self.strike(connection, crash)
         for part in running.keys() & self.struck.keys():
             self.struck[part].sound |= running[part]
-        self.quarantine_most_blamed(now)
+        self.requests.note_unannounced(broken, crash, now)
+        requests = {part for connection in broken for part in connection.parts if is_request(part)}
+        self.quarantine_requests(requests, now)
+        if not self.requests.has_unexplained(requests):
+            self.quarantine_most_blamed(now)
 
     def record_earlier_break(self, connection: BrokenConnection) -> None:
         """Strike the parts of a request that was cut when another scheduler placed it.
@@ -290,12 +357,23 @@
 
     def strike(self, connection: BrokenConnection, crash: int) -> None:
         """Strike the parts of a request for the crash with a number."""
+        self.requests.strike(connection, crash)
         for part in connection.parts:
+            if is_request(part):
+                continue
             struck = self.struck.pop(part, None) or StruckPart()
             if len(self.struck) >= MAX_STRUCK_PARTS:
                 del self.struck[next(iter(self.struck))]
             self.struck[part] = struck
-            struck.strikes.setdefault(connection.request, {})[crash] = connection
+            struck.add(connection, crash)
+
+    def quarantine_requests(self, requests: set[PartKey], now: float) -> None:
+        """Quarantine the requests of a crash that were open at enough of them, the most blamed first.
+
+        The crashes of one no longer speak against the others.
+        """
+        while (request := self.requests.most_blamed(requests)) is not None:
+            self.add(frozenset({request}), QUARANTINE_SECONDS, now)
 
     def quarantine_most_blamed(self, now: float) -> None:
         """Quarantine the part to which the crashes are due, with those that can't be told from it yet."""
@@ -304,7 +382,7 @@
             for part, struck in self.struck.items()
             if struck.count >= SUSPECT_STRIKES
             and struck.blame >= LOW_BLAME
-            and struck.explains(self.crash_count)
+            and struck.explains(self.crash_count, self.repeated_crashes)
         }
         crashes = max(
             (len(struck.crashes) for struck in found.values() if struck.is_blamed), default=math.inf
@@ -321,6 +399,7 @@
                 if now >= quarantine.until:
                     seconds = min(2 * quarantine.seconds, MAX_QUARANTINE_SECONDS)
                     quarantine.until, quarantine.seconds = now + seconds, seconds
+                    quarantine.crashes += 1
                     self.changed.append(quarantine)
                 return True
         early_parts = frozenset().union(*(connection.parts for connection in broken if connection.is_early))
@@ -345,6 +424,9 @@
         quarantine = Quarantine(parts, now + seconds, seconds)
         self.quarantines.append(quarantine)
         self.changed.append(quarantine)
+        if quarantine.is_request:
+            self.set_crashes_aside(quarantine)
+            return True
         explained = {
             crash
             for part in parts
@@ -356,6 +438,29 @@
         self.discard_strikes(lambda crash, _connection: crash in explained)
         return True
 
+    def set_crashes_aside(self, quarantine: Quarantine) -> None:
+        """Remove the strikes of other requests at the crashes of a quarantined one.
+
+        Its prompt parts keep one strike, as one of them may be deadly in other requests as well.
+        """
+        (request,) = quarantine.parts
+        struck = self.requests.struck.get(request)
+        if struck is None:
+            return
+        crashes = struck.crashes
+        connections = [connection for repeats in struck.strikes.values() for connection in repeats.values()]
+        quarantine.crashes = len(crashes)
+        quarantine.service = next(filter(None, (connection.service for connection in connections)), "")
+        quarantine.customer = next(filter(None, (connection.customer for connection in connections)), "")
+        first = min(crashes)
+        self.repeated_crashes |= crashes - {first}
+        self.requests.discard(lambda crash, _connection: crash in crashes)
+        self.discard_part_strikes(
+            lambda crash, connection: (
+                crash in crashes and not (crash == first and request in connection.parts)
+            )
+        )
+
     def update(self, quarantines: Iterable[Quarantine], now: float) -> QuarantineUpdate:
         """Return quarantines as a message to other routers."""
         return QuarantineUpdate(
@@ -372,6 +477,25 @@
         self.changed, self.cleared = [], set()
         return update
 
+    def take_strikes(self, now: float) -> list[BrokenAttempt]:
+        """Return the strikes of requests that the schedulers of other pools do not know, as messages."""
+        return [
+            BrokenAttempt(
+                connection.request[1],
+                connection.service,
+                connection.target_id,
+                (),
+                max(0.0, now - connection.broken_at),
+                None
+                if connection.output_at is None
+                else max(0.0, connection.broken_at - connection.output_at),
+                digest,
+                connection.customer,
+            )
+            for connection in self.requests.take_unannounced(now)
+            for _service, digest in filter(is_request, connection.parts)
+        ]
+
     def apply(self, update: QuarantineUpdate, now: float) -> None:
         """Apply what another router has announced, which is not announced again."""
         changed, cleared = self.changed, self.cleared
@@ -382,6 +506,17 @@
         self.changed, self.cleared = changed, cleared
 
 
-def shared_parts(service: str, parts: tuple[PromptPart, ...]) -> frozenset[PartKey]:
-    """Return the parts of a prompt that other requests may share: all but the last one."""
-    return frozenset((service, part.part_id) for part in parts[:-1])
+def shared_parts(service: str, parts: tuple[PromptPart, ...], digest: str = "") -> frozenset[PartKey]:
+    """Return what a request has in common with others: all parts of its prompt but the last one, and its key.
+
+    Without a digest there is no key.
+    """
+    return part_keys(service, (part.part_id for part in parts[:-1]), digest)
+
+
+def part_keys(service: str, part_ids: Iterable[str], digest: str) -> frozenset[PartKey]:
+    """Return the keys of prompt parts, and that of the request if it has a digest."""
+    keys = {(service, part_id) for part_id in part_ids}
+    if digest:
+        keys.add(request_part(digest))
+    return frozenset(keys)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -26,14 +26,22 @@
 from limpetusher.fleet.process.placement import Placement
 from limpetusher.fleet.process.pools import Pools
 from limpetusher.fleet.process.prefill_cooldowns import COOLDOWN_ADJUST_INTERVAL_SECONDS
-from limpetusher.fleet.process.prompt_quarantine import MAX_CONFIRMATION_SECONDS, PromptQuarantine
+from limpetusher.fleet.process.prompt_quarantine import MAX_CONFIRMATION_SECONDS, PromptQuarantine, part_keys
 from limpetusher.fleet.process.rate_limits import RetryBudget
 from limpetusher.fleet.process.served_tokens import ServedTokens
-from limpetusher.fleet.process.strikes import REPORT_DELAY_SECONDS, BrokenConnection, PartKey, RequestKey
+from limpetusher.fleet.process.strikes import (
+    REPORT_DELAY_SECONDS,
+    BrokenConnection,
+    PartKey,
+    RequestKey,
+    is_request,
+    repeat_key,
+)
 from limpetusher.fleet.process.target_loads import TargetLoad
 from limpetusher.fleet.request.waiting_requests import (
     MIN_RETRY_AFTER_SECONDS,
     PROMPT_QUARANTINED,
+    REQUEST_QUARANTINED,
     RefusalDecision,
     StartDecision,
     WaitingRequests,
@@ -85,16 +93,23 @@
     """Time from which the request counts as service of its customer, None if it does not count."""
 
     taken_over_parts: frozenset[PartKey] = frozenset()
-    """Shared prompt parts of a request that another scheduler has placed."""
+    """Shared prompt parts and the key of a request that another scheduler has placed."""
 
     @property
     def has_shared_parts(self) -> bool:
-        """Return whether the prompt has parts that other requests may share."""
-        return bool(self.taken_over_parts) or (self.request is not None and len(self.request.parts) > 1)
+        """Return whether the request may have a part or its digest in common with others."""
+        if self.request is None:
+            return bool(self.taken_over_parts)
+        return bool(self.request.digest) or len(self.request.parts) > 1
+
+    @property
+    def customer(self) -> str:
+        """Return the customer of the request, empty if another scheduler has placed it."""
+        return self.request.customer if self.request is not None else ""
 
     @property
     def shared_parts(self) -> frozenset[PartKey]:
-        """Return the prompt parts that other requests may share."""
+        """Return the prompt parts that other requests may share, and the key of the request."""
         return self.taken_over_parts if self.request is None else request_parts(self.request)
 
 
@@ -191,6 +206,7 @@
             prompt_tokens=message.prompt_tokens,
             output_tokens=message.output_tokens,
             parts=tuple(PromptPart(*part) for part in message.parts),
+            digest=message.digest,
             excluded=set(message.excluded),
             caller_data_centre=message.caller_data_centre,
         )
@@ -207,16 +223,22 @@
     def refuse_for_parts(
         self, message: TargetQuery, request: QueuedRequest, now: float
     ) -> RefusalDecision | None:
-        """Return the refusal of a request whose prompt may crash engines, None if it may be queued.
+        """Return the refusal of a request that may crash targets, None if it may be queued.
 
-        A request that a target has received before is not sent again while one of its parts is suspect.
+        A request that a target has received before is not sent again while one of its parts is suspect, or
+        after it was open at two crashes.
         """
         if self.quarantine.is_idle:
             return None
         parts = request_parts(request)
-        seconds = self.quarantine.remaining_seconds(parts, now)
-        if seconds > 0 or (message.is_retry and self.quarantine.suspects(parts)):
-            return RefusalDecision(request, PROMPT_QUARANTINED, max(seconds, MIN_RETRY_AFTER_SECONDS), 0.0)
+        quarantine = self.quarantine.find(parts, now)
+        if quarantine is not None:
+            reason = REQUEST_QUARANTINED if quarantine.is_request else PROMPT_QUARANTINED
+            return RefusalDecision(request, reason, max(quarantine.until - now, MIN_RETRY_AFTER_SECONDS), 0.0)
+        if message.is_retry and not self.quarantine.may_repeat(parts):
+            is_prompt = any(not is_request(part) for part in self.quarantine.suspects(parts))
+            reason = PROMPT_QUARANTINED if is_prompt else REQUEST_QUARANTINED
+            return RefusalDecision(request, reason, MIN_RETRY_AFTER_SECONDS, 0.0)
         return None
 
     @handle.register
@@ -226,13 +248,15 @@
 
     @handle.register
     def on_broken_attempt(self, message: BrokenAttempt, client: str, now: float) -> None:
-        """Record an attempt that was broken before this scheduler knew of its request."""
+        """Record an attempt that was broken before this scheduler knew of its request, or in another pool."""
         broken_at = now - message.age_seconds
         output_at = None if message.output_seconds is None else broken_at - message.output_seconds
-        parts = frozenset((message.service, part_id) for part_id in message.part_ids)
+        parts = part_keys(message.service, message.part_ids, message.digest)
         key = (client, message.request_id)
         self.quarantine.record_earlier_break(
-            BrokenConnection(message.target_id, key, parts, broken_at, output_at)
+            BrokenConnection(
+                message.target_id, key, parts, broken_at, output_at, message.service, message.customer
+            )
         )
 
     @handle.register
@@ -242,7 +266,7 @@
         load = TargetLoad(1, message.prefill_tokens, message.memory_tokens)
         pool = Pool(message.service, message.data_centre)
         job = Job(message.attempt, pool, None, message.target_id, load)
-        job.taken_over_parts = frozenset((message.service, part_id) for part_id in message.part_ids)
+        job.taken_over_parts = part_keys(message.service, message.part_ids, message.digest)
         if message.output_age_seconds is not None:
             job.output_at = now - message.output_age_seconds
         self.add_job(client, message.request_id, job)
@@ -378,7 +402,15 @@
     def record_quarantine_evidence(self, job: Job, key: RequestKey, outcome: Outcome, now: float) -> None:
         """Tell the quarantine of a request that its target has answered or broken off."""
         if outcome in (Outcome.CUT, Outcome.BROKEN_OFF):
-            self.quarantine.record_broken(job.target_id, key, job.shared_parts, now, output_at=job.output_at)
+            self.quarantine.record_broken(
+                job.target_id,
+                key,
+                job.shared_parts,
+                now,
+                output_at=job.output_at,
+                service=job.pool.service,
+                customer=job.customer,
+            )
         elif outcome is Outcome.ANSWERED:
             self.quarantine.record_answer(job.target_id, key, job.shared_parts, now)
 
@@ -404,8 +436,9 @@
         for key, job in self.jobs.items():
             is_running = job.output_at is not None and job.target_id not in self.quarantine.broken
             if is_running and job.has_shared_parts:
-                for part in job.shared_parts:
-                    found.setdefault(part, set()).add(key)
+                parts = job.shared_parts
+                for part in parts:
+                    found.setdefault(part, set()).add(repeat_key(key, parts))
         return found
 
     @handle.register
@@ -562,4 +595,5 @@
         backlog_seconds=round(decision.backlog_seconds, 3),
         served_part=round(request.served_part, 3),
         closed_seconds=decision.closed_seconds,
+        may_crash_targets=decision.may_crash_targets,
     )
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/strikes.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/strikes.py
@@ -26,7 +26,7 @@
 crash. Covers the delay between an answer and the crash that it causes."""
 
 PartKey = tuple[str, str]
-"""Service and identifier of a prompt part."""
+"""Service and identifier of a prompt part. The key of a whole request is an empty service and its digest."""
 RequestKey = tuple[str, str]
 """Router and identifier of a request."""
 
@@ -35,7 +35,8 @@
 class BrokenConnection:
     """Connection of a request that its target has broken, or had just finished with when it crashed.
 
-    `output_at` is the time of the first output, None without any.
+    `parts` are the prompt parts that other requests may share, and the key of the whole request. `output_at`
+    is the time of the first output, None without any.
     """
 
     target_id: str
@@ -43,6 +44,8 @@
     parts: frozenset[PartKey]
     broken_at: float
     output_at: float | None = None
+    service: str = ""
+    customer: str = ""
 
     @property
     def is_early(self) -> bool:
@@ -81,9 +84,18 @@
     """Broken connections of requests with a part, by request and by the number of the crash."""
 
     strikes: dict[RequestKey, dict[int, BrokenConnection]] = field(default_factory=dict)
+    """All repeats of a request count as one."""
     sound: set[RequestKey] = field(default_factory=set)
     """Requests with output that lasted, or whose target was alive after another one had crashed."""
 
+    def key_of(self, connection: BrokenConnection) -> RequestKey:
+        """Return the key under which a strike is counted."""
+        return repeat_key(connection.request, connection.parts)
+
+    def add(self, connection: BrokenConnection, crash: int) -> None:
+        """Add a strike for the crash with a number."""
+        self.strikes.setdefault(self.key_of(connection), {})[crash] = connection
+
     @property
     def crashes(self) -> set[int]:
         """Return the numbers of the crashes."""
@@ -121,9 +133,13 @@
         """Return the number of crashes with different requests."""
         return min(len(self.strikes), len(self.crashes))
 
-    def explains(self, crash_count: int) -> bool:
-        """Return whether the part occurred at most of the crashes since its first strike."""
-        since = crash_count - min(self.crashes) + 1
+    def explains(self, crash_count: int, repeated: set[int]) -> bool:
+        """Return whether the part occurred at most of the crashes since its first strike.
+
+        Crashes in `repeated` do not count; they are due to repeats of requests.
+        """
+        first = min(self.crashes)
+        since = crash_count - first + 1 - sum(crash >= first for crash in repeated)
         return len(self.crashes) >= EXPLAINED_SHARE * since
 
     def discard(self, matches: Callable[[int, BrokenConnection], bool]) -> None:
@@ -136,6 +152,21 @@
                 del self.strikes[request]
 
 
+def request_part(digest: str) -> PartKey:
+    """Return the key of a whole request."""
+    return "", digest
+
+
+def is_request(part: PartKey) -> bool:
+    """Return whether a key is that of a whole request."""
+    return not part[0]
+
+
+def repeat_key(request: RequestKey, parts: frozenset[PartKey]) -> RequestKey:
+    """Return a key that all repeats of a request have in common, its own key if it has no digest."""
+    return next(filter(is_request, parts), request)
+
+
 def is_caused_by(survival: Survival, target_id: str, crashed_at: float) -> bool:
     """Return whether a crash of a target may be due to one of its outputs or answers."""
     return (
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -84,7 +84,8 @@
 class KeptBreak:
     """Attempt whose target has broken the connection, kept until its pool has another scheduler.
 
-    `part_ids` are the shared parts of its prompt that no request of this router was answered with since.
+    `part_ids` are the shared parts of its prompt that no request of this router was answered with since, and
+    `digest` that of the request if none of its repeats was.
     """
 
     pool: Pool
@@ -94,6 +95,8 @@
     part_ids: set[str]
     broken_at: float
     output_seconds: float | None
+    digest: str = ""
+    customer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +202,7 @@
                 grant.memory_tokens,
                 target_request.reported_part_ids,
                 target_request.output_age_seconds(now),
+                target_request.digest,
             )
             self.send(target_request.scheduler, opened)
             return
@@ -217,6 +221,7 @@
             excluded=tuple(target_request.excluded | self.unusable(target_request.service, now)),
             caller_data_centre=self.pools.members.own.data_centre,
             is_retry=target_request.is_retry,
+            digest=target_request.digest,
         )
         self.send(target_request.scheduler, message)
 
@@ -253,6 +258,7 @@
             other = self.untried_pool(target_request, now)
             if (
                 other is not None
+                and not answer.may_crash_targets
                 and len(target_request.refusing_pools) < MAX_TRIED_POOLS
                 and now - target_request.queued_at < target_request.goal_seconds
             ):
@@ -301,7 +307,7 @@
     def keep_break(self, target_request: TargetRequest, now: float) -> None:
         """Keep a broken attempt for later schedulers of its pool."""
         part_ids = set(target_request.reported_part_ids)
-        if not part_ids:
+        if not part_ids and not target_request.digest:
             return
         kept = KeptBreak(
             target_request.pool,
@@ -311,6 +317,8 @@
             part_ids,
             now,
             target_request.output_age_seconds(now),
+            target_request.digest,
+            target_request.customer,
         )
         self.breaks.append(kept)
 
@@ -324,14 +332,16 @@
         )
 
     def clear_answered_parts(self, answered: TargetRequest) -> None:
-        """Remove the parts of a completely answered request from the breaks, as they crash no target."""
+        """Remove a completely answered request and its parts from the breaks, as they crash no target."""
         if not self.breaks:
             return
         part_ids = {part.part_id for part in answered.parts}
         for kept in self.breaks:
             if kept.pool.service == answered.service:
                 kept.part_ids -= part_ids
-        self.drop_breaks(lambda kept: not kept.part_ids)
+            if kept.digest == answered.digest:
+                kept.digest = ""
+        self.drop_breaks(lambda kept: not kept.part_ids and not kept.digest)
 
     def drop_breaks(self, matches: Callable[[KeptBreak], bool]) -> None:
         """Drop the breaks for which `matches` returns True."""
@@ -347,6 +357,8 @@
             tuple(sorted(kept.part_ids)),
             max(0.0, now - kept.broken_at),
             kept.output_seconds,
+            kept.digest,
+            kept.customer,
         )
         self.send(kept.scheduler, message)
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -27,6 +27,7 @@
 flood, the messages of refused requests would otherwise take most of the scheduler's processor."""
 BACKLOG_TOO_LONG = "the backlog is too long"
 PROMPT_QUARANTINED = "a part of the prompt has crashed engines"
+REQUEST_QUARANTINED = "the request has crashed targets"
 STARTED_LEVEL_SECONDS = 0.25
 """Time for which a start shows up to which level customers are served. Covers the pauses between bursts."""
 FAIR_SERVED_PART = 0.8
@@ -66,6 +67,11 @@
     closed_seconds: float = 0.0
     """Time for which requests of the customer with the same or a shorter goal would be refused as well."""
 
+    @property
+    def may_crash_targets(self) -> bool:
+        """Return whether the request is refused because it may crash targets."""
+        return self.reason in (PROMPT_QUARANTINED, REQUEST_QUARANTINED)
+
 
 @dataclass(frozen=True, slots=True)
 class SaturatedPool:
@@ -350,10 +356,9 @@
             customer_tokens_before = 0.0
             for request in queue:
                 prefill_tokens_before = levels.prefill_tokens_up_to(served + customer_tokens_before)
-                if self.quarantine.quarantines and self.quarantine.remaining_seconds(
-                    request_parts(request), now
-                ):
-                    reason = PROMPT_QUARANTINED
+                quarantine = self.quarantine.quarantines and self.quarantine.find(request_parts(request), now)
+                if quarantine:
+                    reason = REQUEST_QUARANTINED if quarantine.is_request else PROMPT_QUARANTINED
                 elif now >= request.latest_start_at:
                     reason = "no target had room in time"
                 elif (
@@ -393,8 +398,8 @@
 
 
 def request_parts(request: QueuedRequest) -> frozenset[PartKey]:
-    """Return the prompt parts of a request that other requests may share."""
-    return shared_parts(request.pool.service, request.parts)
+    """Return the prompt parts of a request that other requests may share, and the key of the request."""
+    return shared_parts(request.pool.service, request.parts, request.digest)
 
 
 def latest_start(request: QueuedRequest) -> float:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -65,9 +65,9 @@
         now = self.clock.monotonic()
         target_request = self.make_target_request(request_id, route, fields, customer or "", now)
         target_request.digest = request_digest(head, body, customer or "")
-        quarantine_seconds = self.state.quarantine_seconds(target_request, now)
-        if quarantine_seconds > 0:
-            return quarantine_refusal(quarantine_seconds)
+        quarantine = self.state.find_quarantine(target_request, now)
+        if quarantine is not None:
+            return quarantine_refusal(quarantine, now, digest=target_request.digest)
         relay = EventRelay(fields.last_event_id, is_numbered=route.kind is RequestKind.STREAMING)
         return Exchange(request_id, head, body, fields, route, target_request, customer, now, relay)
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -27,6 +27,8 @@
 )
 from limpetusher.fleet.model import Pool
 from limpetusher.fleet.process.members import GOSSIP_INTERVAL_SECONDS
+from limpetusher.fleet.process.prompt_quarantine import Quarantine
+from limpetusher.fleet.process.strikes import is_request
 from limpetusher_router.events import (
     PEER_EXCHANGE,
     REQUESTS,
@@ -388,17 +390,37 @@
         self.transmit(now)
 
     def announce_quarantines(self, now: float) -> None:
-        """Tell all routers which prompt parts they have to refuse, and which ones no longer."""
-        update = self.state.scheduler.quarantine.take_changes(now)
+        """Tell all routers which prompt parts and requests they have to refuse, and which ones no longer.
+
+        The other schedulers are told which requests were open at crashes, as repeats may come to their pools.
+        """
+        quarantine = self.state.scheduler.quarantine
+        for strike in quarantine.take_strikes(now):
+            for address in self.other_schedulers(now):
+                self.send(address, strike)
+        changed = quarantine.changed
+        update = quarantine.take_changes(now)
         if update.is_empty:
             return
-        for entry in update.entries:
-            parts = [part_id for _service, part_id in entry.parts]
-            log_event(Event.PROMPT_QUARANTINED, parts=parts, seconds=entry.seconds)
-        if update.cleared:
-            log_event(Event.PROMPT_CLEARED, parts=[part_id for _service, part_id in update.cleared])
+        for entry in changed:
+            log_quarantine(entry, now)
+        cleared_parts = [part_id for service, part_id in update.cleared if service]
+        if cleared_parts:
+            log_event(Event.PROMPT_CLEARED, parts=cleared_parts)
+        for _service, digest in filter(is_request, update.cleared):
+            log_event(Event.REQUEST_CLEARED, digest=digest)
         self.send_to_all(update, now)
 
+    def other_schedulers(self, now: float) -> list[str]:
+        """Return the other routers that schedule a pool, which may get the repeats of a request."""
+        pools = self.state.pools
+        found = {
+            pools.scheduler(pool, now)
+            for service in self.state.placement.by_service
+            for pool in pools.for_service(service)
+        }
+        return sorted(found - {self.own_address, None})
+
     def announce_limits(self, now: float) -> None:
         """Send new limits of request rates to all routers, as each of them may become a scheduler."""
         limits = self.state.placement.limits.take_unannounced()
@@ -412,7 +434,7 @@
                 self.send(member.address, message)
 
     def send_shared_state(self, address: str, now: float) -> None:
-        """Send the quarantined prompt parts and the limits of targets to a router that may not know them."""
+        """Send the quarantines and the limits of targets to a router that may not know them."""
         quarantine = self.state.scheduler.quarantine
         if quarantine.quarantines:
             self.send(address, quarantine.update(quarantine.quarantines, now))
@@ -492,6 +514,23 @@
         self.sock.send(update, addresses)
 
 
+def log_quarantine(quarantine: Quarantine, now: float) -> None:
+    """Log that prompt parts or a request are quarantined."""
+    seconds = round(max(0.0, quarantine.until - now), 3)
+    part_ids = sorted(part_id for _service, part_id in quarantine.parts)
+    if not quarantine.is_request:
+        log_event(Event.PROMPT_QUARANTINED, parts=part_ids, seconds=seconds)
+        return
+    log_event(
+        Event.REQUEST_QUARANTINED,
+        digest=part_ids[0],
+        service=quarantine.service,
+        customer=quarantine.customer,
+        crashes=quarantine.crashes,
+        seconds=seconds,
+    )
+
+
 def rate_limit_updates(limits: tuple[tuple[str, float], ...], *, is_change: bool) -> list[RateLimitUpdate]:
     """Return the messages that tell limits of targets, several of which fit into a datagram."""
     return [
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
@@ -1,7 +1,8 @@
 """Error answers of the router itself."""
 
 from limpetusher.core.refusals import Ran
-from limpetusher.fleet.request.waiting_requests import PROMPT_QUARANTINED
+from limpetusher.fleet.process.prompt_quarantine import Quarantine
+from limpetusher.fleet.request.waiting_requests import PROMPT_QUARANTINED, REQUEST_QUARANTINED
 from limpetusher_router.events import SendAnswer
 from limpetusher_router.platform.requests import error_headers
 from limpetusher_router.request.answers import error_body
@@ -30,26 +31,37 @@
         Whether the request ran, as far as the router knows.
     retry_after_seconds
         Time after which the caller may retry, None if a retry is of no use.
+    digest
+        Digest of a request that was not admitted, empty if unknown.
     """
 
     def __init__(
-        self, status: int, code: str, message: str, *, ran: Ran, retry_after_seconds: float | None = None
+        self,
+        status: int,
+        code: str,
+        message: str,
+        *,
+        ran: Ran,
+        retry_after_seconds: float | None = None,
+        digest: str = "",
     ):
         self.status = status
         self.code = code
         self.message = message
         self.ran = ran
         self.retry_after_seconds = retry_after_seconds
+        self.digest = digest
 
 
-def quarantine_refusal(retry_after_seconds: float) -> FleetRefusal:
-    """Return the refusal of a request that did not run because a part of its prompt has crashed engines."""
+def quarantine_refusal(quarantine: Quarantine, now: float, *, digest: str) -> FleetRefusal:
+    """Return the refusal of a request that did not run because it or a part of its prompt is quarantined."""
     return FleetRefusal(
         UNAVAILABLE,
-        "prompt_quarantined",
-        PROMPT_QUARANTINED,
+        "request_quarantined" if quarantine.is_request else "prompt_quarantined",
+        REQUEST_QUARANTINED if quarantine.is_request else PROMPT_QUARANTINED,
         ran=Ran.NO,
-        retry_after_seconds=retry_after_seconds,
+        retry_after_seconds=quarantine.until - now,
+        digest=digest,
     )
 
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -84,7 +84,12 @@
         fields = decode_request(head)
         result = self.admission.admit(request_id, head, body, fields)
         if isinstance(result, FleetRefusal):
-            log_event(Event.REQUEST_REFUSED, request=fields.caller_request_id, reason=result.message)
+            log_event(
+                Event.REQUEST_REFUSED,
+                request=fields.caller_request_id,
+                digest=result.digest,
+                reason=result.message,
+            )
             self.fire(error_answer(request_id, fields.caller_request_id, result), CALLERS)
             return
         self.exchanges[request_id] = result
@@ -137,10 +142,10 @@
         if now >= target_request.give_up_at:
             self.time_out_request(exchange)
             return
-        quarantine_seconds = self.state.quarantine_seconds(target_request, now)
-        if quarantine_seconds > 0:
+        quarantine = self.state.find_quarantine(target_request, now)
+        if quarantine is not None:
             # The scheduler may have started after the quarantine and not know it yet.
-            self.fail_request(exchange, quarantine_refusal(quarantine_seconds))
+            self.fail_request(exchange, quarantine_refusal(quarantine, now, digest=target_request.digest))
             return
         if not self.state.can_send(answer.target_id, now):
             self.return_grant(exchange, answer, now)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -14,7 +14,7 @@
 from limpetusher.fleet.process.members import Members
 from limpetusher.fleet.process.placement import Placement
 from limpetusher.fleet.process.pools import Pools
-from limpetusher.fleet.process.prompt_quarantine import shared_parts
+from limpetusher.fleet.process.prompt_quarantine import Quarantine, shared_parts
 from limpetusher.fleet.process.scheduler import Scheduler
 from limpetusher.fleet.process.target_health import TargetHealth
 from limpetusher.fleet.request.scheduler_client import SchedulerClient, TargetRequest
@@ -139,13 +139,13 @@
         if limits.needs_report(target_id, scheduler):
             self.send(scheduler, RateLimitNotice(target_id, limits.per_second(target_id)))
 
-    def quarantine_seconds(self, target_request: TargetRequest, now: float) -> float:
-        """Return for how long requests with the parts of a prompt are refused, 0 if they are not."""
+    def find_quarantine(self, target_request: TargetRequest, now: float) -> Quarantine | None:
+        """Return the quarantine for which a request is refused, None if it is not."""
         quarantine = self.scheduler.quarantine
         if not quarantine.quarantines:
-            return 0.0
-        parts = shared_parts(target_request.service, target_request.parts)
-        return quarantine.remaining_seconds(parts, now)
+            return None
+        parts = shared_parts(target_request.service, target_request.parts, target_request.digest)
+        return quarantine.find(parts, now)
 
     def transfer_source(self, target_id: str, now: float) -> Target | None:
         """Return the engine from which cached prompt parts are fetched, None if there is no usable one."""
