Pass on a target's large error whole

A sealed 5xx of more than 64 KiB is forwarded in parts; once it was complete, complete_exchange took it for a failure because its head had been sent, and cut the caller's connection (logged as 502). On a resumable route it was also sent again. stream_failure handles errors in place of the rest of a stream before that.

Both tests failed before and pass; so do the tests of errors, failures, seals and resumption in test_process.py (30 passed in 27.7 s).

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -273,7 +273,7 @@
     def complete_exchange(self, exchange: Exchange, attempt: TargetAttempt) -> None:
         """Finish a complete answer, or treat it as a failure if it is a server error and may be retried."""
         head = attempt.head
-        if head.status in SERVER_ERROR_STATUSES and (exchange.is_head_sent or can_retry(exchange)):
+        if head.status in SERVER_ERROR_STATUSES and can_retry(exchange):
             failure = AttemptFailure(f"status {head.status}", may_have_run=True)
             self.requests.handle_attempt_failure(exchange, attempt, failure)
             return
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -838,6 +838,24 @@
         assert len(run.calls) == 2
 
 
+@pytest.mark.parametrize("path", ["/unsafe/1", "/stream/1"])
+def test_large_error_of_a_target_is_passed_on_whole(tmp_path, path):
+    """Guards against cutting an error that was forwarded in parts although its target completed it."""
+
+    def script(call, _number) -> None:
+        lines = ["HTTP/1.1 500 Internal Server Error", SEAL, "transfer-encoding: chunked"]
+        lines += [f"x-request-id: {call.headers['x-request-id']}", "", ""]
+        call.sock.sendall("\r\n".join(lines).encode())
+        for _ in range(10):
+            call.send_chunk(b"x" * 10_000)
+        call.end_stream()
+
+    with fleet_run(tmp_path, script) as run:
+        status, body = run.ask(path, method="POST", body="x")
+        assert (status, unchunk(body)) == (500, (b"x" * 100_000, True))
+        assert len(run.calls) == 1
+
+
 def test_unframed_stream_ends_with_its_connection(tmp_path):
     def script(call, _number) -> None:
         call.begin_unframed_stream()
