Bound the strikes that schedulers tell each other

After a crash of an engine with many streams, each of them would have been told to each scheduler. Only requests without lasting output are told now, at most 50 at a time, those with most crashes first. Nothing was seen to fail; the number of messages on a grown site was not measured.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/struck_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/struck_requests.py
@@ -37,7 +37,10 @@
 """Time after which a strike is told to the other schedulers. Most requests that were open at a crash have
 been answered by then."""
 MAX_UNANNOUNCED = 500
-"""Bounds the messages after a crash of many targets."""
+"""Bounds the memory after a crash of many targets."""
+MAX_ANNOUNCED = 50
+"""Maximum number of strikes that are told at one time, those of requests with most crashes first. Bounds the
+messages after a crash of many targets."""
 
 
 class StruckRequest(StruckPart):
@@ -104,9 +107,14 @@
             struck.add(connection, crash)
 
     def note_unannounced(self, connections: Iterable[BrokenConnection], crash: int, now: float) -> None:
-        """Keep the strikes of a crash until the other schedulers are told."""
+        """Keep the strikes of a crash until the other schedulers are told.
+
+        Those with lasting output are left out, as a target crashes when it begins to run a deadly request.
+        """
         due_at = now + ANNOUNCEMENT_DELAY_SECONDS
         for connection in connections:
+            if not connection.is_early:
+                continue
             for request in filter(is_request, connection.parts):
                 self.unannounced.append(UnannouncedStrike(due_at, request, crash, connection))
         del self.unannounced[:-MAX_UNANNOUNCED]
@@ -120,7 +128,8 @@
             for strike in due
             if strike.request in self.struck and strike.crash in self.struck[strike.request].crashes
         }
-        return list(told.values())
+        most_crashes_first = sorted(told, key=lambda key: self.struck[key[0]].count, reverse=True)
+        return [told[key] for key in most_crashes_first[:MAX_ANNOUNCED]]
 
     def discard(self, matches: Callable[[int, BrokenConnection], bool]) -> None:
         """Remove the strikes for which `matches`, called with crash and connection, returns True."""
--- a/tests/fleet/process/test_struck_requests.py
+++ b/tests/fleet/process/test_struck_requests.py
@@ -7,6 +7,7 @@
 from limpetusher.fleet.messages import BrokenAttempt
 from limpetusher.fleet.process.prompt_quarantine import PromptQuarantine, part_keys
 from limpetusher.fleet.process.strikes import BrokenConnection
+from limpetusher.fleet.process.struck_requests import MAX_ANNOUNCED
 
 DEADLY = "deadly"
 NUMBERS = itertools.count()
@@ -196,6 +197,18 @@
     assert not other.take_strikes(20.0)
 
 
+def test_few_strikes_are_told_after_a_crash_with_many_requests():
+    """Guards against a burst of messages after a crash, and against leaving out the deadly request."""
+    quarantine = PromptQuarantine()
+    crash(quarantine, 10.0, keys(DEADLY))
+    crash(quarantine, 20.0, *(keys(f"sound {number}") for number in range(200)), keys(DEADLY))
+    crash(quarantine, 20.1, *(keys(f"stream {number}") for number in range(9)), output_seconds=1.0)
+    strikes = quarantine.take_strikes(21.0)
+    assert len(strikes) == MAX_ANNOUNCED
+    assert strikes[0].digest == DEADLY
+    assert not any(strike.digest.startswith("stream") for strike in strikes)
+
+
 def as_connection(message: BrokenAttempt, now: float) -> BrokenConnection:
     broken_at = now - message.age_seconds
     return BrokenConnection(
