Let cancelled deadlines keep no reference to their event

A cancelled entry stays in the heap until its time or the next compaction. Its event refers to a closed connection and, through the attempt at a target, to the body of its request, which so stayed in memory for as long as the caller would have waited. Cancelling drops the event.

The test failed before.

--- a/packages/limpetusher-router/src/limpetusher_router/process/deadlines.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/deadlines.py
@@ -19,13 +19,15 @@
 
     def __init__(self, when: float, event: Event, channel: str):
         self.when = when
-        self.event = event
+        self.event: Event | None = event
         self.channel = channel
         self.cancelled = False
 
     def cancel(self) -> None:
         """Cancel the deadline, so that its event is not fired."""
         self.cancelled = True
+        # The heap keeps the entry until its time, but not what the event refers to, such as a connection.
+        self.event = None
 
 
 class Deadlines(BaseComponent):
--- a/tests/router/process/test_components.py
+++ b/tests/router/process/test_components.py
@@ -1,5 +1,7 @@
 """Unit tests of process components with a manual clock."""
 
+import weakref
+
 from circuits.core import BaseComponent, Event, handler
 from circuits.core.events import generate_events
 
@@ -20,6 +22,10 @@
     name = "sample_event"
 
 
+class Subject:
+    """Subject of an event, such as a connection."""
+
+
 class EventRecorder(BaseComponent):
     """Records the subjects of received events."""
 
@@ -99,6 +105,20 @@
     assert len(harness.deadlines.heap) <= COMPACTION_THRESHOLD_ENTRIES + 1
 
 
+def test_cancelled_deadline_keeps_no_reference_to_its_subject():
+    """Guards against closed connections that stay in memory until their time-outs would be due."""
+    harness = DeadlineHarness()
+    subject = Subject()
+    reference = weakref.ref(subject)
+    deadline = harness.deadlines.schedule(1e6, SampleEvent(subject), "recorder")
+    del subject
+    deadline.cancel()
+    assert reference() is None
+    harness.clock.advance(2e6)
+    harness.run_iteration()
+    assert harness.recorder.received == []
+
+
 def test_age_of_load_reports():
     """Guards against treating an outdated report as current when the target does not state its age."""
     clock = ManualClock()
