Free messages, and the bodies in them, without the garbage collector

circuits gives each event a Value that refers back to the event, so every message was part of a reference cycle. The body of a request, which RequestReceived and StartAttempt carry, was freed only when garbage happened to be collected. Messages now clear the reference back, which only notifications of changed values need; none are used.

The test failed before.

--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from circuits.core import Event
+from circuits.core import Event, Value
 
 from limpetusher_router.connection.framing import AnswerHead, RequestHead
 
@@ -80,7 +80,22 @@
 
 
 class Message(Event):
-    """Base class of the messages. The name of the circuits event is the name of the class."""
+    """Base class of the messages. The name of the circuits event is the name of the class.
+
+    circuits' `Value` of an event refers to the event. Without that reference, which only notifications of
+    changed values need, a message and the bodies in it are freed at once, not by the garbage collector.
+    """
+
+    @property
+    def value(self) -> Value | None:
+        """Return the result of the handlers."""
+        return self._value
+
+    @value.setter
+    def value(self, value: Value | None) -> None:
+        if value is not None:
+            value.event = None
+        self._value = value
 
 
 class RequestReceived(Message):
--- a/tests/router/process/test_components.py
+++ b/tests/router/process/test_components.py
@@ -1,11 +1,13 @@
 """Unit tests of process components with a manual clock."""
 
+import gc
 import weakref
 
 from circuits.core import BaseComponent, Event, handler
 from circuits.core.events import generate_events
 
 from limpetusher.clock import ManualClock
+from limpetusher_router.events import RequestReceived
 from limpetusher_router.process.deadlines import COMPACTION_THRESHOLD_ENTRIES, Deadlines
 from limpetusher_router.process.loads import (
     DEFAULT_REPORT_AGE_SECONDS,
@@ -40,6 +42,20 @@
         self.received.append(subject)
 
 
+class BodyRecorder(BaseComponent):
+    """Counts requests and keeps nothing of them."""
+
+    channel = "recorder"
+
+    def __init__(self):
+        super().__init__()
+        self.count = 0
+
+    @handler("RequestReceived")
+    def on_request(self, *_: object) -> None:
+        self.count += 1
+
+
 class DeadlineHarness:
     """Deadlines and an event recorder without a running event loop."""
 
@@ -119,6 +135,24 @@
     assert harness.recorder.received == []
 
 
+def test_handled_message_is_freed_without_the_garbage_collector():
+    """Guards against bodies that stay in memory after their request until garbage happens to be collected."""
+    recorder = BodyRecorder()
+    body = Subject()
+    reference = weakref.ref(body)
+    gc.collect()
+    gc.disable()
+    try:
+        recorder.fire(RequestReceived("r1", None, body), "recorder")
+        del body
+        while len(recorder):
+            recorder.flush()
+        assert recorder.count == 1
+        assert reference() is None
+    finally:
+        gc.enable()
+
+
 def test_age_of_load_reports():
     """Guards against treating an outdated report as current when the target does not state its age."""
     clock = ManualClock()
