Bound the memory of request bodies by the memory limit of the process

Nothing bounded the bytes of bodies that a router holds: every connection read its body whole, its parts were joined into a copy, the request kept that for retries, and each attempt made another copy. 24 bodies of 4 MB at once took the process over 150 MB; it was killed, and the requests of others on it were lost.

One account counts the bytes of bodies and of pipelined requests of all ports (process/body_memory.py): 0.4 of the memory limit, which the settings now give (150 MB without it). Large bodies may fill three quarters, medium ones nine tenths, so that small requests find room. Without room a request is refused as not run (503, no_memory, Retry-After), one with a large body of known length before the body is read; the rest of the body is read and discarded within bounds. If bodies have stalled, they are refused with 408 first. A large body is received into one buffer, and head and body are sent as two, so that the router keeps one copy instead of up to three. Event 1602, the refusals by customer and limpetusher_request_body_bytes show it.

Changed tests: encode_target_request is now encode_target_head and returns no body, so the test of its headers checks that nothing follows them; test_body_memory checks the body that arrives.

--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -57,6 +57,7 @@
     CALLER_GONE = (1408, logging.INFO, "caller disconnected before the answer was complete")
     WITNESS_READY = (1501, logging.INFO, "idempotency witness ready")
     LOG_LINES_DROPPED = (1601, logging.WARNING, "log lines dropped")
+    BODY_MEMORY_FULL = (1602, logging.WARNING, "request bodies refused for lack of memory")
 
     def __init__(self, number: int, level: int, text: str):
         self.number = number
--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -54,13 +54,19 @@
     __slots__ = (
         "body_bytes_since_reset",
         "body_parts",
+        "body_progress_at",
+        "body_progress_bytes",
         "body_reader",
+        "body_received_at",
         "buffer",
         "chunked_answer",
         "closing",
         "deadline",
+        "discard_until",
         "head",
         "head_started",
+        "held_bytes",
+        "large_body",
         "output",
         "output_bytes",
         "reading_paused",
@@ -80,6 +86,10 @@
         self.output: deque[bytes | memoryview] = deque()
         self.output_bytes = 0
         self.timeout_at = 0.0
+        self.discard_until = 0.0
+        """Time until which the rest of a refused body is read and discarded."""
+        self.held_bytes = 0
+        """Bytes that the account of body memory holds for this connection."""
         self.deadline = None
         self.reading_paused = False
         """Whether reading is paused because too many bytes of later requests are buffered."""
@@ -98,10 +108,39 @@
         self.head_started = False
         self.body_reader: BodyReader | None = None
         self.body_parts: list[bytes] = []
+        self.body_received_at = 0.0
+        """When bytes of an incomplete body arrived last."""
+        self.body_progress_at = 0.0
+        """When the progress of the body was last checked; at first, when its first bytes arrived."""
+        self.body_progress_bytes = 0
+        """Bytes of the body that had arrived by then."""
+        self.large_body: memoryview | None = None
+        """Memory for a large body of known length."""
         self.body_bytes_since_reset = 0
         self.chunked_answer = False
         self.remaining_answer: int | None = None
 
+    def allocate_large_body(self) -> None:
+        """Allocate the memory for a body of known length, so that its parts need not be joined later."""
+        self.large_body = memoryview(bytearray(self.head.content_length))
+
+    def add_body(self, data: bytes) -> None:
+        """Add bytes of the body."""
+        if self.large_body is None:
+            self.body_parts.append(data)
+        else:
+            end = self.body_reader.received_bytes
+            self.large_body[end - len(data) : end] = data
+
+    def take_body(self) -> bytes | memoryview:
+        """Return the whole body and keep no reference to it."""
+        if self.large_body is not None:
+            body, self.large_body = self.large_body, None
+            return body
+        body = b"".join(self.body_parts)
+        self.body_parts = []
+        return body
+
     def add_output(self, data: bytes) -> None:
         """Append bytes to the output buffer."""
         if data:
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -17,6 +17,7 @@
     create_listener,
 )
 from limpetusher_router.connection.framing import BodyReader, find_head_length, parse_request_head
+from limpetusher_router.connection.held_bodies import HeldBodies
 from limpetusher_router.connection.keepalive import configure_socket
 from limpetusher_router.connection.settings import ConnectionSettings
 from limpetusher_router.connection.timeouts import Timeouts
@@ -24,12 +25,14 @@
 from limpetusher_router.events import (
     CALLERS,
     REQUESTS,
+    BodyRefused,
     CallerBufferAvailable,
     CallerBufferFull,
     CallerDisconnected,
     DeadlineReached,
     RequestReceived,
 )
+from limpetusher_router.process.body_memory import LARGE_BODY_BYTES, BodyMemory
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.metrics import Metrics
 from limpetusher_router.request.answers import error_answer
@@ -45,6 +48,8 @@
 IDLE_CONNECTIONS_CHECKED = 16
 """Number of idle connections that are checked for one without unread bytes, which can be closed."""
 BODY_PROGRESS_BYTES = 1024
+COPIES_OF_CHUNKED_BODY = 2
+"""The parts of a body of unknown length are joined at its end."""
 LINGER_SECONDS = 2.0
 READ_BYTES = 65_536
 CONTINUE_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -60,6 +65,9 @@
     Requests of one connection are fired one at a time on `requests_channel`. Bytes of pipelined requests
     stay in the connection's buffer, or in the socket once the buffer is full, until the current answer is
     finished.
+
+    The bytes of bodies and of pipelined requests count in `body_memory`, which the ports of a process share.
+    A request for whose body there is no room is refused, for a large body of known length before it is read.
     """
 
     channel = CALLERS
@@ -72,6 +80,7 @@
         poller: EPoll,
         id_generator: RequestIdGenerator,
         metrics: Metrics,
+        body_memory: BodyMemory,
         channel: str = CALLERS,
         requests_channel: str = REQUESTS,
         address: str | None = None,
@@ -84,6 +93,7 @@
         self.poller = poller
         self.id_generator = id_generator
         self.metrics = metrics
+        self.bodies = HeldBodies(body_memory, clock=deadlines.clock)
         self.connections: dict[socket.socket, CallerConnection] = {}
         self.connections_by_request: dict[str, CallerConnection] = {}
         self.idle_connections: dict[CallerConnection, None] = {}
@@ -180,6 +190,9 @@
 
     def read_connection(self, connection: CallerConnection) -> None:
         """Read from a connection and process the received bytes."""
+        if connection.large_body is not None:
+            self.read_large_body(connection)
+            return
         try:
             data = connection.sock.recv(READ_BYTES)
         except (BlockingIOError, InterruptedError):
@@ -191,10 +204,37 @@
             self.close_connection(connection)
         elif connection.state is not CallerConnectionState.LINGER:
             connection.buffer += data
-            self.parse_buffer(connection)
-            if len(connection.buffer) > self.settings.max_header_bytes and not connection.reading_paused:
-                connection.reading_paused = True
-                self.poller.removeReader(connection.sock)
+            if connection.state is CallerConnectionState.ANSWER:
+                self.hold_pipelined(connection, len(data))
+            else:
+                self.parse_buffer(connection)
+            if len(connection.buffer) > self.settings.max_header_bytes:
+                self.pause_reading(connection)
+        elif connection.discard_until:
+            seconds_left = connection.discard_until - self.deadlines.clock.monotonic()
+            self.timeouts.set_timeout(connection, min(LINGER_SECONDS, seconds_left))
+
+    def read_large_body(self, connection: CallerConnection) -> None:
+        """Read a part of a large body to its place in the memory that is held for it."""
+        received = connection.body_reader.received_bytes
+        try:
+            count = connection.sock.recv_into(connection.large_body[received : received + READ_BYTES])
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self.close_connection(connection)
+            return
+        if not count:
+            self.close_connection(connection)
+            return
+        connection.body_reader.count_received(count)
+        self.continue_body(connection, count)
+
+    def pause_reading(self, connection: CallerConnection) -> None:
+        """Read no more from a connection until its answer is finished."""
+        if not connection.reading_paused:
+            connection.reading_paused = True
+            self.poller.removeReader(connection.sock)
 
     def parse_buffer(self, connection: CallerConnection) -> None:
         """Parse buffered bytes up to the end of one request."""
@@ -227,6 +267,11 @@
         )
         del buffer[:length]
         connection.state = CallerConnectionState.BODY
+        if head.content_length > LARGE_BODY_BYTES:
+            if not self.hold_body(connection, head.content_length):
+                self.refuse_body(connection)
+                return
+            connection.allocate_large_body()
         self.timeouts.set_timeout(connection, self.settings.idle_timeout_seconds)
         if head.expects_continue and not connection.body_reader.complete and not buffer:
             connection.add_output(CONTINUE_ANSWER)
@@ -236,24 +281,64 @@
         """Collect the body and fire the request once it is complete."""
         body, rest = connection.body_reader.feed(bytes(connection.buffer))
         connection.buffer[:] = rest
-        connection.body_parts.append(body)
-        connection.body_bytes_since_reset += len(body)
+        if connection.large_body is None and body:
+            copies = COPIES_OF_CHUNKED_BODY if connection.head.chunked else 1
+            if not self.hold_body(connection, copies * len(body)):
+                self.refuse_body(connection)
+                return
+        connection.add_body(body)
+        self.continue_body(connection, len(body))
+
+    def continue_body(self, connection: CallerConnection, count: int) -> None:
+        """Fire the request if the last `count` bytes complete its body, otherwise wait for more."""
+        connection.body_bytes_since_reset += count
         if connection.body_reader.complete:
             connection.state = CallerConnectionState.ANSWER
             connection.closing = not connection.head.keep_alive
             self.timeouts.set_timeout(connection, math.inf)
             self.connections_by_request[connection.request_id] = connection
-            complete_body = b"".join(connection.body_parts)
-            connection.body_parts = []
-            self.fire(
-                RequestReceived(connection.request_id, connection.head, complete_body), self.requests_channel
-            )
-        elif connection.body_bytes_since_reset >= BODY_PROGRESS_BYTES:
+            body = self.bodies.complete(connection)
+            self.fire(RequestReceived(connection.request_id, connection.head, body), self.requests_channel)
+            if connection.buffer:
+                self.hold_pipelined(connection, len(connection.buffer))
+            return
+        self.bodies.continue_receiving(connection)
+        if connection.body_bytes_since_reset >= BODY_PROGRESS_BYTES:
             # The time-out is extended only after some progress, so that sending single bytes does not keep a
             # connection open.
             connection.body_bytes_since_reset = 0
             self.timeouts.set_timeout(connection, self.settings.idle_timeout_seconds)
 
+    def hold_body(self, connection: CallerConnection, count: int) -> bool:
+        """Hold memory for a body, if need be that of stalled ones, and return whether there is room."""
+        if self.bodies.hold_body(connection, count):
+            return True
+        stalled = self.bodies.find_stalled(connection)
+        for other in stalled:
+            message = "the body arrived too slowly while memory for others was needed"
+            self.refuse(other, FramingError(408, RefusalCode.REQUEST_TIMEOUT, message))
+        return bool(stalled) and self.bodies.hold_body(connection, count)
+
+    def hold_pipelined(self, connection: CallerConnection, count: int) -> None:
+        """Hold memory for bytes of later requests; without room they are dropped and never parsed."""
+        if not self.bodies.hold_pipelined(connection, count):
+            connection.closing = True
+            connection.buffer.clear()
+            self.pause_reading(connection)
+
+    def refuse_body(self, connection: CallerConnection) -> None:
+        """Have a request refused, and read the rest of its body without keeping it."""
+        self.bodies.memory.record_refusal()
+        self.bodies.end(connection)
+        connection.body_parts = []
+        connection.buffer.clear()
+        connection.state = CallerConnectionState.ANSWER
+        connection.closing = True
+        self.pause_reading(connection)
+        self.timeouts.set_timeout(connection, math.inf)
+        self.connections_by_request[connection.request_id] = connection
+        self.fire(BodyRefused(connection.request_id, connection.head), self.requests_channel)
+
     def refuse(self, connection: CallerConnection, error: FramingError) -> None:
         """Answer an unacceptable request or connection with an error and close the connection."""
         if connection.sock not in self.connections:
@@ -330,6 +415,7 @@
     def on_settings_changed(self, settings: ConnectionSettings) -> None:
         """Replace the settings; new limits apply from now on."""
         self.settings = settings
+        self.bodies.memory.limit_bytes = settings.max_held_body_bytes
 
     @handler("CloseAfterAnswers")
     def on_close_after_answers(self) -> None:
@@ -364,11 +450,16 @@
     def finish_answer(self, connection: CallerConnection) -> None:
         """Continue with the caller's next request, or start to close, once the whole answer is buffered."""
         self.connections_by_request.pop(connection.request_id, None)
+        self.bodies.end(connection)
+        has_unread_body = connection.body_reader is not None and not connection.body_reader.complete
         connection.begin_request()
         connection.sender_paused = False
         if connection.closing or self.close_after_answers:
             connection.state = CallerConnectionState.LINGER
             connection.buffer.clear()
+            if has_unread_body:
+                now = self.deadlines.clock.monotonic()
+                connection.discard_until = now + self.settings.idle_timeout_seconds
         else:
             connection.state = CallerConnectionState.HEAD
             self.mark_idle(connection)
@@ -421,7 +512,8 @@
     def start_linger(self, connection: CallerConnection) -> None:
         """Shut down the sending side and wait for the caller's close.
 
-        Closing a socket with unread bytes would reset the connection and lose the answer in transit.
+        Closing a socket with unread bytes would reset the connection and lose the answer in transit. The time
+        is extended while a caller still sends a body that was refused.
         """
         try:
             connection.sock.shutdown(socket.SHUT_WR)
@@ -435,6 +527,7 @@
         if self.connections.pop(connection.sock, None) is None:
             return
         self.idle_connections.pop(connection, None)
+        self.bodies.end(connection)
         self.poller.discard(connection.sock)
         connection.sock.close()
         if connection.deadline is not None:
--- a/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
@@ -240,6 +240,12 @@
         """Return the error for a body above the limit."""
         return FramingError(413, RefusalCode.BODY_TOO_LARGE, f"the body is longer than {self.limit} bytes")
 
+    def count_received(self, count: int) -> None:
+        """Count bytes of a body with a length that were read elsewhere, at most those that remain."""
+        self.received_bytes += count
+        self.remaining -= count
+        self.complete = self.remaining == 0
+
     def feed(self, data: bytes) -> tuple[bytes, bytes]:
         """Return the body bytes in `data` and the bytes after the end of the body.
 
--- a/packages/limpetusher-router/src/limpetusher_router/connection/settings.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/settings.py
@@ -39,6 +39,9 @@
         Largest request head accepted from a caller, and answer head accepted from a target.
     max_body_bytes
         Largest request body accepted from a caller.
+    max_held_body_bytes
+        Bytes of request bodies that the process holds at a time, over all connections. Large bodies may fill
+        three quarters of it.
     header_timeout_seconds
         Time that a caller has to send a request head.
     idle_timeout_seconds
@@ -62,6 +65,7 @@
     address_map: tuple[str, ...] = ()
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
+    max_held_body_bytes: int = 67_108_864
     header_timeout_seconds: float = 10.0
     idle_timeout_seconds: float = 60.0
     caller_buffer_bytes: int = 262_144
--- a/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
@@ -65,7 +65,9 @@
     def reset(self, attempt: Attempt | None) -> None:
         """Reset the state of the previous exchange and set the next attempt, None for an idle connection."""
         self.attempt = attempt
-        self.unsent = memoryview(attempt.request if attempt is not None else b"")
+        self.unsent: list[memoryview] = []
+        if attempt is not None:
+            self.unsent = [memoryview(data) for data in (attempt.request, attempt.body) if data]
         self.sent_on_previous_connection = False
         """Whether a byte of the same request was sent on a reused connection that broke."""
         self.has_sent = False
@@ -80,6 +82,16 @@
         self.is_mismatched = False
         """Whether the current answer belongs to another request."""
 
+    def drop_sent(self, count: int) -> None:
+        """Remove the first `count` bytes of the unsent ones."""
+        while count:
+            first = self.unsent[0]
+            if count < len(first):
+                self.unsent[0] = first[count:]
+                return
+            count -= len(first)
+            del self.unsent[0]
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection can be used for another exchange."""
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -171,7 +171,7 @@
                 )
                 return
         try:
-            count = connection.sock.send(connection.unsent)
+            count = connection.sock.sendmsg(connection.unsent)
         except (BlockingIOError, InterruptedError):
             count = 0
         except OSError as error:
@@ -181,7 +181,7 @@
             connection.has_sent = True
             if attempt.send_before is not None:
                 self.fire(AttemptSendStarted(attempt.key), attempt.channel)
-        connection.unsent = connection.unsent[count:]
+        connection.drop_sent(count)
         self.watch_writing(connection, bool(connection.unsent))
 
     def watch_writing(self, connection: TargetConnection, writing: bool) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -67,6 +67,9 @@
     channel: str
     address: str
     request: bytes
+    """The request, or its head if the body is separate."""
+    body: bytes | memoryview = b""
+    """Body that is sent after `request`, separate so that it need not be copied."""
     send_before: float | None = None
     repeatable: bool = True
     answer_has_no_body: bool = False
@@ -99,12 +102,22 @@
 
 
 class RequestReceived(Message):
-    """A whole request was received from a caller: (request id, head, body)."""
+    """A whole request was received from a caller: (request id, head, body).
 
-    def __init__(self, request_id: str, head: RequestHead, body: bytes):
+    A large body is a view of the memory into which it was received.
+    """
+
+    def __init__(self, request_id: str, head: RequestHead, body: bytes | memoryview):
         super().__init__(request_id, head, body)
 
 
+class BodyRefused(Message):
+    """A request has to be refused as not run, as there is no memory for its body: (request id, head)."""
+
+    def __init__(self, request_id: str, head: RequestHead):
+        super().__init__(request_id, head)
+
+
 class CallerDisconnected(Message):
     """The connection to the caller ended before the answer was complete: (request id)."""
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -42,7 +42,7 @@
         """Whether the process is about to exit, so that all requests are refused."""
 
     def admit(
-        self, request_id: str, head: RequestHead, body: bytes, fields: RequestFields
+        self, request_id: str, head: RequestHead, body: bytes | memoryview, fields: RequestFields
     ) -> Exchange | FleetRefusal:
         """Return the exchange of a request, or the refusal if it is not admitted."""
         configuration = self.state.configuration
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -42,7 +42,7 @@
 
     request_id: str
     head: RequestHead
-    body: bytes
+    body: bytes | memoryview
     fields: RequestFields
     route: Route
     target_request: TargetRequest
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/internal_pages.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/internal_pages.py
@@ -14,6 +14,7 @@
 OK = 200
 NOT_FOUND = 404
 NOT_READY = 503
+NO_MEMORY = 503
 BINARY_CONTENT_TYPE = "application/octet-stream"
 TEXT_CONTENT_TYPE = "text/plain"
 
@@ -56,6 +57,16 @@
         status, content_type, body = self.render_page(head.path)
         self.fire(SendAnswer(request_id, status, {"content-type": content_type}, body), self.answers_channel)
 
+    @handler("BodyRefused")
+    def on_body_refused(self, request_id: str, _head: RequestHead) -> None:
+        """Refuse a request for whose body there is no memory; no page needs one."""
+        self.fire(
+            SendAnswer(
+                request_id, NO_MEMORY, {"content-type": TEXT_CONTENT_TYPE}, b"no memory for the body\n"
+            ),
+            self.answers_channel,
+        )
+
     def render_page(self, path: str) -> tuple[int, str, bytes]:
         """Return status, content type and body of a page."""
         if path == READY_PATH:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -43,6 +43,7 @@
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.fleet.store_reader import REGULAR_UPDATE, StoreReader
 from limpetusher_router.platform.settings_file import HostSettings, read_settings
+from limpetusher_router.process.body_memory import BodyMemory
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.logs import log_event
 from limpetusher_router.process.metrics import Metrics
@@ -67,6 +68,9 @@
 """Maximum time for which a router that starts waits for a message of a peer before it becomes ready; peers
 answer its first message within milliseconds."""
 SETTINGS_POLL_SECONDS = 1.0
+BODY_MEMORY_FRACTION = 0.4
+"""Fraction of the memory limit that request bodies may take. An idle router with few peers takes a quarter of
+the users' 150 MB; the rest is for connections, answers, the fleet's state and bytes in sockets."""
 RESERVED_DESCRIPTORS = 700
 """Descriptors kept for targets, peers, the store and the interpreter."""
 IDLE_TIMEOUT_FACTOR = 1.2
@@ -87,6 +91,7 @@
         caller_address=host.caller_address,
         connect_timeout_seconds=CONNECT_TIMEOUT_SECONDS,
         max_caller_connections=max(64, host.maximum_descriptors - RESERVED_DESCRIPTORS),
+        max_held_body_bytes=int(host.memory_megabytes * BODY_MEMORY_FRACTION * 1e6),
     )
 
 
@@ -127,7 +132,9 @@
         self.deadlines = Deadlines(clock, reads_first=True).register(self)
         shared = {"deadlines": self.deadlines, "poller": self.poller, "metrics": self.metrics}
         id_generator = RequestIdGenerator(host.host_id, int(clock.wall() * 1_000))
-        self.callers = CallerServer(self.settings, id_generator=id_generator, **shared).register(self)
+        self.body_memory = BodyMemory(self.settings.max_held_body_bytes, clock=clock, metrics=self.metrics)
+        caller_ports = {"id_generator": id_generator, "body_memory": self.body_memory, **shared}
+        self.callers = CallerServer(self.settings, **caller_ports).register(self)
         TargetClient(self.settings, clock=clock, **shared).register(self)
         self.store = StoreReader(
             host,
@@ -161,12 +168,7 @@
         ):
             pages = f"{name}-pages"
             server = CallerServer(
-                self.settings,
-                id_generator=id_generator,
-                channel=name,
-                requests_channel=pages,
-                address=address,
-                **shared,
+                self.settings, channel=name, requests_channel=pages, address=address, **caller_ports
             )
             server.register(self)
             InternalPages(
@@ -262,6 +264,9 @@
         if host != self.host:
             self.host = host
             self.set_seed_addresses(host)
+            limit_bytes = router_settings(host).max_held_body_bytes
+            self.settings = replace(self.settings, max_held_body_bytes=limit_bytes)
+            self.fire(SettingsChanged(self.settings), CALLERS)
             log_event(Event.SETTINGS_RELOADED, seeds=list(host.seeds))
 
     @handler("StopSignal")
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/refusals.py
@@ -15,6 +15,9 @@
 STOPPING_RETRY_SECONDS = 0.05
 """Short, as another router can serve the request at once."""
 
+NO_MEMORY_RETRY_SECONDS = 0.3
+"""Roughly how long a few large bodies take to be received and answered."""
+
 
 class FleetRefusal:
     """Reason and status of an error answer.
@@ -65,6 +68,17 @@
     )
 
 
+def no_memory_refusal() -> FleetRefusal:
+    """Return the refusal of a request that did not run because there is no memory for its body."""
+    return FleetRefusal(
+        UNAVAILABLE,
+        "no_memory",
+        "no memory for the body",
+        ran=Ran.NO,
+        retry_after_seconds=NO_MEMORY_RETRY_SECONDS,
+    )
+
+
 def stopping_refusal(*, ran: Ran) -> FleetRefusal:
     """Return the refusal of a request that the router can't complete because it stops."""
     if ran is Ran.NO:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -32,12 +32,13 @@
     UNAVAILABLE,
     FleetRefusal,
     error_answer,
+    no_memory_refusal,
     quarantine_refusal,
     stopping_refusal,
 )
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.platform import names
-from limpetusher_router.platform.requests import decode_request, encode_target_request
+from limpetusher_router.platform.requests import decode_request, encode_target_head
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.logs import log_event
 from limpetusher_router.process.metrics import Metrics
@@ -79,7 +80,7 @@
         self.is_check_scheduled = False
 
     @handler("RequestReceived")
-    def on_request(self, request_id: str, head: RequestHead, body: bytes) -> None:
+    def on_request(self, request_id: str, head: RequestHead, body: bytes | memoryview) -> None:
         """Admit a request and ask a scheduler for a target, or refuse the request."""
         fields = decode_request(head)
         result = self.admission.admit(request_id, head, body, fields)
@@ -99,6 +100,25 @@
         )
         self.state.scheduler_client.request_target(result.target_request, result.arrived_at)
 
+    @handler("BodyRefused")
+    def on_body_refused(self, request_id: str, head: RequestHead) -> None:
+        """Refuse a request for whose body there is no memory."""
+        fields = decode_request(head)
+        refusal = no_memory_refusal()
+        configuration = self.state.configuration
+        customer = configuration.customers_by_key.get(fields.api_key or "") if configuration else None
+        self.metrics.increment_labelled(
+            self.metrics.refusals, customer=customer or "", reason=refusal.message
+        )
+        log_event(
+            Event.REQUEST_REFUSED,
+            request=fields.caller_request_id,
+            customer=customer,
+            reason=refusal.message,
+            announced=head.content_length,
+        )
+        self.fire(error_answer(request_id, fields.caller_request_id, refusal), CALLERS)
+
     @handler("DeadlineReached")
     def on_due(self, request_id: str) -> None:
         """End a request whose deadline has passed."""
@@ -159,9 +179,9 @@
         self.metrics.waiting_requests -= 1
         self.metrics.running_requests += 1
         seconds_left = target_request.give_up_at - now
-        request = encode_target_request(
+        request = encode_target_head(
             exchange.head,
-            exchange.body,
+            len(exchange.body),
             target=target,
             customer=exchange.customer,
             seconds_left=seconds_left,
@@ -173,6 +193,7 @@
             channel=ANSWERS,
             address=target.address,
             request=request,
+            body=exchange.body,
             repeatable=False,
             maximum_reuse_idle_seconds=math.inf
             if exchange.route.is_idempotent
--- a/packages/limpetusher-router/src/limpetusher_router/platform/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/requests.py
@@ -116,9 +116,9 @@
     }
 
 
-def encode_target_request(
+def encode_target_head(
     head: RequestHead,
-    body: bytes,
+    body_bytes: int,
     *,
     target: Target,
     customer: str | None,
@@ -126,7 +126,7 @@
     last_event_id: str | None,
     source: Target | None = None,
 ) -> bytes:
-    """Encode a request for a target, which may fetch cached prompt parts from `source`."""
+    """Encode the head of a request for a target, which may fetch cached prompt parts from `source`."""
     headers = {
         name: value
         for name, value in end_to_end_headers(head.headers).items()
@@ -140,11 +140,11 @@
         headers[names.LAST_EVENT_ID] = last_event_id
     if source is not None:
         headers[names.TRANSFER_SOURCE] = source.address
-    if body or head.content_length or head.chunked or "content-length" in head.headers:
-        headers["content-length"] = str(len(body))
+    if body_bytes or head.content_length or head.chunked or "content-length" in head.headers:
+        headers["content-length"] = str(body_bytes)
     lines = [f"{head.method} {head.target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
 def states_not_run(head: AnswerHead) -> bool:
--- a/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
@@ -2,6 +2,7 @@
 
 import os
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -27,7 +28,8 @@
     `internal_ports` are the first and the last port of the range for messages between routers. `seeds` are
     addresses of some routers of the fleet; their port is not used for messages between routers. The router
     may use `processor_share` of a core, which is `processor_speed` times as fast as a standard core. Targets
-    renew their entries in the store every `target_heartbeat_milliseconds`.
+    renew their entries in the store every `target_heartbeat_milliseconds`. A process that takes more than
+    `memory_megabytes` is killed by the platform.
     """
 
     host_id: str
@@ -44,6 +46,7 @@
     processor_share: float = 1.0
     processor_speed: float = 1.0
     metrics_port: int = METRICS_PORT
+    memory_megabytes: Annotated[float, msgspec.Meta(gt=0)] = 150.0
 
     @property
     def datagram_port(self) -> int:
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -66,6 +66,8 @@
             "peer_messages_dropped_total", "Dropped messages by direction and reason"
         )
         self.waiting_requests = self.running_requests = 0
+        self.body_bytes_gauge = gauge("request_body_bytes", "Bytes of request bodies that are held")
+        self.held_body_bytes = 0
         # The library's counters encode their labels in each call, which is too expensive per peer message.
         self.received_traffic, self.sent_traffic = TrafficCounter(), TrafficCounter()
         self.unrequested_answers = counter("unrequested_answers_total", "Answers without a request")
@@ -113,6 +115,7 @@
         """Return all metrics in the text format, and the content type."""
         self.waiting_gauge.set({}, self.waiting_requests)
         self.running_gauge.set({}, self.running_requests)
+        self.body_bytes_gauge.set({}, self.held_body_bytes)
         for counter, counts in self.pending_counts.values():
             for labels, count in counts.items():
                 counter.set(dict(labels), count)
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -27,6 +27,7 @@
 from limpetusher_router.process.adapter import CoreAdapter
 from limpetusher_router.process.admin import WEB_CHANNEL, AdminPages, AdminServer
 from limpetusher_router.process.admin_guard import AdminGuard
+from limpetusher_router.process.body_memory import BodyMemory
 from limpetusher_router.process.core import make_core, owned_target_addresses
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.loads import LoadReportReader
@@ -73,12 +74,16 @@
 
         self.poller = EPoll().register(self)
         self.deadlines = Deadlines(clock).register(self)
+        body_memory = BodyMemory(settings.max_held_body_bytes, clock=clock, metrics=self.metrics)
         common_arguments = {"deadlines": self.deadlines, "poller": self.poller, "metrics": self.metrics}
         self.peers = PeerSockets(settings, key=key, incarnation=incarnation, **common_arguments).register(
             self
         )
         self.callers = CallerServer(
-            settings, id_generator=RequestIdGenerator(settings.host_id, incarnation), **common_arguments
+            settings,
+            id_generator=RequestIdGenerator(settings.host_id, incarnation),
+            body_memory=body_memory,
+            **common_arguments,
         ).register(self)
         self.targets = TargetClient(settings, clock=clock, **common_arguments).register(self)
         tracing = Tracing(settings.host_id, write_spans=settings.trace_output)
--- a/packages/limpetusher-router/src/limpetusher_router/request/context.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/context.py
@@ -58,7 +58,7 @@
 
     request_id: str
     head: RequestHead
-    body: bytes
+    body: bytes | memoryview
     customer: Customer
     request: ServiceRequest
     arrived_at: float
@@ -72,8 +72,8 @@
     any_attempt_sent: bool = field(default=False)
     """Whether any attempt sent a byte, so that the request may have run."""
 
-    def build_target_request(self, address: str, traceparent: str) -> bytes:
-        """Return the request that is sent to a target, as bytes."""
+    def build_target_head(self, address: str, traceparent: str) -> bytes:
+        """Return the head of the request that is sent to a target, as bytes."""
         headers = {
             name: self.head.headers[name] for name in FORWARDED_REQUEST_HEADERS if name in self.head.headers
         }
@@ -85,7 +85,7 @@
             headers["content-length"] = str(len(self.body))
         lines = [f"{self.request.method} {self.request.target_path} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
-        return "\r\n".join([*lines, "", ""]).encode("latin-1") + self.body
+        return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
     def build_stream_cancellation(self) -> Attempt:
         """Return the attempt that asks the engine to cancel the stream of the current attempt."""
--- a/packages/limpetusher-router/src/limpetusher_router/request/forwarding.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/forwarding.py
@@ -53,6 +53,7 @@
 from limpetusher_router.settings import RouterSettings
 
 NOT_READY_RETRY_SECONDS = 1.0
+NO_MEMORY_RETRY_SECONDS = 1.0
 
 logger = logging.getLogger(__name__)
 
@@ -81,7 +82,7 @@
         self.configuration = configuration
 
     @handler("RequestReceived")
-    def on_request_received(self, request_id: str, head: RequestHead, body: bytes) -> None:
+    def on_request_received(self, request_id: str, head: RequestHead, body: bytes | memoryview) -> None:
         """Authenticate and parse a request and pass it to the core."""
         try:
             context = self.open_request(request_id, head, body)
@@ -103,7 +104,13 @@
         )
         self.fire(CoreInput(arrived), CORE)
 
-    def open_request(self, request_id: str, head: RequestHead, body: bytes) -> RequestContext:
+    @handler("BodyRefused")
+    def on_body_refused(self, request_id: str, _head: RequestHead) -> None:
+        """Refuse a request for whose body there is no memory."""
+        error = RequestError(503, RefusalCode.NO_CAPACITY, "no memory for the body", NO_MEMORY_RETRY_SECONDS)
+        self.fire(error_answer(request_id, error), CALLERS)
+
+    def open_request(self, request_id: str, head: RequestHead, body: bytes | memoryview) -> RequestContext:
         """Return the new context of a request.
 
         Raises
@@ -166,7 +173,8 @@
             key=(action.request_id, action.attempt),
             channel=REQUESTS,
             address=action.address,
-            request=context.build_target_request(action.address, traceparent),
+            request=context.build_target_head(action.address, traceparent),
+            body=context.body,
             send_before=action.send_before,
             repeatable=context.request.idempotent,
             answer_has_no_body=context.request.method == "HEAD",
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -443,6 +443,7 @@
         ip: str = "127.0.0.1",
         ports: int = 0,
         seeds: tuple[str, ...] = (),
+        memory_megabytes: float = 150.0,
         **bounds: float,
     ):
         caller, ready = (f"{ip}:{address.rpartition(':')[2]}" for address in free_addresses(2))
@@ -450,6 +451,7 @@
         self.caller = caller
         self.ready = ready
         self.ports = ports or free_port_pair()
+        self.metrics = f"{ip}:{free_addresses(1)[0].rpartition(':')[2]}"
         settings = {
             "host_id": f"front-{ip}",
             "data_centre": "north",
@@ -460,7 +462,8 @@
             "seeds": list(seeds),
             "store_address": store,
             "maximum_descriptors": 1024,
-            "metrics_port": int(free_addresses(1)[0].rpartition(":")[2]),
+            "memory_megabytes": memory_megabytes,
+            "metrics_port": int(self.metrics.rpartition(":")[2]),
             "bounds": {
                 "retry_ratio": 0.2,
                 "retry_extra": 50,
@@ -495,6 +498,28 @@
         except OSError:
             return 0, b""
 
+    @property
+    def resident_megabytes(self) -> float:
+        """Return the resident memory of the process."""
+        return self.memory_megabytes("VmRSS")
+
+    @property
+    def highest_resident_megabytes(self) -> float:
+        """Return the highest resident memory that the process has had."""
+        return self.memory_megabytes("VmHWM")
+
+    def memory_megabytes(self, name: str) -> float:
+        """Return a size that the kernel states of the process."""
+        text = Path(f"/proc/{self.process.pid}/status").read_text()
+        (line,) = (line for line in text.splitlines() if line.startswith(f"{name}:"))
+        return int(line.split()[1]) * 1024 / 1e6
+
+    def metric(self, name: str) -> float:
+        """Return the value of a metric without labels."""
+        data = exchange(self.metrics, "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        values = [line.split()[-1] for line in data.decode().splitlines() if line.startswith(f"{name} ")]
+        return float(values[0].rstrip("\r"))
+
     def wait_ready(self) -> None:
         wait_for(lambda: self.page()[0] == 200, self.log, START_SECONDS)
 
--- a/tests/router/platform/test_requests.py
+++ b/tests/router/platform/test_requests.py
@@ -12,7 +12,7 @@
     decode_parts,
     decode_request,
     decode_tokens,
-    encode_target_request,
+    encode_target_head,
 )
 
 
@@ -51,9 +51,9 @@
 @pytest.mark.parametrize("source", [None, make_target("i-2", address="10.0.0.2:80")])
 def test_transfer_source_is_set_by_the_router_only(source):
     """Guards against a caller that sets the engine from which targets fetch cached prompt parts."""
-    data = encode_target_request(
+    data = encode_target_head(
         head("Kv-Fetch: 10.9.9.9:80"),
-        b"",
+        0,
         target=make_target("i-1"),
         customer="acme",
         seconds_left=1.0,
@@ -66,18 +66,18 @@
 
 def test_hop_by_hop_headers_are_not_forwarded():
     """Guards against conflicting framing headers and request smuggling."""
-    data = encode_target_request(
+    data = encode_target_head(
         head("Connection: x-private", "X-Private: 1", "Keep-Alive: timeout=5", "TE: trailers", "X-Kept: 1"),
-        b"body",
+        len(b"body"),
         target=make_target("i-1"),
         customer="acme",
         seconds_left=1.2345,
         last_event_id="12",
     )
-    lines, _, body = data.decode().partition("\r\n\r\n")
+    lines, _, rest = data.decode().partition("\r\n\r\n")
     fields = dict(line.split(": ", 1) for line in lines.split("\r\n")[1:])
     assert lines.startswith("POST /a%2Fb/?q=%20 HTTP/1.1\r\n")
-    assert body == "body"
+    assert rest == ""
     assert fields == {
         "host": "llm.example:80",
         "x-kept": "1",
--- a/tests/router/platform/test_settings_file.py
+++ b/tests/router/platform/test_settings_file.py
@@ -21,6 +21,7 @@
     "provider.address": "10.200.1.7:8781",
     "heartbeatMs": 1500,
     "limits.maxFds": 4100,
+    "limits.memoryMb": 150,
     "limits.cpuShare": 0.537,
     "limits.cores": 2,
     "bounds.budgetRatio": 0.2,
@@ -44,10 +45,14 @@
     assert settings.store_copy_port == 7401
     assert settings.processor_cores == pytest.approx(1.074)
     assert settings.bounds.stop_grace_seconds == 8.0
+    assert settings.memory_megabytes == 150
     assert settings.target_heartbeat_milliseconds == 1500
 
 
-@pytest.mark.parametrize(("before", "after"), [('"front-1"', "7"), ('"host_id"', '"host"'), ("{", "")])
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [('"front-1"', "7"), ('"host_id"', '"host"'), ("{", ""), ('megabytes": 150', 'megabytes": 0')],
+)
 def test_error_for_invalid_settings_names_the_file(tmp_path, before, after):
     path = tmp_path / "settings.json"
     path.write_text(filled_template().replace(before, after, 1))
