--- a/tests/builders_uploads.py
+++ b/tests/builders_uploads.py
@@ -44,6 +44,18 @@
     return sock
 
 
+@contextlib.contextmanager
+def partial_uploads(run: FleetRun, count: int, *, length: int, data: bytes = b"") -> Iterator[None]:
+    """Keep connections open that have sent the head and a part of a body, unless the router refuses it."""
+    with contextlib.ExitStack() as stack:
+        for number in range(count):
+            head = upload_head("/unsafe/1", f"partial-{number}", length=length)
+            sock = stack.enter_context(open_upload(run.router.caller, head))
+            with contextlib.suppress(OSError):
+                sock.sendall(data)
+        yield
+
+
 def upload(run: FleetRun, number: int, *, body: bytes, in_chunks: bool = False) -> bytes:
     """Send a request with a large body on its own connection and return the whole answer."""
     length = None if in_chunks else len(body)
