Do not take a target for silent while its caller does not read

While a caller is too slow, the router does not read from the target. A resumable stream was then taken for silent after 1.5 s and sent to a second target: the sound run was cancelled, the request used up its attempts, and without retry budget the stream broke off. The second attempt was not paused and filled the memory further.

The exchange now knows that its caller is blocked: no silence is counted meanwhile, it begins anew when reading goes on, and an attempt that starts meanwhile is paused at once.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -333,7 +333,7 @@
         now = self.clock.monotonic()
         for exchange in list(self.requests.exchanges.values()):
             attempt = exchange.attempt
-            if attempt is None or not can_retry(exchange):
+            if attempt is None or exchange.is_caller_blocked or not can_retry(exchange):
                 continue
             timeout_seconds = silence_timeout(exchange)
             if now - attempt.last_received_at < timeout_seconds:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -55,6 +55,8 @@
     possible_runs: int = 0
     """Number of attempts that are not known not to have run."""
     is_head_sent: bool = False
+    is_caller_blocked: bool = False
+    """Whether the caller is too slow to take the answer, which is not read from its target meanwhile."""
     deadline: Deadline | None = None
     first_event_at: float | None = None
     last_event_at: float | None = None
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -220,6 +220,8 @@
             configuration=self.state.configuration.version,
         )
         self.fire(StartAttempt(attempt), TARGETS)
+        if exchange.is_caller_blocked:
+            self.fire(PauseAttempt(attempt.key, ANSWERS), TARGETS)
         self.schedule_check()
 
     def schedule_check(self) -> None:
@@ -386,14 +388,22 @@
     def on_caller_blocked(self, request_id: str) -> None:
         """Stop reading an answer from the target while its caller is too slow to take it."""
         exchange = self.exchanges.get(request_id)
-        if exchange is not None and exchange.attempt is not None:
+        if exchange is None:
+            return
+        exchange.is_caller_blocked = True
+        if exchange.attempt is not None:
             self.fire(PauseAttempt((request_id, exchange.attempt.number), ANSWERS), TARGETS)
 
     @handler("CallerBufferAvailable")
     def on_caller_unblocked(self, request_id: str) -> None:
         """Resume reading an answer."""
         exchange = self.exchanges.get(request_id)
-        if exchange is not None and exchange.attempt is not None:
+        if exchange is None:
+            return
+        exchange.is_caller_blocked = False
+        if exchange.attempt is not None:
+            # Time in which the router did not read says nothing about the target.
+            exchange.attempt.last_received_at = self.clock.monotonic()
             self.fire(ResumeAttempt((request_id, exchange.attempt.number), ANSWERS), TARGETS)
 
     @handler("FailRequest")
