Count the parts of a prompt in the digest of a request

The prompt parts say what a request asks for as its body does, so they are in the digest now. The new tests of digests failed before, as the function had no prompt parts.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -64,7 +64,7 @@
             return FleetRefusal(UNAUTHORIZED, "unknown_key", "the API key is not known", ran=Ran.NO)
         now = self.clock.monotonic()
         target_request = self.make_target_request(request_id, route, fields, customer or "", now)
-        target_request.digest = request_digest(head, body, customer or "")
+        target_request.digest = request_digest(head, body, customer or "", fields.parts)
         quarantine = self.state.find_quarantine(target_request, now)
         if quarantine is not None:
             return quarantine_refusal(quarantine, now, digest=target_request.digest)
--- a/tests/router/fleet/test_digests.py
+++ b/tests/router/fleet/test_digests.py
@@ -9,11 +9,13 @@
 from limpetusher.events import Event
 from limpetusher_router.connection.framing import parse_request_head
 from limpetusher_router.fleet.digests import request_digest
+from limpetusher_router.platform.requests import decode_request
 
 
 def digest(text: str = "/safe/1?x=1", *, body: str = "text", customer: str = "acme", **headers: str) -> str:
-    head, _, rest = request_text(text, method="POST", body=body, **headers).partition("\r\n\r\n")
-    return request_digest(parse_request_head(f"{head}\r\n\r\n".encode()), rest.encode(), customer)
+    text, _, rest = request_text(text, method="POST", body=body, **headers).partition("\r\n\r\n")
+    head = parse_request_head(f"{text}\r\n\r\n".encode())
+    return request_digest(head, rest.encode(), customer, decode_request(head).parts)
 
 
 def test_repeats_of_a_request_have_one_digest():
@@ -22,13 +24,26 @@
 
 
 @pytest.mark.parametrize(
-    "other", [{"text": "/safe/1?x=2"}, {"text": "/safe/2?x=1"}, {"body": "other"}, {"customer": "bolt"}]
+    "other",
+    [
+        {"text": "/safe/1?x=2"},
+        {"text": "/safe/2?x=1"},
+        {"body": "other"},
+        {"customer": "bolt"},
+        {"x_prompt_prefix": "a:10,b:20"},
+    ],
 )
 def test_requests_that_differ_have_different_digests(other):
     """Guards against refusing a sound request because it looks like one that crashes targets."""
     assert digest(**other) != digest()
 
 
+def test_requests_with_other_prompts_have_different_digests():
+    """Guards against requests with a deadly part that count as repeats of one, which hides the part."""
+    prompts = ["a:10,b:20", "a:10,c:20", "deadly:10,b:20", "a:10", "a:10,b:20,c:5"]
+    assert len({digest(x_prompt_prefix=prompt) for prompt in prompts}) == len(prompts)
+
+
 def test_digest_is_the_same_in_all_processes():
     """Guards against a hash that depends on the process, so that other routers do not recognise a repeat."""
     program = (
