--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_quarantine.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_quarantine.py
@@ -33,6 +33,7 @@
     RequestKey,
     StruckPart,
     Survival,
+    discard_strikes,
     is_caused_by,
     is_request,
     repeat_key,
@@ -203,10 +204,7 @@
 
     def discard_part_strikes(self, matches: Callable[[int, BrokenConnection], bool]) -> None:
         """Remove the strikes of prompt parts for which `matches` returns True."""
-        for part, struck in list(self.struck.items()):
-            struck.discard(matches)
-            if not struck.strikes:
-                del self.struck[part]
+        discard_strikes(self.struck, matches)
 
     def clear(self, parts: frozenset[PartKey]) -> None:
         """Clear the parts of a request that has not crashed its target."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/strikes.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/strikes.py
@@ -152,6 +152,16 @@
                 del self.strikes[request]
 
 
+def discard_strikes(
+    struck: dict[PartKey, StruckPart], matches: Callable[[int, BrokenConnection], bool]
+) -> None:
+    """Remove the strikes for which `matches`, called with crash and connection, returns True."""
+    for key, part in list(struck.items()):
+        part.discard(matches)
+        if not part.strikes:
+            del struck[key]
+
+
 def request_part(digest: str) -> PartKey:
     """Return the key of a whole request."""
     return "", digest
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/struck_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/struck_requests.py
@@ -17,6 +17,7 @@
     PartKey,
     RequestKey,
     StruckPart,
+    discard_strikes,
     is_request,
 )
 
@@ -133,10 +134,7 @@
 
     def discard(self, matches: Callable[[int, BrokenConnection], bool]) -> None:
         """Remove the strikes for which `matches`, called with crash and connection, returns True."""
-        for request, struck in list(self.struck.items()):
-            struck.discard(matches)
-            if not struck.strikes:
-                del self.struck[request]
+        discard_strikes(self.struck, matches)
 
     def discard_expired(self, now: float) -> None:
         """Remove old strikes."""
