Check open streams also after their service has left the configuration

A router measures the streams of engines twice a second. If a change of the configuration had dropped the service of one, this raised KeyError; the same pass schedules the next check for silent targets and slow streams, so that neither was checked any more until the router got its next grant. Its streams went on.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -317,9 +317,10 @@
 
     def needed_speedup(self, exchange: Exchange, events_per_second: float, now: float) -> float:
         """Return the factor by which a stream must speed up to end in time, 0 to ask for no change."""
-        engine = self.state.placement.services[exchange.target_request.service].engine
-        if engine is None:
+        service = self.state.placement.services.get(exchange.target_request.service)
+        if service is None or service.engine is None:
             return 0.0
+        engine = service.engine
         tokens_left = (
             exchange.fields.expected_output_tokens - engine.event_tokens * exchange.relay.event_count
         )
