Keep the attempt at a silent target open until another one is granted

Callers got the beginning of a stream and then a reset, or 502 in place of an answer, because their target had been silent for a while. Sound targets may be silent for a second and go on.

Cause: a silent attempt was cancelled first and another target requested afterwards. If the scheduler then refused (no room, a long backlog, no retry budget, no other target), the answer ended, although the first target would have gone on.

The router now requests another target with a request of its own while the attempt goes on. With its grant the old attempt is cancelled and reported and the new one sent in the same step, so no two targets are at work on a request. A refusal leaves the attempt as it is; another target is requested again after the silence time-out at the earliest. The request is withdrawn if the target sends again, and ends with its exchange. It takes the place of the retry if the silent attempt fails. If the new target does not run the request and no other takes it, the silent target may get it again. Retries that are refused or withdrawn before a grant return their token to the retry budget, as they reach no target.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/rate_limits.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/rate_limits.py
@@ -73,6 +73,10 @@
         self.tokens -= 1.0
         return True
 
+    def refund(self) -> None:
+        """Return the token of a retry that was not sent."""
+        self.tokens += 1.0
+
 
 class TargetRateLimiter:
     """Limits the request rate to each target that is cold or has announced a limit."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -92,6 +92,8 @@
     charged_at: float | None = None
     """Time from which the request counts as service of its customer, None if it does not count."""
 
+    is_retry: bool = False
+    """Whether the request has taken a token of the retry budget."""
     taken_over_parts: frozenset[PartKey] = frozenset()
     """Shared prompt parts and the key of a request that another scheduler has placed."""
 
@@ -214,10 +216,12 @@
             self.served.decay(now)
             self.served.add_asked(request.customer, throughput_tokens(request))
         refusal = self.refuse_for_parts(message, request, now) or self.waiting.refuse_on_arrival(request, now)
+        job = Job(message.attempt, pool, request, is_retry=message.is_retry)
         if refusal is not None:
+            self.refund_retry(job)
             self.immediate_refusals.append((client, target_refusal(refusal, message.attempt)))
             return
-        self.add_job(client, message.request_id, Job(message.attempt, pool, request))
+        self.add_job(client, message.request_id, job)
         self.waiting.add(request)
 
     def refuse_for_parts(
@@ -381,6 +385,8 @@
             return
         self.remove_job(client, message.request_id, now)
         target_id = job.target_id
+        if target_id is None:
+            self.refund_retry(job)
         outcome = Outcome(message.outcome)
         if not message.may_have_run:
             self.retract_charge(job, now)
@@ -581,8 +587,14 @@
         request = decision.request
         job = self.jobs[request.client, request.request_id]
         self.remove_job(request.client, request.request_id, now)
+        self.refund_retry(job)
         return target_refusal(decision, job.attempt)
 
+    def refund_retry(self, job: Job) -> None:
+        """Return the token of a retry that was refused or withdrawn, as no target gets it."""
+        if job.is_retry:
+            self.retry_budget(job.pool).refund()
+
 
 def target_refusal(decision: RefusalDecision, attempt: int) -> TargetRefusal:
     """Return the message that tells a router of a refusal."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -55,6 +55,8 @@
     excluded: set[str] = field(default_factory=set)
     """Targets that have failed this request."""
     is_retry: bool = False
+    replaces: str = ""
+    """Identifier of the request whose silent target is to be replaced, empty if this is no replacement."""
     pool: Pool | None = None
     scheduler: str = ""
     refusing_pools: frozenset[Pool] = frozenset()
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -24,8 +24,8 @@
     can_retry,
     classify_failure,
     has_usable_body,
+    is_silent,
     lacks_request_id,
-    silence_timeout,
     target_outcome,
 )
 from limpetusher_router.fleet.requests import FleetRequests
@@ -192,7 +192,9 @@
             return
         attempt.has_output = True
         self.metrics.first_output.observe({}, attempt.last_received_at - exchange.arrived_at)
-        self.state.scheduler_client.report_first_output(exchange.request_id, attempt.last_received_at)
+        self.state.scheduler_client.report_first_output(
+            exchange.target_request.request_id, attempt.last_received_at
+        )
 
     def forward(self, exchange: Exchange, part: bytes) -> None:
         """Send a part of the answer to the caller, after the head."""
@@ -215,7 +217,7 @@
         """Tell the scheduler of a request that could not be sent yet."""
         exchange = self.find_exchange(key)
         if exchange is not None:
-            self.state.scheduler_client.report_send_delayed(exchange.request_id)
+            self.state.scheduler_client.report_send_delayed(exchange.target_request.request_id)
 
     @handler("AttemptEnded")
     def on_answer_ended(self, key: AttemptKey, end: AttemptResult, detail: str = "") -> None:
@@ -290,7 +292,7 @@
     def on_due(self, _subject: object) -> None:
         """Check the open requests for silent targets and slow streams."""
         self.requests.is_check_scheduled = False
-        self.retry_silent_attempts()
+        self.replace_silent_attempts()
         self.check_stream_progress()
         if self.requests.exchanges:
             self.requests.schedule_check()
@@ -313,7 +315,9 @@
             exchange.progress_checked_at, exchange.progress_event_count = now, exchange.relay.event_count
             if not is_first:
                 speedup = self.needed_speedup(exchange, max(events, 1) / seconds, now)
-                self.state.scheduler_client.report_stream_progress(exchange.request_id, speedup)
+                self.state.scheduler_client.report_stream_progress(
+                    exchange.target_request.request_id, speedup
+                )
 
     def needed_speedup(self, exchange: Exchange, events_per_second: float, now: float) -> float:
         """Return the factor by which a stream must speed up to end in time, 0 to ask for no change."""
@@ -329,22 +333,22 @@
             return 0.0
         return tokens_left / engine.event_tokens / seconds_left / events_per_second
 
-    def retry_silent_attempts(self) -> None:
-        """Send requests that may be retried to another target if theirs has been silent for too long."""
+    def replace_silent_attempts(self) -> None:
+        """Request another target for requests whose target has been silent for too long.
+
+        The attempt at the silent target goes on until another one is granted.
+        """
         now = self.clock.monotonic()
         for exchange in list(self.requests.exchanges.values()):
             attempt = exchange.attempt
-            if attempt is None or exchange.is_caller_blocked or not can_retry(exchange):
-                continue
-            timeout_seconds = silence_timeout(exchange)
-            if now - attempt.last_received_at < timeout_seconds:
-                continue
-            if not self.state.scheduler_client.may_repeat.get(exchange.target_request.pool, True):
-                # Without retry budget the request could not resume elsewhere, so a slow answer is better.
-                continue
-            outcome = Outcome.UNREACHABLE if attempt.head is None else Outcome.FAILED
-            self.requests.stop_attempt(exchange, outcome)
-            if attempt.head is None:
-                self.suspend_target(attempt, "silent")
-            failure = AttemptFailure(f"silent: no output for {timeout_seconds:.2f} s", may_have_run=True)
-            self.requests.handle_attempt_failure(exchange, attempt, failure)
+            if not is_silent(exchange, now):
+                self.requests.withdraw_replacement(exchange)
+            elif (
+                exchange.replacement is None
+                and now >= exchange.replacement_due_at
+                and can_retry(exchange)
+                and self.state.scheduler_client.may_repeat.get(exchange.target_request.pool, True)
+            ):
+                if attempt.head is None and exchange.replacement_due_at <= attempt.started_at:
+                    self.suspend_target(attempt, "silent")
+                self.requests.request_replacement(exchange, now)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -51,6 +51,13 @@
     arrived_at: float
     relay: EventRelay
     attempt: TargetAttempt | None = None
+    replacement: TargetRequest | None = None
+    """Request for another target, while the one of the current attempt is silent."""
+    replacement_count: int = 0
+    replacement_due_at: float = 0.0
+    """Time from which another target may be requested again."""
+    silent_target_ids: set[str] = field(default_factory=set)
+    """Targets replaced while they were silent; they get the request again if no other takes it."""
     attempt_count: int = 0
     possible_runs: int = 0
     """Number of attempts that are not known not to have run."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
@@ -106,6 +106,16 @@
     return max(MINIMUM_SILENCE_SECONDS, SILENCE_GOAL_FACTOR * exchange.route.goal_seconds)
 
 
+def is_silent(exchange: Exchange, now: float) -> bool:
+    """Return whether the target of an exchange has been silent for too long."""
+    attempt = exchange.attempt
+    return (
+        attempt is not None
+        and not exchange.is_caller_blocked
+        and now - attempt.last_received_at >= silence_timeout(exchange)
+    )
+
+
 def can_retry(exchange: Exchange) -> bool:
     """Return whether a request that may have run may be sent again, leaving aside the retry budget.
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -1,6 +1,7 @@
 """Processing of callers' requests, from admission to the last byte of the answer."""
 
 import math
+from dataclasses import replace
 from functools import singledispatchmethod
 
 from circuits.core import BaseComponent, handler
@@ -9,6 +10,7 @@
 from limpetusher.core.refusals import Ran
 from limpetusher.events import Event
 from limpetusher.fleet.messages import Outcome, TargetGrant, TargetRefusal
+from limpetusher.fleet.request.scheduler_client import TargetRequest
 from limpetusher_router.connection.framing import RequestHead
 from limpetusher_router.events import (
     ANSWERS,
@@ -25,7 +27,13 @@
 )
 from limpetusher_router.fleet.admission import Admission
 from limpetusher_router.fleet.exchange import Exchange, TargetAttempt
-from limpetusher_router.fleet.outcomes import MAXIMUM_ATTEMPTS_PER_REQUEST, AttemptFailure, can_retry
+from limpetusher_router.fleet.outcomes import (
+    MAXIMUM_ATTEMPTS_PER_REQUEST,
+    AttemptFailure,
+    can_retry,
+    is_silent,
+    silence_timeout,
+)
 from limpetusher_router.fleet.refusals import (
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
@@ -141,7 +149,9 @@
         target_request = self.state.scheduler_client.accept_refusal(answer, scheduler, self.clock.monotonic())
         if target_request is None:
             return
-        exchange = self.exchanges[target_request.request_id]
+        exchange = self.exchange_of(target_request)
+        if self.continue_after_refusal(exchange, answer, target_request):
+            return
         self.fail_request(
             exchange,
             no_capacity_refusal(answer.reason, answer.retry_after_seconds),
@@ -157,11 +167,13 @@
         target_request = self.state.scheduler_client.accept_grant(answer, scheduler)
         if target_request is None:
             return
-        exchange = self.exchanges[target_request.request_id]
+        exchange = self.exchange_of(target_request)
         now = self.clock.monotonic()
         if now >= target_request.give_up_at:
             self.time_out_request(exchange)
             return
+        if target_request is exchange.replacement and not self.end_silent_attempt(exchange, answer, now):
+            return
         quarantine = self.state.find_quarantine(target_request, now)
         if quarantine is not None:
             # The scheduler may have started after the quarantine and not know it yet.
@@ -242,10 +254,78 @@
             exchange, no_capacity_refusal("no target may get the request", exchange.route.goal_seconds / 2)
         )
 
-    def handle_attempt_failure(
+    def exchange_of(self, target_request: TargetRequest) -> Exchange:
+        """Return the exchange that a request at a scheduler belongs to."""
+        return self.exchanges[target_request.replaces or target_request.request_id]
+
+    def request_replacement(self, exchange: Exchange, now: float) -> None:
+        """Request another target for an exchange whose target is silent, while its attempt goes on."""
+        target_request = exchange.target_request
+        exchange.replacement_count += 1
+        exchange.replacement_due_at = now + silence_timeout(exchange)
+        exchange.replacement = replace(
+            target_request,
+            request_id=f"{exchange.request_id}+{exchange.replacement_count}",
+            replaces=exchange.request_id,
+            queued_at=now,
+            excluded={*target_request.excluded, exchange.attempt.target.target_id},
+            is_retry=True,
+        )
+        self.state.scheduler_client.request_target(exchange.replacement, now)
+
+    def withdraw_replacement(self, exchange: Exchange) -> None:
+        """Withdraw the request for another target, if there is one."""
+        replacement, exchange.replacement = exchange.replacement, None
+        if replacement is not None:
+            self.state.scheduler_client.end(
+                replacement.request_id, Outcome.WITHDRAWN, self.clock.monotonic(), may_have_run=False
+            )
+
+    def end_silent_attempt(self, exchange: Exchange, answer: TargetGrant, now: float) -> bool:
+        """Cancel a silent attempt, as another target is granted; return False if it goes on instead."""
+        replacement = exchange.replacement
+        if (
+            not is_silent(exchange, now)
+            or not can_retry(exchange)
+            or not self.state.can_send(answer.target_id, now)
+            or self.state.find_quarantine(replacement, now) is not None
+        ):
+            self.withdraw_replacement(exchange)
+            return False
+        seconds = silence_timeout(exchange)
+        outcome = Outcome.UNREACHABLE if exchange.attempt.head is None else Outcome.FAILED
+        attempt = self.stop_attempt(exchange, outcome)
+        failure = AttemptFailure(f"silent: no output for {seconds:.2f} s", may_have_run=True)
+        self.record_attempt_failure(exchange, attempt, failure)
+        exchange.silent_target_ids.add(attempt.target.target_id)
+        exchange.target_request, exchange.replacement = replacement, None
+        return True
+
+    def continue_after_refusal(
+        self, exchange: Exchange, answer: TargetRefusal, target_request: TargetRequest
+    ) -> bool:
+        """Return whether an exchange goes on although its request for a target was refused.
+
+        A silent attempt goes on. If it was replaced by one that has not run, its target may get the request
+        again, as silent targets may be sound.
+        """
+        now = self.clock.monotonic()
+        if target_request is exchange.replacement:
+            exchange.replacement = None
+            exchange.replacement_due_at = max(exchange.replacement_due_at, now + answer.retry_after_seconds)
+            return True
+        if not exchange.silent_target_ids or answer.is_retry_budget_spent:
+            return False
+        target_request.excluded -= exchange.silent_target_ids
+        exchange.silent_target_ids = set()
+        target_request.queued_at = now
+        self.state.scheduler_client.request_target(target_request, now)
+        return True
+
+    def record_attempt_failure(
         self, exchange: Exchange, attempt: TargetAttempt, failure: AttemptFailure
     ) -> None:
-        """Ask for another target if the request may be sent again, otherwise end it with an error."""
+        """Log and count the failure of an attempt, whose request waits again."""
         now = self.clock.monotonic()
         target_id = attempt.target.target_id
         log_event(
@@ -265,6 +345,13 @@
             self.metrics.failures, target=target_id, reason=failure.reason.partition(":")[0]
         )
         self.metrics.waiting_requests += 1
+
+    def handle_attempt_failure(
+        self, exchange: Exchange, attempt: TargetAttempt, failure: AttemptFailure
+    ) -> None:
+        """Ask for another target if the request may be sent again, otherwise end it with an error."""
+        self.record_attempt_failure(exchange, attempt, failure)
+        now = self.clock.monotonic()
         if not failure.may_have_run:
             exchange.possible_runs -= 1
         may_retry = (
@@ -274,9 +361,12 @@
         )
         if may_retry and exchange.possible_runs:
             may_retry = exchange.route.is_idempotent
-        if may_retry:
+        if may_retry and exchange.replacement is not None:
+            # Another target has been requested while this one was silent.
+            exchange.target_request, exchange.replacement = exchange.replacement, None
+        elif may_retry:
             target_request = exchange.target_request
-            target_request.excluded.add(target_id)
+            target_request.excluded.add(attempt.target.target_id)
             target_request.queued_at = now
             target_request.is_retry = failure.request_arrived
             self.state.scheduler_client.request_target(target_request, now)
@@ -295,7 +385,9 @@
         exchange.attempt = None
         self.metrics.running_requests -= 1
         now = self.clock.monotonic()
-        self.state.scheduler_client.end(exchange.request_id, outcome, now, may_have_run=may_have_run)
+        self.state.scheduler_client.end(
+            exchange.target_request.request_id, outcome, now, may_have_run=may_have_run
+        )
         return attempt
 
     def stop_attempt(self, exchange: Exchange, outcome: Outcome = Outcome.WITHDRAWN) -> TargetAttempt:
@@ -325,7 +417,10 @@
             exchange.deadline.cancel()
         # An attempt that was sent has been closed before.
         now = self.clock.monotonic()
-        self.state.scheduler_client.end(exchange.request_id, Outcome.WITHDRAWN, now, may_have_run=False)
+        self.state.scheduler_client.end(
+            exchange.target_request.request_id, Outcome.WITHDRAWN, now, may_have_run=False
+        )
+        self.withdraw_replacement(exchange)
 
     def log_outcome(self, event: Event, exchange: Exchange, **inputs: object) -> None:
         """Log and count the outcome of a request."""
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -234,6 +234,21 @@
     assert 0 < allowed <= budget.extra
 
 
+@pytest.mark.parametrize("is_withdrawn", [False, True])
+def test_retries_that_reach_no_target_leave_the_budget_to_others(scheduler, is_withdrawn):
+    """Guards against a retry budget that requests spend which no target has got."""
+    excluded = ("e1", "e2", "e3")
+    for number in range(200):
+        ask = make_ask(f"r{number}", is_retry=True, excluded=excluded, goal_seconds=0.0)
+        scheduler.receive(ROUTER_1, ask, 0.0)
+        if is_withdrawn:
+            scheduler.receive(ROUTER_1, AttemptFinished(f"r{number}", 1, Outcome.WITHDRAWN), 0.0)
+        answers = scheduler.decide(0.0)
+        assert not any(answer.is_retry_budget_spent for _client, answer in answers)
+    scheduler.receive(ROUTER_1, make_ask("r200", is_retry=True), 0.0)
+    assert "r200" in grants_by_request(scheduler)
+
+
 def test_target_notice_applies_to_all_routers(scheduler):
     scheduler.receive(ROUTER_1, TargetNotice("e1", True, 0.0), 0.0)
     scheduler.receive(ROUTER_1, TargetNotice("e2", False, 2.0), 0.0)
--- a/tests/router/fleet/test_requests.py
+++ b/tests/router/fleet/test_requests.py
@@ -2,9 +2,10 @@
 
 import random
 
+import pytest
 from circuits.core import BaseComponent, handler
 
-from builders_fleet import make_route, make_target
+from builders_fleet import make_configuration, make_route, make_target
 from builders_platform import make_host_settings
 from limpetusher.clock import ManualClock
 from limpetusher.fleet.messages import AttemptFinished, Outcome, TargetGrant
@@ -26,12 +27,13 @@
 
 
 class EventRecorder(BaseComponent):
-    """Records the statuses of answers to callers and the attempts at targets."""
+    """Records the statuses of answers to callers, the attempts at targets and those cancelled."""
 
     def __init__(self):
         super().__init__()
         self.statuses: list[int] = []
         self.attempts: list[object] = []
+        self.cancelled: list[object] = []
 
     @handler("SendAnswer", channel=CALLERS)
     def on_answer(self, _request_id: str, status: int, *_: object) -> None:
@@ -41,33 +43,90 @@
     def on_attempt(self, attempt: object) -> None:
         self.attempts.append(attempt)
 
+    @handler("CancelAttempt", channel=TARGETS)
+    def on_cancelled(self, key: object, _channel: str) -> None:
+        self.cancelled.append(key)
+
+
+class OpenRequest:
+    """One open request of a router with two targets, a manual clock, and records of what the router sends."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        now = self.clock.monotonic()
+        self.state = FleetState(make_host_settings(), FleetSettings(), clock=self.clock, rng=random.Random(1))
+        self.state.configuration = make_configuration()
+        for target_id in ("e1", "e2"):
+            self.state.placement.put_target(make_target(target_id))
+        self.sent = []
+        self.state.send_message = lambda _address, message: self.sent.append(message)
+        self.recorder = EventRecorder()
+        self.requests = FleetRequests(
+            self.state, clock=self.clock, deadlines=Deadlines(self.clock), metrics=Metrics()
+        )
+        self.requests.register(self.recorder)
+        self.recorder.flush()
+        head = RequestHead("GET", "/safe/1", "", (1, 1), {"x-request-id": "req-1"}, 0, False, True)
+        target_request = TargetRequest(
+            "r1", SERVICE, "s1", "acme", 1.0, now, now + TIMEOUT_SECONDS, 30, 5, ()
+        )
+        self.exchange = Exchange(
+            "r1", head, b"", decode_request(head), make_route(), target_request, "acme", now, EventRelay()
+        )
+        self.requests.exchanges["r1"] = self.exchange
+        self.requests.metrics.waiting_requests = 1
+        self.state.scheduler_client.request_target(target_request, now)
+
+    def grant(self, target_request: TargetRequest, target_id: str) -> None:
+        """Deliver a grant, and process the events that it causes."""
+        grant = TargetGrant(
+            target_request.request_id,
+            target_request.attempt,
+            target_id,
+            30,
+            30,
+            35,
+            30_000.0,
+            False,
+            0.0,
+            True,
+        )
+        self.requests.handle_grant(grant, target_request.scheduler)
+        while len(self.recorder):
+            self.recorder.flush()
+
 
 def test_grant_read_after_the_deadline_of_its_request_is_not_sent():
     """Guards against requests that a router which was held up sends although their callers have given up."""
-    clock = ManualClock()
-    state = FleetState(make_host_settings(), FleetSettings(), clock=clock, rng=random.Random(1))
-    state.placement.put_target(make_target("e1"))
-    sent = []
-    state.send_message = lambda _address, message: sent.append(message)
-    recorder = EventRecorder()
-    requests = FleetRequests(state, clock=clock, deadlines=Deadlines(clock), metrics=Metrics())
-    requests.register(recorder)
-    recorder.flush()
-    head = RequestHead("GET", "/safe/1", "", (1, 1), {"x-request-id": "req-1"}, 0, False, True)
-    target_request = TargetRequest(
-        "r1", SERVICE, "s1", "acme", 1.0, clock.monotonic(), clock.monotonic() + TIMEOUT_SECONDS, 30, 5, ()
-    )
-    fields = decode_request(head)
-    exchange = Exchange(
-        "r1", head, b"", fields, make_route(), target_request, "acme", clock.monotonic(), EventRelay()
-    )
-    requests.exchanges["r1"] = exchange
-    state.scheduler_client.request_target(target_request, clock.monotonic())
-    clock.advance(TIMEOUT_SECONDS)
-    grant = TargetGrant("r1", 1, "e1", 30, 30, 35, 30_000.0, False, 0.0, True)
-    requests.handle_grant(grant, target_request.scheduler)
-    while len(recorder):
-        recorder.flush()
-    assert recorder.attempts == []
-    assert recorder.statuses == [UNAVAILABLE]
-    assert sent[-1] == AttemptFinished("r1", 1, int(Outcome.WITHDRAWN), may_have_run=False)
+    fixture = OpenRequest()
+    fixture.clock.advance(TIMEOUT_SECONDS)
+    fixture.grant(fixture.exchange.target_request, "e1")
+    assert fixture.recorder.attempts == []
+    assert fixture.recorder.statuses == [UNAVAILABLE]
+    assert fixture.sent[-1] == AttemptFinished("r1", 1, int(Outcome.WITHDRAWN), may_have_run=False)
+
+
+@pytest.mark.parametrize("sends_again", [False, True])
+def test_silent_attempt_is_replaced_by_a_grant_only_while_it_is_silent(sends_again):
+    """Guards against replacing a target that has sent again, and against two targets at work on a request."""
+    fixture = OpenRequest()
+    exchange, clock = fixture.exchange, fixture.clock
+    fixture.grant(exchange.target_request, "e1")
+    first = exchange.attempt
+    clock.advance(1.1)
+    fixture.requests.request_replacement(exchange, clock.monotonic())
+    replacement = exchange.replacement
+    if sends_again:
+        first.last_received_at = clock.monotonic()
+    fixture.grant(replacement, "e2")
+    assert exchange.replacement is None
+    if sends_again:
+        assert exchange.attempt is first
+        assert fixture.sent[-1] == AttemptFinished("r1+1", 2, int(Outcome.WITHDRAWN), may_have_run=False)
+    else:
+        assert fixture.sent[-1] == AttemptFinished("r1", 1, int(Outcome.UNREACHABLE))
+        assert [attempt.key for attempt in fixture.recorder.attempts] == [("r1", 1), ("r1", 2)]
+        assert fixture.recorder.cancelled == [("r1", 1)]
+    assert exchange.possible_runs == (1 if sends_again else 2)
+    metrics = fixture.requests.metrics
+    assert (metrics.waiting_requests, metrics.running_requests) == (0, 1)
--- a/tests/router/fleet/test_silent_targets.py
+++ b/tests/router/fleet/test_silent_targets.py
@@ -1,6 +1,7 @@
 """Tests of targets that fall silent for a while and go on, through a real router process."""
 
 import itertools
+import socket
 import threading
 import time
 
@@ -9,6 +10,7 @@
 from builders_platform import (
     event,
     fleet_run,
+    request_text,
     target_document,
     unchunk,
     wait_for,
@@ -61,6 +63,12 @@
         call.end_stream()
 
 
+def open_requests(run) -> tuple[float, float]:
+    """Return how many requests wait for a target and how many are open at one."""
+    names = ("limpetusher_requests_waiting", "limpetusher_requests_running")
+    return tuple(run.router.metric(name) for name in names)
+
+
 def other_target(kind: str, run) -> dict | None:
     """Return the entry of the target that can't take over, None if there is no other target."""
     address = run.targets["t2"].address
@@ -105,6 +113,7 @@
     with fleet_run(tmp_path, SilentOnce(events_before=events_before)) as run:
         status, body = ask_beside(run, other, "/stream/1", method="POST", body="x", x_deadline_ms="6000")
         assert (status, unchunk(body)) == (200, (EVENTS, True))
+        assert open_requests(run) == (0, 0)
 
 
 @pytest.mark.parametrize("other", ["missing", "rejecting"])
@@ -112,3 +121,50 @@
     """Guards against a failure in place of the answer of a target that is silent beyond a short goal."""
     with fleet_run(tmp_path, SilentOnce(seconds=0.8)) as run:
         assert ask_beside(run, other, "/safe/1", x_deadline_ms="1900") == (200, b"done")
+
+
+@pytest.mark.parametrize("end", ["silent", "cut"])
+def test_stream_of_a_silent_target_goes_on_at_one_that_is_listed_later(tmp_path, end):
+    """Guards against a silent attempt for which another target is requested only once."""
+
+    def stop_once(call, _number) -> None:
+        call.begin_stream()
+        first = int(call.headers.get("last-event-id", 0)) + 1
+        call.send_events(first, 3)
+        if first == 1:
+            time.sleep(1.7)
+            if end == "cut":
+                call.cut_connection()
+            time.sleep(6.0)
+            return
+        call.send_events(4, LAST_EVENT)
+        call.end_stream()
+
+    with fleet_run(tmp_path, stop_once) as run:
+        # The first request for another target is refused before the entry is written.
+        seconds = 2.2 if end == "silent" else 1.75
+        document = target_document(run.targets["t2"].address)
+        timer = threading.Timer(seconds, run.store.put, ("servers/t2", document))
+        run.store.delete("servers/t2")
+        wait_for(lambda: run.logged_count(Event.TARGET_UNLISTED), run.router.log)
+        timer.start()
+        status, body = run.ask("/stream/1", method="POST", body="x", x_deadline_ms="9000")
+        assert (status, unchunk(body)) == (200, (EVENTS, True))
+        assert [len(target.calls) for target in run.targets.values()] == [1, 1]
+        assert open_requests(run) == (0, 0)
+
+
+def test_caller_that_leaves_a_silent_stream_ends_the_request_for_another_target(tmp_path):
+    """Guards against requests that stay at a scheduler after their callers have left."""
+    with fleet_run(tmp_path, SilentOnce(events_before=3, seconds=5.0)) as run:
+        run.store.delete("servers/t2")
+        wait_for(lambda: run.logged_count(Event.TARGET_UNLISTED), run.router.log)
+        host, port = run.router.caller.split(":")
+        with socket.create_connection((host, int(port)), timeout=10) as sock:
+            sock.sendall(request_text("/stream/1", method="POST", body="x", x_deadline_ms="9000").encode())
+            time.sleep(1.75)
+        wait_for(lambda: run.logged_count(Event.CALLER_GONE), run.router.log)
+        assert open_requests(run) == (0, 0)
+        run.store.put("servers/t2", target_document(run.targets["t2"].address))
+        time.sleep(0.5)
+        assert len(run.calls) == 1
