Log streams that are cut off as failed, not as refused

A stream of which the caller had got a part ended with event 1401, request refused, and status 503 if the scheduler refused its next send: the refusal was changed into a failure only for answers whose head was not sent. They are now logged as 1407.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -399,12 +399,12 @@
         """End a waiting request with an error, or abort its answer if the head was already sent."""
         self.metrics.waiting_requests -= 1
         self.remove_exchange(exchange)
+        if refusal.status == UNAVAILABLE and exchange.possible_runs:
+            refusal = FleetRefusal(BAD_GATEWAY, refusal.code, refusal.message, ran=Ran.UNKNOWN)
         if exchange.is_head_sent:
             self.metrics.truncated_answers.inc({})
             self.fire(AbortAnswer(exchange.request_id), CALLERS)
         else:
-            if refusal.status == UNAVAILABLE and exchange.possible_runs:
-                refusal = FleetRefusal(BAD_GATEWAY, refusal.code, refusal.message, ran=Ran.UNKNOWN)
             answer = error_answer(exchange.request_id, exchange.fields.caller_request_id, refusal)
             self.fire(answer, CALLERS)
         event = Event.REQUEST_REFUSED if refusal.ran is Ran.NO else Event.REQUEST_FAILED
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -290,6 +290,24 @@
         assert len(run.calls) == 1
 
 
+def test_stream_that_is_cut_off_is_not_logged_as_refused(tmp_path):
+    """Guards against a log that counts streams which callers have got in part as not run."""
+
+    def break_off(call, _number) -> None:
+        call.begin_stream()
+        call.send_events(1, 2)
+        time.sleep(0.1)
+        call.cut_connection()
+
+    with fleet_run(tmp_path, break_off) as run:
+        run.store.delete("servers/t2")
+        wait_for(lambda: run.logged_count(Event.TARGET_UNLISTED), run.router.log)
+        _status, body = run.ask("/stream/1", method="POST", body="x", x_deadline_ms="5000")
+        assert unchunk(body) == (event(1) + event(2), False)
+        wait_for(lambda: run.logged_count(Event.REQUEST_FAILED), run.router.log)
+        assert run.logged_count(Event.REQUEST_REFUSED) == 0
+
+
 def test_route_timeout_ends_a_request(tmp_path):
     """Guards against callers that wait longer than the operator allows."""
     with fleet_run(tmp_path, lambda _call, _number: time.sleep(5)) as run:
