Count sends whose log lines were dropped in the fairness report

Cause: a router that logs more than its limit drops the lines about sent requests first and keeps those about refused ones. `limpetusher fairness` took a dropped line for a request that was not sent, so that customers whose flood comes at one router seemed unfairly served just then.

Change: a request without a line about its send counts as service at its first event, which the line about its end states. The report names the number of dropped lines.

--- a/packages/limpetusher-operator/src/limpetusher_operator/command.py
+++ b/packages/limpetusher-operator/src/limpetusher_operator/command.py
@@ -245,7 +245,7 @@
         Number of windows to list, those with the lowest ratios.
     """
     lines = (line for path in logs for line in read_lines(path)) if logs else sys.stdin
-    print(format_report(FairnessReport(lines).windows(), worst))
+    print(format_report(FairnessReport(lines), worst))
 
 
 def write_template(output: Path | None) -> None:
--- a/packages/limpetusher-operator/src/limpetusher_operator/fairness.py
+++ b/packages/limpetusher-operator/src/limpetusher_operator/fairness.py
@@ -3,6 +3,9 @@
 In each window of six seconds a customer is due, second by second, the lesser of what it asked for and what
 the best served customer got. Its ratio is what it got relative to that; both are in tokens (`tokens` of the
 log lines, see docs/OPERATIONS.md). Only customers count that had a refused or overdue request in each second.
+
+A router that logs many lines drops those about sent requests first. A request without such a line counts as
+service at its first event, which the line about its end states.
 """
 
 from collections import Counter, defaultdict
@@ -23,6 +26,8 @@
 """Ratio that the fleet aims at."""
 OUTCOMES = frozenset({Event.REQUEST_REFUSED.number, Event.REQUEST_FAILED.number, Event.CALLER_GONE.number})
 """Events that end a request without a complete answer."""
+ENDS = OUTCOMES | {Event.REQUEST_FINISHED.number}
+"""Events that end a request."""
 
 
 class RequestLine(msgspec.Struct):
@@ -30,14 +35,19 @@
 
     time: datetime
     event: int
-    request: str
+    request: str = ""
     customer: str = ""
     tokens: float = 0.0
     may_have_run: bool = True
     seconds: float = 0.0
     waited: float = 0.0
     goal: float = 0.0
+    first_event: float | None = None
+    """Time from the arrival to the first event of the answer, None without any."""
+
     reason: str = "caller disconnected"
+    lines: int = 0
+    """Number of lines that the router has dropped."""
 
 
 @dataclass(slots=True)
@@ -85,6 +95,8 @@
         """Second and line of the first send of each request that may have run."""
         self.asked_requests: set[str] = set()
         self.largest_tokens = 0.0
+        self.dropped_lines = 0
+        """Number of lines that routers have dropped because they logged too many."""
         decoder = msgspec.json.Decoder(RequestLine)
         for line in lines:
             start = line.find("{")
@@ -100,15 +112,20 @@
         if line.event == Event.ATTEMPT_FAILED.number and not line.may_have_run:
             self.retract_send(line, now)
             return
+        if line.event == Event.LOG_LINES_DROPPED.number:
+            self.dropped_lines += line.lines
         if not line.customer:
             return
         customer = self.customers[line.customer]
         self.largest_tokens = max(self.largest_tokens, line.tokens)
+        if line.event in ENDS and line.first_event is not None and line.request not in self.sends:
+            arrived_at = now - line.seconds
+            self.record_asked(line, arrived_at)
+            self.record_got(line, arrived_at + line.first_event)
         if line.event == Event.REQUEST_SENT.number:
             self.record_asked(line, now - line.waited)
             if line.request not in self.sends:
-                self.sends[line.request] = int(now), line
-                customer.got[int(now)] += line.tokens
+                self.record_got(line, now)
                 if line.waited > line.goal:
                     customer.unmet.add(int(now))
         elif line.event in OUTCOMES and line.request not in self.sends:
@@ -116,6 +133,11 @@
             customer.unmet |= {int(now - line.seconds), int(now)}
             customer.reasons[int(now)][line.reason] += 1
 
+    def record_got(self, line: RequestLine, begun_at: float) -> None:
+        """Record the tokens of a request as service of its customer."""
+        self.sends[line.request] = int(begun_at), line
+        self.customers[line.customer].got[int(begun_at)] += line.tokens
+
     def record_asked(self, line: RequestLine, arrived_at: float) -> None:
         """Record the arrival of a request."""
         if line.request not in self.asked_requests:
@@ -161,18 +183,23 @@
         return found
 
 
-def format_report(windows: list[FairnessWindow], count: int) -> str:
+def format_report(report: FairnessReport, count: int) -> str:
     """Format the number of windows below the two bounds, and the windows with the lowest ratios.
 
     Parameters
     ----------
-    windows
-        Windows, the lowest ratio first.
+    report
+        Requests of all customers.
     count
         Maximum number of windows to list.
     """
+    windows = report.windows()
     unfair, low = (sum(window.ratio < bound for window in windows) for bound in (FAIR_RATIO, AIMED_RATIO))
     lines = [f"{len(windows)} windows, {unfair} below {FAIR_RATIO}, {low} below {AIMED_RATIO}"]
+    if report.dropped_lines:
+        lines.append(
+            f"{report.dropped_lines} log lines were dropped; customers of those routers may have got more"
+        )
     for window in windows[:count]:
         start = datetime.fromtimestamp(window.start).astimezone().isoformat()
         reasons = ", ".join(f"{number} {reason}" for reason, number in window.reasons.most_common())
--- a/tests/operator_tool/test_fairness.py
+++ b/tests/operator_tool/test_fairness.py
@@ -67,6 +67,34 @@
     assert sum(report.customers["large"].asked.values()) == 72_000.0
 
 
+def test_request_without_a_line_about_its_send_counts_as_service_at_its_first_event():
+    """Guards against unfair windows that only show the lines which a flooded router has dropped."""
+    ends = [
+        log_line(1402, 2.9, number, "large", sends=1, seconds=0.8, first_event=0.3)
+        for number in range(1_000, 1_005)
+    ]
+    report = FairnessReport([*customer_lines("large", sent=2, refused=10), *ends])
+    begin = int(BEGIN.timestamp())
+    assert report.customers["large"].got[begin + 2] == 7_000.0
+    assert report.customers["large"].asked[begin + 2] == 17_000.0
+
+
+def test_request_that_failed_without_a_first_event_is_no_service():
+    failed = log_line(
+        1407, 2.9, 0, "large", sends=1, seconds=0.8, first_event=None, reason="no answer in time"
+    )
+    report = FairnessReport([failed])
+    assert not report.customers["large"].got
+
+
+def test_command_states_the_number_of_dropped_lines(tmp_path: Path, capsys):
+    path = tmp_path / "routers.log"
+    dropped = [log_line(1601, 1.0, 0, "", lines=lines, total=40) for lines in (30, 10)]
+    path.write_text("\n".join([*dropped, *customer_lines("large", sent=20, refused=20)]))
+    assert main(["fairness", str(path)]) == 0
+    assert "40 log lines were dropped" in capsys.readouterr().out
+
+
 def test_lines_about_something_else_are_skipped():
     lines = [
         "",
