Add a failing test of customers at the router of the scheduler

In a burst with fewer engines, in which each customer comes at one router, the customers of the scheduler's own router get up to two and a half times what others get.

--- a/tests/router/fleet/test_fair_service.py
+++ b/tests/router/fleet/test_fair_service.py
@@ -161,11 +161,14 @@
 
 
 LOST_ENGINES = ("e0", "e1", "e2")
+REMAINING_ENGINES = 6
+"""Engines beside those of an evacuated data centre."""
+QUIET_REQUESTS_PER_SECOND = 230.0
 
 
-def make_fleet(seed: int) -> FleetInMemory:
+def make_fleet(seed: int, engines: int = ENGINES) -> FleetInMemory:
     return FleetInMemory(
-        6, engines=ENGINES, slots=128, seed=seed, goal_seconds=0.5, prefill_rate=PREFILL_RATE
+        6, engines=engines, slots=128, seed=seed, goal_seconds=0.5, prefill_rate=PREFILL_RATE
     )
 
 
@@ -204,6 +207,32 @@
     return load
 
 
+@functools.cache
+def ratios_at_own_routers(seed: int) -> list[tuple[float, int, str]]:
+    """Return the ratios as the largest customer returns in a burst, each customer at one router."""
+    fleet = make_fleet(seed, engines=REMAINING_ENGINES)
+    load = DayLoad(fleet, QUIET_REQUESTS_PER_SECOND, [0.6, *WEIGHTS[1:]])
+    routers = list(fleet.routers)
+    load.addresses = {f"c{number}": [routers[number % len(routers)]] for number in range(len(WEIGHTS))}
+    load.run(6.0)
+    for target_id in LOST_ENGINES[:2]:
+        fleet.crash(target_id)
+        fleet.down_until[target_id] = fleet.clock.monotonic() + 4.0
+    load.run(2.0)
+    load.weights = WEIGHTS
+    load.per_second = 2.2 * QUIET_REQUESTS_PER_SECOND
+    load.run(10.0)
+    return load.ratios()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_customers_at_the_router_of_the_scheduler_get_no_more_than_others(seed):
+    """Guards against refusals by routers themselves that spare the customers of the scheduler's router."""
+    ratios = ratios_at_own_routers(seed)
+    assert ratios
+    assert ratios[0][0] >= FAIR_RATIO, ratios[:5]
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_congested_routers_do_not_cost_other_customers_their_service(seed):
     """Guards against engines that are kept for prompts which congested routers can't send."""
