Refuse at the edge in the router of the scheduler as well

Cause: behind a backlog, a router refuses the requests of a customer itself for 0.1 s after a refusal by the scheduler. The scheduler's own router did not, as its own refusals could not be told from those that it makes for the scheduler. So only the customers of that router had requests waiting at all times. They took the engines that opened while the requests of others were refused at their routers, and the limit of how far a customer may be ahead (0.2 s) forgot the rest. Which customers it favours depends on which router is the scheduler.

Change: a refusal that a router makes itself states that it closes no pool; all others close it, whichever router the scheduler is in.

--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -166,8 +166,12 @@
             other = self.untried_pool(target_request, now)
             if other is None or len(target_request.refusing_pools) >= MAX_TRIED_POOLS:
                 target_request.pool, target_request.scheduler = pool, self.own_address
+                # Only a scheduler's answer closes a pool; this one must not keep it closed.
                 refusal = msgspec.structs.replace(
-                    closed.refusal, request_id=target_request.request_id, attempt=target_request.attempt
+                    closed.refusal,
+                    request_id=target_request.request_id,
+                    attempt=target_request.attempt,
+                    closed_seconds=0.0,
                 )
                 self.send(self.own_address, refusal)
                 return
@@ -252,7 +256,7 @@
         if answer.is_retry_budget_spent:
             self.may_repeat[target_request.pool] = False
         else:
-            if answer.closed_seconds > 0 and scheduler != self.own_address:
+            if answer.closed_seconds > 0:
                 self.closed[target_request.pool, target_request.customer] = ClosedPool(
                     now + answer.closed_seconds, target_request.goal_seconds, answer
                 )
--- a/tests/fleet/request/test_scheduler_client.py
+++ b/tests/fleet/request/test_scheduler_client.py
@@ -272,6 +272,34 @@
     assert harness.scheduler_client.accept_refusal(answer, OWN, 0.05) is second
 
 
+def test_refusals_of_the_scheduler_in_the_same_router_apply_to_later_requests(harness):
+    """Guards against customers that get more because their router is the scheduler."""
+    target_request = harness.request_target()
+    target_request.scheduler = OWN
+    refusal = make_refusal(target_request, closed_seconds=0.1)
+    assert harness.scheduler_client.accept_refusal(refusal, OWN, 0.0) is target_request
+    harness.sent.clear()
+    harness.request_target("r2", "s2")
+    ((_address, answer),) = harness.sent
+    assert isinstance(answer, TargetRefusal)
+
+
+def test_refusals_without_a_message_do_not_keep_a_pool_closed(harness):
+    """Guards against a flood whose requests are refused for good after one long backlog."""
+    target_request = harness.request_target()
+    harness.scheduler_client.accept_refusal(make_refusal(target_request, closed_seconds=0.1), OTHER, 0.0)
+    harness.sent.clear()
+    for number, now in enumerate([0.05, 0.11]):
+        request = TargetRequest(f"r{number}", "engines", "s1", "acme", 1.0, now, now + 8.0, 30, 5, ())
+        harness.scheduler_client.request_target(request, now)
+        if number == 0:
+            harness.scheduler_client.accept_refusal(harness.sent[-1][1], OWN, now)
+    (_own, refused), (address, message) = harness.sent
+    assert isinstance(refused, TargetRefusal)
+    assert address == OTHER
+    assert isinstance(message, TargetQuery)
+
+
 @pytest.mark.parametrize(
     ("customer", "goal_seconds", "now"), [("other", 1.0, 0.05), ("acme", 2.0, 0.05), ("acme", 1.0, 0.11)]
 )
