Test that streams go on at the software version that began them

Targets of two software versions may serve side by side in one service, and what they write must not be joined to one stream. The tests let real router processes resume streams themselves, and let callers take them up again at any router, after kills of routers and after a restart of all of them, while the old version serves, drains, has left, or has lost an address or an id to the new one.

The stand-in of the store now keeps the revision at which a key was created. Before, it stated the last revision, as if each entry were the first.

--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -128,6 +128,8 @@
         super().__init__(("127.0.0.1", 0), StoreHandler)
         self.condition = threading.Condition()
         self.items: dict[str, tuple[bytes, int]] = {}
+        self.created: dict[str, int] = {}
+        """Revision of the first value of each key since it was last removed."""
         self.history: list[dict] = []
         self.revision = 1
         self.compacted_revision = 0
@@ -151,6 +153,7 @@
         with self.condition:
             self.revision += 1
             self.items[key] = (data, self.revision)
+            self.created.setdefault(key, self.revision)
             self.history.append(self.item_document(key))
             self.condition.notify_all()
 
@@ -158,6 +161,7 @@
         with self.condition:
             self.revision += 1
             del self.items[key]
+            del self.created[key]
             self.history.append({"key": key, "rev": self.revision, "deleted": True})
             self.condition.notify_all()
 
@@ -171,6 +175,7 @@
         with self.condition:
             items, self.revision = copy
             self.items = dict(items)
+            self.created = {key: self.created.get(key, revision) for key, (_, revision) in items.items()}
             self.history.clear()
             self.compacted_revision = self.revision
             self.generation += 1
@@ -182,7 +187,7 @@
             "key": key,
             "value": base64.b64encode(data).decode(),
             "rev": revision,
-            "createRevision": revision,
+            "createRevision": self.created[key],
             "lease": 0,
         }
 
@@ -443,7 +448,9 @@
         ip: str = "127.0.0.1",
         ports: int = 0,
         seeds: tuple[str, ...] = (),
+        data_centre: str = "north",
         memory_megabytes: float = 150.0,
+        settings: dict[str, object] | None = None,
         **bounds: float,
     ):
         caller, ready = (f"{ip}:{address.rpartition(':')[2]}" for address in free_addresses(2))
@@ -452,9 +459,9 @@
         self.ready = ready
         self.ports = ports or free_port_pair()
         self.metrics = f"{ip}:{free_addresses(1)[0].rpartition(':')[2]}"
-        settings = {
+        document = {
             "host_id": f"front-{ip}",
-            "data_centre": "north",
+            "data_centre": data_centre,
             "ip": ip,
             "caller_address": caller,
             "ready_address": ready,
@@ -471,9 +478,10 @@
                 "stop_grace_seconds": 8,
                 **bounds,
             },
+            **(settings or {}),
         }
         self.path = folder / f"settings-{ip}.json"
-        self.path.write_text(json.dumps(settings))
+        self.path.write_text(json.dumps(document))
         self.log = folder / f"router-{ip}.log"
         paths = [str(path) for path in sorted(PACKAGES.glob("*/src"))]
         variables = {"LIMPETUSHER_NODE_FILE": str(self.path), "PYTHONPATH": os.pathsep.join(paths)}
--- /dev/null
+++ b/tests/router/fleet/test_stream_versions.py
@@ -0,0 +1,367 @@
+"""Tests of real router processes with streams of targets that have two software versions."""
+
+import time
+
+import pytest
+
+from builders_versions_of_targets import (
+    CHANGES,
+    NEW,
+    OLD,
+    StreamCaller,
+    VersionedFleet,
+    remove_old,
+)
+
+pytestmark = pytest.mark.integration
+
+STREAM_COUNT = 8
+"""Number of streams that are broken off in each case."""
+REFUSAL_SECONDS = 0.3
+"""Time in which a stream that can't go on is refused, or ended."""
+REPLICATION_SECONDS = 0.5
+"""Time after which the loss of a scheduler must not cost the versions of the streams that have begun."""
+HISTORY_SECONDS = 5.0
+"""Age of the targets at which routers that start know what has changed since streams began."""
+LATE_SECONDS = 4.0
+"""Time for which routers do not learn of the changes of a store that is cut off."""
+CHANGES_WITHOUT_OLD = ("old-drains", "old-has-left")
+"""Changes after which no target of the old version is in service."""
+
+
+class TakeUps:
+    """Streams that broke off and were taken up again, by the change of the targets meanwhile."""
+
+    def __init__(self, fleet: VersionedFleet, place: str):
+        self.place = place
+        if place == "after-restart-of-all":
+            wait_until_old(fleet)
+        scheduler, first, other, remote = fleet.routers
+        streams = {change: fleet.begin_held(change, STREAM_COUNT, router=first) for change in CHANGES}
+        self.begun_versions = {
+            change: {stream.version for stream in begun} for change, begun in streams.items()
+        }
+        takes_up = {
+            "same-router": first,
+            "scheduler": scheduler,
+            "other-router": other,
+            "other-data-centre": remote,
+            "after-kill-of-router": other,
+            "after-kill-of-router-and-scheduler": other,
+            "after-quick-kill-of-router-and-scheduler": other,
+            "after-restart-of-all": other,
+        }[place]
+        if place != "after-quick-kill-of-router-and-scheduler":
+            time.sleep(REPLICATION_SECONDS)
+        if place == "after-kill-of-router":
+            fleet.kill(first)
+        elif place.endswith("kill-of-router-and-scheduler"):
+            fleet.kill(first, scheduler)
+        elif place == "after-restart-of-all":
+            fleet.kill(*fleet.routers)
+        for begun in streams.values():
+            for stream in begun:
+                stream.close()
+        for change, apply in CHANGES.items():
+            apply(fleet, change)
+        if place == "after-restart-of-all":
+            fleet.restart_routers()
+            takes_up = fleet.routers[2]
+        self.taken_up = {
+            change: [fleet.take_up(stream, router=takes_up) for stream in by_version(begun)]
+            for change, begun in streams.items()
+        }
+        for taken_up in self.taken_up.values():
+            for stream in taken_up:
+                stream.wait()
+
+
+PLACES = [
+    "same-router",
+    "scheduler",
+    "other-router",
+    "other-data-centre",
+    "after-kill-of-router",
+    "after-kill-of-router-and-scheduler",
+    "after-quick-kill-of-router-and-scheduler",
+    "after-restart-of-all",
+]
+
+
+LOSES_STREAMS = ("after-quick-kill-of-router-and-scheduler", "after-restart-of-all")
+"""Places where no router may know which version began a stream."""
+
+
+@pytest.fixture(scope="module", params=PLACES)
+def take_ups(request, tmp_path_factory):
+    """Return streams that were taken up again at a certain router."""
+    fleet = VersionedFleet(tmp_path_factory.mktemp(request.param), CHANGES)
+    try:
+        yield TakeUps(fleet, request.param)
+    finally:
+        fleet.close()
+
+
+@pytest.fixture
+def start_fleet(tmp_path):
+    """Return a function that starts a fleet, which is closed at the end."""
+    fleets = []
+
+    def start(*services: str, **options: object) -> VersionedFleet:
+        fleets.append(VersionedFleet(tmp_path, services or ("desk",), **options))
+        return fleets[-1]
+
+    yield start
+    for fleet in fleets:
+        fleet.close()
+
+
+def by_version(streams: list[StreamCaller]) -> list[StreamCaller]:
+    """Return streams in an order that no order of the targets fits by chance."""
+    return sorted(streams, key=lambda stream: stream.version)
+
+
+def describe(streams: list[StreamCaller]) -> str:
+    return "\n".join(stream.describe() for stream in streams)
+
+
+def assert_gone_on(streams: list[StreamCaller]) -> None:
+    assert all(stream.has_gone_on for stream in streams), describe(streams)
+
+
+def assert_refused(streams: list[StreamCaller]) -> None:
+    assert all(stream.is_refused_unrun for stream in streams), describe(streams)
+
+
+def assert_refused_at_once(streams: list[StreamCaller]) -> None:
+    assert_refused(streams)
+    assert all(stream.seconds < REFUSAL_SECONDS for stream in streams), describe(streams)
+
+
+def assert_not_joined(streams: list[StreamCaller]) -> None:
+    assert not [stream.describe() for stream in streams if stream.is_joined]
+
+
+@pytest.mark.parametrize("change", CHANGES)
+def test_stream_that_is_taken_up_is_not_joined_from_two_versions(take_ups, change):
+    """Guards against text of two versions in one stream over the tries of its caller."""
+    assert_not_joined(take_ups.taken_up[change])
+
+
+@pytest.mark.parametrize("change", CHANGES)
+def test_stream_that_is_taken_up_goes_on_or_is_refused(take_ups, change):
+    """Guards against a caller that waits for a version that has left, or gets no text though it serves."""
+    streams = take_ups.taken_up[change]
+    refusable = [stream for stream in streams if stream.version == OLD and change in CHANGES_WITHOUT_OLD]
+    others = [stream for stream in streams if stream not in refusable]
+    if take_ups.place in LOSES_STREAMS:
+        assert_refused(refusable)
+        assert_refused([stream for stream in others if not stream.has_gone_on])
+    else:
+        assert_gone_on(others)
+        if take_ups.place.startswith("after-kill"):
+            assert_refused(refusable)
+        else:
+            assert_refused_at_once(refusable)
+
+
+@pytest.mark.parametrize("change", CHANGES)
+def test_new_streams_begin_at_either_version(take_ups, change):
+    """Guards against a version that gets no new streams while both are in service."""
+    assert take_ups.begun_versions[change] == {OLD, NEW}
+
+
+@pytest.mark.parametrize("change", CHANGES)
+def test_stream_that_a_target_breaks_off_goes_on_at_its_version_only(start_fleet, change):
+    """Guards against text of two versions in one answer, and against an end that looks complete."""
+    fleet = start_fleet(change, routers=())
+    streams = fleet.begin_held(change, 2 * STREAM_COUNT, router=fleet.scheduler)
+    one_of_each_version = fleet.targets[change][:2]
+    broken = {call.headers["x-request-id"] for target in one_of_each_version for call in target.calls}
+    streams = [stream for stream in streams if stream.request_id in broken]
+    assert {stream.version for stream in streams} == {OLD, NEW}
+    CHANGES[change](fleet, change)
+    cut_at = time.monotonic()
+    for target in one_of_each_version:
+        target.cut.set()
+    for stream in streams:
+        stream.wait()
+    assert_not_joined(streams)
+    ended = [stream for stream in streams if stream.version == OLD and change in CHANGES_WITHOUT_OLD]
+    assert_gone_on([stream for stream in streams if stream not in ended])
+    assert not [stream.describe() for stream in ended if stream.has_gone_on]
+    assert all(stream.ended_at - cut_at < REFUSAL_SECONDS for stream in ended), describe(ended)
+
+
+@pytest.mark.parametrize("is_left", [False, True])
+def test_stream_that_is_taken_up_several_times_goes_on_at_its_version(start_fleet, is_left):
+    """Guards against a router that binds a stream to the try before and not to the first one."""
+    fleet = start_fleet(routers=("north", "south"))
+    streams = [fleet.begin("desk", "1,2,3,4", router=fleet.routers[1]) for _ in range(STREAM_COUNT)]
+    for number in range(1, 5):
+        for stream in streams:
+            wait_for_events(stream, number, fleet)
+            stream.close()
+        if number == 3 and is_left:
+            remove_old(fleet, "desk")
+            streams = [stream for stream in streams if stream.version == NEW]
+        router = fleet.routers[number % 3]
+        streams = [fleet.take_up(stream, router=router) for stream in by_version(streams)]
+    for stream in streams:
+        stream.wait()
+    assert streams
+    assert_gone_on(streams)
+
+
+def wait_for_events(stream: StreamCaller, count: int, fleet: VersionedFleet) -> None:
+    """Wait until a stream has brought events up to a number, or has ended."""
+    deadline = time.monotonic() + 5.0
+    while len(stream.events) < count and stream.ended_at is None:
+        assert time.monotonic() < deadline, fleet.scheduler.log.read_text()[-3000:]
+        time.sleep(0.01)
+
+
+@pytest.mark.parametrize("broken_by", ["caller", "target", "kill-of-router"])
+def test_stream_that_breaks_again_after_it_was_taken_up_goes_on_at_its_version(start_fleet, broken_by):
+    """Guards against a version that is forgotten when a stream that was taken up breaks again."""
+    fleet = start_fleet()
+    first, second, third = fleet.routers[1:]
+    begun = [fleet.begin("desk", "2,4", router=first) for _ in range(STREAM_COUNT)]
+    for stream in begun:
+        wait_for_events(stream, 2, fleet)
+        stream.close()
+    streams = [fleet.take_up(stream, router=second) for stream in by_version(begun)]
+    for stream in streams:
+        wait_for_events(stream, 4, fleet)
+    if broken_by == "target":
+        for target in fleet.targets["desk"]:
+            target.cut.set()
+    elif broken_by == "kill-of-router":
+        fleet.kill(second)
+    if broken_by != "target":
+        for stream in streams:
+            stream.close()
+        streams = [fleet.take_up(stream, router=third) for stream in by_version(streams)]
+    for stream in streams:
+        stream.wait()
+    assert_not_joined(streams)
+    assert_gone_on(streams)
+
+
+@pytest.mark.parametrize("resumes", ["", "unknown"])
+@pytest.mark.parametrize("is_left", [False, True])
+def test_stream_of_unknown_version_is_refused_at_once(start_fleet, is_left, resumes):
+    """Guards against a guess of the version where the caller does not name what began the stream."""
+    fleet = start_fleet(routers=("north",))
+    streams = fleet.begin_held("desk", STREAM_COUNT, router=fleet.scheduler)
+    for stream in streams:
+        stream.close()
+    if is_left:
+        remove_old(fleet, "desk")
+    taken_up = [
+        fleet.take_up(stream, router=router, resumes=resumes)
+        for stream, router in zip(by_version(streams), 4 * fleet.routers, strict=True)
+    ]
+    for stream in taken_up:
+        stream.wait()
+    assert_not_joined(taken_up)
+    assert_refused_at_once(taken_up)
+
+
+@pytest.mark.parametrize("seconds", [0.6, 1.9])
+@pytest.mark.parametrize("resumes", ["", "unknown"])
+def test_stream_goes_on_while_there_was_only_one_version(start_fleet, resumes, seconds):
+    """Guards against refusals for want of the version where no other one has ever been in service."""
+    fleet = start_fleet(versions=(OLD, OLD), route_seconds=2.0, routers=("north",))
+    streams = fleet.begin_held("desk", 4, router=fleet.scheduler, seconds=2.0)
+    for stream in streams:
+        stream.close()
+    time.sleep(1.0)
+    taken_up = [
+        fleet.take_up(stream, router=router, resumes=resumes, seconds=seconds)
+        for stream, router in zip(streams, 2 * fleet.routers, strict=True)
+    ]
+    for stream in taken_up:
+        stream.wait()
+    assert_gone_on(taken_up)
+
+
+@pytest.mark.parametrize(("router", "are_engines"), [(1, False), (2, False), (3, False), (2, True)])
+def test_as_many_streams_go_on_as_new_ones_begin(start_fleet, router, are_engines):
+    """Guards against take-ups that are refused while targets of their version serve new streams."""
+    fleet = start_fleet(are_engines=are_engines)
+    broken = fleet.begin_held("desk", 20, router=fleet.routers[1])
+    for stream in broken:
+        stream.close()
+    new = [fleet.begin("desk", router=fleet.routers[router]) for _ in range(20)]
+    taken_up = [fleet.take_up(stream, router=fleet.routers[router]) for stream in by_version(broken)]
+    for stream in [*new, *taken_up]:
+        stream.wait()
+    assert {stream.version for stream in new} == {OLD, NEW}
+    assert_gone_on(new)
+    assert_gone_on(taken_up)
+
+
+def test_streams_go_on_after_a_restart_of_all_routers(start_fleet):
+    """Guards against losing the version of streams with the routers while both versions serve all along."""
+    fleet = start_fleet()
+    wait_until_old(fleet)
+    streams = fleet.begin_held("desk", 20, router=fleet.routers[1])
+    fleet.restart_routers()
+    for stream in streams:
+        stream.close()
+    new = [fleet.begin("desk", router=fleet.routers[2]) for _ in range(20)]
+    taken_up = [fleet.take_up(stream, router=fleet.routers[2]) for stream in by_version(streams)]
+    for stream in [*new, *taken_up]:
+        stream.wait()
+    assert_not_joined(taken_up)
+    begun = sum(stream.has_gone_on for stream in new)
+    assert 2 * sum(stream.has_gone_on for stream in taken_up) >= begun, describe(taken_up)
+
+
+def test_stream_is_not_joined_after_targets_have_registered_again(start_fleet):
+    """Guards against a restarted router that takes a late entry of a target for one as old as the target."""
+    fleet = start_fleet()
+    wait_until_old(fleet)
+    streams = fleet.begin_held("desk", STREAM_COUNT, router=fleet.routers[1])
+    fleet.kill(*fleet.routers)
+    remove_old(fleet, "desk")
+    for target in fleet.targets["desk"]:
+        if target.version == NEW:
+            fleet.remove_target(target)
+            fleet.list_target(target)
+    assert_not_joined(take_up_after_restart(fleet, streams))
+
+
+def test_stream_that_begins_while_changes_of_the_store_are_late_is_not_joined(start_fleet):
+    """Guards against a restarted router that trusts the store for a stream which began by an older list."""
+    fleet = start_fleet()
+    wait_until_old(fleet)
+    fleet.store.withholds_changes = True
+    for target in fleet.old_targets("desk"):
+        fleet.remove_target(target)
+    fleet.add_target("desk", NEW)
+    time.sleep(LATE_SECONDS)
+    streams = fleet.begin_held("desk", STREAM_COUNT, router=fleet.routers[1])
+    assert {stream.version for stream in streams} == {OLD, NEW}
+    fleet.kill(*fleet.routers)
+    fleet.store.withholds_changes = False
+    assert_not_joined(take_up_after_restart(fleet, streams))
+
+
+def wait_until_old(fleet: VersionedFleet) -> None:
+    """Wait until routers that start can know what has changed since a stream has begun."""
+    time.sleep(max(0.0, fleet.started_at + HISTORY_SECONDS - time.monotonic()))
+
+
+def take_up_after_restart(fleet: VersionedFleet, streams: list[StreamCaller]) -> list[StreamCaller]:
+    """Start all routers anew and take streams up again, for some time, as callers do after a refusal."""
+    fleet.restart_routers()
+    for stream in streams:
+        stream.close()
+    taken_up = []
+    for _ in range(3):
+        pairs = zip(by_version(streams), 2 * fleet.routers, strict=True)
+        taken_up += [fleet.take_up(stream, router=router) for stream, router in pairs]
+        time.sleep(0.3)
+    return [stream.wait() for stream in taken_up]
