Log and count what the port for callers does while it is busy

The logs did not tell what held new connections back at a flooded router: the limit of connections, accepts left pending, or the length of the rounds of the event loop. Event 1603, at most once a second and only for a busy port, and metrics show connections open, accepted, refused, closed for room, failed and abandoned, the time for which the listening socket was left unread, and the longest round by part.

--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -58,6 +58,7 @@
     WITNESS_READY = (1501, logging.INFO, "idempotency witness ready")
     LOG_LINES_DROPPED = (1601, logging.WARNING, "log lines dropped")
     BODY_MEMORY_FULL = (1602, logging.WARNING, "request bodies refused for lack of memory")
+    CALLER_PORT_BUSY = (1603, logging.WARNING, "port for callers is busy")
 
     def __init__(self, number: int, level: int, text: str):
         self.number = number
--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -63,6 +63,7 @@
         "closing",
         "deadline",
         "discard_until",
+        "has_sent_head",
         "head",
         "head_started",
         "held_bytes",
@@ -91,6 +92,8 @@
         self.held_bytes = 0
         """Bytes that the account of body memory holds for this connection."""
         self.deadline = None
+        self.has_sent_head = False
+        """Whether the caller has sent a whole head on this connection."""
         self.reading_paused = False
         """Whether reading is paused because too many bytes of later requests are buffered."""
         self.writer_registered = False
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -35,6 +35,8 @@
 from limpetusher_router.process.body_memory import LARGE_BODY_BYTES, BodyMemory
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.process.port_activity import PortActivity
+from limpetusher_router.process.rounds import PollerRounds
 from limpetusher_router.request.answers import error_answer
 from limpetusher_router.request.id_generator import RequestIdGenerator
 
@@ -80,6 +82,7 @@
         poller: EPoll,
         id_generator: RequestIdGenerator,
         metrics: Metrics,
+        rounds: PollerRounds,
         body_memory: BodyMemory,
         channel: str = CALLERS,
         requests_channel: str = REQUESTS,
@@ -100,16 +103,26 @@
         """Connections that wait for the first byte of a request, the longest idle first."""
         self.read_rounds_while_full = 0
         """Poller rounds in which connections were read since the connection limit was reached."""
+        self.accepted_count = 0
+        """Connections accepted since the listening socket was reported as readable."""
+        self.is_listener_empty = False
+        """Whether the last accept found no connection."""
         self.close_after_answers = False
         """Whether each connection closes after its next answer, because the process stops."""
+        self.activity = PortActivity(
+            channel, rounds, connections=self.connections, limit=settings.max_caller_connections
+        )
+        metrics.ports.append(self.activity)
         self.listener: socket.socket | None = create_listener(address or settings.caller_address)
         poller.addReader(self, self.listener)
 
     @handler("_read")
     def on_readable(self, sock: socket.socket) -> None:
         """Accept connections, or read from one."""
+        if self.activity.is_check_due:
+            self.check_activity()
         if sock is self.listener:
-            self.accept_connections()
+            self.read_listener()
             return
         connection = self.connections.get(sock)
         if connection is None:
@@ -136,6 +149,19 @@
         if connection is not None:
             self.close_connection(connection)
 
+    def check_activity(self) -> None:
+        """Log what the port did since the last check, if it was busy."""
+        self.activity.check(
+            self.listener, idle=len(self.idle_connections), answering=len(self.connections_by_request)
+        )
+
+    def read_listener(self) -> None:
+        """Accept connections, and record for how long they were pending."""
+        self.accepted_count, self.is_listener_empty = 0, False
+        self.activity.begin_accepts()
+        self.accept_connections()
+        self.activity.end_accepts(accepted=self.accepted_count, is_empty=self.is_listener_empty)
+
     @property
     def is_full(self) -> bool:
         """Return whether the connection limit is reached and no idle connection can be closed."""
@@ -160,23 +186,28 @@
                 sock, _address = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 self.read_rounds_while_full = 0
+                self.is_listener_empty = True
                 return False
             except OSError as error:
+                self.activity.counts.failed += 1
                 logger.warning("accepting a connection failed: %s", errno.errorcode.get(error.errno, error))
                 self.poller.removeReader(self.listener)
                 self.deadlines.schedule_in(ACCEPT_PAUSE_SECONDS, DeadlineReached(), self.channel)
                 return False
+            self.accepted_count += 1
             configure_socket(sock)
             connection = CallerConnection(sock)
             if len(self.connections) >= self.settings.max_caller_connections:
                 closable = self.find_closable()
                 if closable is not None:
+                    self.activity.counts.closed_for_room += 1
                     self.close_connection(closable)
             if not self.is_full:
                 self.read_rounds_while_full = 0
             self.connections[sock] = connection
             self.poller.addReader(self, sock)
             if len(self.connections) > self.settings.max_caller_connections:
+                self.activity.counts.refused += 1
                 error = FramingError(503, RefusalCode.NO_CAPACITY, "too many connections", 1.0)
                 self.refuse(connection, error)
             else:
@@ -201,6 +232,8 @@
             self.close_connection(connection)
             return
         if not data:
+            if not connection.has_sent_head:
+                self.activity.counts.abandoned += 1
             self.close_connection(connection)
         elif connection.state is not CallerConnectionState.LINGER:
             connection.buffer += data
@@ -258,6 +291,7 @@
         if length is None:
             return
         head = parse_request_head(bytes(buffer[:length]))
+        connection.has_sent_head = True
         connection.request_id = self.id_generator.next_id()
         connection.head = head
         connection.body_reader = BodyReader(
@@ -416,6 +450,7 @@
         """Replace the settings; new limits apply from now on."""
         self.settings = settings
         self.bodies.memory.limit_bytes = settings.max_held_body_bytes
+        self.activity.limit = settings.max_caller_connections
 
     @handler("CloseAfterAnswers")
     def on_close_after_answers(self) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -118,7 +118,7 @@
     """
 
     def __init__(self, path: Path, host: HostSettings, *, clock: Clock):
-        super().__init__(Metrics())
+        super().__init__(Metrics(), clock=clock)
         self.path = path
         self.host = host
         self.clock = clock
@@ -133,7 +133,12 @@
         shared = {"deadlines": self.deadlines, "poller": self.poller, "metrics": self.metrics}
         id_generator = RequestIdGenerator(host.host_id, int(clock.wall() * 1_000))
         self.body_memory = BodyMemory(self.settings.max_held_body_bytes, clock=clock, metrics=self.metrics)
-        caller_ports = {"id_generator": id_generator, "body_memory": self.body_memory, **shared}
+        caller_ports = {
+            "id_generator": id_generator,
+            "body_memory": self.body_memory,
+            "rounds": self.rounds,
+            **shared,
+        }
         self.callers = CallerServer(self.settings, **caller_ports).register(self)
         TargetClient(self.settings, clock=clock, **shared).register(self)
         self.store = StoreReader(
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -7,6 +7,9 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from limpetusher_router.process.port_activity import PortActivity
+from limpetusher_router.process.rounds import PollerRounds
+
 LATENCY_BUCKETS_SECONDS = (0.0005, 0.001, 0.002, 0.003, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0)
 WAIT_BUCKETS_SECONDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 60.0, 120.0)
 MAXIMUM_LABEL_SETS = 256
@@ -85,6 +88,19 @@
         self.placement_seconds_counter = counter("placement_seconds_total", "Time spent on placement runs")
         self.placement_runs = 0
         self.placement_seconds = 0.0
+        self.caller_connections = gauge("caller_connections", "Open connections of callers by port")
+        self.caller_connections_limit = gauge("caller_connections_limit", "Limit of open connections by port")
+        self.caller_events = counter(
+            "caller_connections_total", "Accepted connections of callers by port, and what became of some"
+        )
+        self.unread_listener = counter(
+            "caller_listener_unread_seconds_total", "Time for which pending connections were not accepted"
+        )
+        self.rounds_counter = counter("rounds_total", "Rounds of the event loop")
+        self.round_seconds = counter("round_seconds_total", "Time of rounds of the event loop by part")
+        self.longest_round = gauge("longest_round_seconds", "Longest round of the last seconds")
+        self.ports: list[PortActivity] = []
+        self.rounds: PollerRounds | None = None
         self.resident_memory = gauge("process_resident_memory_bytes", "Resident memory of the process")
 
     def increment_labelled(self, counter: Counter, **labels: str) -> None:
@@ -111,6 +127,26 @@
         """Count a dropped peer message."""
         self.dropped_peer_messages.inc({"direction": direction, "reason": reason})
 
+    def set_port_metrics(self) -> None:
+        """Set the metrics of the ports for callers."""
+        for activity in self.ports:
+            port = {"port": activity.port}
+            self.caller_connections.set(port, len(activity.connections))
+            self.caller_connections_limit.set(port, activity.limit)
+            counts = activity.counts
+            for event in ("accepted", "refused", "closed_for_room", "failed", "abandoned"):
+                self.caller_events.set({**port, "event": event}, getattr(counts, event))
+            self.unread_listener.set(port, counts.unread_seconds)
+
+    def set_round_metrics(self) -> None:
+        """Set the metrics of the rounds of the event loop."""
+        if self.rounds is None:
+            return
+        self.rounds_counter.set({}, self.rounds.count)
+        for part in ("accepts", "sockets", "messages"):
+            self.round_seconds.set({"part": part}, getattr(self.rounds.totals, part))
+        self.longest_round.set({}, self.rounds.longest.total)
+
     def render(self) -> tuple[bytes, str]:
         """Return all metrics in the text format, and the content type."""
         self.waiting_gauge.set({}, self.waiting_requests)
@@ -127,5 +163,7 @@
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.processor_seconds.set({}, usage.ru_utime + usage.ru_stime)
         self.resident_memory.set({}, resident_bytes())
+        self.set_port_metrics()
+        self.set_round_metrics()
         text, headers = render(self.registry, ["text/plain"])
         return text, headers["Content-Type"]
--- a/packages/limpetusher-router/src/limpetusher_router/process/root.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/root.py
@@ -6,9 +6,11 @@
 from circuits.core import BaseComponent, handler
 from circuits.core.events import signal as signal_event
 
+from limpetusher.clock import Clock
 from limpetusher_router.events import PROCESS, REQUESTS, FailRequest
 from limpetusher_router.process.failures import request_id_of
 from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.process.rounds import PollerRounds
 
 MAXIMUM_FLUSHES_PER_TICK = 10
 """Queue flushes before each poll; a request causes a chain of about ten messages."""
@@ -27,13 +29,16 @@
     ----------
     metrics
         Metrics of the process.
+    clock
+        Source of time.
     """
 
     channel = PROCESS
 
-    def __init__(self, metrics: Metrics):
+    def __init__(self, metrics: Metrics, *, clock: Clock):
         super().__init__()
         self.metrics = metrics
+        self.rounds = metrics.rounds = PollerRounds(clock)
         self.stopped_cleanly = False
         """Whether the process stopped because of a stop request, not because of a failure."""
 
@@ -42,11 +47,21 @@
 
         circuits itself polls after each flush of the message queue.
         """
-        for _ in range(MAXIMUM_FLUSHES_PER_TICK):
+        rounds = self.rounds
+        for number in range(MAXIMUM_FLUSHES_PER_TICK):
             if not len(self):
                 break
             self.flush()
+            if number == 0:
+                rounds.end_sockets()
+        is_backlogged = bool(len(self))
+        if not is_backlogged:
+            rounds.end()
         super().tick(timeout)
+        if is_backlogged:
+            # The poller did not wait, but the rest of the messages was handled.
+            rounds.end()
+        rounds.begin()
 
     @handler("exception", channel="*")
     def on_exception(
--- a/packages/limpetusher-router/src/limpetusher_router/process/router.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/router.py
@@ -62,7 +62,7 @@
     """
 
     def __init__(self, settings: RouterSettings, *, clock: Clock):
-        super().__init__(Metrics())
+        super().__init__(Metrics(), clock=clock)
         self.settings = settings
         self.clock = clock
         self.flush_deadline: float | None = None
@@ -83,6 +83,7 @@
             settings,
             id_generator=RequestIdGenerator(settings.host_id, incarnation),
             body_memory=body_memory,
+            rounds=self.rounds,
             **common_arguments,
         ).register(self)
         self.targets = TargetClient(settings, clock=clock, **common_arguments).register(self)
--- a/tests/router/connection/test_callers.py
+++ b/tests/router/connection/test_callers.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import re
 import signal
 import socket
 import time
@@ -19,6 +20,7 @@
     running_router,
     unread_connections,
 )
+from limpetusher.events import Event
 
 pytestmark = [pytest.mark.integration, pytest.mark.timeout(60)]
 HEAD_LIMIT = 2048
@@ -177,6 +179,31 @@
             sock.close()
 
 
+def busy_port_lines(log) -> list[dict]:
+    """Return the log lines of a router about its busy port."""
+    lines = [json.loads(line) for line in log.read_text().splitlines()]
+    return [line for line in lines if line.get("event") == Event.CALLER_PORT_BUSY.number]
+
+
+def test_refused_connections_are_logged_and_counted(tmp_path):
+    """Guards against logs that do not tell why a router takes no connections."""
+    options = {"header_timeout_seconds": 20.0, "max_caller_connections": CONNECTION_LIMIT}
+    with running_router(tmp_path, echo, **options) as run:
+        socks = [run.connect() for _ in range(CONNECTION_LIMIT)]
+        for sock in socks:
+            sock.sendall(b"POST")
+        assert status_of(run.exchange(b"")) == 503
+        wait_for(lambda: run.exchange(b"") and busy_port_lines(run.log))
+        line = busy_port_lines(run.log)[0]
+        assert line["open"] >= line["limit"] == CONNECTION_LIMIT
+        assert 1 <= line["refused"] <= line["accepted"]
+        metrics = run.page("/metrics")[1]
+        for sock in socks:
+            sock.close()
+    pattern = r'limpetusher_caller_connections_total\{event="refused",port="callers"\} (\d+)'
+    assert int(re.search(pattern, metrics)[1]) >= line["refused"]
+
+
 def test_idle_connection_with_an_unread_request_is_not_closed(tmp_path):
     """Guards against closing an idle connection with an unread request to accept another connection.
 
