--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -452,6 +452,7 @@
         memory_megabytes: float = 150.0,
         is_first_start: bool = True,
         settings: dict[str, object] | None = None,
+        maximum_descriptors: int = 1024,
         **bounds: float,
     ):
         caller, ready = (f"{ip}:{address.rpartition(':')[2]}" for address in free_addresses(2))
@@ -469,7 +470,7 @@
             "internal_ports": [self.ports, self.ports + 3],
             "seeds": list(seeds),
             "store_address": store,
-            "maximum_descriptors": 1024,
+            "maximum_descriptors": maximum_descriptors,
             "memory_megabytes": memory_megabytes,
             "is_first_start": is_first_start,
             "metrics_port": int(self.metrics.rpartition(":")[2]),
