Let a router that stops hand over its pools at once in its own view

A router that had announced its departure still took itself for the scheduler of its pools until its next tick, up to 0.4 s later, as only ticks discard the elected schedulers. test_stopping_router_hands_its_pools_over_at_once held only because a tick fell into the 0.1 s that it allows; with one more message at the join of routers, which moves the ticks, it failed in each run. The elected schedulers are discarded with the announcement now.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -495,6 +495,7 @@
         members = self.state.members
         addresses = [entry.address for entry in members.live(now) if entry.address != self.own_address]
         members.leave()
+        self.state.pools.invalidate_schedulers(now)
         self.send_gossip((members.own,), addresses)
 
     @handler("SendStoreUpdate")
