--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -25,6 +25,7 @@
     SETTINGS_REFUSED = (1112, logging.ERROR, "settings file refused, current settings kept")
     STORE_READ = (1113, logging.INFO, "store entries read")
     STORE_ENTRY_WITHHELD = (1114, logging.INFO, "older entry of a restored store is not applied for now")
+    STORE_HISTORY_READ = (1115, logging.INFO, "earlier changes of the store read")
     PEER_REACHABLE = (1201, logging.INFO, "peer reachable")
     PEER_UNREACHABLE = (1202, logging.WARNING, "peer unreachable")
     PEER_MESSAGE_DROPPED = (1203, logging.WARNING, "peer message dropped")
--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
-PROTOCOL_VERSION = 7
+PROTOCOL_VERSION = 8
+UNNAMED_STREAM = 1
+"""Identifier of a stream whose caller does not name the request that began it."""
 MAX_TOKENS = 10**9
 """Upper bound of valid token counts."""
 
@@ -55,11 +57,19 @@
     """Whether a target has received the request before."""
     digest: str = ""
     """Digest that all repeats of the request have in common."""
+    stream: int = 0
+    """Identifier by which callers take the stream of the request up again, 0 if they can't."""
+    resumes: int = 0
+    """Identifier of the stream that the request takes up again, 0 for none."""
+    stream_age_seconds: float = 0.0
+    """Greatest time since the stream that the request takes up again can have begun."""
+    version: str | None = None
+    """Software version that has to go on with the stream, None if the router knows of none."""
 
     @property
     def has_valid_numbers(self) -> bool:
         """Return whether all numbers are valid; invalid ones would corrupt the scheduler's sums."""
-        times = (self.goal_seconds, self.waited_seconds, self.remaining_seconds)
+        times = (self.goal_seconds, self.waited_seconds, self.remaining_seconds, self.stream_age_seconds)
         counts = (self.prompt_tokens, self.output_tokens, *(tokens for _name, tokens in self.parts))
         return all(math.isfinite(time) for time in times) and all(
             0 <= count <= MAX_TOKENS for count in counts
@@ -85,6 +95,10 @@
     """Whether the retry budget allows a retry."""
     source_id: str = ""
     """Engine from which cached prompt parts are transferred, empty for no transfer."""
+    version: str | None = None
+    """Software version that has to go on with the stream, None if any may run the request."""
+    version_basis: str = ""
+    """How the version of the target was determined, empty if any may run the request."""
 
 
 class TargetRefusal(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -102,6 +116,11 @@
     """Time for which requests of the customer with the same or a shorter goal would be refused as well."""
     may_crash_targets: bool = False
     """Whether the request is refused because it may crash targets, for which other pools must not get it."""
+    lacks_version: bool = False
+    """Whether the request is refused because the version that began its stream is unknown, or has no target
+    in the pool."""
+    version: str | None = None
+    """Software version that has to go on with the stream, None if any may or if it is unknown."""
 
 
 class PrefillFinished(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -144,6 +163,10 @@
     """Time since the first output, None without any."""
     digest: str = ""
     """Digest that all repeats of the request have in common."""
+    streams: tuple[int, ...] = ()
+    """Identifiers by which callers take the stream of the request up again."""
+    version: str = ""
+    """Software version of the target."""
 
     @property
     def has_valid_numbers(self) -> bool:
@@ -269,6 +292,29 @@
         return all(per_second >= 0 for _target_id, per_second in self.limits)
 
 
+class StreamOrigins(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """Streams that targets of one service and software version began, told to possible later schedulers."""
+
+    service: str
+    version: str | None
+    """None if targets of several versions may have begun the streams."""
+    streams: tuple[int, ...]
+
+
+class VersionUpdate(msgspec.Struct, frozen=True, array_like=True, tag=17):
+    """Software versions that were lately in service, told to a router that starts."""
+
+    known_seconds: float
+    """Time for which the sender knows all of them."""
+    versions: tuple[tuple[str, tuple[str, ...]], ...]
+    """Versions of each service."""
+
+    @property
+    def has_valid_numbers(self) -> bool:
+        """Return whether the number is valid."""
+        return math.isfinite(self.known_seconds) and self.known_seconds >= 0
+
+
 Message = (
     TargetQuery
     | TargetGrant
@@ -285,6 +331,8 @@
     | BrokenAttempt
     | RateLimitNotice
     | RateLimitUpdate
+    | StreamOrigins
+    | VersionUpdate
 )
 
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -33,6 +33,8 @@
     name: str
     cold_per_second: float
     engine: Engine | None = None
+    cold_seconds: float = 0.0
+    """Time after its start for which a target is cold."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +108,8 @@
     revision: int = 0
     started_at_milliseconds: int = 0
     """Wall-clock start time; a different value means that the target has restarted and its cache is empty."""
+    version: str = ""
+    """Version of its software. Only targets of the version that began a stream may go on with it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +179,16 @@
     """Digest that all repeats of the request have in common."""
     excluded: set[str] = field(default_factory=set)
     """Targets that have failed this request."""
+    version: str | None = None
+    """Software version that has to go on with a stream, None if any may run the request."""
+    version_basis: str = ""
+    """How that version is known, empty if any may run the request."""
+    stream: int = 0
+    """Identifier by which callers take the stream of the request up again, 0 if they can't."""
+    resumes: int = 0
+    """Identifier of the stream that the request takes up again, 0 for none."""
+    begins_stream: bool = False
+    """Whether the request begins a stream that callers can take up again, so that nothing of it was sent."""
 
     session: str | None = field(init=False)
     """Identifier by which the request is assigned to an engine, None without prompt parts."""
@@ -186,6 +200,15 @@
         """Return the router and the identifier of the request."""
         return self.client, self.request_id
 
+    @property
+    def is_restricted(self) -> bool:
+        """Return whether some targets of the service must not get the request."""
+        return bool(self.excluded) or self.version is not None
+
+    def accepts(self, target: Target) -> bool:
+        """Return whether a target may get the request."""
+        return target.target_id not in self.excluded and self.version in (None, target.version)
+
     @property
     def takes_busy_engines(self) -> bool:
         """Return whether the request may take another engine than its best one between two bursts of that."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -155,6 +155,21 @@
         """Return whether a target has asked for no requests at the moment."""
         return now < self.backoff_until.get(target_id, 0.0)
 
+    def stream_versions(self, service: str) -> list[tuple[str, str]]:
+        """Return the targets of a service that can begin streams, each with its software version.
+
+        Only the store counts, as its changes are what all routers know.
+        """
+        return [
+            (target.target_id, target.version)
+            for target in self.by_service.get(service, {}).values()
+            if not target.is_draining and target.data_centre not in self.evacuated
+        ]
+
+    def has_listed_version(self, pool: Pool, version: str) -> bool:
+        """Return whether a target in service of a pool has a software version."""
+        return any(target.version == version and self.is_listed(target) for target in self.targets_of(pool))
+
     def targets_of(self, pool: Pool) -> list[Target]:
         """Return all targets of a pool."""
         targets = list(self.by_service.get(pool.service, {}).values())
@@ -210,7 +225,7 @@
         """Return the target with the fewest open requests among those with a free slot."""
         best: tuple[float, TargetView] | None = None
         for state in view.states.values():
-            if not state.has_room or state.target.target_id in request.excluded:
+            if not state.has_room or not request.accepts(state.target):
                 continue
             cost = state.load.requests + state.error_cost
             cost += REMOTE_COST * (state.target.data_centre != request.caller_data_centre)
@@ -240,7 +255,7 @@
         candidates = []
         for target_id in self.ranking(request):
             state = view.states.get(target_id)
-            if state is not None and target_id not in request.excluded:
+            if state is not None and request.accepts(state.target):
                 candidates.append(state)
                 if len(candidates) == self.settings.max_candidates:
                     break
@@ -255,13 +270,13 @@
         for while others get more.
         """
         request.awaited_tokens = 1
-        if request.session in view.closed_sessions and not request.excluded:
+        if request.session in view.closed_sessions and not request.is_restricted:
             request.awaited_id = view.closed_sessions[request.session]
             return None
         request.awaited_id = ""
         engines = self.session_engines(request, view)
         if not any(engine.state.is_open for engine in engines):
-            if engines and not request.excluded:
+            if engines and not request.is_restricted:
                 request.awaited_id = engines[0].state.target.target_id
                 view.closed_sessions[request.session] = request.awaited_id
             return None
@@ -290,7 +305,7 @@
 
     def session_engines(self, request: QueuedRequest, view: PoolView) -> list[SessionEngine]:
         """Return the candidate engines of a request; the view keeps them for its session."""
-        if request.excluded:
+        if request.is_restricted:
             return self.find_session_engines(request, view)
         engines = view.engines_by_session.get(request.session)
         if engines is None:
@@ -374,6 +389,8 @@
         if service is not None and service.engine is not None:
             prefill_seconds += self.burst_seconds(request.pool.service)
         wait = max(goal - prefill_seconds, settings.min_wait_fraction * goal)
+        if request.resumes:
+            wait = max(wait, settings.resumed_stream_wait_seconds)
         return min(wait, request.give_up_at - request.queued_at)
 
     def transfer_source(self, request: QueuedRequest, view: PoolView) -> TransferSource | None:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pools.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pools.py
@@ -18,6 +18,10 @@
 """Number of unresponsive routers in another data centre from which on it counts as unreachable."""
 
 
+MAX_DEPUTIES = 4
+"""Number of routers that know the state of a pool which a later scheduler needs, its scheduler among them."""
+
+
 class Pools:
     """Pools of each service and the routers that schedule them.
 
@@ -112,6 +116,18 @@
             else None
         )
 
+    def deputies(self, pool: Pool, now: float) -> list[str]:
+        """Return the routers of which one schedules a pool if its scheduler fails or is partitioned.
+
+        They are the first ones in the order of preference, and the first one of each data centre.
+        """
+        members = self.members
+        entries = members.responsive(now, pool.data_centre) or members.responsive(now)
+        ranked = sorted(entries, key=lambda entry: scheduler_preference(pool, entry))
+        first_by_data_centre = {entry.data_centre: entry for entry in reversed(ranked)}
+        chosen = [*ranked[:MAX_DEPUTIES], *first_by_data_centre.values()]
+        return sorted({entry.address for entry in chosen})
+
 
 def scheduler_preference(pool: Pool, entry: MemberEntry) -> tuple[float, int]:
     """Return a sort key for the routers that could schedule a pool; hosts with more cores come first."""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -6,6 +6,7 @@
 
 from limpetusher.errors import InvalidInputError
 from limpetusher.fleet.messages import (
+    UNNAMED_STREAM,
     AttemptFinished,
     AttemptOpened,
     BrokenAttempt,
@@ -16,11 +17,13 @@
     RateLimitUpdate,
     SendDelayed,
     ServedTokensUpdate,
+    StreamOrigins,
     StreamProgress,
     TargetGrant,
     TargetNotice,
     TargetQuery,
     TargetRefusal,
+    VersionUpdate,
 )
 from limpetusher.fleet.model import Pool, PromptPart, QueuedRequest
 from limpetusher.fleet.process.placement import Placement
@@ -29,6 +32,7 @@
 from limpetusher.fleet.process.prompt_quarantine import MAX_CONFIRMATION_SECONDS, PromptQuarantine, part_keys
 from limpetusher.fleet.process.rate_limits import RetryBudget
 from limpetusher.fleet.process.served_tokens import ServedTokens
+from limpetusher.fleet.process.stream_versions import StreamOrigin, StreamVersions
 from limpetusher.fleet.process.strikes import (
     REPORT_DELAY_SECONDS,
     BrokenConnection,
@@ -38,10 +42,13 @@
     repeat_key,
 )
 from limpetusher.fleet.process.target_loads import TargetLoad
+from limpetusher.fleet.process.version_history import VersionHistory, version_by_identifier
 from limpetusher.fleet.request.waiting_requests import (
     MIN_RETRY_AFTER_SECONDS,
     PROMPT_QUARANTINED,
     REQUEST_QUARANTINED,
+    VERSION_LEFT,
+    VERSION_UNKNOWN,
     RefusalDecision,
     StartDecision,
     WaitingRequests,
@@ -58,6 +65,7 @@
     BrokenAttempt,
     RateLimitNotice,
     RateLimitUpdate,
+    VersionUpdate,
 )
 """Messages whose numbers are validated before they have an effect."""
 MIN_UNREACHABLE_REPORTS = 2
@@ -68,6 +76,13 @@
 OVERTAKEN_SECONDS = 0.1
 """Time by which a prompt has to be granted before another one to count as overtaken by its first output.
 Covers the usual differences between the routers that send them."""
+BASIS_ROUTER = "router"
+BASIS_SCHEDULER = "scheduler"
+BASIS_IDENTIFIER = "identifier"
+BASIS_ONLY_VERSION = "only version"
+BASIS_OTHER_SERVICE = "other service"
+MAX_VIEW_LAG_SECONDS = 0.6
+"""Time by which the list of targets at another router may lag behind the store."""
 MAX_CUSTOMERS_PER_UPDATE = 300
 """Maximum number of customers in one message to the other schedulers, so that it fits into a datagram."""
 
@@ -94,6 +109,8 @@
 
     is_retry: bool = False
     """Whether the request has taken a token of the retry budget."""
+    taken_over_streams: tuple[int, ...] = ()
+    """Identifiers of the stream of a request that another scheduler has placed."""
     taken_over_parts: frozenset[PartKey] = frozenset()
     """Shared prompt parts and the key of a request that another scheduler has placed."""
 
@@ -109,6 +126,14 @@
         """Return the customer of the request, empty if another scheduler has placed it."""
         return self.request.customer if self.request is not None else ""
 
+    @property
+    def streams(self) -> tuple[int, ...]:
+        """Return the identifiers by which callers take the stream of the request up again."""
+        if self.request is None:
+            return self.taken_over_streams
+        streams = (self.request.stream, self.request.resumes)
+        return tuple(stream for stream in streams if stream > UNNAMED_STREAM)
+
     @property
     def shared_parts(self) -> frozenset[PartKey]:
         """Return the prompt parts that other requests may share, and the key of the request."""
@@ -134,6 +159,8 @@
         self.pools = pools
         self.served = ServedTokens()
         self.quarantine = PromptQuarantine()
+        self.streams = StreamVersions()
+        self.versions = VersionHistory()
         self.waiting = WaitingRequests(settings, placement, self.served, self.quarantine)
         self.alive_at: dict[str, float] = {}
         """Times of the last outputs and complete answers of targets."""
@@ -143,6 +170,8 @@
         self.prefilling: dict[str, dict[tuple[str, str], Job]] = {}
         """Jobs without a first output by target, in the order of their grants."""
         self.budgets: dict[Pool, RetryBudget] = {}
+        self.scheduled_since: dict[Pool, float] = {}
+        """When this router first scheduled a request of each pool."""
         self.unreachable_reports: dict[str, dict[str, float]] = {}
         """Times of the last reports that a target is unreachable, by target and router."""
         self.cooldowns_adjusted_at = 0.0
@@ -183,6 +212,7 @@
         pool = Pool(message.service, message.data_centre)
         budget = self.retry_budget(pool)
         pools = len(self.pools.for_service(message.service))
+        self.scheduled_since.setdefault(pool, now)
         if not message.is_retry:
             budget.record_request(pools, now)
         elif not budget.try_spend(pools, now):
@@ -211,11 +241,18 @@
             digest=message.digest,
             excluded=set(message.excluded),
             caller_data_centre=message.caller_data_centre,
+            stream=message.stream,
+            resumes=message.resumes,
+            begins_stream=bool(message.stream) and not message.resumes and message.version is None,
         )
         if message.attempt == 1:
             self.served.decay(now)
             self.served.add_asked(request.customer, throughput_tokens(request))
-        refusal = self.refuse_for_parts(message, request, now) or self.waiting.refuse_on_arrival(request, now)
+        refusal = (
+            self.refuse_for_parts(message, request, now)
+            or self.refuse_for_version(message, request, now)
+            or self.waiting.refuse_on_arrival(request, now)
+        )
         job = Job(message.attempt, pool, request, is_retry=message.is_retry)
         if refusal is not None:
             self.refund_retry(job)
@@ -245,6 +282,63 @@
             return RefusalDecision(request, reason, MIN_RETRY_AFTER_SECONDS, 0.0)
         return None
 
+    def refuse_for_version(
+        self, message: TargetQuery, request: QueuedRequest, now: float
+    ) -> RefusalDecision | None:
+        """Bind a request to the version that began its stream, or return the refusal if that is not possible.
+
+        What another version writes must not be joined to the stream, so that a version is never guessed.
+        """
+        request.version, request.version_basis = self.determine_version(message, request, now)
+        if request.version is None:
+            if not message.resumes or request.version_basis == BASIS_OTHER_SERVICE:
+                return None
+            return RefusalDecision(request, VERSION_UNKNOWN, MIN_RETRY_AFTER_SECONDS, 0.0)
+        if self.placement.has_listed_version(request.pool, request.version):
+            return None
+        return RefusalDecision(request, VERSION_LEFT, MIN_RETRY_AFTER_SECONDS, 0.0)
+
+    def determine_version(
+        self, message: TargetQuery, request: QueuedRequest, now: float
+    ) -> tuple[str | None, str]:
+        """Return the version that has to run a request, None if any may or if it is unknown, and the basis.
+
+        A new stream is bound to the version that its identifier names, by which the version is found again.
+        """
+        if message.version is not None:
+            return message.version, BASIS_ROUTER
+        if request.begins_stream:
+            targets = self.placement.stream_versions(message.service)
+            version = version_by_identifier(message.stream, targets)
+            return version, "" if version is None else BASIS_IDENTIFIER
+        if not message.resumes:
+            return None, ""
+        origin = self.streams.find(message.resumes, now)
+        if origin is not None:
+            if origin.service != message.service:
+                return None, BASIS_OTHER_SERVICE
+            return origin.version, BASIS_SCHEDULER
+        since = now - message.stream_age_seconds - MAX_VIEW_LAG_SECONDS
+        versions = self.versions.possible_versions(message.service, 0, since, now)
+        if len(versions) == 1:
+            return versions.pop(), BASIS_ONLY_VERSION
+        until = self.scheduled_since[request.pool]
+        if message.resumes == UNNAMED_STREAM or now - message.stream_age_seconds > until:
+            # The second condition is that this scheduler would know the stream.
+            return None, ""
+        versions = self.versions.possible_versions(message.service, message.resumes, since, until)
+        return versions.pop() if len(versions) == 1 else None, BASIS_IDENTIFIER
+
+    @handle.register
+    def on_stream_origins(self, message: StreamOrigins, client: str, now: float) -> None:
+        """Record the streams that another scheduler has placed."""
+        self.streams.apply(message, now)
+
+    @handle.register
+    def on_versions(self, message: VersionUpdate, client: str, now: float) -> None:
+        """Record the software versions that another router knows to have been in service."""
+        self.versions.apply(message, now)
+
     @handle.register
     def on_quarantine(self, message: QuarantineUpdate, client: str, now: float) -> None:
         """Apply the quarantines of another router."""
@@ -271,6 +365,9 @@
         pool = Pool(message.service, message.data_centre)
         job = Job(message.attempt, pool, None, message.target_id, load)
         job.taken_over_parts = part_keys(message.service, message.part_ids, message.digest)
+        job.taken_over_streams = message.streams
+        for stream in message.streams:
+            self.streams.record(stream, StreamOrigin(message.service, message.version), now)
         if message.output_age_seconds is not None:
             job.output_at = now - message.output_age_seconds
         self.add_job(client, message.request_id, job)
@@ -286,12 +383,24 @@
         self.record_target_alive(job, now)
         self.charge(job, now)
         job.output_at = now
+        self.record_stream(job, now)
+        self.streams.unannounced.extend(job.streams)
         if job.has_shared_parts:
             self.quarantine.record_output(job.target_id, (client, message.request_id), job.shared_parts, now)
         self.end_overtaken_prefills(job, now)
         self.prefilling.get(job.target_id, {}).pop((client, message.request_id), None)
         self.end_prefill(job, now)
 
+    def record_stream(self, job: Job, now: float) -> None:
+        """Record the version of the target that gets a request, and again when that has begun its stream.
+
+        Another attempt at the request, which has ended without output, removes the first record.
+        """
+        target = self.placement.targets.get(job.target_id)
+        if target is not None:
+            for stream in job.streams:
+                self.streams.record(stream, StreamOrigin(target.service, target.version), now)
+
     def end_overtaken_prefills(self, finished: Job, now: float) -> None:
         """End the prefill of prompts that were granted well before one that has a first output already.
 
@@ -388,6 +497,8 @@
         if target_id is None:
             self.refund_retry(job)
         outcome = Outcome(message.outcome)
+        if job.output_at is None and job.request is not None and job.request.begins_stream:
+            self.streams.discard(job.request.stream)
         if not message.may_have_run:
             self.retract_charge(job, now)
         if target_id is None or outcome is Outcome.WITHDRAWN:
@@ -566,6 +677,7 @@
         job.granted_at = now
         job.charged_at = now
         self.prefilling.setdefault(job.target_id, {})[request.client, request.request_id] = job
+        self.record_stream(job, now)
         return TargetGrant(
             request_id=request.request_id,
             attempt=job.attempt,
@@ -580,6 +692,8 @@
                 len(self.pools.for_service(request.pool.service)), now
             ),
             source_id=choice.source_id,
+            version=None if request.begins_stream else request.version,
+            version_basis=request.version_basis,
         )
 
     def refuse(self, decision: RefusalDecision, now: float) -> TargetRefusal:
@@ -608,4 +722,6 @@
         served_part=round(request.served_part, 3),
         closed_seconds=decision.closed_seconds,
         may_crash_targets=decision.may_crash_targets,
+        lacks_version=decision.lacks_version,
+        version=request.version if decision.lacks_version and not request.begins_stream else None,
     )
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
@@ -0,0 +1,287 @@
+"""Targets that could begin streams, and the software version that a stream has by its identifier.
+
+While targets of several versions are in service, the identifier of a new stream names the version that
+begins it: that of the target with the highest hash. A router that knows which targets were in service when
+the stream may have begun finds the version again, although all routers have lost their state since.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from limpetusher.fleet.messages import VersionUpdate
+from limpetusher.fleet.version.routing import stable_hash
+
+MAX_AGE_SECONDS = 60.0
+"""Time for which it is kept when targets were in service; longer than callers wait."""
+
+
+@dataclass(slots=True)
+class TargetSpan:
+    """Time in which a target with one software version could begin streams, by the monotonic clock.
+
+    Service and version are None for a target of which nothing but its removal is known.
+    """
+
+    target_id: str
+    service: str | None
+    version: str | None
+    since: float
+    until: float = math.inf
+    started_at: float = -math.inf
+    """Latest time at which the target may have started; another one may have had its identifier before."""
+    data_centre: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetEntry:
+    """Entry of a target in the history of the store; its removal has no service."""
+
+    target_id: str
+    revision: int
+    is_first: bool = False
+    """Whether the target had no entry before."""
+    service: str = ""
+    version: str = ""
+    is_ready: bool = False
+    """Whether the target could begin streams from then on."""
+    started_at: float = math.inf
+    """Latest time at which the target may have started, infinite if it is not known."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreHistory:
+    """Changes of the store after a revision, in their order."""
+
+    after: int
+    entries: tuple[TargetEntry, ...] = ()
+    evacuations: tuple[tuple[str, int], ...] = ()
+    """Data centres that were evacuated or taken back into service, each with the revision of the change."""
+    known_times: tuple[tuple[int, float], ...] = ()
+    """Revisions, each with a time by which the store had it. The changes themselves tell no times."""
+    since_time: float = -math.inf
+    """Time since which these are the changes."""
+
+    def since(self, time: float) -> "StoreHistory | None":
+        """Return the changes since a time, None if not all of them are known."""
+        revisions = [
+            revision for revision, known_at in self.known_times if known_at <= time and revision >= self.after
+        ]
+        if not revisions:
+            return None
+        after = max(revisions)
+        return StoreHistory(
+            after,
+            tuple(entry for entry in self.entries if entry.revision > after),
+            tuple(change for change in self.evacuations if change[1] > after),
+            since_time=time,
+        )
+
+    def interrupts(self, span: TargetSpan) -> bool:
+        """Return whether a target may not have been in service throughout the changes."""
+        if span.started_at > self.since_time:
+            return True
+        return any(changed == span.data_centre for changed, _revision in self.evacuations) or any(
+            entry.is_first
+            or not entry.is_ready
+            or entry.started_at > self.since_time
+            or (entry.service, entry.version) != (span.service, span.version)
+            for entry in self.entries
+            if entry.target_id == span.target_id
+        )
+
+    def spans(self, changes: "StoreHistory") -> list[tuple[TargetSpan, bool]]:
+        """Return the targets of some of the changes, which were in service for a part of the time only."""
+        by_target: dict[str, list[TargetEntry]] = {}
+        for entry in changes.entries:
+            by_target.setdefault(entry.target_id, []).append(entry)
+        found = []
+        for target_id, entries in by_target.items():
+            earlier = None if entries[0].is_first else self.last_entry(target_id, changes.after)
+            versions = {
+                (entry.service, entry.version) for entry in (earlier, *entries) if entry and entry.service
+            }
+            is_known_before = (
+                entries[0].is_first or earlier is not None or entries[0].started_at <= changes.since_time
+            )
+            if not versions or not is_known_before:
+                # What the target was before is not known; of one that was removed, not even its service.
+                versions.add((None, None))
+            for service, version in versions:
+                found.append((TargetSpan(target_id, service, version, -math.inf), False))
+        return found
+
+    def unknown_predecessors(
+        self, spans: Iterable[TargetSpan], since: float
+    ) -> list[tuple[TargetSpan, bool]]:
+        """Return what may have had the identifiers of targets that have started since a time."""
+        new_targets = {entry.target_id for entry in self.entries if entry.is_first}
+        return [
+            (TargetSpan(span.target_id, None, None, -math.inf), False)
+            for span in spans
+            if span.started_at > since and span.target_id not in new_targets
+        ]
+
+    def last_entry(self, target_id: str, revision: int) -> TargetEntry | None:
+        """Return the last entry of a target up to a revision, None if it is not in the history."""
+        earlier = [
+            entry for entry in self.entries if entry.target_id == target_id and entry.revision <= revision
+        ]
+        return earlier[-1] if earlier and earlier[-1].service else None
+
+
+class VersionHistory:
+    """Targets that could begin streams, and since when that is known."""
+
+    def __init__(self):
+        self.known_since = math.inf
+        """Time since which all targets are known that could begin streams."""
+        self.told_since = math.inf
+        """Time since which another router has known all versions, as it has told at the start of this one."""
+        self.told_versions: dict[str, set[str]] = {}
+        self.history: StoreHistory | None = None
+        """Changes of the store before the start of this router, None if they are not known."""
+        self.present: dict[str, TargetSpan] = {}
+        self.past: list[TargetSpan] = []
+        self.evacuations_changed_at: dict[str, float] = {}
+        """When each data centre was last evacuated or taken back into service."""
+        self.evacuated: set[str] = set()
+
+    def start(self, now: float, *, is_first_start: bool = False) -> None:
+        """Begin to follow the targets, or begin anew after changes that were not seen.
+
+        No stream has begun before the first start of the whole fleet.
+        """
+        self.known_since = -math.inf if is_first_start else now
+        self.told_since = math.inf
+        self.history = None
+
+    def observe(
+        self,
+        target_id: str,
+        service: str,
+        version: str,
+        data_centre: str,
+        now: float,
+        *,
+        started_at: float = -math.inf,
+    ) -> None:
+        """Record that a target can begin streams."""
+        span = self.present.get(target_id)
+        if span is not None and (span.service, span.version) == (service, version):
+            return
+        self.end(target_id, now)
+        self.present[target_id] = TargetSpan(
+            target_id, service, version, now, started_at=started_at, data_centre=data_centre
+        )
+
+    def end(self, target_id: str, now: float) -> None:
+        """Record that a target can begin no more streams."""
+        span = self.present.pop(target_id, None)
+        if span is not None:
+            span.until = now
+            kept = [earlier for earlier in self.past if now < earlier.until + MAX_AGE_SECONDS]
+            if len(kept) < len(self.past):
+                self.known_since = max(self.known_since, now - MAX_AGE_SECONDS)
+            self.past = [*kept, span]
+
+    def note_evacuation(self, data_centre: str, is_evacuated: bool, now: float) -> None:
+        """Record that a data centre was evacuated or taken back into service."""
+        self.evacuations_changed_at[data_centre] = now
+        if is_evacuated:
+            self.evacuated.add(data_centre)
+        else:
+            self.evacuated.discard(data_centre)
+
+    def recent_versions(self, service: str, now: float) -> set[str]:
+        """Return the versions of the targets of a service that could lately begin streams."""
+        return {
+            span.version
+            for span in (*self.present.values(), *self.past)
+            if span.service == service and now <= span.until + MAX_AGE_SECONDS
+        }
+
+    def update(self, services: Iterable[str], now: float) -> VersionUpdate:
+        """Return which versions were lately in service, for a router that starts."""
+        known_seconds = min(max(0.0, now - self.known_since), MAX_AGE_SECONDS)
+        return VersionUpdate(
+            known_seconds,
+            tuple((service, tuple(sorted(self.recent_versions(service, now)))) for service in services),
+        )
+
+    def apply(self, message: VersionUpdate, now: float) -> None:
+        """Record which versions another router knows to have been in service."""
+        told_since = now - message.known_seconds
+        if told_since < self.told_since:
+            self.told_since = told_since
+            self.told_versions = {service: set(versions) for service, versions in message.versions}
+
+    def possible_versions(self, service: str, stream: int, since: float, until: float) -> set[str | None]:
+        """Return the versions that a stream may have that has begun between two times.
+
+        A target that could only begin streams for a part of the time may have been the one with the highest
+        hash or not. Without an identifier (0), any target may have begun the stream. The set contains None
+        for a target of an unknown version. It is empty if it is not known which targets could begin streams.
+        """
+        if self.told_since <= since < self.known_since:
+            told = self.told_versions.get(service, set()) | self.recent_versions(service, until)
+            if len(told) == 1:
+                return told
+        spans = self.spans_between(since, until)
+        ranked = sorted(
+            (entry for entry in spans or () if entry[0].service in (None, service)),
+            key=lambda entry: stream_rank(stream, entry[0].target_id),
+            reverse=True,
+        )
+        versions = set()
+        for span, is_whole in ranked:
+            versions.add(span.version)
+            if is_whole and stream:
+                break
+        return versions
+
+    def spans_between(self, since: float, until: float) -> list[tuple[TargetSpan, bool]] | None:
+        """Return the targets that could begin streams between two times, each with whether it could always.
+
+        None is returned if they are not known.
+        """
+        if since >= self.known_since:
+            return self.spans_seen(since, until)
+        changes = self.history.since(since) if self.history is not None else None
+        if changes is None:
+            return None
+        found = [
+            (span, is_whole and not changes.interrupts(span))
+            for span, is_whole in self.spans_seen(self.known_since, max(until, self.known_since))
+        ]
+        initial = [span for span, _is_whole in found]
+        return found + self.history.spans(changes) + self.history.unknown_predecessors(initial, since)
+
+    def spans_seen(self, since: float, until: float) -> list[tuple[TargetSpan, bool]]:
+        """Return the same for times since when this router has known all targets."""
+        return [
+            (span, span.since <= since and until <= span.until and self.is_in_service(span, since))
+            for span in (*self.present.values(), *self.past)
+            if span.since <= until and since <= span.until
+        ]
+
+    def is_in_service(self, span: TargetSpan, since: float) -> bool:
+        """Return whether the data centre of a target was neither evacuated nor taken back since a time."""
+        changed_at = self.evacuations_changed_at.get(span.data_centre, -math.inf)
+        return span.data_centre not in self.evacuated and changed_at <= since
+
+
+def stream_rank(stream: int, target_id: str) -> int:
+    """Return the hash by which the identifier of a stream names a target."""
+    return stable_hash(f"{stream:x}", target_id)
+
+
+def version_by_identifier(stream: int, versions: Iterable[tuple[str, str]]) -> str | None:
+    """Return the version that begins a stream, None if all targets have the same.
+
+    `versions` are the targets that can begin streams, each with its version.
+    """
+    by_target = dict(versions)
+    if len(set(by_target.values())) < 2:
+        return None
+    return by_target[max(by_target, key=lambda target_id: stream_rank(stream, target_id))]
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from limpetusher.fleet.messages import (
+    UNNAMED_STREAM,
     AttemptFinished,
     AttemptOpened,
     BrokenAttempt,
@@ -50,6 +51,14 @@
     parts: tuple[PromptPart, ...]
     digest: str = ""
     """Digest that all repeats of the request have in common."""
+    stream: int = 0
+    """Identifier by which callers take the stream of the request up again, 0 if they can't."""
+    resumes: int = 0
+    """Identifier of the stream that the request takes up again, 0 for none."""
+    stream_begun_after: float = 0.0
+    """Time after which the stream must have begun that the request takes up again."""
+    version: str | None = None
+    """Software version that has to go on with the stream, None while any may begin it or none is known."""
     attempt: int = 0
     """Number of the current attempt; answers to earlier ones are ignored."""
     excluded: set[str] = field(default_factory=set)
@@ -63,6 +72,8 @@
     """Pools that have refused the current attempt."""
     grant: TargetGrant | None = None
     """The scheduler's grant, while the request is open at a target."""
+    granted_version: str = ""
+    """Software version of the target at which the request is open."""
     output_at: float | None = None
     """Time of the first output of the current attempt, None without any."""
 
@@ -77,6 +88,11 @@
         part_ids = tuple(part.part_id for part in self.parts[:-1])
         return part_ids if sum(map(len, part_ids)) <= MAX_REPORTED_PART_BYTES else ()
 
+    @property
+    def streams(self) -> tuple[int, ...]:
+        """Return the identifiers by which callers take the stream up again."""
+        return tuple(stream for stream in (self.stream, self.resumes) if stream > UNNAMED_STREAM)
+
     def output_age_seconds(self, now: float) -> float | None:
         """Return the time since the first output, None without any."""
         return None if self.output_at is None else max(0.0, now - self.output_at)
@@ -189,7 +205,7 @@
     def closed_pool(self, pool: Pool, target_request: TargetRequest, now: float) -> ClosedPool | None:
         """Return the state of a pool that would refuse a request, None if it has to be asked."""
         closed = self.closed.get((pool, target_request.customer))
-        if closed is None or target_request.goal_seconds > closed.goal_seconds:
+        if closed is None or target_request.resumes or target_request.goal_seconds > closed.goal_seconds:
             return None
         return closed if now < closed.until else None
 
@@ -209,6 +225,8 @@
                 target_request.reported_part_ids,
                 target_request.output_age_seconds(now),
                 target_request.digest,
+                target_request.streams,
+                target_request.granted_version,
             )
             self.send(target_request.scheduler, opened)
             return
@@ -228,6 +246,10 @@
             caller_data_centre=self.pools.members.own.data_centre,
             is_retry=target_request.is_retry,
             digest=target_request.digest,
+            stream=target_request.stream,
+            resumes=target_request.resumes,
+            stream_age_seconds=now - target_request.stream_begun_after if target_request.resumes else 0.0,
+            version=target_request.version,
         )
         self.send(target_request.scheduler, message)
 
@@ -245,6 +267,8 @@
         target_request = self.find_waiting(answer, scheduler)
         if target_request is not None:
             target_request.grant = answer
+            if answer.version is not None:
+                target_request.version = answer.version
             self.may_repeat[target_request.pool] = answer.may_repeat
         return target_request
 
@@ -253,6 +277,8 @@
         target_request = self.find_waiting(answer, scheduler)
         if target_request is None:
             return None
+        if answer.version is not None:
+            target_request.version = answer.version
         if answer.is_retry_budget_spent:
             self.may_repeat[target_request.pool] = False
         else:
@@ -265,7 +291,7 @@
             if (
                 other is not None
                 and not answer.may_crash_targets
-                and len(target_request.refusing_pools) < MAX_TRIED_POOLS
+                and (answer.lacks_version or len(target_request.refusing_pools) < MAX_TRIED_POOLS)
                 and now - target_request.queued_at < target_request.goal_seconds
             ):
                 self.choose_pool(target_request, now)
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -28,6 +28,8 @@
 BACKLOG_TOO_LONG = "the backlog is too long"
 PROMPT_QUARANTINED = "a part of the prompt has crashed engines"
 REQUEST_QUARANTINED = "the request has crashed targets"
+VERSION_UNKNOWN = "the software version that began the stream is not known"
+VERSION_LEFT = "no target has the software version that began the stream"
 STARTED_LEVEL_SECONDS = 0.25
 """Time for which a start shows up to which level customers are served. Covers the pauses between bursts."""
 FAIR_SERVED_PART = 0.8
@@ -72,6 +74,11 @@
         """Return whether the request is refused because it may crash targets."""
         return self.reason in (PROMPT_QUARANTINED, REQUEST_QUARANTINED)
 
+    @property
+    def lacks_version(self) -> bool:
+        """Return whether the request is refused for want of the software version that began its stream."""
+        return self.reason in (VERSION_UNKNOWN, VERSION_LEFT)
+
 
 @dataclass(frozen=True, slots=True)
 class SaturatedPool:
@@ -154,10 +161,11 @@
     def refuse_on_arrival(self, request: QueuedRequest, now: float) -> RefusalDecision | None:
         """Return the refusal of a request that can't start in time, None if it has to be queued.
 
-        The queue of a pool only grows to what its targets can start in time, however much arrives.
+        The queue of a pool only grows to what its targets can start in time, however much arrives. Streams
+        that callers take up again are queued, as a part of their answers was sent already.
         """
         saturated = self.saturated.get(request.pool)
-        if saturated is None or now > saturated.decided_at + MAX_SATURATION_AGE_SECONDS:
+        if saturated is None or request.resumes or now > saturated.decided_at + MAX_SATURATION_AGE_SECONDS:
             return None
         latest_start_at = request.queued_at + self.placement.max_wait_seconds(request)
         waiting = self.by_pool.get(request.pool, [])
@@ -363,6 +371,7 @@
                     reason = "no target had room in time"
                 elif (
                     prefill_rate
+                    and not request.resumes
                     and now + prefill_tokens_before / prefill_rate > request.latest_start_at
                     and not self.is_overtaken(pool, served + customer_tokens_before, now)
                 ):
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -45,6 +45,9 @@
         Fraction of its maximum wait for which a request only waits for the engine with the lowest cost.
     min_wait_fraction
         Fraction of its goal for which a request may always wait for a target before it is refused.
+    resumed_stream_wait_seconds
+        Time for which a stream that its caller takes up again may at least wait for a target. The first event
+        has been in time, and callers abandon a stream after 2 s at the earliest.
     initial_suspension_seconds
         Initial suspension of an unreachable target; doubles up to `max_suspension_seconds`.
     max_suspension_seconds
@@ -71,6 +74,7 @@
     first_output_seconds: float = 0.1
     best_engine_wait_fraction: float = 0.7
     min_wait_fraction: float = 0.2
+    resumed_stream_wait_seconds: float = 1.5
     initial_suspension_seconds: float = 0.25
     max_suspension_seconds: float = 2.0
     assumed_cold_seconds: float = 3.0
--- a/packages/limpetusher-core/src/limpetusher/fleet/version/mirror.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/version/mirror.py
@@ -38,6 +38,8 @@
     key: str
     value: bytes
     revision: int
+    created_revision: int = 0
+    """Number that the store gave out for the first value since the key was last removed, 0 if unknown."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -284,6 +284,21 @@
         super().__init__(changes)
 
 
+class StoreHistoryRead(Message):
+    """Changes of the platform's store before the start were read: (items, revision after which they are)."""
+
+    def __init__(self, items: list, after: int):
+        super().__init__(items, after)
+
+
+class ReadStoreHistory(Message):
+    """Read the changes before the start that the platform's store still has."""
+
+
+class StoreChangesMissed(Message):
+    """The local copy of the platform's store was replaced; not all changes since the last one were seen."""
+
+
 class DatagramsReceived(Message):
     """Datagrams from other routers were received: (pairs of address and datagram)."""
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -2,11 +2,12 @@
 
 from limpetusher.clock import Clock
 from limpetusher.core.refusals import Ran
+from limpetusher.fleet.messages import UNNAMED_STREAM
 from limpetusher.fleet.model import RequestKind, Route
 from limpetusher.fleet.request.scheduler_client import TargetRequest
 from limpetusher.fleet.version.routing import choose_service
 from limpetusher_router.connection.framing import RequestHead
-from limpetusher_router.fleet.digests import request_digest
+from limpetusher_router.fleet.digests import request_digest, stream_identifier
 from limpetusher_router.fleet.event_relay import EventRelay
 from limpetusher_router.fleet.exchange import Exchange
 from limpetusher_router.fleet.refusals import (
@@ -20,6 +21,12 @@
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.platform.requests import RequestFields
 
+MAXIMUM_WAIT_SECONDS = 3_600.0
+"""Waits of callers above this one count as this one."""
+MAXIMUM_RECORDED_WAITS = 10_000
+"""Number of routes and customers whose longest waits are kept."""
+BEFORE_FIRST_EVENT = "0"
+"""Identifier of the last event by which a caller says that it has received none."""
 NOT_READY_RETRY_SECONDS = 0.5
 """Roughly how long a router that has just started takes to get the configuration."""
 
@@ -38,6 +45,9 @@
     def __init__(self, state: FleetState, *, clock: Clock):
         self.state = state
         self.clock = clock
+        self.longest_waits: dict[tuple[str, str], float] = {}
+        """Longest time for which a caller of a customer waits for a new stream beyond the route's timeout, by
+        route and customer."""
         self.is_closing = False
         """Whether the process is about to exit, so that all requests are refused."""
 
@@ -65,12 +75,45 @@
         now = self.clock.monotonic()
         target_request = self.make_target_request(request_id, route, fields, customer or "", now)
         target_request.digest = request_digest(head, body, customer or "", fields.parts)
+        if route.kind is RequestKind.STREAMING and route.is_resumable:
+            self.identify_stream(target_request, route, fields, now)
         quarantine = self.state.find_quarantine(target_request, now)
         if quarantine is not None:
             return quarantine_refusal(quarantine, now, digest=target_request.digest)
         relay = EventRelay(fields.last_event_id, is_numbered=route.kind is RequestKind.STREAMING)
         return Exchange(request_id, head, body, fields, route, target_request, customer, now, relay)
 
+    def identify_stream(
+        self, target_request: TargetRequest, route: Route, fields: RequestFields, now: float
+    ) -> None:
+        """Set the identifiers of a request's stream, and the version that began it if it is known here."""
+        customer = target_request.customer
+        if fields.caller_request_id:
+            target_request.stream = stream_identifier(customer, fields.caller_request_id)
+        if fields.last_event_id not in (None, "", BEFORE_FIRST_EVENT):
+            target_request.resumes = UNNAMED_STREAM
+            if fields.resumed_request_id:
+                target_request.resumes = stream_identifier(customer, fields.resumed_request_id)
+            origin = self.state.scheduler.streams.find(target_request.resumes, now)
+            if origin is not None and origin.service == target_request.service:
+                target_request.version = origin.version
+            seconds_waited = self.longest_wait(route, customer) - (fields.seconds_left or 0.0)
+            target_request.stream_begun_after = now - max(0.0, seconds_waited)
+        elif fields.seconds_left is not None:
+            self.record_wait(route, customer, fields.seconds_left)
+
+    def record_wait(self, route: Route, customer: str, seconds: float) -> None:
+        """Record for how long the caller of a new stream waits for the whole of it."""
+        key = (route.name, customer)
+        if seconds > max(route.timeout_seconds, self.longest_waits.get(key, 0.0)):
+            if len(self.longest_waits) >= MAXIMUM_RECORDED_WAITS:
+                self.longest_waits.clear()
+            self.longest_waits[key] = min(seconds, MAXIMUM_WAIT_SECONDS)
+
+    def longest_wait(self, route: Route, customer: str) -> float:
+        """Return the longest time for which the callers of a customer wait for the whole of a stream."""
+        return max(route.timeout_seconds, self.longest_waits.get((route.name, customer), 0.0))
+
     def make_target_request(
         self, request_id: str, route: Route, fields: RequestFields, customer: str, now: float
     ) -> TargetRequest:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -191,6 +191,8 @@
         if attempt.has_output:
             return
         attempt.has_output = True
+        self.requests.withdraw_replacement(exchange)
+        self.state.record_stream_begun(exchange.target_request, attempt.target, attempt.last_received_at)
         self.metrics.first_output.observe({}, attempt.last_received_at - exchange.arrived_at)
         self.state.scheduler_client.report_first_output(
             exchange.target_request.request_id, attempt.last_received_at
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/digests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/digests.py
@@ -3,11 +3,17 @@
 import hashlib
 
 from limpetusher.fleet.model import PromptPart
+from limpetusher.fleet.version.routing import stable_hash
 from limpetusher_router.connection.framing import RequestHead
 
 DIGEST_BYTES = 8
 
 
+def stream_identifier(customer: str, caller_request_id: str) -> int:
+    """Return the identifier of a stream that begins in the answer to a request, the same at all routers."""
+    return stable_hash(customer, caller_request_id)
+
+
 def request_digest(
     head: RequestHead, body: bytes | memoryview, customer: str, parts: tuple[PromptPart, ...] = ()
 ) -> str:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -376,6 +376,7 @@
         self.state.scheduler.on_tick(now)
         self.announce_quarantines(now)
         self.announce_limits(now)
+        self.announce_streams(now)
         if now >= self.last_gossip_at + GOSSIP_INTERVAL_SECONDS:
             self.last_gossip_at = now
             self.run_gossip_round(now)
@@ -427,6 +428,25 @@
         for update in rate_limit_updates(limits, is_change=True):
             self.send_to_all(update, now)
 
+    def announce_streams(self, now: float) -> None:
+        """Tell the routers that may schedule a pool next which versions began its streams.
+
+        Nothing is sent while there is only one version.
+        """
+        scheduler = self.state.scheduler
+        services = [service for service in self.state.placement.by_service if self.has_versions(service, now)]
+        if not services or not scheduler.streams.unannounced:
+            return
+        pools = [pool for service in services for pool in self.state.pools.for_service(service)]
+        addresses = {address for pool in pools for address in self.state.pools.deputies(pool, now)}
+        for message in scheduler.streams.take_unannounced(now):
+            for address in sorted(addresses - {self.own_address}):
+                self.send(address, message)
+
+    def has_versions(self, service: str, now: float) -> bool:
+        """Return whether targets of a service have or lately had several software versions."""
+        return len(self.state.versions.recent_versions(service, now)) > 1
+
     def send_to_all(self, message: Message, now: float) -> None:
         """Send a message to all other live routers."""
         for member in self.state.members.live(now):
@@ -441,6 +461,10 @@
         limits = self.state.placement.limits.known_limits()
         for update in rate_limit_updates(limits, is_change=False):
             self.send(address, update)
+        self.send(address, self.state.versions.update(self.state.placement.by_service, now))
+        if any(self.has_versions(service, now) for service in self.state.placement.by_service):
+            for message in self.state.scheduler.streams.known(now):
+                self.send(address, message)
 
     def check_schedulers(self, now: float) -> None:
         """Suspect schedulers that acknowledge nothing, and ping those that have sent nothing lately."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -1,6 +1,7 @@
 """Router process of a platform host: component tree, startup, reload and shutdown."""
 
 import logging
+import math
 import random
 import signal
 import types
@@ -32,6 +33,7 @@
     CloseAfterAnswers,
     CloseIdleConnections,
     DeadlineReached,
+    ReadStoreHistory,
     SettingsChanged,
     StopAccepting,
 )
@@ -40,9 +42,10 @@
 from limpetusher_router.fleet.internal_pages import InternalPages
 from limpetusher_router.fleet.peers import PeerMessaging
 from limpetusher_router.fleet.requests import FleetRequests
-from limpetusher_router.fleet.state import FleetState
+from limpetusher_router.fleet.state import FleetState, Registration
 from limpetusher_router.fleet.store_reader import REGULAR_UPDATE, StoreReader
 from limpetusher_router.platform.settings_file import HostSettings, read_settings
+from limpetusher_router.platform.store import HistoryItem
 from limpetusher_router.process.body_memory import BodyMemory
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.logs import log_event
@@ -124,6 +127,8 @@
         self.clock = clock
         self.stop_requested_at: float | None = None
         self.has_been_ready = False
+        self.registrations: tuple[Registration, ...] = ()
+        """When the targets were registered that are listed at the start."""
         self.started_at = clock.monotonic()
         self.settings = router_settings(host)
         self.state = FleetState(host, fleet_settings(host), clock=clock, rng=random.Random())
@@ -233,13 +238,29 @@
     def on_store_read(self, changes: list[Change]) -> None:
         """Apply changes of the store."""
         before = self.state.configuration
+        is_first_read = self.state.versions.known_since == math.inf
         self.state.apply_changes(changes)
+        if is_first_read:
+            self.state.versions.start(self.clock.monotonic(), is_first_start=self.host.is_first_start)
+        if is_first_read and not self.host.is_first_start:
+            self.registrations = self.state.registrations(changes)
+            self.fire(ReadStoreHistory(), STORE)
         configuration = self.state.configuration
         if configuration is not None and configuration is not before:
             if before is None:
                 log_event(Event.ROUTER_READY, configuration=configuration.version)
             self.apply_limits()
 
+    @handler("StoreHistoryRead", channel=REQUESTS)
+    def on_history_read(self, items: list[HistoryItem], after: int) -> None:
+        """Apply the changes of the store before the start of this router."""
+        self.state.apply_history(items, after, self.registrations)
+
+    @handler("StoreChangesMissed", channel=REQUESTS)
+    def on_changes_missed(self) -> None:
+        """Forget since when all targets are known, as some may have come and gone unseen."""
+        self.state.versions.start(self.clock.monotonic())
+
     def apply_limits(self) -> None:
         """Apply the limits of the configuration to the connections."""
         limits = self.state.configuration.limits
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -152,9 +152,16 @@
         exchange = self.exchange_of(target_request)
         if self.continue_after_refusal(exchange, answer, target_request):
             return
+        lacks_version = answer.lacks_version and (
+            target_request.resumes != 0 or target_request.version is not None
+        )
+        if lacks_version:
+            self.count_takeup(target_request, answer.reason)
         self.fail_request(
             exchange,
-            no_capacity_refusal(answer.reason, answer.retry_after_seconds),
+            version_refusal(answer.reason)
+            if lacks_version
+            else no_capacity_refusal(answer.reason, answer.retry_after_seconds),
             waited=round(self.clock.monotonic() - target_request.queued_at, 3),
             backlog=answer.backlog_seconds,
             served_part=answer.served_part,
@@ -183,6 +190,13 @@
             self.return_grant(exchange, answer, now)
             return
         target = self.state.placement.targets[answer.target_id]
+        if target_request.version not in (None, target.version):
+            # The entry of the target has changed since the scheduler has read it.
+            self.return_grant(exchange, answer, now)
+            return
+        target_request.granted_version = target.version
+        if not exchange.attempt_count:
+            self.count_takeup(target_request, answer.version_basis)
         exchange.attempt_count += 1
         exchange.possible_runs += 1
         exchange.attempt = TargetAttempt(exchange.attempt_count, target, answer, now, now)
@@ -227,6 +241,8 @@
             rate=answer.rate,
             source=answer.source_id,
             cold=answer.is_cold,
+            version=target.version,
+            version_basis=answer.version_basis,
             served_part=answer.served_part,
             scheduler=scheduler,
             configuration=self.state.configuration.version,
@@ -236,6 +252,11 @@
             self.fire(PauseAttempt(attempt.key, ANSWERS), TARGETS)
         self.schedule_check()
 
+    def count_takeup(self, target_request: TargetRequest, basis: str) -> None:
+        """Count how the version of a stream that its caller takes up again is known, or why it is refused."""
+        if target_request.resumes:
+            self.metrics.increment_labelled(self.metrics.stream_takeups, basis=basis)
+
     def schedule_check(self) -> None:
         """Schedule the next check of the open requests; it is not repeated while there are none."""
         if not self.is_check_scheduled:
@@ -440,6 +461,8 @@
             tokens=exchange.throughput_cost,
             sends=exchange.attempt_count,
             events=exchange.relay.event_count,
+            resumes=exchange.fields.resumed_request_id or None,
+            version=exchange.target_request.version,
             first_event=exchange.first_event_seconds,
             longest_pause=round(exchange.longest_pause_seconds, 3),
             seconds=round(self.clock.monotonic() - exchange.arrived_at, 3),
@@ -514,6 +537,11 @@
         self.fail_request(exchange, FleetRefusal(BAD_GATEWAY, "internal_error", "internal error", ran=ran))
 
 
+def version_refusal(reason: str) -> FleetRefusal:
+    """Return the refusal of a request whose stream no target may go on with, now or later."""
+    return FleetRefusal(UNAVAILABLE, "stream_version_unavailable", reason, ran=Ran.NO)
+
+
 def no_capacity_refusal(reason: str, retry_after_seconds: float) -> FleetRefusal:
     """Return the refusal of a request that did not run for lack of a usable target."""
     return FleetRefusal(
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -1,10 +1,11 @@
 """State of the fleet as one router knows it: configuration, targets, members and open requests."""
 
+import contextlib
 import logging
 import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from limpetusher.clock import Clock
 from limpetusher.errors import ConfigurationError
@@ -16,7 +17,9 @@
 from limpetusher.fleet.process.pools import Pools
 from limpetusher.fleet.process.prompt_quarantine import Quarantine, shared_parts
 from limpetusher.fleet.process.scheduler import Scheduler
+from limpetusher.fleet.process.stream_versions import StreamOrigin
 from limpetusher.fleet.process.target_health import TargetHealth
+from limpetusher.fleet.process.version_history import StoreHistory, TargetEntry
 from limpetusher.fleet.request.scheduler_client import SchedulerClient, TargetRequest
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.mirror import Change, StoreMirror, describe_revision
@@ -25,6 +28,7 @@
 from limpetusher_router.platform import names
 from limpetusher_router.platform.documents import decode_configuration, decode_target
 from limpetusher_router.platform.settings_file import HostSettings
+from limpetusher_router.platform.store import HistoryItem
 from limpetusher_router.process.logs import log_event
 
 RECENT_STORE_FAILURE_SECONDS = 3.0
@@ -38,6 +42,10 @@
 LOST_ENTRY_SECONDS = 2.5
 """How long an entry stays in force that a restored store has lost. Targets write their entries again within
 about two seconds of the store's return."""
+CLOCK_DIFFERENCE_SECONDS = 0.3
+"""Difference up to which the wall clocks of hosts usually agree."""
+REGISTRATION_SECONDS = 2.0
+"""Time after its start by which a target has an entry in the store: a heartbeat, and the store's delay."""
 OUTDATED_ENTRY_HEARTBEATS = 5
 """How long an older entry of a restored store is not applied, in heartbeats of targets. The entry of a target
 that has left lapses after three of them; the others cover the time until the store has removed it."""
@@ -45,6 +53,15 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """Revision at which a target was registered, and the latest time at which it may have started."""
+
+    target_id: str
+    revision: int
+    started_at: float
+
+
 class FleetState:
     """Applies the changes of the platform's store and owns the scheduling components.
 
@@ -78,6 +95,8 @@
         self.pools = Pools(self.placement, self.members)
         self.scheduler = Scheduler(settings, self.placement, self.pools)
         self.scheduler_client = SchedulerClient(self.pools, send=self.send, unusable=self.unusable_targets)
+        self.versions = self.scheduler.versions
+        self.history_seconds = host.store_history_seconds
         self.send_message: Callable[[str, Message], None] | None = None
         """Sends a message to the router at an address; set once the messaging component exists."""
         self.health: dict[str, TargetHealth] = {}
@@ -139,6 +158,14 @@
         if limits.needs_report(target_id, scheduler):
             self.send(scheduler, RateLimitNotice(target_id, limits.per_second(target_id)))
 
+    def record_stream_begun(self, target_request: TargetRequest, target: Target, now: float) -> None:
+        """Record the version that began a stream, or has gone on with it; later attempts are bound to it."""
+        if not target_request.stream and not target_request.resumes:
+            return
+        target_request.version = target.version
+        for stream in target_request.streams:
+            self.scheduler.streams.record(stream, StreamOrigin(target.service, target.version), now)
+
     def find_quarantine(self, target_request: TargetRequest, now: float) -> Quarantine | None:
         """Return the quarantine for which a request is refused, None if it is not."""
         quarantine = self.scheduler.quarantine
@@ -224,6 +251,7 @@
     def set_evacuated(self, data_centre: str, is_evacuated: bool) -> None:
         """Mark a data centre as evacuated or as back in service."""
         self.placement.evacuate(data_centre, is_evacuated)
+        self.versions.note_evacuation(data_centre, is_evacuated, self.clock.monotonic())
         if is_evacuated:
             log_event(Event.DATA_CENTRE_EVACUATED, data_centre=data_centre)
         else:
@@ -239,10 +267,112 @@
 
     def forget_target(self, target_id: str) -> None:
         """Remove a target and its health."""
+        self.versions.end(target_id, self.clock.monotonic())
         self.placement.remove_target(target_id)
         self.health.pop(target_id, None)
         log_event(Event.TARGET_UNLISTED, target=target_id)
 
+    def observe_target(self, target: Target) -> None:
+        """Record whether a target can begin streams."""
+        now = self.clock.monotonic()
+        if target.is_draining:
+            self.versions.end(target.target_id, now)
+        else:
+            self.versions.observe(
+                target.target_id,
+                target.service,
+                target.version,
+                target.data_centre,
+                now,
+                started_at=self.started_at(target),
+            )
+
+    def registrations(self, changes: Iterable[Change]) -> tuple[Registration, ...]:
+        """Return when the present targets were registered, according to the first read of the store."""
+        found = []
+        for change in changes:
+            target = self.placement.targets.get(change.key.removeprefix(names.TARGET_PREFIX))
+            if target is not None and change.item.created_revision and target.started_at_milliseconds:
+                revision = change.item.created_revision
+                found.append(Registration(target.target_id, revision, self.started_at(target)))
+        return tuple(found)
+
+    def started_at(self, target: Target) -> float:
+        """Return the latest time of the monotonic clock at which a target may have started."""
+        if not target.started_at_milliseconds:
+            return math.inf
+        offset = self.clock.monotonic() - self.clock.wall()
+        return target.started_at_milliseconds / MILLISECONDS_PER_SECOND + offset + CLOCK_DIFFERENCE_SECONDS
+
+    def written_at(self, target: Target, cold_seconds_left: float) -> float | None:
+        """Return the latest time at which an entry was written, None unless its target was cold."""
+        service = self.placement.services.get(target.service)
+        if service is None or not target.started_at_milliseconds:
+            return None
+        age_seconds = service.cold_seconds - cold_seconds_left
+        return self.started_at(target) + age_seconds if cold_seconds_left > 0 <= age_seconds else None
+
+    def apply_history(
+        self, items: Iterable[HistoryItem], after: int, registrations: tuple[Registration, ...]
+    ) -> None:
+        """Add the earlier changes of targets that the store still has, all those after a revision."""
+        entries = []
+        evacuations = []
+        times = []
+        for item in items:
+            if item.key.startswith(names.EVACUATION_PREFIX):
+                evacuations.append((item.key.removeprefix(names.EVACUATION_PREFIX), item.revision))
+            elif item.key.startswith(names.TARGET_PREFIX):
+                target = earlier_target(item)
+                entries.append(self.target_entry(item, target))
+                written_at = None if target is None else self.written_at(target, target.cold_until)
+                if written_at is not None:
+                    times.append((item.revision, written_at))
+        times += self.times_of_registrations(registrations, entries, after)
+        self.versions.history = StoreHistory(after, tuple(entries), tuple(evacuations), tuple(times))
+        log_event(Event.STORE_HISTORY_READ, after=after, entries=len(entries))
+
+    def times_of_registrations(
+        self, registrations: tuple[Registration, ...], entries: list[TargetEntry], after: int
+    ) -> list[tuple[int, float]]:
+        """Return revisions, each with a time by which the store had it.
+
+        A target is registered soon after its start, unless its entry was removed before. The store discards
+        changes of a certain age, unless it has discarded later ones as well.
+        """
+        removed = {entry.target_id for entry in entries if not entry.service}
+        times = [
+            (registration.revision, registration.started_at + REGISTRATION_SECONDS)
+            for registration in registrations
+            if registration.target_id not in removed
+        ]
+        discarded_until = self.clock.monotonic() - self.history_seconds
+        discards_by_age = not any(
+            registration.revision <= after and registration.started_at > discarded_until
+            for registration in registrations
+        )
+        if after == 0:
+            times.append((after, -math.inf))
+        elif discards_by_age:
+            times.append((after, discarded_until))
+        return times
+
+    def target_entry(self, item: HistoryItem, target: Target | None) -> TargetEntry:
+        """Return a change of a target in the history of the store."""
+        target_id = item.key.removeprefix(names.TARGET_PREFIX)
+        is_first = item.created_revision == item.revision
+        if target is None:
+            return TargetEntry(target_id, item.revision, is_first)
+        return TargetEntry(
+            target_id,
+            item.revision,
+            is_first,
+            target.service,
+            target.version,
+            not target.is_draining,
+            self.started_at(target),
+        )
+
     def drop_expired_targets(self) -> None:
         """Forget held targets whose entries have not come back in time."""
         now = self.clock.monotonic()
@@ -261,6 +391,7 @@
                 target_id, change.item.value, revision=change.item.revision, now=self.clock.monotonic()
             )
         except ConfigurationError as error:
+            self.versions.end(target_id, self.clock.monotonic())
             self.placement.remove_target(target_id)
             log_event(Event.STORE_ENTRY_UNUSABLE, target=target_id, reason=str(error))
             return
@@ -268,17 +399,31 @@
         if known is None or known.revision != target.revision:
             self.health.pop(target_id, None)
         self.placement.put_target(target)
+        self.observe_target(target)
         log_event(
             Event.TARGET_LISTED,
             target=target_id,
             service=target.service,
             address=target.address,
+            version=target.version,
             draining=target.is_draining,
             cold=round(max(0.0, target.cold_until - self.clock.monotonic()), 3),
             revision=describe_revision(target.revision),
         )
 
 
+def earlier_target(item: HistoryItem) -> Target | None:
+    """Return an earlier entry of a target, None for its removal or an unusable one.
+
+    Its `cold_until` is the time for which it was still cold.
+    """
+    if item.value is None:
+        return None
+    with contextlib.suppress(ConfigurationError):
+        return decode_target(item.key.removeprefix(names.TARGET_PREFIX), item.value, revision=0, now=0.0)
+    return None
+
+
 def lowest_goals(
     configuration: FleetConfiguration, goal: Callable[[Route], float | None]
 ) -> dict[str, float]:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -7,6 +7,7 @@
 
 import enum
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
 from circuits.core import BaseComponent, handler
 
@@ -19,6 +20,7 @@
     StoreMirror,
     describe_revision,
     generation_of,
+    number_of,
 )
 from limpetusher_router.connection.framing import AnswerHead
 from limpetusher_router.events import (
@@ -33,6 +35,8 @@
     SendStoreUpdate,
     StartAttempt,
     StoreChanged,
+    StoreChangesMissed,
+    StoreHistoryRead,
 )
 from limpetusher_router.fleet.recent_changes import RecentChanges
 from limpetusher_router.fleet.store_copy import (
@@ -89,12 +93,40 @@
 """Subject of the deadline of an update with new changes, sent before the next regular one."""
 
 
+MAXIMUM_HISTORY_CALLS = 9
+"""Maximum number of calls by which the history of the store is read when a router starts."""
+
+
 class StoreCall(enum.Enum):
     """Purpose of a call to the store or to a peer."""
 
     READ = "read"
     WATCH = "watch"
     COPY = "copy"
+    HISTORY = "history"
+
+
+@dataclass(slots=True)
+class HistorySearch:
+    """Search for the earliest revision of which the store still has all later changes, by bisection."""
+
+    earliest: int
+    """Earliest revision found of which it has all later changes, at first that of the own copy."""
+    items: list[store.HistoryItem] = field(default_factory=list)
+    """Those changes up to the own copy, which is kept up to date from there."""
+    discarded: int = -1
+    """Latest revision found of which the store has discarded a later change."""
+    calls: int = 0
+
+    @property
+    def next_revision(self) -> int:
+        """Return the revision after which the changes are requested next, at first after none."""
+        return 0 if self.discarded < 0 else (self.discarded + self.earliest) // 2
+
+    @property
+    def is_over(self) -> bool:
+        """Return whether the search has ended."""
+        return self.earliest <= self.discarded + 1 or self.calls >= MAXIMUM_HISTORY_CALLS
 
 
 class StoreReader(BaseComponent):
@@ -168,6 +200,7 @@
         """When it was found."""
         self.last_update_received_at = float("-inf")
         """When the last update of a watcher that reaches the store arrived."""
+        self.history: HistorySearch | None = None
         self.recent_changes = RecentChanges()
         self.last_update_sent_at = float("-inf")
         """When this router last sent an update."""
@@ -286,7 +319,7 @@
                 raise CodecError(detail or end.value)
             self.handle_answer(call, head.status, bytes(body), store.decode_generation(head))
         except CodecError as error:
-            if call is not StoreCall.COPY:
+            if call not in (StoreCall.COPY, StoreCall.HISTORY):
                 self.handle_failure(call, error.reason)
 
     def handle_answer(self, call: StoreCall, status: int, body: bytes, generation: int = 0) -> None:
@@ -297,6 +330,9 @@
         CodecError
             If the call was refused or its answer is malformed.
         """
+        if call is StoreCall.HISTORY:
+            self.handle_history(status, body)
+            return
         if call is StoreCall.WATCH and status == store.COMPACTED_STATUS:
             log_event(Event.STORE_HISTORY_LOST, revision=describe_revision(self.mirror.revision))
             self.restart_read()
@@ -348,6 +384,45 @@
         self.is_read_needed = False
         self.schedule_watch()
 
+    @handler("ReadStoreHistory")
+    def on_read_history(self) -> None:
+        """Look for the earliest revision of which the store still has all later changes.
+
+        A store that was restored has lost changes that were in force.
+        """
+        if generation_of(self.mirror.revision):
+            return
+        self.history = HistorySearch(number_of(self.mirror.revision))
+        self.request_history()
+
+    def request_history(self) -> None:
+        """Request the changes after the next revision of the search."""
+        self.history.calls += 1
+        request = store.watch_request(
+            self.settings.store_address, after=self.history.next_revision, wait_seconds=0.0
+        )
+        self.start_call(StoreCall.HISTORY, self.settings.store_address, request, ANSWER_TIMEOUT_SECONDS)
+
+    def handle_history(self, status: int, body: bytes) -> None:
+        """Continue the search, or pass on the changes that the store still has.
+
+        Raises
+        ------
+        CodecError
+            If the answer is malformed.
+        """
+        search = self.history
+        if status == OK_STATUS:
+            search.items, search.earliest = store.decode_history(body), search.next_revision
+        elif status == store.COMPACTED_STATUS:
+            search.discarded = search.next_revision
+        else:
+            return
+        if search.is_over:
+            self.fire(StoreHistoryRead(search.items, search.earliest), REQUESTS)
+        else:
+            self.request_history()
+
     def handle_watched_changes(self, changes: store.StoreChanges) -> None:
         """Apply watched changes and schedule the next watch."""
         self.apply_changes(changes.items, changes.removed, changes.revision)
@@ -368,6 +443,8 @@
         The first one and that of a restored store cause no update: all routers read the store at their start
         and when they learn of a restore.
         """
+        if self.mirror.revision:
+            self.fire(StoreChangesMissed(), REQUESTS)
         is_read_by_all = self.mirror.revision == 0 or self.has_newer_generation(revision)
         changes = self.mirror.replace(items, revision)
         if is_read_by_all:
--- a/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
@@ -94,6 +94,7 @@
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
     name: str
     cold_per_s: float = 0.0
+    cold_s: float = 0.0
     engine: _Engine | None = None
 
     def decode(self) -> Service:
@@ -101,6 +102,7 @@
             name=self.name,
             cold_per_second=self.cold_per_s,
             engine=self.engine.decode() if self.engine is not None else None,
+            cold_seconds=self.cold_s,
         )
 
 
@@ -131,6 +133,7 @@
     slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_MILLISECONDS)]
+    version: str = ""
     # Start time; some deployments omit it.
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_CLOCK_MILLISECONDS)] = 0
 
@@ -191,4 +194,5 @@
         cold_until=now + entry.cold_left_ms / MILLISECONDS_PER_SECOND,
         revision=revision,
         started_at_milliseconds=entry.born,
+        version=entry.version,
     )
--- a/packages/limpetusher-router/src/limpetusher_router/platform/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/requests.py
@@ -46,6 +46,8 @@
     api_key: str | None
     seconds_left: float | None
     last_event_id: str | None
+    resumed_request_id: str
+    """Identifier of the request that brought the first event of the stream, empty if it is not named."""
     prompt_tokens: int
     output_tokens: int
     """Maximum number of generated tokens."""
@@ -70,6 +72,7 @@
         api_key=headers.get(names.API_KEY),
         seconds_left=decode_seconds(headers.get(names.DEADLINE)),
         last_event_id=headers.get(names.LAST_EVENT_ID),
+        resumed_request_id=headers.get(names.RESUMED_REQUEST_ID, ""),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         expected_output_tokens=decode_count(headers.get(names.LENGTH_HINT), output_tokens),
--- a/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
@@ -29,7 +29,9 @@
     addresses of some routers of the fleet; their port is not used for messages between routers. The router
     may use `processor_share` of a core, which is `processor_speed` times as fast as a standard core. Targets
     renew their entries in the store every `target_heartbeat_milliseconds`. A process that takes more than
-    `memory_megabytes` is killed by the platform.
+    `memory_megabytes` is killed by the platform. `is_first_start` tells that the whole fleet starts for the
+    first time, so that no request was sent before. The store knows its changes of the last
+    `store_history_seconds`.
     """
 
     host_id: str
@@ -47,6 +49,8 @@
     processor_speed: float = 1.0
     metrics_port: int = METRICS_PORT
     memory_megabytes: Annotated[float, msgspec.Meta(gt=0)] = 150.0
+    is_first_start: bool = False
+    store_history_seconds: float = 20.0
 
     @property
     def datagram_port(self) -> int:
--- a/packages/limpetusher-router/src/limpetusher_router/platform/store.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/store.py
@@ -23,6 +23,7 @@
     rev: int
     value: str | None = None
     deleted: bool = False
+    create_revision: int = msgspec.field(default=0, name="createRevision")
 
 
 class _Range(msgspec.Struct, frozen=True, rename="camel"):
@@ -54,6 +55,20 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class HistoryItem:
+    """One earlier change of a key; `value` is None if the key was removed.
+
+    Revisions are the numbers that the store has given out. `created_revision` is that of the first value
+    since the key was last removed.
+    """
+
+    key: str
+    revision: int
+    created_revision: int
+    value: bytes | None
+
+
 _range_decoder = msgspec.json.Decoder(_Range)
 _watch_decoder = msgspec.json.Decoder(_Watch)
 
@@ -79,6 +94,22 @@
     )
 
 
+def decode_history(body: bytes) -> list[HistoryItem]:
+    """Decode earlier changes in their order, returned by a watch.
+
+    Raises
+    ------
+    CodecError
+        If the answer is malformed.
+    """
+    watch = _decode(_watch_decoder, body, "watch")
+    items = []
+    for event in sorted(watch.events, key=lambda event: event.rev):
+        value = None if event.deleted else _decode_item(event, 0).value
+        items.append(HistoryItem(event.key, event.rev, event.create_revision, value))
+    return items
+
+
 def decode_generation(head: AnswerHead) -> int:
     """Return the generation of the store, which rises each time it is restored from an older copy.
 
@@ -103,7 +134,8 @@
 def _decode_item(item: _Item, generation: int) -> StoredItem:
     revision = make_revision(generation, item.rev)
     try:
-        return StoredItem(item.key, base64.b64decode(item.value or "", validate=True), revision)
+        value = base64.b64decode(item.value or "", validate=True)
+        return StoredItem(item.key, value, revision, item.create_revision)
     except (binascii.Error, ValueError):
         # The value is unusable, but the key and its revision are valid.
         return StoredItem(item.key, b"", revision)
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -78,6 +78,9 @@
         self.outcomes = counter("requests_total", "Requests by outcome and route")
         self.failures = counter("attempts_failed_total", "Failed attempts by target and reason")
         self.refusals = counter("refusals_total", "Refused requests by customer and reason")
+        self.stream_takeups = counter(
+            "stream_takeups_total", "Streams taken up again, by how the version that began them is known"
+        )
         self.first_output = histogram(
             "first_output_seconds", "Time from a request to its first event", WAIT_BUCKETS_SECONDS
         )
--- /dev/null
+++ b/tests/fleet/process/test_version_history.py
@@ -0,0 +1,302 @@
+"""Tests of the software version that a stream has by its identifier, and of the targets in service before."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limpetusher.fleet.process.version_history import (
+    MAX_AGE_SECONDS,
+    StoreHistory,
+    TargetEntry,
+    VersionHistory,
+    stream_rank,
+    version_by_identifier,
+)
+
+STREAMS = range(1_000, 1_300)
+"""Identifiers of streams; the lowest ones are reserved."""
+TARGETS = {"t1": "v1", "t2": "v2", "t3": "v1", "t4": "v2"}
+ACTIONS = ("v1", "v2", "drain", "remove")
+STEPS = st.lists(st.tuples(st.sampled_from(sorted(TARGETS)), st.sampled_from(ACTIONS)), max_size=14)
+"""Changes of targets, one a second."""
+
+
+def first_target(stream: int, targets: dict[str, str]) -> str:
+    """Return the target that the identifier of a stream names."""
+    return max(targets, key=lambda target_id: stream_rank(stream, target_id))
+
+
+def version_at_start(stream: int, targets: dict[str, str]) -> str | None:
+    """Return the version that begins a stream while these targets can begin streams, None without any."""
+    if not targets:
+        return None
+    return version_by_identifier(stream, targets.items()) or next(iter(targets.values()))
+
+
+def make_history(targets: dict[str, str], *, since: float = 0.0) -> VersionHistory:
+    """Return the history of a router that has seen these targets in service since a time."""
+    versions = VersionHistory()
+    versions.start(since)
+    for target_id, version in targets.items():
+        versions.observe(target_id, "desk", version, "north", since)
+    return versions
+
+
+def after(targets: dict[str, str], steps: list[tuple[str, str]]) -> dict[str, str]:
+    """Return the targets that can begin streams after some changes."""
+    targets = dict(targets)
+    for target_id, action in steps:
+        targets.pop(target_id, None)
+        if action in ("v1", "v2"):
+            targets[target_id] = action
+    return targets
+
+
+class TestVersionByIdentifier:
+    """The version that begins a new stream."""
+
+    def test_order_of_the_targets_is_of_no_matter(self):
+        """Guards against routers that disagree as they have learnt of the targets in another order."""
+        backwards = list(reversed(TARGETS.items()))
+        for stream in STREAMS:
+            assert version_by_identifier(stream, TARGETS.items()) == version_by_identifier(stream, backwards)
+
+    def test_versions_get_streams_by_their_numbers_of_targets(self):
+        """Guards against a version without new streams while both are in service."""
+        targets = {**TARGETS, "t5": "v2", "t6": "v2"}
+        count = sum(version_by_identifier(stream, targets.items()) == "v1" for stream in range(1_000, 4_000))
+        assert 0.28 < count / 3_000 < 0.39
+
+    @pytest.mark.parametrize("targets", [{}, {"t1": "v1"}, {"t1": "v1", "t3": "v1"}])
+    def test_any_target_begins_streams_while_there_is_one_version(self, targets):
+        """Guards against limits on the choice of a target without need."""
+        assert version_by_identifier(1, targets.items()) is None
+
+    def test_new_target_takes_over_only_streams_that_name_it(self):
+        """Guards against identifiers that name another version whenever any target starts."""
+        larger = {**TARGETS, "t5": "v2"}
+        for stream in STREAMS:
+            if first_target(stream, larger) == "t5":
+                assert version_by_identifier(stream, larger.items()) == "v2"
+            else:
+                before = version_by_identifier(stream, TARGETS.items())
+                assert version_by_identifier(stream, larger.items()) == before
+
+    @pytest.mark.parametrize("target_id", TARGETS)
+    def test_target_that_leaves_takes_along_only_streams_that_name_it(self, target_id):
+        """Guards against identifiers that name another version whenever any target leaves."""
+        smaller = {other: version for other, version in TARGETS.items() if other != target_id}
+        for stream in STREAMS:
+            if first_target(stream, TARGETS) != target_id:
+                before = version_by_identifier(stream, TARGETS.items())
+                assert version_by_identifier(stream, smaller.items()) == before
+
+
+class TestVersionHistory:
+    """Versions that a stream may have by what a router has seen of the targets."""
+
+    def test_targets_in_service_all_the_time_leave_one_version(self):
+        """Guards against streams that can't go on although nothing has changed."""
+        versions = make_history(TARGETS)
+        for stream in STREAMS:
+            expected = {version_by_identifier(stream, TARGETS.items())}
+            assert versions.possible_versions("desk", stream, 1.0, 2.0) == expected
+
+    @pytest.mark.parametrize("change", ["start", "leave", "drain", "other version"])
+    def test_target_in_service_for_a_part_of_the_time_leaves_its_streams_open(self, change):
+        """Guards against a guess of the version of a stream that begins while the targets change."""
+        versions = make_history(TARGETS)
+        if change == "start":
+            versions.observe("t5", "desk", "v3", "north", 5.0)
+            partial = "t5"
+        elif change == "other version":
+            versions.observe("t2", "desk", "v3", "north", 5.0)
+            partial = "t2"
+        else:
+            versions.end("t2", 5.0)
+            partial = "t2"
+        targets = {**TARGETS, "t5": "v3"} if change == "start" else TARGETS
+        others = {target_id: version for target_id, version in targets.items() if target_id != partial}
+        for stream in STREAMS:
+            found = versions.possible_versions("desk", stream, 4.0, 6.0)
+            following = version_by_identifier(stream, others.items())
+            if first_target(stream, targets) == partial:
+                own = {"v2", "v3"} if change == "other version" else {targets[partial]}
+                assert found == own | {following}
+            else:
+                assert found == {following}
+
+    def test_target_that_left_before_or_started_later_does_not_count(self):
+        """Guards against refusals because of targets that can't have begun the stream."""
+        versions = make_history(TARGETS)
+        versions.end("t2", 5.0)
+        versions.observe("t5", "desk", "v2", "north", 9.0)
+        present = {"t1": "v1", "t3": "v1", "t4": "v2"}
+        for stream in STREAMS:
+            expected = {version_by_identifier(stream, present.items())}
+            assert versions.possible_versions("desk", stream, 6.0, 8.0) == expected
+
+    def test_targets_of_other_services_do_not_count(self):
+        versions = make_history(TARGETS)
+        versions.observe("t5", "other", "v9", "north", 0.0)
+        assert all(versions.possible_versions("desk", s, 1.0, 2.0) <= {"v1", "v2"} for s in STREAMS)
+
+    def test_stream_without_an_identifier_may_have_any_version_that_was_in_service(self):
+        """Guards against a guess for a caller that does not name the request which began its stream."""
+        versions = make_history(TARGETS)
+        versions.observe("t5", "desk", "v3", "north", 5.0)
+        assert versions.possible_versions("desk", 0, 1.0, 4.0) == {"v1", "v2"}
+        assert versions.possible_versions("desk", 0, 1.0, 6.0) == {"v1", "v2", "v3"}
+
+    def test_no_version_is_known_before_the_start_of_the_router(self):
+        """Guards against a version named by the targets that a restarted router finds."""
+        versions = make_history(TARGETS, since=10.0)
+        assert versions.possible_versions("desk", 1, 9.9, 11.0) == set()
+        assert versions.possible_versions("desk", 1, 10.0, 11.0)
+
+    def test_no_version_is_known_before_the_targets_are(self):
+        assert VersionHistory().possible_versions("desk", 1, 5.0, 6.0) == set()
+
+    def test_no_version_is_known_before_changes_that_were_missed(self):
+        """Guards against trusting what was seen before a gap in the changes of the store."""
+        versions = make_history(TARGETS)
+        versions.start(20.0)
+        assert versions.possible_versions("desk", 1, 19.0, 21.0) == set()
+
+    def test_versions_are_known_from_the_first_start_of_the_fleet_on(self):
+        """Guards against refusals after the first start, before which there was no stream."""
+        versions = VersionHistory()
+        versions.start(10.0, is_first_start=True)
+        versions.observe("t1", "desk", "v1", "north", 10.0)
+        assert versions.possible_versions("desk", 1, -50.0, 11.0) == {"v1"}
+
+    @pytest.mark.parametrize("is_evacuated", [True, False])
+    def test_evacuation_leaves_the_streams_of_its_data_centre_open(self, is_evacuated):
+        """Guards against a version named by a target that got no new streams."""
+        versions = VersionHistory()
+        versions.start(0.0)
+        for target_id, version in TARGETS.items():
+            data_centre = "south" if target_id == "t2" else "north"
+            versions.observe(target_id, "desk", version, data_centre, 0.0)
+        if not is_evacuated:
+            versions.note_evacuation("south", True, 1.0)
+        versions.note_evacuation("south", is_evacuated, 5.0)
+        others = {target_id: version for target_id, version in TARGETS.items() if target_id != "t2"}
+        for stream in STREAMS:
+            following = version_by_identifier(stream, others.items())
+            expected = {"v2", following} if first_target(stream, TARGETS) == "t2" else {following}
+            assert versions.possible_versions("desk", stream, 4.0, 6.0) == expected
+
+    def test_targets_that_left_long_ago_are_forgotten(self):
+        """Guards against memory that grows with each target that was ever in service."""
+        versions = make_history(TARGETS)
+        for number in range(500):
+            versions.observe(f"n{number}", "desk", "v1", "north", float(number))
+            versions.end(f"n{number}", number + 0.5)
+        assert len(versions.past) <= MAX_AGE_SECONDS + 2
+
+    def test_no_version_is_known_for_a_time_whose_targets_are_forgotten(self):
+        """Guards against streams that outlive what is kept of the targets that may have begun them."""
+        versions = make_history({"t1": "v1"})
+        versions.observe("t2", "desk", "v2", "north", 1.0)
+        versions.end("t1", 2.0)
+        ended_at = 2.0 + 2 * MAX_AGE_SECONDS
+        versions.observe("t3", "desk", "v2", "north", 3.0)
+        versions.end("t3", ended_at)
+        for stream in STREAMS:
+            found = versions.possible_versions("desk", stream, 0.5, ended_at + 1.0)
+            assert not found or "v1" in found
+
+    @given(steps=STEPS, data=st.data())
+    def test_version_of_a_stream_is_among_the_possible_ones(self, steps, data):
+        """Guards against going on at another version, whatever the targets do meanwhile."""
+        versions = make_history(TARGETS)
+        began_at = data.draw(st.integers(0, len(steps)))
+        for number, (target_id, action) in enumerate(steps, start=1):
+            if action in ("v1", "v2"):
+                versions.observe(target_id, "desk", action, "north", float(number))
+            else:
+                versions.end(target_id, float(number))
+        began = after(TARGETS, steps[:began_at])
+        since = data.draw(st.floats(0.0, began_at + 0.5))
+        until = data.draw(st.floats(began_at + 0.5, len(steps) + 5.0))
+        for stream in STREAMS[:40]:
+            version = version_at_start(stream, began)
+            if version is not None:
+                assert version in versions.possible_versions("desk", stream, since, until)
+
+
+class TestStoreHistory:
+    """Versions that a stream from before the start of the router may have by the changes of the store."""
+
+    def test_history_without_a_known_time_is_of_no_use(self):
+        """Guards against counting changes as later than the stream, of which no time is known."""
+        assert StoreHistory(3).since(10.0) is None
+        assert StoreHistory(3, known_times=((5, 10.1),)).since(10.0) is None
+
+    def test_time_of_a_revision_before_the_history_is_of_no_use(self):
+        """Guards against changes that were discarded between a known revision and the history."""
+        assert StoreHistory(7, known_times=((5, 1.0),)).since(10.0) is None
+
+    def test_changes_after_the_latest_known_revision_count(self):
+        entries = tuple(TargetEntry("t1", revision, False, "desk", "v1", True) for revision in range(4, 9))
+        history = StoreHistory(3, entries, (("south", 5), ("south", 8)), ((3, 1.0), (6, 2.0), (8, 30.0)))
+        changes = history.since(10.0)
+        assert [entry.revision for entry in changes.entries] == [7, 8]
+        assert changes.evacuations == (("south", 8),)
+
+    @pytest.mark.parametrize("has_earlier_entry", [False, True])
+    def test_target_that_was_removed_may_have_begun_the_stream(self, has_earlier_entry):
+        """Guards against a version named by targets still in service in the place of one that has left."""
+        versions = make_history({"t2": "v2", "t4": "v2"}, since=20.0)
+        entries = (TargetEntry("t1", 4, False, "desk", "v1", True),) if has_earlier_entry else ()
+        entries = (*entries, TargetEntry("t1", 9))
+        versions.history = StoreHistory(3, entries, known_times=((6, 10.0),))
+        targets = {"t1": "v1", "t2": "v2", "t4": "v2"}
+        for stream in STREAMS:
+            found = versions.possible_versions("desk", stream, 12.0, 19.0)
+            if first_target(stream, targets) == "t1":
+                assert found == {"v1" if has_earlier_entry else None, "v2"}
+            else:
+                assert found == {"v2"}
+
+    def test_evacuation_before_the_start_leaves_streams_open(self):
+        """Guards against a version named by a target whose data centre was evacuated when it began."""
+        versions = make_history({"t1": "v1"}, since=20.0)
+        versions.observe("t2", "desk", "v2", "south", 20.0)
+        versions.history = StoreHistory(3, (), (("south", 9),), ((6, 10.0),))
+        for stream in STREAMS:
+            found = versions.possible_versions("desk", stream, 12.0, 19.0)
+            assert "v1" in found
+
+    @given(steps=STEPS, data=st.data())
+    def test_version_of_a_stream_before_the_start_is_among_the_possible_ones(self, steps, data):
+        """Guards against a restarted router that goes on at another version, whatever has changed."""
+        history_from = data.draw(st.integers(0, len(steps)))
+        known_revision = data.draw(st.integers(0, len(steps)))
+        known_at = known_revision + data.draw(st.floats(0.0, 3.0))
+        began_at = data.draw(st.integers(0, len(steps)))
+        since = data.draw(st.floats(0.0, began_at + 0.5))
+        started_at = len(steps) + 1.0
+        listed = set(TARGETS)
+        entries = []
+        for revision, (target_id, action) in enumerate(steps, start=1):
+            is_first = target_id not in listed
+            if action == "remove":
+                listed.discard(target_id)
+                entry = TargetEntry(target_id, revision)
+            else:
+                listed.add(target_id)
+                is_ready = action != "drain"
+                version = action if is_ready else TARGETS[target_id]
+                entry = TargetEntry(target_id, revision, is_first, "desk", version, is_ready)
+            entries.append(entry)
+        versions = make_history(after(TARGETS, steps), since=started_at)
+        kept = tuple(entry for entry in entries if entry.revision > history_from)
+        versions.history = StoreHistory(history_from, kept, (), ((known_revision, known_at),))
+        began = after(TARGETS, steps[:began_at])
+        for stream in STREAMS[:40]:
+            found = versions.possible_versions("desk", stream, since, started_at)
+            version = version_at_start(stream, began)
+            if found and None not in found and version is not None:
+                assert version in found
