Keep what peers have told of versions when the store is first read

Peers tell a router that joins which versions were in service as soon as they hear from it, which may be before its first read of the store. That read began the history of versions anew and forgot what was told, so that streams whose callers did not name them were refused until the router had seen enough itself. Only changes that were missed begin it anew now. Found by reading; tests/fleet/process passes.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
@@ -148,11 +148,12 @@
         self.evacuated: set[str] = set()
 
     def start(self, now: float, *, is_first_start: bool = False) -> None:
-        """Begin to follow the targets, or begin anew after changes that were not seen.
-
-        No stream has begun before the first start of the whole fleet.
-        """
+        """Begin to follow the targets. No stream has begun before the first start of the whole fleet."""
         self.known_since = -math.inf if is_first_start else now
+
+    def restart(self, now: float) -> None:
+        """Begin anew to follow the targets, after changes that were not seen."""
+        self.known_since = now
         self.told_since = math.inf
         self.history = None
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -259,7 +259,7 @@
     @handler("StoreChangesMissed", channel=REQUESTS)
     def on_changes_missed(self) -> None:
         """Forget since when all targets are known, as some may have come and gone unseen."""
-        self.state.versions.start(self.clock.monotonic())
+        self.state.versions.restart(self.clock.monotonic())
 
     def apply_limits(self) -> None:
         """Apply the limits of the configuration to the connections."""
