--- a/tests/fleet/process/test_version_history.py
+++ b/tests/fleet/process/test_version_history.py
@@ -226,6 +226,24 @@
                 assert version in versions.possible_versions("desk", stream, since, until)
 
 
+class TestVersionUpdate:
+    """What routers tell one that starts."""
+
+    def test_versions_that_were_told_before_the_first_read_of_the_store_are_kept(self):
+        """Guards against refusals for want of the version after the restart of one router."""
+        versions = VersionHistory()
+        versions.apply(make_history({"t1": "v1"}, since=0.0).update(["desk"], 30.0), 30.0)
+        versions.start(30.1)
+        assert versions.possible_versions("desk", 0, 20.0, 30.1) == {"v1"}
+
+    def test_versions_that_were_told_before_changes_were_missed_are_forgotten(self):
+        """Guards against a version that came and went while the copy of the store was replaced."""
+        versions = VersionHistory()
+        versions.apply(make_history({"t1": "v1"}, since=0.0).update(["desk"], 30.0), 30.0)
+        versions.restart(31.0)
+        assert versions.possible_versions("desk", 0, 20.0, 31.0) == set()
+
+
 class TestStoreHistory:
     """Versions that a stream from before the start of the router may have by the changes of the store."""
 
