Add a failing test of a customer that was served more before

The limit of 0.2 s for catching up does not hold after a loss of capacity in a burst: its level is computed from the waiting requests only, of which customers with less service have few, as they start at once. Their customers get nearly all until the decaying sums are level, which takes seconds.

--- a/tests/builders_peers.py
+++ b/tests/builders_peers.py
@@ -323,6 +323,8 @@
         self.goals = {"engines": goal_seconds, APPLICATION: APPLICATION_GOAL_SECONDS}
         self.prefill_rate = prefill_rate
         """Prompt tokens that an engine reads per second, one prompt at a time; None for a fixed time."""
+        self.slowdowns: dict[str, float] = {}
+        """Factors by which engines read more slowly."""
         self.call_seconds = call_seconds
         self.deadly_parts: set[str] = set()
         """Prompt parts on which an engine crashes."""
@@ -426,7 +428,8 @@
             return READING_SECONDS
         now = self.clock.monotonic()
         begins_at = max(now, self.prefill_ends_at.get(grant.target_id, 0.0))
-        self.prefill_ends_at[grant.target_id] = begins_at + grant.prefill_tokens / self.prefill_rate
+        seconds = grant.prefill_tokens / self.prefill_rate * self.slowdowns.get(grant.target_id, 1.0)
+        self.prefill_ends_at[grant.target_id] = begins_at + seconds
         return READING_SECONDS + self.prefill_ends_at[grant.target_id] - now
 
     def run(self, seconds: float, arrive=None) -> None:
--- a/tests/router/fleet/test_fair_service.py
+++ b/tests/router/fleet/test_fair_service.py
@@ -161,6 +161,7 @@
 
 
 LOST_ENGINES = ("e0", "e1", "e2")
+SLOW_ENGINES = ("e0", "e1", "e2", "e3", "e4")
 REMAINING_ENGINES = 6
 """Engines beside those of an evacuated data centre."""
 QUIET_REQUESTS_PER_SECOND = 230.0
@@ -225,6 +226,29 @@
     return load.ratios()
 
 
+@functools.cache
+def slowdown_ratios(seed: int) -> list[tuple[float, int, str]]:
+    """Return the ratios as engines slow down in a burst, after the largest customer was served in full."""
+    fleet = make_fleet(seed)
+    load = DayLoad(fleet, 200.0, [100, *WEIGHTS[1:]])
+    load.run(8.0)
+    load.per_second = 500.0
+    load.run(2.0)
+    fleet.slowdowns = dict.fromkeys(SLOW_ENGINES, 40.0)
+    load.run(4.0)
+    fleet.slowdowns = {}
+    load.run(5.0)
+    return load.ratios()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_customer_keeps_its_share_after_it_was_served_more(seed):
+    """Guards against a customer that waits until others have got what it was served before a slowdown."""
+    ratios = slowdown_ratios(seed)
+    assert ratios
+    assert ratios[0][0] >= FAIR_RATIO, ratios[:5]
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_customers_at_the_router_of_the_scheduler_get_no_more_than_others(seed):
     """Guards against refusals by routers themselves that spare the customers of the scheduler's router."""
