Keep what is known of targets when the copy of the store is replaced soon

Cause: whenever the copy was replaced as a whole, the history of targets began anew, as some could have come and gone unseen. A target that has begun streams can't in less than three seconds: its entry lapses after three heartbeats, and a planned stop drains it first. Only longer times without changes begin the history anew now.

The test of the shorter time fails without the change, as each replacement counted.

--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -296,7 +296,7 @@
 
 
 class StoreChangesMissed(Message):
-    """The local copy of the platform's store was replaced; not all changes since the last one were seen."""
+    """The local copy of the platform's store was replaced after a time whose changes were not all seen."""
 
 
 class DatagramsReceived(Message):
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -97,6 +97,11 @@
 """Maximum number of calls by which the history of the store is read when a router starts."""
 
 
+UNSEEN_TARGET_SECONDS = 3.0
+"""Time without changes of the store after which a target may have come and gone unseen. The entry of a target
+that crashes lapses after three heartbeats of 1.2 s, and one that is stopped drains for longer."""
+
+
 class StoreCall(enum.Enum):
     """Purpose of a call to the store or to a peer."""
 
@@ -198,6 +203,8 @@
         """Version in force at a peer by which the own one was first found to be older."""
         self.newer_configuration_found_at = 0.0
         """When it was found."""
+        self.current_at = float("-inf")
+        """When the own copy was last known to have all changes of the store, as far as that tells them."""
         self.last_update_received_at = float("-inf")
         """When the last update of a watcher that reaches the store arrived."""
         self.history: HistorySearch | None = None
@@ -425,6 +432,7 @@
 
     def handle_watched_changes(self, changes: store.StoreChanges) -> None:
         """Apply watched changes and schedule the next watch."""
+        self.current_at = self.deadlines.clock.monotonic()
         self.apply_changes(changes.items, changes.removed, changes.revision)
         self.schedule_watch()
 
@@ -443,8 +451,10 @@
         The first one and that of a restored store cause no update: all routers read the store at their start
         and when they learn of a restore.
         """
-        if self.mirror.revision:
+        now = self.deadlines.clock.monotonic()
+        if self.mirror.revision and now > self.current_at + UNSEEN_TARGET_SECONDS:
             self.fire(StoreChangesMissed(), REQUESTS)
+        self.current_at = now
         is_read_by_all = self.mirror.revision == 0 or self.has_newer_generation(revision)
         changes = self.mirror.replace(items, revision)
         if is_read_by_all:
@@ -512,6 +522,8 @@
         self.apply_changes((StoredItem(*item) for item in update.items), update.removed, revision)
         if is_missing:
             self.note_peer_revision(address, update.revision)
+        elif update.is_connected:
+            self.current_at = now
 
     def relay_update(self, update: StoreUpdate, now: float) -> None:
         """Relay an update to the routers of the data centre, unless one was relayed just before."""
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -9,7 +9,13 @@
 from limpetusher.fleet.messages import PROTOCOL_VERSION, StoreUpdate
 from limpetusher.fleet.version.mirror import StoredItem, StoreMirror, make_revision
 from limpetusher_router.connection.framing import AnswerHead
-from limpetusher_router.events import AttemptResult, SendStoreUpdate, StartAttempt, StoreChanged
+from limpetusher_router.events import (
+    AttemptResult,
+    SendStoreUpdate,
+    StartAttempt,
+    StoreChanged,
+    StoreChangesMissed,
+)
 from limpetusher_router.fleet.recent_changes import CHANGE_REPEAT_SECONDS, MAXIMUM_UPDATE_BYTES
 from limpetusher_router.fleet.store_copy import ConfigurationInForce, StoreCopy, StoreCopyEncoder
 from limpetusher_router.fleet.store_reader import (
@@ -20,6 +26,7 @@
     MINIMUM_WATCH_INTERVAL_SECONDS,
     PAGE_TIMEOUT_SECONDS,
     REGULAR_UPDATE,
+    UNSEEN_TARGET_SECONDS,
     UPDATE_INTERVAL_SECONDS,
     UPDATE_TIMEOUT_SECONDS,
     UPDATE_TIMEOUT_SECONDS_PER_RANK,
@@ -422,3 +429,14 @@
         for change in event.args[0]
     ]
     assert values == [b"newer"]
+
+
+@pytest.mark.parametrize(("factor", "missed"), [(0.9, 0), (1.1, 1)])
+def test_changes_count_as_missed_only_after_a_time_in_which_targets_may_come_and_go(
+    reader, clock, factor, missed
+):
+    """Guards against refusals of streams for want of their version after each compaction of the store."""
+    reader.handle_watched_changes(StoreChanges([], [], 11))
+    clock.advance(factor * UNSEEN_TARGET_SECONDS)
+    reader.replace_copy([StoredItem("op/config", b"y", 14)], 14)
+    assert sum(isinstance(event, StoreChangesMissed) for event in reader.fired) == missed
