Tell routers that join of versions only after a second, and test the new settings

In the start of a fleet it tells nothing, and it costs a message for each pair of routers, so that routers tell others only what they have seen for a second. 285 tests of the touched parts pass, with all of test_fair_service.py.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
@@ -12,6 +12,9 @@
 from limpetusher.fleet.messages import VersionUpdate
 from limpetusher.fleet.version.routing import stable_hash
 
+MIN_FOLLOWED_SECONDS = 1.0
+"""Time from which on a router tells others what it has seen. In the start of a whole fleet it knows no more
+than they do, and is spared a message to each of them."""
 MAX_AGE_SECONDS = 60.0
 """Time for which it is kept when targets were in service; longer than callers wait."""
 
@@ -136,6 +139,8 @@
     def __init__(self):
         self.known_since = math.inf
         """Time since which all targets are known that could begin streams."""
+        self.followed_since = math.inf
+        """Time since which this router has seen the changes of targets itself."""
         self.told_since = math.inf
         """Time since which another router has known all versions, as it has told at the start of this one."""
         self.told_versions: dict[str, set[str]] = {}
@@ -150,10 +155,11 @@
     def start(self, now: float, *, is_first_start: bool = False) -> None:
         """Begin to follow the targets. No stream has begun before the first start of the whole fleet."""
         self.known_since = -math.inf if is_first_start else now
+        self.followed_since = now
 
     def restart(self, now: float) -> None:
         """Begin anew to follow the targets, after changes that were not seen."""
-        self.known_since = now
+        self.known_since = self.followed_since = now
         self.told_since = math.inf
         self.history = None
 
@@ -202,6 +208,10 @@
             if span.service == service and now <= span.until + MAX_AGE_SECONDS
         }
 
+    def is_informed(self, now: float) -> bool:
+        """Return whether this router has followed the targets for long enough to tell others of them."""
+        return now >= self.followed_since + MIN_FOLLOWED_SECONDS
+
     def update(self, services: Iterable[str], now: float) -> VersionUpdate:
         """Return which versions were lately in service, for a router that starts."""
         known_seconds = min(max(0.0, now - self.known_since), MAX_AGE_SECONDS)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -461,7 +461,8 @@
         limits = self.state.placement.limits.known_limits()
         for update in rate_limit_updates(limits, is_change=False):
             self.send(address, update)
-        self.send(address, self.state.versions.update(self.state.placement.by_service, now))
+        if self.state.versions.is_informed(now):
+            self.send(address, self.state.versions.update(self.state.placement.by_service, now))
         if any(self.has_versions(service, now) for service in self.state.placement.by_service):
             for message in self.state.scheduler.streams.known(now):
                 self.send(address, message)
--- a/tests/fleet/process/test_version_history.py
+++ b/tests/fleet/process/test_version_history.py
@@ -236,6 +236,12 @@
         versions.start(30.1)
         assert versions.possible_versions("desk", 0, 20.0, 30.1) == {"v1"}
 
+    def test_router_that_has_just_started_tells_nothing(self):
+        """Guards against a message for each pair of routers in the start of a large fleet."""
+        versions = make_history({"t1": "v1"}, since=10.0)
+        assert not versions.is_informed(10.9)
+        assert versions.is_informed(11.1)
+
     def test_versions_that_were_told_before_changes_were_missed_are_forgotten(self):
         """Guards against a version that came and went while the copy of the store was replaced."""
         versions = VersionHistory()
--- a/tests/router/platform/test_settings_file.py
+++ b/tests/router/platform/test_settings_file.py
@@ -19,6 +19,8 @@
     "portRange": [7400, 7415],
     "seeds": ["10.1.0.33:8785"],
     "provider.address": "10.200.1.7:8781",
+    "provider.historyS": 25,
+    "bootstrap": True,
     "heartbeatMs": 1500,
     "limits.maxFds": 4100,
     "limits.memoryMb": 150,
@@ -47,6 +49,8 @@
     assert settings.bounds.stop_grace_seconds == 8.0
     assert settings.memory_megabytes == 150
     assert settings.target_heartbeat_milliseconds == 1500
+    assert settings.store_history_seconds == 25
+    assert settings.is_first_start
 
 
 @pytest.mark.parametrize(
--- a/tests/router/platform/test_store.py
+++ b/tests/router/platform/test_store.py
@@ -26,7 +26,7 @@
         }
     )
     changes = decode_watch(body.encode())
-    assert changes.items == [StoredItem("a", b"x", 4)]
+    assert changes.items == [StoredItem("a", b"x", 4, created_revision=1)]
     assert changes.removed == [("b", 5)]
     assert changes.revision == 6
 
