--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -275,14 +275,15 @@
             time.sleep(0.3)
 
 
-def test_broken_stream_that_can_not_resume_does_not_look_complete(tmp_path):
-    def break_off(call, _number) -> None:
-        call.begin_stream()
-        call.send_events(1, 2)
-        time.sleep(0.1)
-        call.cut_connection()
+def cut_after_two_events(call, _number) -> None:
+    call.begin_stream()
+    call.send_events(1, 2)
+    time.sleep(0.1)
+    call.cut_connection()
 
-    with fleet_run(tmp_path, break_off) as run:
+
+def test_broken_stream_that_can_not_resume_does_not_look_complete(tmp_path):
+    with fleet_run(tmp_path, cut_after_two_events) as run:
         _status, body = run.ask("/once/1", method="POST", body="x")
         content, is_complete = unchunk(body)
         assert content == event(1) + event(2)
@@ -292,14 +293,7 @@
 
 def test_stream_that_is_cut_off_is_not_logged_as_refused(tmp_path):
     """Guards against a log that counts streams which callers have got in part as not run."""
-
-    def break_off(call, _number) -> None:
-        call.begin_stream()
-        call.send_events(1, 2)
-        time.sleep(0.1)
-        call.cut_connection()
-
-    with fleet_run(tmp_path, break_off) as run:
+    with fleet_run(tmp_path, cut_after_two_events) as run:
         run.store.delete("servers/t2")
         wait_for(lambda: run.logged_count(Event.TARGET_UNLISTED), run.router.log)
         _status, body = run.ask("/stream/1", method="POST", body="x", x_deadline_ms="5000")
