Decide versions only by a list of targets that the store has confirmed

Callers at a router that was cut off got streams joined from two software versions: the streams had begun at a new version through other routers, and went on at the only version that the router's list still held.

Cause: the history of targets had a time since when all targets are known and none until when, so that a list which had stood still counted as complete up to the present. The same list decided that a version had no target left, and what a router told others that start.

Now a scheduler that has to decide by what the list does not hold asks the store for its revision first, and holds the request until its copy has that revision, for 0.4 s at most. Without a confirmation the caller is refused at once with a time to come back. A call that begins after the request has arrived covers all streams that the request can take up, whatever has put the router out of step: a cut, a pause or late watches. Versions are told to other routers only by one whose copy is up to date.

Tests with real routers: test_stream_that_began_at_an_unseen_version_is_refused_at_a_router_out_of_step failed before in both cases and passes; 5 of scheduler and 6 of the store reader are new.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -47,6 +47,7 @@
     MIN_RETRY_AFTER_SECONDS,
     PROMPT_QUARANTINED,
     REQUEST_QUARANTINED,
+    TARGETS_UNCONFIRMED,
     VERSION_LEFT,
     VERSION_UNKNOWN,
     RefusalDecision,
@@ -83,6 +84,11 @@
 BASIS_OTHER_SERVICE = "other service"
 MAX_VIEW_LAG_SECONDS = 0.6
 """Time by which the list of targets at another router may lag behind the store."""
+MAX_CONFIRMATION_WAIT_SECONDS = 0.4
+"""Time for which a request waits for the store to confirm the list of targets. A slow store takes 0.2 s."""
+UNCONFIRMED_RETRY_SECONDS = 0.5
+"""Time after which a caller may come back that is refused for want of a confirmation; another router may know
+the version at once."""
 MAX_CUSTOMERS_PER_UPDATE = 300
 """Maximum number of customers in one message to the other schedulers, so that it fits into a datagram."""
 
@@ -140,6 +146,14 @@
         return self.taken_over_parts if self.request is None else request_parts(self.request)
 
 
+@dataclass(frozen=True, slots=True)
+class HeldQuery:
+    """Query of a request that waits until the list of targets is confirmed."""
+
+    message: TargetQuery
+    received_at: float
+
+
 class Scheduler:
     """Handles the messages of routers and schedules their requests.
 
@@ -166,6 +180,8 @@
         """Times of the last outputs and complete answers of targets."""
         self.jobs: dict[tuple[str, str], Job] = {}
         """Waiting and open requests, by router and request identifier."""
+        self.held: dict[tuple[str, str], HeldQuery] = {}
+        """Queries that wait until the list of targets is confirmed, by router and request identifier."""
         self.by_client: dict[str, set[str]] = {}
         self.prefilling: dict[str, dict[tuple[str, str], Job]] = {}
         """Jobs without a first output by target, in the order of their grants."""
@@ -180,8 +196,8 @@
 
     @property
     def is_active(self) -> bool:
-        """Return whether any request is waiting or open, or a crash has to be confirmed."""
-        return bool(self.jobs) or self.quarantine.is_pending
+        """Return whether any request is held, waiting or open, or a crash has to be confirmed."""
+        return bool(self.jobs) or bool(self.held) or self.quarantine.is_pending
 
     @property
     def has_waiting(self) -> bool:
@@ -207,8 +223,50 @@
 
     @handle.register
     def on_ask(self, message: TargetQuery, client: str, now: float) -> None:
-        """Queue a request, or refuse it if it is a retry beyond the budget."""
+        """Accept a request, or hold it until the list of targets is confirmed that decides its version."""
         self.remove_job(client, message.request_id, now)
+        query = HeldQuery(message, now)
+        if self.lacks_confirmation(query, now):
+            self.held[client, message.request_id] = query
+        else:
+            self.accept(query, client, now)
+
+    def lacks_confirmation(self, query: HeldQuery, now: float) -> bool:
+        """Return whether a request depends on what an unconfirmed list of targets does not hold.
+
+        A stream may have begun at a target that has been registered since the list was last confirmed.
+        """
+        message = query.message
+        if self.versions.known_until >= query.received_at or (
+            not message.resumes and message.version is None
+        ):
+            return False
+        version = message.version
+        if version is None:
+            origin = self.streams.find(message.resumes, now)
+            if origin is None:
+                return True
+            if origin.service != message.service or origin.version is None:
+                return False
+            version = origin.version
+        return not self.placement.has_listed_version(Pool(message.service), version)
+
+    def confirm_targets(self, confirmed_at: float, now: float) -> None:
+        """Record that the list holds all targets of a time, and accept the requests that waited for that."""
+        self.versions.confirm(confirmed_at)
+        self.accept_held(now)
+
+    def accept_held(self, now: float) -> None:
+        """Accept the held requests for which the list is confirmed, or which have waited for long enough."""
+        for (client, request_id), query in list(self.held.items()):
+            is_overdue = now >= query.received_at + MAX_CONFIRMATION_WAIT_SECONDS
+            if is_overdue or self.versions.known_until >= query.received_at:
+                del self.held[client, request_id]
+                self.accept(query, client, now)
+
+    def accept(self, query: HeldQuery, client: str, now: float) -> None:
+        """Queue a request, or refuse it, for example if it is a retry beyond the budget."""
+        message = query.message
         pool = Pool(message.service, message.data_centre)
         budget = self.retry_budget(pool)
         pools = len(self.pools.for_service(message.service))
@@ -233,8 +291,8 @@
             customer=message.customer,
             pool=pool,
             goal_seconds=message.goal_seconds,
-            queued_at=now - message.waited_seconds,
-            give_up_at=now + message.remaining_seconds,
+            queued_at=query.received_at - message.waited_seconds,
+            give_up_at=query.received_at + message.remaining_seconds,
             prompt_tokens=message.prompt_tokens,
             output_tokens=message.output_tokens,
             parts=tuple(PromptPart(*part) for part in message.parts),
@@ -250,7 +308,7 @@
             self.served.add_asked(request.customer, throughput_tokens(request))
         refusal = (
             self.refuse_for_parts(message, request, now)
-            or self.refuse_for_version(message, request, now)
+            or self.refuse_for_version(query, request, now)
             or self.waiting.refuse_on_arrival(request, now)
         )
         job = Job(message.attempt, pool, request, is_retry=message.is_retry)
@@ -283,15 +341,18 @@
         return None
 
     def refuse_for_version(
-        self, message: TargetQuery, request: QueuedRequest, now: float
+        self, query: HeldQuery, request: QueuedRequest, now: float
     ) -> RefusalDecision | None:
         """Bind a request to the version that began its stream, or return the refusal if that is not possible.
 
         What another version writes must not be joined to the stream, so that a version is never guessed.
         """
-        request.version, request.version_basis = self.determine_version(message, request, now)
+        if self.lacks_confirmation(query, now):
+            request.version = query.message.version
+            return RefusalDecision(request, TARGETS_UNCONFIRMED, UNCONFIRMED_RETRY_SECONDS, 0.0)
+        request.version, request.version_basis = self.determine_version(query, request, now)
         if request.version is None:
-            if not message.resumes or request.version_basis == BASIS_OTHER_SERVICE:
+            if not query.message.resumes or request.version_basis == BASIS_OTHER_SERVICE:
                 return None
             return RefusalDecision(request, VERSION_UNKNOWN, MIN_RETRY_AFTER_SECONDS, 0.0)
         if self.placement.has_listed_version(request.pool, request.version):
@@ -299,12 +360,13 @@
         return RefusalDecision(request, VERSION_LEFT, MIN_RETRY_AFTER_SECONDS, 0.0)
 
     def determine_version(
-        self, message: TargetQuery, request: QueuedRequest, now: float
+        self, query: HeldQuery, request: QueuedRequest, now: float
     ) -> tuple[str | None, str]:
         """Return the version that has to run a request, None if any may or if it is unknown, and the basis.
 
         A new stream is bound to the version that its identifier names, by which the version is found again.
         """
+        message = query.message
         if message.version is not None:
             return message.version, BASIS_ROUTER
         if request.begins_stream:
@@ -318,13 +380,16 @@
             if origin.service != message.service:
                 return None, BASIS_OTHER_SERVICE
             return origin.version, BASIS_SCHEDULER
-        since = now - message.stream_age_seconds - MAX_VIEW_LAG_SECONDS
+        begun_after = query.received_at - message.stream_age_seconds
+        since = begun_after - MAX_VIEW_LAG_SECONDS
         versions = self.versions.possible_versions(message.service, 0, since, now)
         if len(versions) == 1:
             return versions.pop(), BASIS_ONLY_VERSION
+        if message.resumes == UNNAMED_STREAM:
+            return None, ""
         until = self.scheduled_since[request.pool]
-        if message.resumes == UNNAMED_STREAM or now - message.stream_age_seconds > until:
-            # The second condition is that this scheduler would know the stream.
+        if begun_after > until:
+            # This scheduler would know the stream.
             return None, ""
         versions = self.versions.possible_versions(message.service, message.resumes, since, until)
         return versions.pop() if len(versions) == 1 else None, BASIS_IDENTIFIER
@@ -472,6 +537,7 @@
 
     def on_tick(self, now: float) -> None:
         """Find crashed targets, and adjust the cooldowns of the engines to their running streams."""
+        self.accept_held(now)
         self.quarantine.confirm(now, self.has_crashed, self.running_requests)
         if now < self.cooldowns_adjusted_at + COOLDOWN_ADJUST_INTERVAL_SECONDS:
             return
@@ -491,6 +557,7 @@
         """Remove a request and update the health of its target."""
         job = self.find_job(client, message)
         if job is None:
+            self.drop_held(client, message)
             return
         self.remove_job(client, message.request_id, now)
         target_id = job.target_id
@@ -618,8 +685,15 @@
         self.jobs[client, request_id] = job
         self.by_client.setdefault(client, set()).add(request_id)
 
+    def drop_held(self, client: str, message: AttemptFinished) -> None:
+        """Drop the held query of an attempt that its router has withdrawn."""
+        query = self.held.get((client, message.request_id))
+        if query is not None and query.message.attempt == message.attempt:
+            del self.held[client, message.request_id]
+
     def remove_job(self, client: str, request_id: str, now: float) -> None:
         """Remove a request, if it is known."""
+        self.held.pop((client, request_id), None)
         job = self.jobs.pop((client, request_id), None)
         if job is None:
             return
@@ -640,7 +714,8 @@
 
     def remove_client(self, client: str, now: float) -> None:
         """Remove the requests of a router that has stopped, restarted or is about to register them again."""
-        for request_id in sorted(self.by_client.get(client, ())):
+        held = {request_id for address, request_id in self.held if address == client}
+        for request_id in sorted({*self.by_client.get(client, ()), *held}):
             self.remove_job(client, request_id, now)
 
     def record_target_reached(self, target_id: str, now: float) -> None:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
@@ -139,6 +139,9 @@
     def __init__(self):
         self.known_since = math.inf
         """Time since which all targets are known that could begin streams."""
+        self.known_until = -math.inf
+        """Time until which they are known, as the store has confirmed. Targets that are not listed may have
+        been in service since."""
         self.followed_since = math.inf
         """Time since which this router has seen the changes of targets itself."""
         self.told_since = math.inf
@@ -157,6 +160,10 @@
         self.known_since = -math.inf if is_first_start else now
         self.followed_since = now
 
+    def confirm(self, until: float) -> None:
+        """Record that the list holds all that the store had at a time."""
+        self.known_until = max(self.known_until, until)
+
     def restart(self, now: float) -> None:
         """Begin anew to follow the targets, after changes that were not seen."""
         self.known_since = self.followed_since = now
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -30,6 +30,7 @@
 REQUEST_QUARANTINED = "the request has crashed targets"
 VERSION_UNKNOWN = "the software version that began the stream is not known"
 VERSION_LEFT = "no target has the software version that began the stream"
+TARGETS_UNCONFIRMED = "it is not confirmed that the list of targets is up to date"
 STARTED_LEVEL_SECONDS = 0.25
 """Time for which a start shows up to which level customers are served. Covers the pauses between bursts."""
 FAIR_SERVED_PART = 0.8
@@ -77,7 +78,7 @@
     @property
     def lacks_version(self) -> bool:
         """Return whether the request is refused for want of the software version that began its stream."""
-        return self.reason in (VERSION_UNKNOWN, VERSION_LEFT)
+        return self.reason in (VERSION_UNKNOWN, VERSION_LEFT, TARGETS_UNCONFIRMED)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -295,6 +295,17 @@
     """Read the changes before the start that the platform's store still has."""
 
 
+class ConfirmStoreCopy(Message):
+    """Ask the platform's store whether the local copy has all of its changes."""
+
+
+class StoreCopyConfirmed(Message):
+    """The local copy of the platform's store had all changes at a time: (reading of the monotonic clock)."""
+
+    def __init__(self, until: float):
+        super().__init__(until)
+
+
 class StoreChangesMissed(Message):
     """The local copy of the platform's store was replaced after a time whose changes were not all seen."""
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -32,6 +32,8 @@
 from limpetusher_router.events import (
     PEER_EXCHANGE,
     REQUESTS,
+    STORE,
+    ConfirmStoreCopy,
     DeadlineReached,
     SchedulerAnswerReceived,
     TransmitPeerMessages,
@@ -223,6 +225,8 @@
     def place_waiting_requests(self, now: float) -> None:
         """Run the placement, now or once the minimum interval since the last run is over."""
         scheduler = self.state.scheduler
+        if scheduler.held:
+            self.fire(ConfirmStoreCopy(), STORE)
         if not scheduler.has_waiting:
             return
         runs = self.placement_runs
@@ -234,6 +238,14 @@
         if scheduler.has_waiting:
             self.schedule_placement_by(runs.next_poll_at)
 
+    @handler("StoreCopyConfirmed")
+    def on_copy_confirmed(self, until: float) -> None:
+        """Accept the requests that waited until the list of targets was known to be complete."""
+        now = self.clock.monotonic()
+        self.state.scheduler.confirm_targets(until, now)
+        self.place_waiting_requests(now)
+        self.transmit(now)
+
     def schedule_placement_by(self, when: float) -> None:
         """Schedule a placement run at `when` unless an earlier one is scheduled."""
         if self.next_placement is not None:
@@ -461,7 +473,7 @@
         limits = self.state.placement.limits.known_limits()
         for update in rate_limit_updates(limits, is_change=False):
             self.send(address, update)
-        if self.state.versions.is_informed(now):
+        if self.state.versions.is_informed(now) and self.store.is_current():
             self.send(address, self.state.versions.update(self.state.placement.by_service, now))
         if any(self.has_versions(service, now) for service in self.state.placement.by_service):
             for message in self.state.scheduler.streams.known(now):
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -11,6 +11,7 @@
 from limpetusher.events import Event
 from limpetusher.fleet.messages import Outcome, TargetGrant, TargetRefusal
 from limpetusher.fleet.request.scheduler_client import TargetRequest
+from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED
 from limpetusher_router.connection.framing import RequestHead
 from limpetusher_router.events import (
     ANSWERS,
@@ -159,7 +160,7 @@
             self.count_takeup(target_request, answer.reason)
         self.fail_request(
             exchange,
-            version_refusal(answer.reason)
+            version_refusal(answer)
             if lacks_version
             else no_capacity_refusal(answer.reason, answer.retry_after_seconds),
             waited=round(self.clock.monotonic() - target_request.queued_at, 3),
@@ -537,9 +538,15 @@
         self.fail_request(exchange, FleetRefusal(BAD_GATEWAY, "internal_error", "internal error", ran=ran))
 
 
-def version_refusal(reason: str) -> FleetRefusal:
-    """Return the refusal of a request whose stream no target may go on with, now or later."""
-    return FleetRefusal(UNAVAILABLE, "stream_version_unavailable", reason, ran=Ran.NO)
+def version_refusal(answer: TargetRefusal) -> FleetRefusal:
+    """Return the refusal of a request whose stream no target may go on with, or none that is known here."""
+    return FleetRefusal(
+        UNAVAILABLE,
+        "stream_version_unavailable",
+        answer.reason,
+        ran=Ran.NO,
+        retry_after_seconds=answer.retry_after_seconds if answer.reason == TARGETS_UNCONFIRMED else None,
+    )
 
 
 def no_capacity_refusal(reason: str, retry_after_seconds: float) -> FleetRefusal:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -36,6 +36,7 @@
     StartAttempt,
     StoreChanged,
     StoreChangesMissed,
+    StoreCopyConfirmed,
     StoreHistoryRead,
 )
 from limpetusher_router.fleet.recent_changes import RecentChanges
@@ -77,6 +78,8 @@
 RETRY_DELAY_SECONDS = 0.15
 MAXIMUM_RETRY_DELAY_SECONDS = 0.6
 COPY_TIMEOUT_SECONDS = 0.8
+REVISION_TIMEOUT_SECONDS = 0.4
+"""Timeout of a call for the revision of the store, and time for which its revision is awaited in the copy."""
 MAXIMUM_LAG_SECONDS = 0.6
 """How long the own copy may lag behind that of a peer before the peer's copy is fetched; two regular updates
 come in that time."""
@@ -109,6 +112,16 @@
     WATCH = "watch"
     COPY = "copy"
     HISTORY = "history"
+    REVISION = "revision"
+
+
+@dataclass(slots=True)
+class Confirmation:
+    """Check that the own copy has all changes that the store had at a time."""
+
+    asked_at: float
+    revision: int | None = None
+    """Revision of the store then, None before its answer."""
 
 
 @dataclass(slots=True)
@@ -208,6 +221,7 @@
         self.last_update_received_at = float("-inf")
         """When the last update of a watcher that reaches the store arrived."""
         self.history: HistorySearch | None = None
+        self.confirmation: Confirmation | None = None
         self.recent_changes = RecentChanges()
         self.last_update_sent_at = float("-inf")
         """When this router last sent an update."""
@@ -326,8 +340,10 @@
                 raise CodecError(detail or end.value)
             self.handle_answer(call, head.status, bytes(body), store.decode_generation(head))
         except CodecError as error:
-            if call not in (StoreCall.COPY, StoreCall.HISTORY):
+            if call in (StoreCall.READ, StoreCall.WATCH):
                 self.handle_failure(call, error.reason)
+            elif call is StoreCall.REVISION:
+                self.confirmation = None
 
     def handle_answer(self, call: StoreCall, status: int, body: bytes, generation: int = 0) -> None:
         """Handle a complete answer of a generation of the store.
@@ -351,6 +367,10 @@
             return
         if generation < generation_of(self.mirror.revision):
             raise CodecError(f"generation {generation}, which is older than the own copy")
+        if call is StoreCall.REVISION:
+            self.confirmation.revision = store.decode_range(body, generation).revision
+            self.check_confirmation()
+            return
         if not self.is_connected:
             self.is_connected = True
             log_event(Event.STORE_REGAINED, failures=self.failures)
@@ -430,6 +450,26 @@
         else:
             self.request_history()
 
+    @handler("ConfirmStoreCopy")
+    def on_confirm(self) -> None:
+        """Ask the store for its revision, unless that was asked just before."""
+        now = self.deadlines.clock.monotonic()
+        if self.confirmation is None or now >= self.confirmation.asked_at + REVISION_TIMEOUT_SECONDS:
+            self.confirmation = Confirmation(now)
+            request = store.revision_request(self.settings.store_address)
+            self.start_call(
+                StoreCall.REVISION, self.settings.store_address, request, REVISION_TIMEOUT_SECONDS
+            )
+
+    def check_confirmation(self) -> None:
+        """Announce that the own copy has reached the revision that the store had when it was asked."""
+        confirmation = self.confirmation
+        if confirmation is None or confirmation.revision is None:
+            return
+        if self.mirror.revision >= confirmation.revision:
+            self.confirmation = None
+            self.fire(StoreCopyConfirmed(confirmation.asked_at), PEER_EXCHANGE)
+
     def handle_watched_changes(self, changes: store.StoreChanges) -> None:
         """Apply watched changes and schedule the next watch."""
         self.current_at = self.deadlines.clock.monotonic()
@@ -444,6 +484,7 @@
         applied += [self.mirror.remove(key, changed) for key, changed in removed]
         self.mirror.advance(revision)
         self.announce_changes([change for change in applied if change is not None])
+        self.check_confirmation()
 
     def replace_copy(self, items: list[StoredItem], revision: int) -> None:
         """Replace the own copy.
@@ -452,7 +493,7 @@
         and when they learn of a restore.
         """
         now = self.deadlines.clock.monotonic()
-        if self.mirror.revision and now > self.current_at + UNSEEN_TARGET_SECONDS:
+        if self.mirror.revision and not self.is_current():
             self.fire(StoreChangesMissed(), REQUESTS)
         self.current_at = now
         is_read_by_all = self.mirror.revision == 0 or self.has_newer_generation(revision)
@@ -463,6 +504,7 @@
             self.fire(StoreChanged(changes), REQUESTS)
         else:
             self.announce_changes(changes)
+        self.check_confirmation()
 
     def announce_changes(self, changes: list[Change]) -> None:
         """Pass changes to the other components, and schedule an update to the other routers."""
@@ -622,6 +664,10 @@
             # The watch in progress has missed changes, so its connection may be dead.
             self.start_watch()
 
+    def is_current(self) -> bool:
+        """Return whether the own copy was up to date lately, so that no target has come and gone unseen."""
+        return self.deadlines.clock.monotonic() <= self.current_at + UNSEEN_TARGET_SECONDS
+
     def encoded_copy(self) -> bytes:
         """Return the own copy, encoded for a peer."""
         return self.copy_encoder.encode()
--- a/packages/limpetusher-router/src/limpetusher_router/platform/store.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/store.py
@@ -87,6 +87,11 @@
     return get_request(address, "/kv-range", **query)
 
 
+def revision_request(address: str) -> bytes:
+    """Return a request for the revision of the store, which the answer to a read of a few items tells."""
+    return get_request(address, "/kv-range", prefix=names.EVACUATION_PREFIX)
+
+
 def watch_request(address: str, *, after: int, wait_seconds: float) -> bytes:
     """Return a watch request for all changes after a revision."""
     return get_request(
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -250,6 +250,56 @@
         pass
 
 
+class StoreGateway(ThreadingHTTPServer):
+    """Way of one router to the store, which can be cut or late."""
+
+    daemon_threads = True
+
+    def __init__(self, store: StoreStandIn):
+        super().__init__(("127.0.0.1", 0), StoreGatewayHandler)
+        self.store = store
+        self.is_cut = False
+        """Whether calls get no answer."""
+        self.withholds_changes = False
+        """Whether watches return no changes, while reads are answered as usual."""
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server_address[1]}"
+
+    def close(self) -> None:
+        self.shutdown()
+        self.server_close()
+
+
+class StoreGatewayHandler(BaseHTTPRequestHandler):
+    """Passes calls on to the store, and their answers back."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self) -> None:
+        gateway = self.server
+        url = urlsplit(self.path)
+        if url.path == "/kv-watch" and gateway.withholds_changes:
+            query = {name: values[0] for name, values in parse_qs(url.query).items()}
+            time.sleep(int(query["waitMs"]) / 1000)
+            head = f"HTTP/1.1 200 OK\r\nStore-Era: {gateway.store.generation}"
+            body = json.dumps({"events": [], "currentRev": int(query["after"])}).encode()
+        else:
+            request = f"GET {self.path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+            head, _, body = exchange(gateway.store.address, request).partition(b"\r\n\r\n")
+            lines = head.decode().split("\r\n")
+            head = "\r\n".join(line for line in lines if not line.lower().startswith("content-length"))
+        while gateway.is_cut:
+            time.sleep(0.02)
+        with contextlib.suppress(ConnectionError):
+            self.wfile.write(f"{head}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+
+    def log_message(self, *_: object) -> None:
+        pass
+
+
 class TargetCall:
     """One request that a target has received, and its connection."""
 
--- a/tests/builders_versions_of_targets.py
+++ b/tests/builders_versions_of_targets.py
@@ -13,6 +13,7 @@
 
 from builders_platform import (
     FleetRouterProcess,
+    StoreGateway,
     StoreStandIn,
     TargetCall,
     configuration_document,
@@ -289,6 +290,8 @@
         self.store.compacted_revision = self.store.revision
         self.started_at = time.monotonic()
         self.data_centres = ("north", *routers)
+        self.gateway: StoreGateway | None = None
+        self.lone_router: FleetRouterProcess | None = None
         self.routers: list[FleetRouterProcess] = []
         self.start_routers(is_first_start=True)
 
@@ -335,6 +338,18 @@
             settings={"processor_speed": 1.0 if number else SCHEDULER_SPEED},
         )
 
+    def start_lone_router(self) -> FleetRouterProcess:
+        """Start a router that no other one reaches, and whose way to the store can be cut."""
+        self.gateway = StoreGateway(self.store)
+        self.lone_router = FleetRouterProcess(
+            self.folder,
+            self.gateway.address,
+            ip=f"127.0.0.{len(self.data_centres) + 1}",
+            seeds=("127.0.0.1:1",),
+        )
+        self.lone_router.wait_ready()
+        return self.lone_router
+
     def wait_joined(self, router: FleetRouterProcess) -> None:
         """Wait until a router is ready and knows all others."""
         router.wait_ready()
@@ -447,6 +462,10 @@
     def close(self) -> None:
         """Stop everything."""
         self.kill(*self.live_routers)
+        if self.lone_router is not None:
+            self.kill(self.lone_router)
+            self.gateway.is_cut = False
+            self.gateway.close()
         for targets in self.targets.values():
             for target in targets:
                 target.close()
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -19,12 +19,14 @@
     TargetGrant,
     TargetNotice,
     TargetQuery,
+    TargetRefusal,
 )
 from limpetusher.fleet.process.members import Members
 from limpetusher.fleet.process.pools import Pools
 from limpetusher.fleet.process.prefill_cooldowns import COOLDOWN_ADJUST_INTERVAL_SECONDS
-from limpetusher.fleet.process.scheduler import Scheduler
+from limpetusher.fleet.process.scheduler import MAX_CONFIRMATION_WAIT_SECONDS, Scheduler
 from limpetusher.fleet.process.served_tokens import HALF_LIFE_SECONDS
+from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED
 
 ROUTER_1, ROUTER_2 = "10.0.0.1", "10.0.0.2"
 
@@ -310,3 +312,70 @@
     scheduler.decide(0.0)
     scheduler.receive(ROUTER_1, PrefillFinished("second", 1), 0.2)
     assert scheduler.placement.loads.total("e1").prefill_tokens > 0
+
+
+def make_take_up(request_id: str = "r1", **changes) -> TargetQuery:
+    """Return the query of a stream that its caller takes up, of which the scheduler knows nothing."""
+    return make_ask(request_id, stream=2_000, resumes=1_000, stream_age_seconds=4.0, **changes)
+
+
+def refusal_reasons(scheduler, now: float) -> list[str]:
+    return [answer.reason for _client, answer in scheduler.decide(now) if isinstance(answer, TargetRefusal)]
+
+
+@pytest.fixture
+def following_scheduler(scheduler):
+    """Return a scheduler that has seen all changes of targets since the start of the fleet."""
+    scheduler.versions.start(0.0, is_first_start=True)
+    for target in scheduler.placement.targets.values():
+        scheduler.versions.observe(target.target_id, target.service, target.version, target.data_centre, 0.0)
+    return scheduler
+
+
+def test_unknown_stream_waits_until_the_list_of_targets_is_confirmed(following_scheduler):
+    """Guards against a version that is taken for the only one by a list that may have stood still."""
+    following_scheduler.receive(ROUTER_2, make_take_up(), 5.0)
+    assert following_scheduler.is_active
+    assert following_scheduler.decide(5.0) == []
+    following_scheduler.confirm_targets(4.99, 5.01)
+    assert following_scheduler.decide(5.01) == []
+    following_scheduler.confirm_targets(5.0, 5.02)
+    assert set(grants_by_request(following_scheduler, 5.02)) == {"r1"}
+
+
+def test_unknown_stream_is_refused_if_nothing_confirms_the_list_of_targets(following_scheduler):
+    """Guards against callers that wait in vain, or are joined to another version in the end."""
+    following_scheduler.receive(ROUTER_2, make_take_up(), 5.0)
+    following_scheduler.on_tick(4.99 + MAX_CONFIRMATION_WAIT_SECONDS)
+    assert refusal_reasons(following_scheduler, 5.4) == []
+    following_scheduler.on_tick(5.0 + MAX_CONFIRMATION_WAIT_SECONDS)
+    assert refusal_reasons(following_scheduler, 5.4) == [TARGETS_UNCONFIRMED]
+    assert not following_scheduler.is_active
+
+
+def test_version_without_a_listed_target_is_confirmed_before_the_refusal(following_scheduler):
+    """Guards against streams refused for good whose targets the list does not hold yet."""
+    following_scheduler.receive(ROUTER_2, make_take_up(version="v9"), 5.0)
+    assert following_scheduler.held
+    following_scheduler.on_tick(5.0 + MAX_CONFIRMATION_WAIT_SECONDS)
+    assert refusal_reasons(following_scheduler, 5.4) == [TARGETS_UNCONFIRMED]
+
+
+def test_stream_of_a_listed_version_needs_no_confirmation(following_scheduler):
+    """Guards against waits and refusals of streams whose version is recorded."""
+    version = next(iter(following_scheduler.placement.targets.values())).version
+    following_scheduler.receive(ROUTER_2, make_take_up(version=version), 5.0)
+    assert set(grants_by_request(following_scheduler, 5.0)) == {"r1"}
+
+
+@pytest.mark.parametrize("is_router_gone", [False, True])
+def test_request_that_is_withdrawn_before_the_confirmation_is_dropped(following_scheduler, is_router_gone):
+    """Guards against a grant for a request whose caller has left."""
+    following_scheduler.receive(ROUTER_2, make_take_up(), 5.0)
+    if is_router_gone:
+        following_scheduler.remove_client(ROUTER_2, 5.1)
+    else:
+        following_scheduler.receive(ROUTER_2, AttemptFinished("r1", 1, Outcome.WITHDRAWN), 5.1)
+    following_scheduler.confirm_targets(5.2, 5.2)
+    assert following_scheduler.decide(5.2) == []
+    assert not following_scheduler.is_active
--- /dev/null
+++ b/tests/router/fleet/test_router_out_of_step.py
@@ -0,0 +1,134 @@
+"""Tests of a router whose list of targets stands still while targets of a new software version join."""
+
+import signal
+import time
+
+import pytest
+
+from builders_platform import FleetRouterProcess, wait_for
+from builders_versions_of_targets import NEW, OLD, StreamCaller, VersionedFleet
+from limpetusher.events import Event
+
+pytestmark = pytest.mark.integration
+
+STREAM_COUNT = 8
+REFUSAL_SECONDS = 1.0
+"""Time in which a stream is refused whose version can't be known."""
+
+
+class RouterOutOfStep:
+    """A router out of step, in a fleet with one software version.
+
+    Parameters
+    ----------
+    fleet
+        The fleet.
+    trouble
+        What puts the router out of step.
+    """
+
+    def __init__(self, fleet: VersionedFleet, trouble: str):
+        self.fleet = fleet
+        self.trouble = trouble
+        is_alone = trouble in ("cut-off", "late-changes")
+        self.router = fleet.start_lone_router() if is_alone else fleet.scheduler
+
+    def begin(self) -> None:
+        """Put the router out of step."""
+        if self.trouble == "cut-off":
+            self.fleet.gateway.is_cut = True
+        elif self.trouble == "late-changes":
+            self.fleet.gateway.withholds_changes = True
+        else:
+            self.router.process.send_signal(signal.SIGSTOP)
+
+    def end(self) -> None:
+        """Let the router catch up."""
+        if self.fleet.gateway is not None:
+            self.fleet.gateway.is_cut = self.fleet.gateway.withholds_changes = False
+        self.router.process.send_signal(signal.SIGCONT)
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the router takes requests."""
+        return self.trouble != "paused"
+
+
+@pytest.fixture(params=["cut-off", "late-changes", "paused"])
+def out_of_step(request, tmp_path):
+    """Return a router that is to be put out of step, of a fleet with the old version."""
+    fleet = VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD))
+    try:
+        yield RouterOutOfStep(fleet, request.param)
+    finally:
+        fleet.close()
+
+
+def begin_at_new_version(fleet: VersionedFleet) -> list[StreamCaller]:
+    """Let a new version join, and begin streams at it through routers in step, which break off."""
+    others = fleet.routers[1:]
+    for _ in range(3):
+        fleet.add_target("desk", NEW)
+    for router in others:
+        wait_for(lambda router=router: len(listed(fleet, router)) == 5, router.log)
+    streams = fleet.begin_held("desk", STREAM_COUNT, router=others[0])
+    streams += fleet.begin_held("desk", STREAM_COUNT, router=others[1])
+    for stream in streams:
+        stream.close()
+    streams = [stream for stream in streams if stream.version == NEW]
+    assert streams
+    return streams
+
+
+def listed(fleet: VersionedFleet, router: FleetRouterProcess) -> set[str]:
+    """Return the targets that a router has listed."""
+    return {entry["target"] for entry in fleet.log_entries(router, Event.TARGET_LISTED)}
+
+
+def describe(streams: list[StreamCaller]) -> str:
+    return "\n".join(stream.describe() for stream in streams)
+
+
+@pytest.mark.parametrize("out_of_step", ["cut-off", "late-changes"], indirect=True)
+def test_stream_that_began_at_an_unseen_version_is_refused_at_a_router_out_of_step(out_of_step):
+    """Guards against a list of targets that stands still and is taken for complete."""
+    fleet, router = out_of_step.fleet, out_of_step.router
+    out_of_step.begin()
+    time.sleep(1.0)
+    taken_up = [fleet.take_up(stream, router=router) for stream in begin_at_new_version(fleet)]
+    taken_up = [stream.wait() for stream in taken_up]
+    assert not any(stream.is_joined for stream in taken_up), describe(taken_up)
+    assert all(stream.status == 503 for stream in taken_up), describe(taken_up)
+    assert max(stream.seconds for stream in taken_up) < REFUSAL_SECONDS, describe(taken_up)
+    assert all("\r\nretry-after:" in stream.head for stream in taken_up), describe(taken_up)
+
+
+def test_stream_that_began_at_a_router_out_of_step_goes_on_there(out_of_step):
+    """Guards against refusals of streams whose version the router knows itself, although it is cut off."""
+    fleet, router = out_of_step.fleet, out_of_step.router
+    out_of_step.begin()
+    time.sleep(2.0)
+    if not out_of_step.is_running:
+        out_of_step.end()
+    streams = fleet.begin_held("desk", STREAM_COUNT, router=router)
+    for stream in streams:
+        stream.close()
+    taken_up = [fleet.take_up(stream, router=router) for stream in streams]
+    taken_up = [stream.wait() for stream in taken_up]
+    assert all(stream.has_gone_on for stream in taken_up), describe(taken_up)
+
+
+@pytest.mark.parametrize("resumes", ["", "unknown"])
+def test_stream_of_the_only_version_goes_on_as_soon_as_the_store_confirms_the_list(out_of_step, resumes):
+    """Guards against a router that is back in step and still refuses streams of the only version."""
+    fleet, router = out_of_step.fleet, out_of_step.router
+    streams = fleet.begin_held("desk", STREAM_COUNT, router=fleet.routers[1])
+    for stream in streams:
+        stream.close()
+    out_of_step.begin()
+    time.sleep(2.0)
+    out_of_step.end()
+    time.sleep(0.5)
+    taken_up = [fleet.take_up(stream, router=router, resumes=resumes) for stream in streams]
+    taken_up = [stream.wait() for stream in taken_up]
+    assert all(stream.has_gone_on for stream in taken_up), describe(taken_up)
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -15,6 +15,7 @@
     StartAttempt,
     StoreChanged,
     StoreChangesMissed,
+    StoreCopyConfirmed,
 )
 from limpetusher_router.fleet.recent_changes import CHANGE_REPEAT_SECONDS, MAXIMUM_UPDATE_BYTES
 from limpetusher_router.fleet.store_copy import ConfigurationInForce, StoreCopy, StoreCopyEncoder
@@ -26,6 +27,7 @@
     MINIMUM_WATCH_INTERVAL_SECONDS,
     PAGE_TIMEOUT_SECONDS,
     REGULAR_UPDATE,
+    REVISION_TIMEOUT_SECONDS,
     UNSEEN_TARGET_SECONDS,
     UPDATE_INTERVAL_SECONDS,
     UPDATE_TIMEOUT_SECONDS,
@@ -440,3 +442,59 @@
     clock.advance(factor * UNSEEN_TARGET_SECONDS)
     reader.replace_copy([StoredItem("op/config", b"y", 14)], 14)
     assert sum(isinstance(event, StoreChangesMissed) for event in reader.fired) == missed
+
+
+def answer_revision(reader, revision: int, *, status: int = 200, generation: int = 0) -> None:
+    """Answer the call for the revision of the store."""
+    body = msgspec.json.encode({"items": [], "currentRev": revision})
+    key = (StoreCall.REVISION, reader.calls_in_progress[StoreCall.REVISION])
+    reader.on_answer_started(key, AnswerHead(status, {"store-era": str(generation)}, None, False, True))
+    reader.on_answer_part(key, body)
+    reader.on_answer_ended(key, AttemptResult.COMPLETE)
+
+
+def confirmed_times(reader) -> list[float]:
+    """Return the times of which the copy is known to have all changes."""
+    return [event.args[0] for event in reader.fired if isinstance(event, StoreCopyConfirmed)]
+
+
+def test_copy_is_confirmed_as_of_the_time_at_which_the_store_was_asked(reader, clock):
+    """Guards against a confirmation of the time in which the answer was on its way."""
+    reader.on_confirm()
+    asked_at = clock.monotonic()
+    clock.advance(0.1)
+    answer_revision(reader, 11)
+    assert confirmed_times(reader) == [asked_at]
+
+
+def test_copy_is_confirmed_only_when_it_has_reached_the_revision_of_the_store(reader, clock):
+    """Guards against a list of targets that counts as complete although its watch is late."""
+    reader.on_confirm()
+    asked_at = clock.monotonic()
+    answer_revision(reader, 12)
+    clock.advance(0.1)
+    reader.on_confirm()
+    assert confirmed_times(reader) == []
+    reader.handle_update("10.0.0.2", make_store_update(), is_from_other_data_centre=False)
+    assert confirmed_times(reader) == [asked_at]
+    changed = [isinstance(event, StoreChanged) for event in reader.fired]
+    assert changed.index(True) < [isinstance(event, StoreCopyConfirmed) for event in reader.fired].index(True)
+
+
+@pytest.mark.parametrize(("status", "generation"), [(503, 0), (429, 0), (200, 1)])
+def test_refusal_or_restored_store_confirms_nothing(reader, status, generation):
+    """Guards against a confirmation by an answer that says nothing of the own copy."""
+    reader.on_confirm()
+    answer_revision(reader, 11, status=status, generation=generation)
+    assert confirmed_times(reader) == []
+    assert reader.is_connected
+
+
+def test_store_is_asked_again_only_after_the_timeout(reader, clock):
+    """Guards against a call to the store for each stream that is taken up."""
+    for _ in range(5):
+        reader.on_confirm()
+    clock.advance(REVISION_TIMEOUT_SECONDS)
+    reader.on_confirm()
+    calls = [event for event in reader.fired if isinstance(event, StartAttempt)]
+    assert len(calls) == 2
