Do not read a stream's version by a time before others may have had another scheduler

A router that was cut off began to schedule by itself, and took the targets of that time for all that a stream could have begun at: as the only scheduler it would know later ones. Meanwhile the others went on with another scheduler, and their streams went on at the old version when they were taken up at the router that was back, although its list was up to date by then.

Cause: the time since when a router schedules a pool was the end of the time in question whether or not it was in contact with the others. Now it is that only while no router is suspected, none was since shortly before without having restarted, and messages of other data centres came all along. Otherwise a stream may have begun up to now, which leaves more streams open and joins none.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
@@ -45,6 +45,9 @@
 MIN_SUSPICION_SECONDS = 2.0
 """Minimum time for which an unresponsive router is avoided; without it, a slow host alternates between chosen
 and suspected."""
+CUT_OFF_SECONDS = 2.0
+"""Time without a message of any router after which this one may be cut off; some come in each second, also
+from other data centres."""
 SNAPSHOT_MAX_AGE_SECONDS = 0.5
 """Maximum age of a cached snapshot if no membership change has occurred. Only delays changes caused by
 timeouts, which are much longer."""
@@ -67,6 +70,25 @@
         return now < self.suspected_until or self.last_message_at < self.suspected_at
 
 
+@dataclass(slots=True)
+class Contact:
+    """When other routers, whichever, have sent messages."""
+
+    heard_at: float = -math.inf
+    silent_until: float = -math.inf
+    """When a message came after the last long silence."""
+
+    def record(self, now: float) -> None:
+        """Record a message."""
+        if -math.inf < self.heard_at < now - CUT_OFF_SECONDS:
+            self.silent_until = now
+        self.heard_at = now
+
+    def was_lost(self, since: float, now: float) -> bool:
+        """Return whether there was a long silence since a time, or is one now."""
+        return self.silent_until >= since or self.heard_at < now - CUT_OFF_SECONDS
+
+
 @dataclass(slots=True)
 class MembershipSnapshot:
     """Live routers at one time, including this one unless it stops, and the responsive ones."""
@@ -99,6 +121,9 @@
         self.round = 0
         self.priority_rounds: dict[str, int] = {}
         """Remaining rounds in which the entry of a router takes precedence, by address."""
+        self.contact = Contact()
+        self.contact_elsewhere = Contact()
+        """Contact with routers of other data centres."""
         self.changes = 0
         """Number of membership changes, apart from timeouts; a snapshot is valid for one value."""
         self.cached_snapshot: MembershipSnapshot | None = None
@@ -148,6 +173,9 @@
         peer = self.peers.get(address)
         if peer is not None:
             peer.last_alive_at = peer.last_message_at = now
+            self.contact.record(now)
+            if peer.entry.data_centre != self.own.data_centre:
+                self.contact_elsewhere.record(now)
 
     def suspect(self, address: str, now: float) -> bool:
         """Mark a router as unresponsive; return whether it was not suspected before."""
@@ -171,6 +199,21 @@
             and not peer.entry.is_leaving
         )
 
+    def may_be_divided(self, since: float, now: float) -> bool:
+        """Return whether other routers may have elected other schedulers than this one since a time.
+
+        They may if some of them were out of reach of this one, and have not restarted since then.
+        """
+        own = self.own.data_centre
+        has_others = any(peer.entry.data_centre != own for peer in self.peers.values())
+        contact = self.contact_elsewhere if has_others else self.contact
+        if contact.was_lost(since, now) and (self.peers or self.seeds):
+            return True
+        return any(
+            peer.is_suspected(now) or peer.suspected_at > since - MIN_SUSPICION_SECONDS
+            for peer in self.peers.values()
+        )
+
     def is_suspected(self, address: str, now: float) -> bool:
         """Return whether a router is suspected of being unreachable."""
         peer = self.peers.get(address)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -388,7 +388,9 @@
         if message.resumes == UNNAMED_STREAM:
             return None, ""
         until = self.scheduled_since[request.pool]
-        if begun_after > until:
+        if self.pools.members.may_be_divided(until, now):
+            until = now
+        elif begun_after > until:
             # This scheduler would know the stream.
             return None, ""
         versions = self.versions.possible_versions(message.service, message.resumes, since, until)
--- a/tests/fleet/process/test_members.py
+++ b/tests/fleet/process/test_members.py
@@ -5,6 +5,7 @@
 
 from limpetusher.fleet.messages import MemberEntry
 from limpetusher.fleet.process.members import (
+    CUT_OFF_SECONDS,
     FORGET_TIMEOUT_SECONDS,
     GOSSIP_FANOUT,
     LIVENESS_TIMEOUT_SECONDS,
@@ -127,3 +128,54 @@
     first = members.interleaved_members(0.1)
     assert len(first) == 13
     assert {entry.data_centre for entry in first[:3]} == set(names)
+
+
+def hear(members: Members, times, address: str = PEER) -> None:
+    for time in times:
+        members.record_message(address, time)
+
+
+def test_router_in_contact_is_not_divided_from_others():
+    """Guards against doubts about streams that this router would know if they had begun."""
+    members = make_members()
+    members.merge((make_entry(data_centre="south"),), 0.0)
+    hear(members, range(10))
+    assert not members.may_be_divided(0.0, 10.0)
+
+
+def test_lone_router_of_a_fleet_of_one_is_not_divided():
+    """Guards against the same doubts where there is no other router."""
+    assert not make_members().may_be_divided(0.0, 10.0)
+
+
+def test_router_that_hears_nobody_may_be_divided_from_others():
+    """Guards against a router that is cut off and takes itself for the only scheduler."""
+    members = make_members()
+    members.set_seeds((PEER,))
+    assert members.may_be_divided(0.0, 10.0)
+    members.merge((make_entry(),), 10.0)
+    hear(members, (10.0, 11.0))
+    assert not members.may_be_divided(0.0, 11.0)
+    assert members.may_be_divided(0.0, 11.1 + CUT_OFF_SECONDS)
+
+
+def test_router_that_was_cut_off_may_have_been_divided_from_others():
+    """Guards against trust in a time in which others may have had another scheduler."""
+    members = make_members()
+    members.merge((make_entry(data_centre="south"), make_entry("10.0.0.3")), 0.0)
+    hear(members, (0.0, 1.0, 5.0, 6.0))
+    hear(members, range(7), "10.0.0.3")
+    assert members.may_be_divided(2.0, 6.0)
+    assert not members.may_be_divided(5.5, 6.0)
+
+
+def test_suspected_router_may_be_divided_from_this_one_until_it_restarts():
+    """Guards against streams of a router that was out of reach and comes back."""
+    members = make_members()
+    members.merge((make_entry(), make_entry("10.0.0.3")), 0.0)
+    members.suspect(PEER, 4.0)
+    hear(members, (6.5,))
+    hear(members, range(10), "10.0.0.3")
+    assert members.may_be_divided(3.0, 9.0)
+    members.merge((make_entry(incarnation=6),), 9.0)
+    assert not members.may_be_divided(3.0, 9.0)
--- a/tests/router/fleet/test_router_out_of_step.py
+++ b/tests/router/fleet/test_router_out_of_step.py
@@ -12,6 +12,8 @@
 pytestmark = pytest.mark.integration
 
 STREAM_COUNT = 8
+TAKE_UP_ROUNDS = 4
+"""Number of times that each stream is taken up, from the moment on at which the router is back in step."""
 REFUSAL_SECONDS = 1.0
 """Time in which a stream is refused whose version can't be known."""
 
@@ -103,6 +105,25 @@
     assert all("\r\nretry-after:" in stream.head for stream in taken_up), describe(taken_up)
 
 
+def test_stream_that_began_at_an_unseen_version_is_not_joined_at_a_router_that_is_back(out_of_step):
+    """Guards against a router that takes itself for the only scheduler while it was cut off."""
+    fleet, router = out_of_step.fleet, out_of_step.router
+    out_of_step.begin()
+    time.sleep(1.0)
+    streams = begin_at_new_version(fleet)
+    if out_of_step.is_running:
+        # From its first request on, the router schedules by itself.
+        fleet.begin_held("desk", 1, router=router)
+    out_of_step.end()
+    taken_up = []
+    for _ in range(TAKE_UP_ROUNDS):
+        taken_up += [fleet.take_up(stream, router=router) for stream in streams]
+        time.sleep(0.1)
+    taken_up = [stream.wait() for stream in taken_up]
+    assert not any(stream.is_joined for stream in taken_up), describe(taken_up)
+    assert all(stream.has_gone_on or stream.status == 503 for stream in taken_up), describe(taken_up)
+
+
 def test_stream_that_began_at_a_router_out_of_step_goes_on_there(out_of_step):
     """Guards against refusals of streams whose version the router knows itself, although it is cut off."""
     fleet, router = out_of_step.fleet, out_of_step.router
