Add a failing test of streams that a router out of step begins at targets that have left

A router that is cut off begins streams by its old list. Taken up at a router in step, they go on at the only version that has been in service for long enough to have begun them there: 8 of 8 are joined.

--- a/tests/router/fleet/test_router_out_of_step.py
+++ b/tests/router/fleet/test_router_out_of_step.py
@@ -153,3 +153,24 @@
     taken_up = [fleet.take_up(stream, router=router, resumes=resumes) for stream in streams]
     taken_up = [stream.wait() for stream in taken_up]
     assert all(stream.has_gone_on for stream in taken_up), describe(taken_up)
+
+
+def test_stream_that_began_by_an_old_list_is_not_joined_at_routers_in_step(tmp_path):
+    """Guards against streams that a router out of step begins at targets which have left for all others."""
+    fleet = VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD), route_seconds=2.0)
+    try:
+        router = fleet.start_lone_router()
+        fleet.gateway.is_cut = True
+        for _ in range(2):
+            fleet.add_target("desk", NEW)
+        for target in fleet.old_targets("desk"):
+            fleet.remove_target(target)
+        time.sleep(3.0)
+        streams = fleet.begin_held("desk", STREAM_COUNT, router=router, seconds=2.0)
+        for stream in streams:
+            stream.close()
+        taken_up = [fleet.take_up(stream, router=fleet.routers[1]) for stream in streams]
+        taken_up = [stream.wait() for stream in taken_up]
+        assert not any(stream.is_joined for stream in taken_up), describe(taken_up)
+    finally:
+        fleet.close()
