Check the version of a granted target before a silent attempt is cancelled

A stream at a silent target could be cut off beside a release: its attempt was cancelled for a grant that could not be used, as the entry of the granted target had another software version by then. The request then asked again, and its caller was cut off if the retry budget was spent.

Cause: end_silent_attempt checked whether the granted target may get requests, but not its version, which handle_grant checks after the attempt has been cancelled. Both checks are now in one method that both places use.

test_silent_attempt_goes_on_if_the_granted_target_has_another_version_by_now fails without the change, as the attempt is cancelled, and passes with it.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -187,14 +187,10 @@
             # The scheduler may have started after the quarantine and not know it yet.
             self.fail_request(exchange, quarantine_refusal(quarantine, now, digest=target_request.digest))
             return
-        if not self.state.can_send(answer.target_id, now):
+        if not self.can_use_grant(target_request, answer, now):
             self.return_grant(exchange, answer, now)
             return
         target = self.state.placement.targets[answer.target_id]
-        if target_request.version not in (None, target.version):
-            # The entry of the target has changed since the scheduler has read it.
-            self.return_grant(exchange, answer, now)
-            return
         target_request.granted_version = target.version
         if not exchange.attempt_count:
             self.count_takeup(target_request, answer.version_basis)
@@ -264,6 +260,12 @@
             self.is_check_scheduled = True
             self.deadlines.schedule_in(SILENCE_CHECK_INTERVAL_SECONDS, DeadlineReached(), ANSWERS)
 
+    def can_use_grant(self, target_request: TargetRequest, answer: TargetGrant, now: float) -> bool:
+        """Return whether a granted target may get its request; its entry may have changed since the grant."""
+        if not self.state.can_send(answer.target_id, now):
+            return False
+        return target_request.version in (None, self.state.placement.targets[answer.target_id].version)
+
     def return_grant(self, exchange: Exchange, answer: TargetGrant, now: float) -> None:
         """Return a grant whose target must get no request and ask for another target."""
         target_request = exchange.target_request
@@ -309,7 +311,7 @@
         if (
             not is_silent(exchange, now)
             or not can_retry(exchange)
-            or not self.state.can_send(answer.target_id, now)
+            or not self.can_use_grant(replacement, answer, now)
             or self.state.find_quarantine(replacement, now) is not None
         ):
             self.withdraw_replacement(exchange)
--- a/tests/router/fleet/test_requests.py
+++ b/tests/router/fleet/test_requests.py
@@ -130,3 +130,19 @@
     assert exchange.possible_runs == (1 if sends_again else 2)
     metrics = fixture.requests.metrics
     assert (metrics.waiting_requests, metrics.running_requests) == (0, 1)
+
+
+def test_silent_attempt_goes_on_if_the_granted_target_has_another_version_by_now():
+    """Guards against cancelling a stream at its silent target for a grant that can't go on with it."""
+    fixture = OpenRequest()
+    exchange, clock = fixture.exchange, fixture.clock
+    fixture.grant(exchange.target_request, "e1")
+    first = exchange.attempt
+    exchange.target_request.version = first.target.version
+    clock.advance(1.1)
+    fixture.requests.request_replacement(exchange, clock.monotonic())
+    fixture.state.placement.put_target(make_target("e2", version="other"))
+    fixture.grant(exchange.replacement, "e2")
+    assert exchange.attempt is first
+    assert exchange.replacement is None
+    assert fixture.recorder.cancelled == []
