Answer a request whose admission raises an exception

A request for which a handler failed before it was admitted got no answer at all: its connection has no time-out while it waits for an answer, so that its caller waited until it gave up.

Cause: FailRequest was ignored for a request without an exchange. It is now answered with 502. The answer does not state that the request has not run, as the exchange may also have been removed at its end; an answer to a request that has ended finds no connection and is ignored.

test_request_whose_admission_raises_an_exception_is_answered fails without the change (no answer) and passes with it. No input that raises there is known: 60,000 random request heads of unusual values, weights and routes raised none.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -532,6 +532,9 @@
         """End a request whose handler raised an exception."""
         exchange = self.exchanges.get(request_id)
         if exchange is None:
+            # Its admission failed; callers' connections ignore the answer if the request has ended.
+            refusal = FleetRefusal(BAD_GATEWAY, "internal_error", "internal error", ran=Ran.UNKNOWN)
+            self.fire(error_answer(request_id, "", refusal), CALLERS)
             return
         if exchange.attempt is not None:
             self.stop_attempt(exchange)
--- a/tests/router/fleet/test_requests.py
+++ b/tests/router/fleet/test_requests.py
@@ -12,15 +12,16 @@
 from limpetusher.fleet.request.scheduler_client import TargetRequest
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher_router.connection.framing import RequestHead
-from limpetusher_router.events import CALLERS, TARGETS
+from limpetusher_router.events import CALLERS, REQUESTS, TARGETS, RequestReceived
 from limpetusher_router.fleet.event_relay import EventRelay
 from limpetusher_router.fleet.exchange import Exchange
-from limpetusher_router.fleet.refusals import UNAVAILABLE
+from limpetusher_router.fleet.refusals import BAD_GATEWAY, UNAVAILABLE
 from limpetusher_router.fleet.requests import FleetRequests
 from limpetusher_router.fleet.state import FleetState
 from limpetusher_router.platform.requests import decode_request
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.process.root import ProcessRoot
 
 SERVICE = "engines"
 TIMEOUT_SECONDS = 2.0
@@ -146,3 +147,19 @@
     assert exchange.attempt is first
     assert exchange.replacement is None
     assert fixture.recorder.cancelled == []
+
+
+def test_request_whose_admission_raises_an_exception_is_answered(monkeypatch):
+    """Guards against a caller that waits for ever, as its request failed before it was admitted."""
+    fixture = OpenRequest()
+
+    def fail(*_: object) -> None:
+        raise RuntimeError("admission")
+
+    monkeypatch.setattr(fixture.requests.admission, "admit", fail)
+    root = ProcessRoot(Metrics(), clock=fixture.clock)
+    fixture.recorder.register(root)
+    root.fire(RequestReceived("r2", fixture.exchange.head, b""), REQUESTS)
+    while len(root):
+        root.flush()
+    assert fixture.recorder.statuses == [BAD_GATEWAY]
