Let a stream wait for a target after its silent one was replaced

A caller with a part of a stream was cut off although its first target was sound: silent for 1.5 s, it was replaced by another target, which rejected the request as not run (as a target does that is about to leave). The request for the first target was then refused for want of retry budget or as it was full at that moment, and the answer aborted.

Cause: since the attempt at the silent target is cancelled with the grant of another one, the request depends on a further grant, and continue_after_refusal asked for it only once, and not at all without retry budget. A stream whose head was sent now asks again each 0.2 s, until its deadline, while a target that was replaced as silent is listed and gets requests. Nothing is sent beyond the budget. Requests without a part of an answer are refused as before, as are streams whose version has left or that may crash targets.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/answers.py
@@ -292,8 +292,9 @@
 
     @handler("DeadlineReached")
     def on_due(self, _subject: object) -> None:
-        """Check the open requests for silent targets and slow streams."""
+        """Check the open requests for silent targets, slow streams and streams that wait for a target."""
         self.requests.is_check_scheduled = False
+        self.requests.repeat_due_requests()
         self.replace_silent_attempts()
         self.check_stream_progress()
         if self.requests.exchanges:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -1,5 +1,6 @@
 """State of one caller's request and of its current attempt."""
 
+import math
 from dataclasses import dataclass, field
 
 from limpetusher.fleet.messages import TargetGrant
@@ -58,6 +59,8 @@
     """Time from which another target may be requested again."""
     silent_target_ids: set[str] = field(default_factory=set)
     """Targets replaced while they were silent; they get the request again if no other takes it."""
+    repeat_due_at: float = math.inf
+    """Time at which a stream that was refused a target asks for one again."""
     attempt_count: int = 0
     possible_runs: int = 0
     """Number of attempts that are not known not to have run."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -57,6 +57,8 @@
 connections after a second at the earliest, so that a close is unlikely to be in transit."""
 SILENCE_CHECK_INTERVAL_SECONDS = 0.1
 """Time between two checks for silent targets and slow streams."""
+REPEAT_INTERVAL_SECONDS = 0.2
+"""Time after which a stream whose silent target was replaced asks again for a target that it was refused."""
 MAXIMUM_RETURNED_GRANTS = 8
 """Number of grants that a request may return unused before it is refused."""
 
@@ -331,21 +333,38 @@
         """Return whether an exchange goes on although its request for a target was refused.
 
         A silent attempt goes on. If it was replaced by one that has not run, its target may get the request
-        again, as silent targets may be sound.
+        again, as silent targets may be sound. A stream of which its caller has a part waits for that while
+        the target is listed.
         """
         now = self.clock.monotonic()
         if target_request is exchange.replacement:
             exchange.replacement = None
             exchange.replacement_due_at = max(exchange.replacement_due_at, now + answer.retry_after_seconds)
             return True
-        if not exchange.silent_target_ids or answer.is_retry_budget_spent:
+        if not exchange.silent_target_ids:
             return False
-        target_request.excluded -= exchange.silent_target_ids
-        exchange.silent_target_ids = set()
-        target_request.queued_at = now
-        self.state.scheduler_client.request_target(target_request, now)
+        if not answer.is_retry_budget_spent and target_request.excluded & exchange.silent_target_ids:
+            target_request.excluded -= exchange.silent_target_ids
+            target_request.queued_at = now
+            self.state.scheduler_client.request_target(target_request, now)
+            return True
+        if not exchange.is_head_sent or answer.lacks_version or answer.may_crash_targets:
+            return False
+        if not any(self.state.can_send(target_id, now) for target_id in exchange.silent_target_ids):
+            return False
+        exchange.repeat_due_at = now + REPEAT_INTERVAL_SECONDS
+        self.schedule_check()
         return True
 
+    def repeat_due_requests(self) -> None:
+        """Request targets again for the streams that wait until one may go on with them."""
+        now = self.clock.monotonic()
+        for exchange in self.exchanges.values():
+            if now >= exchange.repeat_due_at:
+                exchange.repeat_due_at = math.inf
+                exchange.target_request.queued_at = now
+                self.state.scheduler_client.request_target(exchange.target_request, now)
+
     def record_attempt_failure(
         self, exchange: Exchange, attempt: TargetAttempt, failure: AttemptFailure
     ) -> None:
--- a/tests/router/fleet/test_silent_targets.py
+++ b/tests/router/fleet/test_silent_targets.py
@@ -123,6 +123,37 @@
         assert ask_beside(run, other, "/safe/1", x_deadline_ms="1900") == (200, b"done")
 
 
+def test_stream_goes_on_when_the_retry_budget_is_spent_after_its_silent_target_was_replaced(tmp_path):
+    """Guards against cutting off a caller whose silent target was replaced by one that rejects it."""
+    budget = {"retry_ratio": 0.0, "retry_extra": 3.0, "retry_window_seconds": 1.0}
+    with fleet_run(tmp_path, SilentOnce(events_before=3), **budget) as run:
+        status, body = ask_beside(
+            run, "rejecting", "/stream/1", method="POST", body="x", x_deadline_ms="6000"
+        )
+        assert (status, unchunk(body)) == (200, (EVENTS, True))
+        assert open_requests(run) == (0, 0)
+
+
+def test_stream_goes_on_when_its_silent_target_is_full_after_it_was_replaced(tmp_path):
+    """Guards against cutting off a caller whose target was replaced by one that rejects the request."""
+    script = SilentOnce(events_before=3)
+
+    def fill_silent_target(call, number) -> None:
+        if script.silent_id not in ("", call.headers["x-target-instance"]):
+            key = f"servers/{script.silent_id}"
+            address = run.targets[script.silent_id].address
+            run.put(key, target_document(address, slots=0), Event.TARGET_LISTED)
+            threading.Timer(1.2, run.store.put, (key, target_document(address))).start()
+        script(call, number)
+
+    with fleet_run(tmp_path, fill_silent_target) as run:
+        status, body = ask_beside(
+            run, "rejecting", "/stream/1", method="POST", body="x", x_deadline_ms="6000"
+        )
+        assert (status, unchunk(body)) == (200, (EVENTS, True))
+        assert open_requests(run) == (0, 0)
+
+
 @pytest.mark.parametrize("end", ["silent", "cut"])
 def test_stream_of_a_silent_target_goes_on_at_one_that_is_listed_later(tmp_path, end):
     """Guards against a silent attempt for which another target is requested only once."""
