Do not count targets that drained before as possible origins of a stream

After the loss of all routers in a release, streams were refused whose version could be read from their identifier. A target that had drained before the time in question and was removed within it counted as one that may have begun the stream: the history was asked for its last entry before, but not whether that entry was ready. In a release each replaced target is removed seconds after it has drained, so one or two such targets came first in the order of most streams.

A target is left out now if its last entry before and all later ones list it as draining or as removed. No router begins a stream at such a target; its list may lag, which the start of the time in question allows for.

test_removal_of_a_target_that_was_draining_before_leaves_no_stream_open fails without the change.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
@@ -101,6 +101,9 @@
         found = []
         for target_id, entries in by_target.items():
             earlier = None if entries[0].is_first else self.last_entry(target_id, changes.after)
+            if earlier is not None and not any(entry.is_ready for entry in (earlier, *entries)):
+                # It was draining before and has begun no stream since.
+                continue
             versions = {
                 (entry.service, entry.version) for entry in (earlier, *entries) if entry and entry.service
             }
--- a/tests/fleet/process/test_version_history.py
+++ b/tests/fleet/process/test_version_history.py
@@ -284,6 +284,32 @@
             else:
                 assert found == {"v2"}
 
+    def test_removal_of_a_target_that_was_draining_before_leaves_no_stream_open(self):
+        """Guards against refused streams that a target names which was in service all the time."""
+        versions = make_history({"t2": "v2", "t4": "v2"}, since=20.0)
+        entries = (TargetEntry("t1", 4, False, "desk", "v1", True), TargetEntry("t1", 5, False, "desk", "v1"))
+        versions.history = StoreHistory(
+            3, (*entries, TargetEntry("t1", 9)), known_times=((6, 10.0), (4, 8.0))
+        )
+        for stream in STREAMS:
+            assert versions.possible_versions("desk", stream, 12.0, 19.0) == {"v2"}
+        assert any("v1" in versions.possible_versions("desk", stream, 9.0, 19.0) for stream in STREAMS)
+
+    @pytest.mark.parametrize("is_new", [False, True])
+    def test_target_that_drained_before_and_started_again_may_have_begun_the_stream(self, is_new):
+        """Guards against leaving out a target that drained before but could begin streams later on."""
+        versions = make_history({"t2": "v2", "t4": "v2"}, since=20.0)
+        entries = (
+            TargetEntry("t1", 5, False, "desk", "v1"),
+            TargetEntry("t1", 7, is_new, "desk", "v3", True),
+            TargetEntry("t1", 9),
+        )
+        versions.history = StoreHistory(3, entries, known_times=((6, 10.0),))
+        targets = {"t1": "v1", "t2": "v2", "t4": "v2"}
+        for stream in STREAMS:
+            found = versions.possible_versions("desk", stream, 12.0, 19.0)
+            assert ("v3" in found) == (first_target(stream, targets) == "t1")
+
     def test_evacuation_before_the_start_leaves_streams_open(self):
         """Guards against a version named by a target whose data centre was evacuated when it began."""
         versions = make_history({"t1": "v1"}, since=20.0)
