Tell no time of a revision by a target that has become cold again

After the loss of all routers, changes of the store get their times from entries of cold targets: the start, and the time for which a target was cold before the entry. A target may become cold again at any time, though, and writes the whole time then. Such an entry counted as written at the start of its target, maybe minutes before, and with it all earlier changes. A stream that had begun before those changes was looked up among the targets after them, and could go on at another version (ORDER).

An entry counts now only if its target was cold from its start: the first entry since the start is in the history, the time left has decreased from each entry to the next, and the target was not removed in between.

Found by reading; no stream was seen joined by it.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -62,6 +62,37 @@
     started_at: float
 
 
+class ColdStarts:
+    """Tells from earlier entries whether a target was still cold from its start.
+
+    A target may become cold again at any time, so that the time for which it is still cold does not always
+    tell how long ago it started. The entries have to be passed in the order of their revisions.
+    """
+
+    def __init__(self):
+        self.last: dict[str, tuple[int, float]] = {}
+        """Start of each target according to its last entry, 0 if that is not known, and the time for which it
+        was still cold from that start."""
+
+    def is_cold_since_start(self, target: Target, *, is_new: bool) -> bool:
+        """Return whether a target is cold from its start in its next entry.
+
+        `is_new` tells that it had no entry before.
+        """
+        target_id, started_at = target.target_id, target.started_at_milliseconds
+        known_start, seconds = self.last.get(target_id, (started_at if is_new else 0, math.inf))
+        if known_start and known_start != started_at:
+            # The first entry after another start.
+            seconds = math.inf
+        seconds = target.cold_until if known_start and target.cold_until < seconds else 0.0
+        self.last[target_id] = started_at, seconds
+        return seconds > 0
+
+    def removed(self, target_id: str) -> None:
+        """Record that the entry of a target was removed; it may be registered again without another start."""
+        self.last[target_id] = self.last.get(target_id, (0, 0.0))[0], 0.0
+
+
 class FleetState:
     """Applies the changes of the platform's store and owns the scheduling components.
 
@@ -305,7 +336,7 @@
         return target.started_at_milliseconds / MILLISECONDS_PER_SECOND + offset + CLOCK_DIFFERENCE_SECONDS
 
     def written_at(self, target: Target, cold_seconds_left: float) -> float | None:
-        """Return the latest time at which an entry was written, None unless its target was cold."""
+        """Return the latest time at which a target wrote an entry that was cold from its start, else None."""
         service = self.placement.services.get(target.service)
         if service is None or not target.started_at_milliseconds:
             return None
@@ -319,15 +350,20 @@
         entries = []
         evacuations = []
         times = []
+        starts = ColdStarts()
         for item in items:
             if item.key.startswith(names.EVACUATION_PREFIX):
                 evacuations.append((item.key.removeprefix(names.EVACUATION_PREFIX), item.revision))
             elif item.key.startswith(names.TARGET_PREFIX):
+                target_id = item.key.removeprefix(names.TARGET_PREFIX)
                 target = earlier_target(item)
                 entries.append(self.target_entry(item, target))
-                written_at = None if target is None else self.written_at(target, target.cold_until)
-                if written_at is not None:
-                    times.append((item.revision, written_at))
+                if target is None:
+                    starts.removed(target_id)
+                elif starts.is_cold_since_start(target, is_new=item.created_revision == item.revision):
+                    written_at = self.written_at(target, target.cold_until)
+                    if written_at is not None:
+                        times.append((item.revision, written_at))
         times += self.times_of_registrations(registrations, entries, after)
         self.versions.history = StoreHistory(after, tuple(entries), tuple(evacuations), tuple(times))
         log_event(Event.STORE_HISTORY_READ, after=after, entries=len(entries))
--- a/tests/router/fleet/test_state.py
+++ b/tests/router/fleet/test_state.py
@@ -8,6 +8,8 @@
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.mirror import Change, StoredItem
 from limpetusher_router.fleet.state import LOST_ENTRY_SECONDS, OUTDATED_ENTRY_HEARTBEATS, FleetState
+from limpetusher_router.platform import names
+from limpetusher_router.platform.store import HistoryItem
 
 HEARTBEAT_SECONDS = 3.0
 OUTDATED_ENTRY_SECONDS = OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_SECONDS
@@ -152,3 +154,84 @@
         item = StoredItem("op/config", document, version)
         state.apply_change(Change("op/config", item, is_outdated=is_outdated))
     assert state.configuration.version == state.configuration_in_force.version == 5
+
+
+COLD_SECONDS = 3.0
+HISTORY_START = 20
+
+
+class History:
+    """Earlier changes of the store that a router reads 30 s after the start of the oldest target."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.state = make_state(self.clock)
+        service = configuration_document()["services"][0] | {"coldS": COLD_SECONDS}
+        configuration = json.dumps(configuration_document(services=[service])).encode()
+        self.state.apply_change(
+            Change(names.CONFIGURATION_KEY, StoredItem(names.CONFIGURATION_KEY, configuration, 6))
+        )
+        self.started_at = self.clock.wall()
+        self.clock.advance(30.0)
+        self.items: list[HistoryItem] = []
+
+    def add(self, *, seconds: float = 0.0, cold: float | None = None, is_new: bool = False) -> None:
+        """Add an entry of a target that started some seconds after the oldest one, None for its removal."""
+        revision = HISTORY_START + 1 + len(self.items)
+        born = round(1_000 * (self.started_at + seconds))
+        document = target_document("10.0.0.9:80", born=born, coldLeftMs=1_000 * (cold or 0.0))
+        value = None if cold is None else json.dumps(document).encode()
+        created = revision if is_new else 1
+        self.items.append(HistoryItem("servers/t9", revision, created, value))
+
+    def times(self) -> dict[int, float]:
+        """Return by which time each revision was there, by the start of the oldest target."""
+        self.state.apply_history(self.items, HISTORY_START, ())
+        offset = self.clock.wall() - self.clock.monotonic() - self.started_at
+        known = self.state.versions.history.known_times
+        return {revision: round(time + offset, 3) for revision, time in known if revision > HISTORY_START}
+
+
+def test_time_of_a_revision_is_known_by_a_target_that_is_cold_from_its_start():
+    history = History()
+    history.add(cold=3.0, is_new=True)
+    history.add(cold=1.5)
+    history.add(cold=0.0)
+    history.add(seconds=20.0, cold=2.5)
+    assert history.times() == {21: 0.3, 22: 1.8, 24: 20.8}
+
+
+def test_target_that_becomes_cold_again_tells_no_time():
+    """Guards against later changes that count as older than a stream, which joins two versions."""
+    history = History()
+    history.add(cold=3.0, is_new=True)
+    history.add(cold=0.0)
+    history.add(cold=3.0)
+    history.add(cold=1.5)
+    assert history.times() == {21: 0.3}
+
+
+def test_target_that_becomes_cold_again_in_its_start_tells_no_time():
+    history = History()
+    history.add(cold=3.0, is_new=True)
+    history.add(cold=1.5)
+    history.add(cold=2.5)
+    history.add(cold=1.0)
+    assert history.times() == {21: 0.3, 22: 1.8}
+
+
+def test_cold_target_whose_first_entry_is_not_known_tells_no_time():
+    history = History()
+    history.add(cold=3.0)
+    history.add(cold=1.5)
+    assert history.times() == {}
+
+
+def test_cold_target_that_is_registered_again_tells_no_time():
+    """Guards against taking the entry after a removal for the first one since the start."""
+    history = History()
+    history.add()
+    history.add(cold=3.0, is_new=True)
+    history.add()
+    history.add(cold=1.5, is_new=True)
+    assert history.times() == {}
