Do not read a stream's version by targets of a time before the list held all of them

Two ways to join streams remained at a router that is in contact with all others. A target that the list did not hold yet when the router began to schedule may have begun streams that the scheduler before it has placed, and which it then stopped as planned: its span begins later than the time in question. And that time was the first one at which the router scheduled the pool, also if another router has scheduled it meanwhile.

Now the end of the time is when the list was first confirmed to hold all targets of the time at which the router began to schedule the pool, for which a pool that is new here asks the store once; and a pool that another router schedules is forgotten.

3 tests of the scheduler are new, all three granted a target of another version (basis "identifier") before.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -187,7 +187,9 @@
         """Jobs without a first output by target, in the order of their grants."""
         self.budgets: dict[Pool, RetryBudget] = {}
         self.scheduled_since: dict[Pool, float] = {}
-        """When this router first scheduled a request of each pool."""
+        """When this router began to schedule each pool, since it was last scheduled by another one."""
+        self.listed_at: dict[Pool, float] = {}
+        """When the list of targets was first known to hold all that were in service at those times."""
         self.unreachable_reports: dict[str, dict[str, float]] = {}
         """Times of the last reports that a target is unreachable, by target and router."""
         self.cooldowns_adjusted_at = 0.0
@@ -199,6 +201,11 @@
         """Return whether any request is held, waiting or open, or a crash has to be confirmed."""
         return bool(self.jobs) or bool(self.held) or self.quarantine.is_pending
 
+    @property
+    def awaits_confirmation(self) -> bool:
+        """Return whether the list of targets has to be confirmed, for a request or a pool that is new here."""
+        return bool(self.held) or len(self.listed_at) < len(self.scheduled_since)
+
     @property
     def has_waiting(self) -> bool:
         """Return whether a decision is due."""
@@ -254,6 +261,9 @@
     def confirm_targets(self, confirmed_at: float, now: float) -> None:
         """Record that the list holds all targets of a time, and accept the requests that waited for that."""
         self.versions.confirm(confirmed_at)
+        for pool, since in self.scheduled_since.items():
+            if since <= confirmed_at:
+                self.listed_at.setdefault(pool, now)
         self.accept_held(now)
 
     def accept_held(self, now: float) -> None:
@@ -387,12 +397,15 @@
             return versions.pop(), BASIS_ONLY_VERSION
         if message.resumes == UNNAMED_STREAM:
             return None, ""
-        until = self.scheduled_since[request.pool]
-        if self.pools.members.may_be_divided(until, now):
+        scheduled_since = self.scheduled_since[request.pool]
+        if self.pools.members.may_be_divided(scheduled_since, now):
             until = now
-        elif begun_after > until:
+        elif begun_after > scheduled_since:
             # This scheduler would know the stream.
             return None, ""
+        else:
+            # Targets that the list did not hold yet may have begun streams that another scheduler has placed.
+            until = self.listed_at.get(request.pool, now)
         versions = self.versions.possible_versions(message.service, message.resumes, since, until)
         return versions.pop() if len(versions) == 1 else None, BASIS_IDENTIFIER
 
@@ -540,6 +553,7 @@
     def on_tick(self, now: float) -> None:
         """Find crashed targets, and adjust the cooldowns of the engines to their running streams."""
         self.accept_held(now)
+        self.release_pools(now)
         self.quarantine.confirm(now, self.has_crashed, self.running_requests)
         if now < self.cooldowns_adjusted_at + COOLDOWN_ADJUST_INTERVAL_SECONDS:
             return
@@ -554,6 +568,14 @@
         for target_id, values in speedups.items():
             cooldowns.adjust(target_id, values)
 
+    def release_pools(self, now: float) -> None:
+        """Forget since when this router has scheduled the pools that another one schedules now."""
+        own = self.pools.members.own.address
+        for pool in list(self.scheduled_since):
+            if self.pools.scheduler(pool, now) != own:
+                del self.scheduled_since[pool]
+                self.listed_at.pop(pool, None)
+
     @handle.register
     def on_ended(self, message: AttemptFinished, client: str, now: float) -> None:
         """Remove a request and update the health of its target."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -225,7 +225,7 @@
     def place_waiting_requests(self, now: float) -> None:
         """Run the placement, now or once the minimum interval since the last run is over."""
         scheduler = self.state.scheduler
-        if scheduler.held:
+        if scheduler.awaits_confirmation:
             self.fire(ConfirmStoreCopy(), STORE)
         if not scheduler.has_waiting:
             return
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -26,7 +26,8 @@
 from limpetusher.fleet.process.prefill_cooldowns import COOLDOWN_ADJUST_INTERVAL_SECONDS
 from limpetusher.fleet.process.scheduler import MAX_CONFIRMATION_WAIT_SECONDS, Scheduler
 from limpetusher.fleet.process.served_tokens import HALF_LIFE_SECONDS
-from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED
+from limpetusher.fleet.process.version_history import stream_rank
+from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED, VERSION_UNKNOWN
 
 ROUTER_1, ROUTER_2 = "10.0.0.1", "10.0.0.2"
 
@@ -316,7 +317,7 @@
 
 def make_take_up(request_id: str = "r1", **changes) -> TargetQuery:
     """Return the query of a stream that its caller takes up, of which the scheduler knows nothing."""
-    return make_ask(request_id, stream=2_000, resumes=1_000, stream_age_seconds=4.0, **changes)
+    return make_ask(request_id, **{"stream": 2_000, "resumes": 1_000, "stream_age_seconds": 4.0, **changes})
 
 
 def refusal_reasons(scheduler, now: float) -> list[str]:
@@ -379,3 +380,63 @@
     following_scheduler.confirm_targets(5.2, 5.2)
     assert following_scheduler.decide(5.2) == []
     assert not following_scheduler.is_active
+
+
+@pytest.mark.parametrize("is_seen_late", [False, True])
+def test_target_seen_after_the_first_request_may_have_begun_a_stream_before(
+    following_scheduler, is_seen_late
+):
+    """Guards against a version by identifier if the list lagged when this router began to schedule."""
+    versions = following_scheduler.versions
+    stream = next(
+        number
+        for number in range(1_000, 2_000)
+        if max(("new", *versions.present), key=lambda target_id: stream_rank(number, target_id)) == "new"
+    )
+    # An earlier scheduler, which has stopped as planned, has begun the stream at 3.0 at the new target.
+    following_scheduler.pools.members.record_message(ROUTER_2, 3.5)
+    following_scheduler.receive(ROUTER_2, make_ask("first"), 3.5)
+    following_scheduler.pools.members.record_message(ROUTER_2, 4.9)
+    if is_seen_late:
+        following_scheduler.receive(ROUTER_2, make_take_up(resumes=stream), 4.9)
+    versions.observe("new", "engines", "v9", "north", 5.0)
+    following_scheduler.confirm_targets(4.9, 5.0)
+    if not is_seen_late:
+        following_scheduler.receive(ROUTER_2, make_take_up(resumes=stream), 5.1)
+        following_scheduler.confirm_targets(5.1, 5.2)
+    answers = [answer for _client, answer in following_scheduler.decide(5.2) if answer.request_id == "r1"]
+    assert [type(answer) for answer in answers] == [TargetRefusal], answers
+    assert answers[0].reason == VERSION_UNKNOWN
+
+
+def test_pool_that_was_scheduled_elsewhere_meanwhile_is_scheduled_here_anew(following_scheduler):
+    """Guards against a version by the targets of the first time at which this router scheduled the pool."""
+    pools, versions = following_scheduler.pools, following_scheduler.versions
+    stream = next(
+        number
+        for number in range(1_000, 2_000)
+        if max(("new", *versions.present), key=lambda target_id: stream_rank(number, target_id)) == "new"
+    )
+
+    def tick(now: float, *entries: MemberEntry) -> None:
+        pools.members.merge(entries, now)
+        pools.members.record_message(ROUTER_2, now)
+        pools.invalidate_schedulers(now)
+        following_scheduler.on_tick(now)
+
+    tick(0.9)
+    following_scheduler.receive(ROUTER_2, make_ask("first"), 1.0)
+    following_scheduler.confirm_targets(1.0, 1.1)
+    for now in range(2, 21):
+        tick(float(now))
+    larger = MemberEntry("10.0.0.3", "north", 9.0, 1, 1)
+    tick(21.0, larger)
+    versions.observe("new", "engines", "v9", "north", 22.0)
+    tick(22.5)
+    tick(24.0, MemberEntry("10.0.0.3", "north", 9.0, 1, 2, is_leaving=True))
+    following_scheduler.receive(ROUTER_2, make_ask("second"), 24.1)
+    following_scheduler.receive(ROUTER_2, make_take_up(resumes=stream, stream_age_seconds=24.0), 24.2)
+    following_scheduler.confirm_targets(24.2, 24.3)
+    answers = [answer for _client, answer in following_scheduler.decide(24.3) if answer.request_id == "r1"]
+    assert [type(answer) for answer in answers] == [TargetRefusal], answers
+    assert answers[0].reason == VERSION_UNKNOWN
