Accept a held request as soon as its stream is known

A held request waited for the store, or for 0.4 s if that does not answer, although the scheduler was told the version of its stream meanwhile, as by the routers of its open requests after a change of the scheduler.

test_held_request_is_accepted_when_its_stream_becomes_known failed before and passes.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -267,10 +267,10 @@
         self.accept_held(now)
 
     def accept_held(self, now: float) -> None:
-        """Accept the held requests for which the list is confirmed, or which have waited for long enough."""
+        """Accept the held requests that need no confirmation any more, or that have waited for long enough."""
         for (client, request_id), query in list(self.held.items()):
             is_overdue = now >= query.received_at + MAX_CONFIRMATION_WAIT_SECONDS
-            if is_overdue or self.versions.known_until >= query.received_at:
+            if is_overdue or not self.lacks_confirmation(query, now):
                 del self.held[client, request_id]
                 self.accept(query, client, now)
 
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -15,6 +15,7 @@
     PrefillFinished,
     SendDelayed,
     ServedTokensUpdate,
+    StreamOrigins,
     StreamProgress,
     TargetGrant,
     TargetNotice,
@@ -440,3 +441,13 @@
     answers = [answer for _client, answer in following_scheduler.decide(24.3) if answer.request_id == "r1"]
     assert [type(answer) for answer in answers] == [TargetRefusal], answers
     assert answers[0].reason == VERSION_UNKNOWN
+
+
+def test_held_request_is_accepted_when_its_stream_becomes_known(following_scheduler):
+    """Guards against a request that waits for the store although its version has been told meanwhile."""
+    target = next(iter(following_scheduler.placement.targets.values()))
+    following_scheduler.receive(ROUTER_2, make_take_up(), 5.0)
+    origins = StreamOrigins("engines", target.version, (1_000,))
+    following_scheduler.receive(ROUTER_2, origins, 5.01)
+    following_scheduler.on_tick(5.1)
+    assert set(grants_by_request(following_scheduler, 5.1)) == {"r1"}
