--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -203,7 +203,7 @@
 
     @property
     def awaits_confirmation(self) -> bool:
-        """Return whether the list of targets has to be confirmed, for a request or a pool that is new here."""
+        """Return whether a request or a pool that is new here needs the list of targets confirmed."""
         return bool(self.held) or len(self.listed_at) < len(self.scheduled_since)
 
     @property
@@ -267,7 +267,7 @@
         self.accept_held(now)
 
     def accept_held(self, now: float) -> None:
-        """Accept the held requests that need no confirmation any more, or that have waited for long enough."""
+        """Accept the held requests that need no confirmation any more or have waited for long enough."""
         for (client, request_id), query in list(self.held.items()):
             is_overdue = now >= query.received_at + MAX_CONFIRMATION_WAIT_SECONDS
             if is_overdue or not self.lacks_confirmation(query, now):
