Do not take the copy of the store for current by an answer or update that was read late

A router that stands still finds answers and datagrams of before in its sockets. The first of them made its copy current as of the time at which it was read, so that changes missed after it, as after a compaction of the store or in a full receive buffer, did not count as missed: the history of targets went on as if none could have come and gone. By the same time it is decided what a router that starts is told.

Now the answer to a watch tells of the time of the call, and an update after a time without any counts only once the store has confirmed the copy.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -468,11 +468,15 @@
             return
         if self.mirror.revision >= confirmation.revision:
             self.confirmation = None
+            self.current_at = max(self.current_at, confirmation.asked_at)
             self.fire(StoreCopyConfirmed(confirmation.asked_at), PEER_EXCHANGE)
 
     def handle_watched_changes(self, changes: store.StoreChanges) -> None:
-        """Apply watched changes and schedule the next watch."""
-        self.current_at = self.deadlines.clock.monotonic()
+        """Apply watched changes and schedule the next watch.
+
+        The answer may have waited here unread for any time, so it tells only of the time of the call.
+        """
+        self.current_at = max(self.current_at, self.last_watch_at)
         self.apply_changes(changes.items, changes.removed, changes.revision)
         self.schedule_watch()
 
@@ -565,7 +569,17 @@
         if is_missing:
             self.note_peer_revision(address, update.revision)
         elif update.is_connected:
+            self.note_update(now)
+
+    def note_update(self, now: float) -> None:
+        """Record that an update has left no changes missing.
+
+        After a time without any it may be an old one that was not read before, so the store is asked.
+        """
+        if self.is_current():
             self.current_at = now
+        else:
+            self.on_confirm()
 
     def relay_update(self, update: StoreUpdate, now: float) -> None:
         """Relay an update to the routers of the data centre, unless one was relayed just before."""
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -438,6 +438,7 @@
     reader, clock, factor, missed
 ):
     """Guards against refusals of streams for want of their version after each compaction of the store."""
+    reader.start_watch()
     reader.handle_watched_changes(StoreChanges([], [], 11))
     clock.advance(factor * UNSEEN_TARGET_SECONDS)
     reader.replace_copy([StoredItem("op/config", b"y", 14)], 14)
@@ -498,3 +499,47 @@
     reader.on_confirm()
     calls = [event for event in reader.fired if isinstance(event, StartAttempt)]
     assert len(calls) == 2
+
+
+def answer_watch(reader, revision: int, *, status: int = 200) -> None:
+    """Answer the watch in progress without changes."""
+    body = msgspec.json.encode({"events": [], "currentRev": revision})
+    key = (StoreCall.WATCH, reader.calls_in_progress[StoreCall.WATCH])
+    reader.on_answer_started(key, AnswerHead(status, {}, None, False, True))
+    reader.on_answer_part(key, body)
+    reader.on_answer_ended(key, AttemptResult.COMPLETE)
+
+
+def test_watch_answer_that_is_read_after_a_pause_does_not_make_the_copy_current(reader, clock):
+    """Guards against targets that come and go unseen while the process is suspended with an answer unread."""
+    reader.is_read_needed = False
+    clock.advance(10.0)
+    reader.start_watch()
+    clock.advance(2 * UNSEEN_TARGET_SECONDS)
+    answer_watch(reader, 11)
+    assert not reader.is_current()
+    answer_watch(reader, 11, status=COMPACTED_STATUS)
+    reader.replace_copy([StoredItem("op/config", b"y", 14)], 14)
+    assert any(isinstance(event, StoreChangesMissed) for event in reader.fired)
+
+
+def test_updates_that_are_read_after_a_pause_do_not_make_the_copy_current(reader, clock):
+    """Guards against the same with datagrams, of which the later ones found the receive buffer full."""
+    regular = make_store_update(since=11, revision=11, items=())
+    reader.handle_update("10.0.0.2", regular, is_from_other_data_centre=False)
+    clock.advance(2 * UNSEEN_TARGET_SECONDS)
+    reader.handle_update("10.0.0.2", regular, is_from_other_data_centre=False)
+    reader.replace_copy([StoredItem("op/config", b"y", 14)], 14)
+    assert any(isinstance(event, StoreChangesMissed) for event in reader.fired)
+
+
+def test_updates_make_the_copy_current_again_once_the_store_confirms_it(reader, clock):
+    """Guards against a router that tells others nothing any more after a pause."""
+    clock.advance(2 * UNSEEN_TARGET_SECONDS)
+    regular = make_store_update(since=11, revision=11, items=())
+    reader.handle_update("10.0.0.2", regular, is_from_other_data_centre=False)
+    answer_revision(reader, 11)
+    clock.advance(0.9 * UNSEEN_TARGET_SECONDS)
+    reader.handle_update("10.0.0.2", regular, is_from_other_data_centre=False)
+    clock.advance(0.9 * UNSEEN_TARGET_SECONDS)
+    assert reader.is_current()
