Limit the calls for the revision of the store, and do not let one wait for another

While requests were held, a failed call was repeated with the next event, as fast as the store answered 429 or 503, and after a success with the next request: up to some hundred calls a second for each scheduler, against a limit of reads that all routers share. On the other hand no call began while the copy had not reached the revision of an earlier one, so that a request which came just after that call waited for both, which is more than 0.4 s with a copy that lags by 0.25 s, and was refused at routers in step.

A call is only made if none since the last request is awaited. Revisions of a store that was restored meanwhile confirm nothing.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -202,9 +202,15 @@
         return bool(self.jobs) or bool(self.held) or self.quarantine.is_pending
 
     @property
-    def awaits_confirmation(self) -> bool:
-        """Return whether a request or a pool that is new here needs the list of targets confirmed."""
-        return bool(self.held) or len(self.listed_at) < len(self.scheduled_since)
+    def confirmation_needed_at(self) -> float | None:
+        """Return the latest time as of which the list of targets has to be confirmed, None if there is none.
+
+        It is that of the last request that is held, or at which this router began to schedule a pool.
+        """
+        times = [since for pool, since in self.scheduled_since.items() if pool not in self.listed_at]
+        if self.held:
+            times.append(next(reversed(self.held.values())).received_at)
+        return max(times, default=None)
 
     @property
     def has_waiting(self) -> bool:
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -296,7 +296,10 @@
 
 
 class ConfirmStoreCopy(Message):
-    """Ask the platform's store whether the local copy has all of its changes."""
+    """Ask the store whether the local copy has all changes up to a time: (reading of the monotonic clock)."""
+
+    def __init__(self, since: float):
+        super().__init__(since)
 
 
 class StoreCopyConfirmed(Message):
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -6,6 +6,8 @@
 """
 
 import enum
+import math
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -80,6 +82,10 @@
 COPY_TIMEOUT_SECONDS = 0.8
 REVISION_TIMEOUT_SECONDS = 0.4
 """Timeout of a call for the revision of the store, and time for which its revision is awaited in the copy."""
+MINIMUM_REVISION_INTERVAL_SECONDS = 0.05
+"""Minimum time between two calls for the revision, as many streams may be taken up at once."""
+MAXIMUM_CONFIRMATIONS = 16
+"""Maximum number of revisions that the copy has not reached yet."""
 MAXIMUM_LAG_SECONDS = 0.6
 """How long the own copy may lag behind that of a peer before the peer's copy is fetched; two regular updates
 come in that time."""
@@ -115,13 +121,12 @@
     REVISION = "revision"
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Confirmation:
-    """Check that the own copy has all changes that the store had at a time."""
+    """Revision that the store had when it was asked or later, by which the own copy is checked."""
 
     asked_at: float
-    revision: int | None = None
-    """Revision of the store then, None before its answer."""
+    revision: int
 
 
 @dataclass(slots=True)
@@ -221,7 +226,10 @@
         self.last_update_received_at = float("-inf")
         """When the last update of a watcher that reaches the store arrived."""
         self.history: HistorySearch | None = None
-        self.confirmation: Confirmation | None = None
+        self.confirmations: deque[Confirmation] = deque(maxlen=MAXIMUM_CONFIRMATIONS)
+        """Revisions of the store that the own copy has not reached yet, the most recent ones."""
+        self.revision_asked_at = float("-inf")
+        self.next_revision_call_at = float("-inf")
         self.recent_changes = RecentChanges()
         self.last_update_sent_at = float("-inf")
         """When this router last sent an update."""
@@ -343,7 +351,7 @@
             if call in (StoreCall.READ, StoreCall.WATCH):
                 self.handle_failure(call, error.reason)
             elif call is StoreCall.REVISION:
-                self.confirmation = None
+                self.next_revision_call_at = self.deadlines.clock.monotonic() + RETRY_DELAY_SECONDS
 
     def handle_answer(self, call: StoreCall, status: int, body: bytes, generation: int = 0) -> None:
         """Handle a complete answer of a generation of the store.
@@ -368,8 +376,9 @@
         if generation < generation_of(self.mirror.revision):
             raise CodecError(f"generation {generation}, which is older than the own copy")
         if call is StoreCall.REVISION:
-            self.confirmation.revision = store.decode_range(body, generation).revision
-            self.check_confirmation()
+            revision = store.decode_range(body, generation).revision
+            self.confirmations.append(Confirmation(self.revision_asked_at, revision))
+            self.check_confirmations()
             return
         if not self.is_connected:
             self.is_connected = True
@@ -451,25 +460,41 @@
             self.request_history()
 
     @handler("ConfirmStoreCopy")
-    def on_confirm(self) -> None:
-        """Ask the store for its revision, unless that was asked just before."""
+    def on_confirm(self, since: float = math.inf) -> None:
+        """Ask the store for its revision, unless it was asked just before or one since a time is awaited."""
         now = self.deadlines.clock.monotonic()
-        if self.confirmation is None or now >= self.confirmation.asked_at + REVISION_TIMEOUT_SECONDS:
-            self.confirmation = Confirmation(now)
-            request = store.revision_request(self.settings.store_address)
-            self.start_call(
-                StoreCall.REVISION, self.settings.store_address, request, REVISION_TIMEOUT_SECONDS
-            )
-
-    def check_confirmation(self) -> None:
-        """Announce that the own copy has reached the revision that the store had when it was asked."""
-        confirmation = self.confirmation
-        if confirmation is None or confirmation.revision is None:
+        is_asked = any(
+            confirmation.asked_at >= since and now < confirmation.asked_at + REVISION_TIMEOUT_SECONDS
+            for confirmation in self.confirmations
+        )
+        is_in_progress = (
+            StoreCall.REVISION in self.calls_in_progress
+            and now < self.revision_asked_at + REVISION_TIMEOUT_SECONDS
+        )
+        if is_asked or is_in_progress or now < self.next_revision_call_at:
             return
-        if self.mirror.revision >= confirmation.revision:
-            self.confirmation = None
-            self.current_at = max(self.current_at, confirmation.asked_at)
-            self.fire(StoreCopyConfirmed(confirmation.asked_at), PEER_EXCHANGE)
+        self.revision_asked_at = now
+        self.next_revision_call_at = now + MINIMUM_REVISION_INTERVAL_SECONDS
+        request = store.revision_request(self.settings.store_address)
+        self.start_call(StoreCall.REVISION, self.settings.store_address, request, REVISION_TIMEOUT_SECONDS)
+
+    def check_confirmations(self) -> None:
+        """Announce that the own copy has reached a revision that the store had when it was asked.
+
+        The revisions of a store that was restored meanwhile confirm nothing.
+        """
+        present = self.mirror.revision
+        reached = [
+            confirmation.asked_at
+            for confirmation in self.confirmations
+            if confirmation.revision <= present
+            and generation_of(confirmation.revision) == generation_of(present)
+        ]
+        pending = [confirmation for confirmation in self.confirmations if confirmation.revision > present]
+        self.confirmations = deque(pending, maxlen=MAXIMUM_CONFIRMATIONS)
+        if reached:
+            self.current_at = max(self.current_at, *reached)
+            self.fire(StoreCopyConfirmed(max(reached)), PEER_EXCHANGE)
 
     def handle_watched_changes(self, changes: store.StoreChanges) -> None:
         """Apply watched changes and schedule the next watch.
@@ -488,7 +513,7 @@
         applied += [self.mirror.remove(key, changed) for key, changed in removed]
         self.mirror.advance(revision)
         self.announce_changes([change for change in applied if change is not None])
-        self.check_confirmation()
+        self.check_confirmations()
 
     def replace_copy(self, items: list[StoredItem], revision: int) -> None:
         """Replace the own copy.
@@ -508,7 +533,7 @@
             self.fire(StoreChanged(changes), REQUESTS)
         else:
             self.announce_changes(changes)
-        self.check_confirmation()
+        self.check_confirmations()
 
     def announce_changes(self, changes: list[Change]) -> None:
         """Pass changes to the other components, and schedule an update to the other routers."""
@@ -579,7 +604,7 @@
         if self.is_current():
             self.current_at = now
         else:
-            self.on_confirm()
+            self.on_confirm(-math.inf)
 
     def relay_update(self, update: StoreUpdate, now: float) -> None:
         """Relay an update to the routers of the data centre, unless one was relayed just before."""
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -543,3 +543,37 @@
     reader.handle_update("10.0.0.2", regular, is_from_other_data_centre=False)
     clock.advance(0.9 * UNSEEN_TARGET_SECONDS)
     assert reader.is_current()
+
+
+def revision_calls(reader) -> int:
+    """Return the number of calls for the revision of the store."""
+    attempts = [event.args[0] for event in reader.fired if isinstance(event, StartAttempt)]
+    return sum(attempt.key[0] is StoreCall.REVISION for attempt in attempts)
+
+
+@pytest.mark.parametrize("status", [200, 429, 503])
+def test_calls_for_the_revision_are_limited_however_the_store_answers(reader, clock, status):
+    """Guards against calls as fast as the store answers, which its limit of reads turns into more of them."""
+    for _ in range(100):
+        reader.on_confirm()
+        if StoreCall.REVISION in reader.calls_in_progress:
+            answer_revision(reader, 11, status=status)
+        clock.advance(0.001)
+    assert revision_calls(reader) <= 4
+
+
+def test_request_behind_a_pending_confirmation_does_not_wait_for_two(reader, clock):
+    """Guards against refusals of callers at a router whose copy lags behind the store by 0.25 s."""
+    received_at = clock.monotonic() + 0.05
+    reader.on_confirm()
+    answer_revision(reader, 12)
+    for step in range(1, 9):
+        clock.advance(0.05)
+        reader.on_confirm()
+        if StoreCall.REVISION in reader.calls_in_progress:
+            # The store has had a change in each 0.05 s.
+            answer_revision(reader, 12 + step)
+        if step >= 5:
+            update = make_store_update(revision=12 + step - 5, items=())
+            reader.handle_update("10.0.0.2", update, is_from_other_data_centre=False)
+    assert any(until >= received_at for until in confirmed_times(reader))
