Take a fleet for divided while a data centre is silent to which no request has gone

A router suspects only schedulers that it waits for. If one data centre of several was out of reach, a router that asked nothing there, and heard the others, did not count as divided from it, and read versions by the time at which it began to schedule for want of the scheduler there, which went on.

Now a router that no longer counts as live, or that did so since without having restarted, counts like a suspected one, unless it leaves.

test_router_may_be_divided_from_a_data_centre_that_has_fallen_silent_although_others_send failed before and passes.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
@@ -64,6 +64,14 @@
     """Time of the last message received from the router itself."""
     suspected_at: float = -math.inf
     suspected_until: float = -math.inf
+    silent_until: float = -math.inf
+    """When a sign of life came after it had not counted as live."""
+
+    def record_alive(self, now: float) -> None:
+        """Record a sign of life."""
+        if now - self.last_alive_at > LIVENESS_TIMEOUT_SECONDS:
+            self.silent_until = now
+        self.last_alive_at = now
 
     def is_suspected(self, now: float) -> bool:
         """Return whether the router has left messages unanswered and has not been heard since."""
@@ -151,13 +159,13 @@
             elif entry.freshness_key > peer.entry.freshness_key:
                 if not self.is_live(entry.address, now):
                     new_addresses.append(entry.address)
+                peer.record_alive(now)
                 if entry.incarnation > peer.entry.incarnation:
-                    peer.suspected_at = peer.suspected_until = -math.inf
+                    peer.suspected_at = peer.suspected_until = peer.silent_until = -math.inf
                     self.changes += 1
                 if entry.is_leaving != peer.entry.is_leaving:
                     self.changes += 1
                 peer.entry = entry
-                peer.last_alive_at = now
         if new_addresses:
             self.priority_rounds.update(dict.fromkeys(new_addresses, PRIORITY_ROUNDS))
             self.changes += 1
@@ -172,7 +180,8 @@
         """Record a message received from a router itself."""
         peer = self.peers.get(address)
         if peer is not None:
-            peer.last_alive_at = peer.last_message_at = now
+            peer.record_alive(now)
+            peer.last_message_at = now
             self.contact.record(now)
             if peer.entry.data_centre != self.own.data_centre:
                 self.contact_elsewhere.record(now)
@@ -202,7 +211,8 @@
     def may_be_divided(self, since: float, now: float) -> bool:
         """Return whether other routers may have elected other schedulers than this one since a time.
 
-        They may if some of them were out of reach of this one, and have not restarted since then.
+        They may if some of them were out of reach of this one, and have not restarted since then. Of a router
+        to which no request has gone, only its silence tells that.
         """
         own = self.own.data_centre
         has_others = any(peer.entry.data_centre != own for peer in self.peers.values())
@@ -210,7 +220,9 @@
         if contact.was_lost(since, now) and (self.peers or self.seeds):
             return True
         return any(
-            peer.is_suspected(now) or peer.suspected_at > since - MIN_SUSPICION_SECONDS
+            peer.is_suspected(now)
+            or max(peer.suspected_at, peer.silent_until) > since - MIN_SUSPICION_SECONDS
+            or not (peer.entry.is_leaving or self.is_live(peer.entry.address, now))
             for peer in self.peers.values()
         )
 
--- a/tests/fleet/process/test_members.py
+++ b/tests/fleet/process/test_members.py
@@ -3,6 +3,8 @@
 import random
 from collections import Counter
 
+import msgspec
+
 from limpetusher.fleet.messages import MemberEntry
 from limpetusher.fleet.process.members import (
     CUT_OFF_SECONDS,
@@ -179,3 +181,18 @@
     assert members.may_be_divided(3.0, 9.0)
     members.merge((make_entry(incarnation=6),), 9.0)
     assert not members.may_be_divided(3.0, 9.0)
+
+
+def test_router_may_be_divided_from_a_data_centre_that_has_fallen_silent_although_others_send():
+    """Guards against a data centre out of reach that goes on with schedulers of its own."""
+    members = make_members()
+    silent = make_entry("10.0.2.1", data_centre="south")
+    members.merge((make_entry("10.0.1.1", data_centre="east"), silent), 0.0)
+    hear(members, (0.0,), "10.0.2.1")
+    hear(members, range(23), "10.0.1.1")
+    assert not members.is_live("10.0.2.1", 19.5)
+    assert members.may_be_divided(16.0, 19.5)
+    hear(members, (20.0,), "10.0.2.1")
+    assert members.may_be_divided(16.0, 20.5)
+    members.merge((msgspec.structs.replace(silent, incarnation=6),), 21.0)
+    assert not members.may_be_divided(16.0, 21.5)
