Do not take routers for divided by the chance of gossip between data centres

Now signs of life of other data centres also count if others of the own one pass them on, and 3 s without any are allowed. A router that hears nobody at all is still found after 2 s. A cut between data centres that lasts for less than 3 s, and a while in which heartbeats of before still spread, is no longer found by silence.

test_routers_of_a_calm_fleet_are_not_divided_by_the_chance_of_gossip failed before and passes.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
@@ -46,8 +46,10 @@
 """Minimum time for which an unresponsive router is avoided; without it, a slow host alternates between chosen
 and suspected."""
 CUT_OFF_SECONDS = 2.0
-"""Time without a message of any router after which this one may be cut off; some come in each second, also
-from other data centres."""
+"""Time without a message of any router after which this one may be cut off; some come in each second."""
+CUT_OFF_ELSEWHERE_SECONDS = 3.0
+"""Time without a sign of life from other data centres after which this one may be cut off from them. A router
+gets a message of them at random, once a second on average, and their heartbeats through others of its own."""
 SNAPSHOT_MAX_AGE_SECONDS = 0.5
 """Maximum age of a cached snapshot if no membership change has occurred. Only delays changes caused by
 timeouts, which are much longer."""
@@ -80,21 +82,22 @@
 
 @dataclass(slots=True)
 class Contact:
-    """When other routers, whichever, have sent messages."""
+    """When other routers, whichever, have shown signs of life."""
 
+    max_silence_seconds: float
     heard_at: float = -math.inf
     silent_until: float = -math.inf
-    """When a message came after the last long silence."""
+    """When one came after the last long silence."""
 
     def record(self, now: float) -> None:
-        """Record a message."""
-        if -math.inf < self.heard_at < now - CUT_OFF_SECONDS:
+        """Record a sign of life."""
+        if -math.inf < self.heard_at < now - self.max_silence_seconds:
             self.silent_until = now
         self.heard_at = now
 
     def was_lost(self, since: float, now: float) -> bool:
         """Return whether there was a long silence since a time, or is one now."""
-        return self.silent_until >= since or self.heard_at < now - CUT_OFF_SECONDS
+        return self.silent_until >= since or self.heard_at < now - self.max_silence_seconds
 
 
 @dataclass(slots=True)
@@ -129,9 +132,9 @@
         self.round = 0
         self.priority_rounds: dict[str, int] = {}
         """Remaining rounds in which the entry of a router takes precedence, by address."""
-        self.contact = Contact()
-        self.contact_elsewhere = Contact()
-        """Contact with routers of other data centres."""
+        self.contact = Contact(CUT_OFF_SECONDS)
+        self.contact_elsewhere = Contact(CUT_OFF_ELSEWHERE_SECONDS)
+        """Contact with routers of other data centres, also through others of the own one."""
         self.changes = 0
         """Number of membership changes, apart from timeouts; a snapshot is valid for one value."""
         self.cached_snapshot: MembershipSnapshot | None = None
@@ -166,6 +169,7 @@
                 if entry.is_leaving != peer.entry.is_leaving:
                     self.changes += 1
                 peer.entry = entry
+                self.note_contact_elsewhere(entry, now)
         if new_addresses:
             self.priority_rounds.update(dict.fromkeys(new_addresses, PRIORITY_ROUNDS))
             self.changes += 1
@@ -183,8 +187,12 @@
             peer.record_alive(now)
             peer.last_message_at = now
             self.contact.record(now)
-            if peer.entry.data_centre != self.own.data_centre:
-                self.contact_elsewhere.record(now)
+            self.note_contact_elsewhere(peer.entry, now)
+
+    def note_contact_elsewhere(self, entry: MemberEntry, now: float) -> None:
+        """Record a sign of life of a router, received directly or through others."""
+        if entry.data_centre != self.own.data_centre:
+            self.contact_elsewhere.record(now)
 
     def suspect(self, address: str, now: float) -> bool:
         """Mark a router as unresponsive; return whether it was not suspected before."""
@@ -216,8 +224,9 @@
         """
         own = self.own.data_centre
         has_others = any(peer.entry.data_centre != own for peer in self.peers.values())
-        contact = self.contact_elsewhere if has_others else self.contact
-        if contact.was_lost(since, now) and (self.peers or self.seeds):
+        if self.contact.was_lost(since, now) and (self.peers or self.seeds):
+            return True
+        if has_others and self.contact_elsewhere.was_lost(since, now):
             return True
         return any(
             peer.is_suspected(now)
--- a/tests/fleet/process/test_members.py
+++ b/tests/fleet/process/test_members.py
@@ -10,6 +10,7 @@
     CUT_OFF_SECONDS,
     FORGET_TIMEOUT_SECONDS,
     GOSSIP_FANOUT,
+    GOSSIP_INTERVAL_SECONDS,
     LIVENESS_TIMEOUT_SECONDS,
     MAX_GOSSIP_ENTRIES,
     MIN_SUSPICION_SECONDS,
@@ -196,3 +197,31 @@
     assert members.may_be_divided(16.0, 20.5)
     members.merge((msgspec.structs.replace(silent, incarnation=6),), 21.0)
     assert not members.may_be_divided(16.0, 21.5)
+
+
+def test_routers_of_a_calm_fleet_are_not_divided_by_the_chance_of_gossip():
+    """Guards against streams left open as some router heard no other data centre for a moment."""
+    entries = [
+        make_entry(f"10.0.{number}.{host}", data_centre=name)
+        for number, name in enumerate(("north", "south", "east"))
+        for host in range(1, 5)
+    ]
+    fleet = {entry.address: Members(entry, rng=random.Random(entry.address)) for entry in entries}
+    for members in fleet.values():
+        members.merge(tuple(entries), 0.0)
+        hear(
+            members,
+            (0.0,),
+            next(entry.address for entry in entries if entry.data_centre != members.own.data_centre),
+        )
+    seconds = 30.0
+    divided = set()
+    for step in range(1, int(seconds / GOSSIP_INTERVAL_SECONDS)):
+        now = step * GOSSIP_INTERVAL_SECONDS
+        for address, members in fleet.items():
+            told, chosen = members.gossip(now)
+            for receiver in chosen:
+                fleet[receiver].merge(told, now)
+                fleet[receiver].record_message(address, now)
+        divided |= {address for address, members in fleet.items() if members.may_be_divided(1.0, now)}
+    assert not divided
