Ask no more than two pools whose schedulers have no confirmed list of targets

A request for a stream whose version is not known was offered to each pool of its service, and waited 0.4 s at each scheduler that the store does not answer, up to the goal of its route. Now such a refusal counts as any other one.

test_unconfirmed_lists_of_many_pools_do_not_add_up failed before (5 of 5 pools were asked) and passes.

--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -24,6 +24,7 @@
 from limpetusher.fleet.process.pools import Pools
 from limpetusher.fleet.process.prompt_quarantine import MAX_STRIKE_AGE_SECONDS, RETRACTION_SECONDS
 from limpetusher.fleet.process.strikes import REPORT_DELAY_SECONDS
+from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED
 
 MAX_TRIED_POOLS = 2
 """Maximum number of pools that may refuse a request before it is refused to its caller."""
@@ -288,10 +289,12 @@
                 )
             target_request.refusing_pools = target_request.refusing_pools | {target_request.pool}
             other = self.untried_pool(target_request, now)
+            # Each scheduler that waits in vain for the store costs the caller time.
+            may_try_all = answer.lacks_version and answer.reason != TARGETS_UNCONFIRMED
             if (
                 other is not None
                 and not answer.may_crash_targets
-                and (answer.lacks_version or len(target_request.refusing_pools) < MAX_TRIED_POOLS)
+                and (may_try_all or len(target_request.refusing_pools) < MAX_TRIED_POOLS)
                 and now - target_request.queued_at < target_request.goal_seconds
             ):
                 self.choose_pool(target_request, now)
--- a/tests/fleet/request/test_scheduler_client.py
+++ b/tests/fleet/request/test_scheduler_client.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from builders_fleet import make_placement, make_target
@@ -18,7 +19,8 @@
 from limpetusher.fleet.model import Pool, PromptPart
 from limpetusher.fleet.process.members import Members
 from limpetusher.fleet.process.pools import Pools
-from limpetusher.fleet.request.scheduler_client import SchedulerClient, TargetRequest
+from limpetusher.fleet.request.scheduler_client import MAX_TRIED_POOLS, SchedulerClient, TargetRequest
+from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED
 
 OWN, OTHER = "10.0.0.1", "10.0.0.2"
 
@@ -314,3 +316,20 @@
     ((address, message),) = harness.sent
     assert address == OTHER
     assert isinstance(message, TargetQuery)
+
+
+def test_unconfirmed_lists_of_many_pools_do_not_add_up():
+    """Guards against callers that wait for the store once for each data centre before they are refused."""
+    harness = ClientHarness(0)
+    placement = harness.scheduler_client.pools.placement
+    for number in range(30):
+        placement.put_target(make_target(f"e{number}", data_centre=f"dc{number % 5}"))
+    target_request = harness.request_target()
+    refusals = 0
+    while refusals < 5:
+        refusals += 1
+        answer = make_refusal(target_request, lacks_version=True)
+        answer = msgspec.structs.replace(answer, reason=TARGETS_UNCONFIRMED)
+        if harness.scheduler_client.accept_refusal(answer, target_request.scheduler, 0.0) is not None:
+            break
+    assert refusals <= MAX_TRIED_POOLS
