Count the versions that any router tells one that starts

Only what the router told that knows most of the past counted, also if another one named a further version, which the first may not have seen. Versions told by all are joined now.

test_version_that_only_one_of_several_routers_has_seen_counts failed before in both orders and passes.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/version_history.py
@@ -171,6 +171,7 @@
         """Begin anew to follow the targets, after changes that were not seen."""
         self.known_since = self.followed_since = now
         self.told_since = math.inf
+        self.told_versions = {}
         self.history = None
 
     def observe(
@@ -231,11 +232,13 @@
         )
 
     def apply(self, message: VersionUpdate, now: float) -> None:
-        """Record which versions another router knows to have been in service."""
-        told_since = now - message.known_seconds
-        if told_since < self.told_since:
-            self.told_since = told_since
-            self.told_versions = {service: set(versions) for service, versions in message.versions}
+        """Record which versions another router knows to have been in service.
+
+        One that knows more of the past may not have seen a version that others have.
+        """
+        self.told_since = min(self.told_since, now - message.known_seconds)
+        for service, versions in message.versions:
+            self.told_versions.setdefault(service, set()).update(versions)
 
     def possible_versions(self, service: str, stream: int, since: float, until: float) -> set[str | None]:
         """Return the versions that a stream may have that has begun between two times.
--- a/tests/fleet/process/test_version_history.py
+++ b/tests/fleet/process/test_version_history.py
@@ -236,6 +236,18 @@
         versions.start(30.1)
         assert versions.possible_versions("desk", 0, 20.0, 30.1) == {"v1"}
 
+    @pytest.mark.parametrize("is_longer_first", [False, True])
+    def test_version_that_only_one_of_several_routers_has_seen_counts(self, is_longer_first):
+        """Guards against a router out of step that knows more of the past and nothing of a newer version."""
+        longer = make_history({"t1": "v1"}, since=0.0).update(["desk"], 30.0)
+        shorter = make_history({"t1": "v1", "t2": "v2"}, since=5.0).update(["desk"], 30.0)
+        versions = VersionHistory()
+        for message in (longer, shorter) if is_longer_first else (shorter, longer):
+            versions.apply(message, 30.0)
+        versions.start(30.1)
+        versions.observe("t1", "desk", "v1", "north", 30.1)
+        assert versions.possible_versions("desk", 0, 20.0, 30.1) != {"v1"}
+
     def test_router_that_has_just_started_tells_nothing(self):
         """Guards against a message for each pair of routers in the start of a large fleet."""
         versions = make_history({"t1": "v1"}, since=10.0)
