Do not take the time that a caller has left as of when its request is read

A request that is sent to a router which stands still waits in its sockets. The time that its caller had left when it sent the request was subtracted from the time of reading, so that the stream seemed to have begun later by the length of the pause, and targets that had left meanwhile did not count: with a pause of 3 s in which the version was replaced, 8 of 8 streams were joined, at schedulers in step.

Now such a stream may have begun earlier by the length of a pause that has ended less than a second before. A pause is seen by the time between two rounds of the event loop.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/admission.py
@@ -1,5 +1,7 @@
 """Admission of callers' requests: readiness, route and API key."""
 
+from collections.abc import Callable
+
 from limpetusher.clock import Clock
 from limpetusher.core.refusals import Ran
 from limpetusher.fleet.messages import UNNAMED_STREAM
@@ -40,10 +42,13 @@
         State of the fleet as this router knows it.
     clock
         Source of time.
+    unread_seconds
+        Returns how long what is read now may have waited to be read.
     """
 
-    def __init__(self, state: FleetState, *, clock: Clock):
+    def __init__(self, state: FleetState, *, clock: Clock, unread_seconds: Callable[[], float] = lambda: 0.0):
         self.state = state
+        self.unread_seconds = unread_seconds
         self.clock = clock
         self.longest_waits: dict[tuple[str, str], float] = {}
         """Longest time for which a caller of a customer waits for a new stream beyond the route's timeout, by
@@ -98,7 +103,8 @@
             if origin is not None and origin.service == target_request.service:
                 target_request.version = origin.version
             seconds_waited = self.longest_wait(route, customer) - (fields.seconds_left or 0.0)
-            target_request.stream_begun_after = now - max(0.0, seconds_waited)
+            # The caller has stated the time that it has left when it sent the request.
+            target_request.stream_begun_after = now - max(0.0, seconds_waited) - self.unread_seconds()
         elif fields.seconds_left is not None:
             self.record_wait(route, customer, fields.seconds_left)
 
--- a/packages/limpetusher-router/src/limpetusher_router/process/rounds.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/rounds.py
@@ -1,10 +1,15 @@
 """Times of the rounds of a process's event loop."""
 
+import math
 from dataclasses import dataclass
 
 from limpetusher.clock import Clock
 
 INTERVAL_SECONDS = 1.0
+STALL_SECONDS = 0.6
+"""Time between the begins of two rounds from which on the process was held up; deadlines end others sooner."""
+UNREAD_SECONDS = 1.0
+"""Time after a stall in which what has arrived meanwhile may still be unread."""
 
 
 @dataclass(slots=True)
@@ -39,9 +44,17 @@
         self.count = 0
         self.totals = RoundTimes()
         """Times of all rounds of the process."""
+        self.stall_seconds = 0.0
+        """Length of the last stalls, as of which something may still be unread."""
+        self.stall_ended_at = -math.inf
         self.interval_ends_at = self.began_at + INTERVAL_SECONDS
         self.longest_in_interval, self.longest_before = RoundTimes(), RoundTimes()
 
+    @property
+    def unread_seconds(self) -> float:
+        """Return the time for which what is read now may have waited, as the process was held up."""
+        return self.stall_seconds if self.began_at < self.stall_ended_at + UNREAD_SECONDS else 0.0
+
     @property
     def longest(self) -> RoundTimes:
         """Return the times of the longest round of the current interval and the one before it."""
@@ -49,7 +62,11 @@
 
     def begin(self) -> None:
         """Record that the poller has returned."""
-        self.began_at = self.sockets_done_at = self.clock.monotonic()
+        now = self.clock.monotonic()
+        if now > self.began_at + STALL_SECONDS:
+            self.stall_seconds = now - self.began_at + self.unread_seconds
+            self.stall_ended_at = now
+        self.began_at = self.sockets_done_at = now
         self.accept_seconds = 0.0
 
     def end_sockets(self) -> None:
--- a/tests/router/fleet/test_router_out_of_step.py
+++ b/tests/router/fleet/test_router_out_of_step.py
@@ -174,3 +174,27 @@
         assert not any(stream.is_joined for stream in taken_up), describe(taken_up)
     finally:
         fleet.close()
+
+
+def test_stream_whose_caller_waited_for_a_paused_router_is_not_joined(tmp_path):
+    """Guards against the age of a stream by a time that its caller has sent long before it is read."""
+    fleet = VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD), route_seconds=6.0)
+    try:
+        # No router of the fleet has a record of the streams, as after the loss of those that had.
+        streams = fleet.begin_held("desk", STREAM_COUNT, router=fleet.start_lone_router(), seconds=6.0)
+        for stream in streams:
+            stream.close()
+        paused = fleet.routers[1]
+        paused.process.send_signal(signal.SIGSTOP)
+        taken_up = [fleet.take_up(stream, router=paused) for stream in streams]
+        for _ in range(2):
+            fleet.add_target("desk", NEW)
+        for target in fleet.old_targets("desk"):
+            fleet.remove_target(target)
+        time.sleep(3.0)
+        paused.process.send_signal(signal.SIGCONT)
+        taken_up = [stream.wait() for stream in taken_up]
+        assert not any(stream.is_joined for stream in taken_up), describe(taken_up)
+        assert all(stream.status == 503 for stream in taken_up), describe(taken_up)
+    finally:
+        fleet.close()
