--- a/packages/limpetusher-router/src/limpetusher_router/process/rounds.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/rounds.py
@@ -7,7 +7,7 @@
 
 INTERVAL_SECONDS = 1.0
 STALL_SECONDS = 0.6
-"""Time between the begins of two rounds from which on the process was held up; deadlines end others sooner."""
+"""Time between the begins of two rounds from which on the process was held up."""
 UNREAD_SECONDS = 1.0
 """Time after a stall in which what has arrived meanwhile may still be unread."""
 
