--- a/tests/router/fleet/test_router_out_of_step.py
+++ b/tests/router/fleet/test_router_out_of_step.py
@@ -198,3 +198,23 @@
         assert all(stream.status == 503 for stream in taken_up), describe(taken_up)
     finally:
         fleet.close()
+
+
+def test_stream_is_not_joined_at_a_target_that_has_restarted_with_another_version(tmp_path):
+    """Guards against a list that names the version which a target had before it restarted."""
+    fleet = VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD))
+    try:
+        router = fleet.start_lone_router()
+        streams = fleet.begin_held("desk", STREAM_COUNT, router=router)
+        for stream in streams:
+            stream.close()
+        fleet.gateway.is_cut = True
+        for target in fleet.old_targets("desk"):
+            target.become(target.target_id, NEW)
+            fleet.list_target(target)
+        time.sleep(1.0)
+        taken_up = [fleet.take_up(stream, router=router) for stream in streams]
+        taken_up = [stream.wait() for stream in taken_up]
+        assert not any(stream.is_joined for stream in taken_up), describe(taken_up)
+    finally:
+        fleet.close()
