Refuse requests that are dropped behind another one for want of memory

A caller that had sent a whole request behind the one in progress lost it without an answer or a refusal when there was no memory for it, as when SIGHUP lowers the memory limit of the host (LOST beside planned work). Behind an answer whose head was sent before, the close was not announced either.

Cause: hold_pipelined dropped the bytes and marked the connection to be closed after the answer in progress. That answer is now followed by a refusal (503, not run), which announces the close.

Both cases of test_request_without_room_behind_another_one_is_refused fail without the change (no second answer) and pass with it; tests/router/connection, test_body_memory.py, test_flooded_router.py and test_requests_at_stop.py pass (114).

--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -67,6 +67,7 @@
         "head",
         "head_started",
         "held_bytes",
+        "is_rest_dropped",
         "large_body",
         "output",
         "output_bytes",
@@ -102,6 +103,8 @@
         """Whether the component that produces the answer was told to pause."""
         self.closing = False
         """Whether the connection closes after the current answer."""
+        self.is_rest_dropped = False
+        """Whether bytes of later requests were dropped, so that the next request can only be refused."""
         self.begin_request()
 
     def begin_request(self) -> None:
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -355,9 +355,9 @@
         return bool(stalled) and self.bodies.hold_body(connection, count)
 
     def hold_pipelined(self, connection: CallerConnection, count: int) -> None:
-        """Hold memory for bytes of later requests; without room they are dropped and never parsed."""
+        """Hold memory for bytes of later requests; without room they are dropped, and later refused."""
         if not self.bodies.hold_pipelined(connection, count):
-            connection.closing = True
+            connection.is_rest_dropped = True
             connection.buffer.clear()
             self.pause_reading(connection)
 
@@ -391,7 +391,8 @@
     ) -> None:
         """Buffer the head of an answer."""
         # What was read behind the request is answered as well: its caller may not send it again.
-        connection.closing = connection.closing or (self.close_after_answers and not connection.buffer)
+        is_last = not connection.buffer and not connection.is_rest_dropped
+        connection.closing = connection.closing or (self.close_after_answers and is_last)
         connection.add_answer_head(status, headers, length)
         self.metrics.count_answer(status)
 
@@ -509,6 +510,10 @@
         if connection.reading_paused:
             connection.reading_paused = False
             self.poller.addReader(self, connection.sock)
+        if connection.is_rest_dropped and not connection.closing:
+            message = "no memory for requests behind another one"
+            self.refuse(connection, FramingError(503, RefusalCode.NO_CAPACITY, message, 1.0))
+            return
         if connection.buffer:
             try:
                 self.parse_buffer(connection)
--- a/tests/router/fleet/test_body_memory.py
+++ b/tests/router/fleet/test_body_memory.py
@@ -1,6 +1,7 @@
 """Tests of the bound of the memory that request bodies take, with a real router process of 150 MB."""
 
 import contextlib
+import json
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -195,6 +196,36 @@
         assert 0 < held_bytes(run) <= 8e6
 
 
+@pytest.mark.parametrize("sent_when", ["before the head", "after the head"])
+def test_request_without_room_behind_another_one_is_refused(tmp_path, sent_when):
+    """Guards against a whole request that is dropped when the memory limit of the settings falls."""
+
+    def begin_slowly(call, _number) -> None:
+        time.sleep(0.5)
+        call.begin_stream()
+        call.send_events(1, 1)
+        time.sleep(1.0)
+        call.end_stream()
+
+    with fleet_run(tmp_path, begin_slowly) as run:
+        request = request_text("/stream/1", x_deadline_ms="6000").replace("connection: close\r\n", "")
+        with open_upload(run.router.caller, request.encode()) as sock:
+            wait_for(lambda: run.calls, run.router.log)
+            text = run.router.path.read_text()
+            run.router.path.write_text(
+                text.replace('"memory_megabytes": 150.0', '"memory_megabytes": 0.0001')
+            )
+            run.router.process.send_signal(signal.SIGHUP)
+            wait_for(lambda: run.logged_count(Event.SETTINGS_RELOADED), run.router.log)
+            received = sock.recv(4096) if sent_when == "after the head" else b""
+            sock.sendall(request.encode())
+            received += read_all(sock)
+        first, _, second = received.partition(b"0\r\n\r\n")
+        assert split_answer(first)[0] == 200
+        status, body = split_answer(second)
+        assert (status, json.loads(body)["error"]["ran"]) == (503, "no")
+
+
 def test_planned_stop_while_bodies_are_held(tmp_path):
     """Guards against a request that is lost when its body ends after the stop signal."""
     with fleet_run(tmp_path, answer_slowly, memory_megabytes=LIMIT_MEGABYTES) as run:
