--- a/tests/router/fleet/test_requests.py
+++ b/tests/router/fleet/test_requests.py
@@ -12,7 +12,7 @@
 from limpetusher.fleet.request.scheduler_client import TargetRequest
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher_router.connection.framing import RequestHead
-from limpetusher_router.events import CALLERS, REQUESTS, TARGETS, RequestReceived
+from limpetusher_router.events import CALLERS, REQUESTS, TARGETS, RequestReceived, SchedulerAnswerReceived
 from limpetusher_router.fleet.event_relay import EventRelay
 from limpetusher_router.fleet.exchange import Exchange
 from limpetusher_router.fleet.refusals import BAD_GATEWAY, UNAVAILABLE
@@ -163,3 +163,19 @@
     while len(root):
         root.flush()
     assert fixture.recorder.statuses == [BAD_GATEWAY]
+
+
+def test_request_whose_grant_raises_an_exception_is_answered_at_once():
+    """Guards against a caller that waits until its deadline for a request which was never sent."""
+    fixture = OpenRequest()
+    # No header field of HTTP/1.1 can have this value.
+    fixture.exchange.customer = "\u0141"
+    root = ProcessRoot(Metrics(), clock=fixture.clock)
+    fixture.recorder.register(root)
+    grant = TargetGrant("r1", 1, "e1", 30, 30, 35, 30_000.0, False, 0.0, True)
+    scheduler = fixture.exchange.target_request.scheduler
+    root.fire(SchedulerAnswerReceived(scheduler, grant), REQUESTS)
+    while len(root):
+        root.flush()
+    assert fixture.recorder.statuses == [BAD_GATEWAY]
+    assert fixture.requests.exchanges == {}
