Limit the lead of a customer to a multiple of its present share

A customer that was served more while there was less demand or more capacity waited for seconds until others had caught up: four whole seconds without any service in test_customer_keeps_its_share_after_it_was_served_more[0].

Cause: the limit of 0.2 s for catching up takes its level from the requests that wait, of which customers behind have few as each starts at once. In the test it lowered no sum of the largest customer for four seconds.

Now what a scheduler has served a customer counts up to 2.5 times the sum that its max-min share of what was asked for and started in about the last 0.5 s would add up to.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/fair_levels.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/fair_levels.py
@@ -83,3 +83,14 @@
         index = max(bisect.bisect_right(self.prefill_tokens, prefill_tokens) - 1, 0)
         missing = max(0.0, prefill_tokens - self.prefill_tokens[index])
         return self.breakpoints[index] + (missing / self.slopes[index] if self.slopes[index] > 0 else 0.0)
+
+
+def max_min_share(demands: Mapping[str, float], capacity: float) -> float:
+    """Return the most that a customer gets of a max-min fair division, infinite if the capacity suffices."""
+    remaining = capacity
+    for number, demand in enumerate(sorted(demands.values())):
+        share = remaining / (len(demands) - number)
+        if demand > share:
+            return share
+        remaining -= demand
+    return math.inf
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -232,6 +232,7 @@
     def decide(self, now: float) -> list[StartDecision | RefusalDecision]:
         """Return the decisions that are due: requests to start and requests to refuse."""
         self.served.decay(now)
+        self.served.limit_to_shares()
         self.max_served = self.served.max_total()
         decisions: list[StartDecision | RefusalDecision] = []
         for pool in list(self.by_pool):
