Refuse streams that began since a router schedules, also while others are out of reach

A scheduler that may be divided from other routers read the version of a stream that it would know if it had placed it from its identifier, by its own list. Another router that is out of step may have begun such a stream by an older list, so that it could go on at a version that the other list did not hold. Before the time in question was extended for routers out of reach, such streams were refused; they are again.

test_stream_begun_by_a_router_that_is_divided_from_this_one_is_refused failed before (20 of 20 granted) and passes.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -401,14 +401,12 @@
         versions = self.versions.possible_versions(message.service, 0, since, now)
         if len(versions) == 1:
             return versions.pop(), BASIS_ONLY_VERSION
-        if message.resumes == UNNAMED_STREAM:
-            return None, ""
         scheduled_since = self.scheduled_since[request.pool]
+        if message.resumes == UNNAMED_STREAM or begun_after > scheduled_since:
+            # This scheduler would know a stream that began since, unless a router out of step has begun it.
+            return None, ""
         if self.pools.members.may_be_divided(scheduled_since, now):
             until = now
-        elif begun_after > scheduled_since:
-            # This scheduler would know the stream.
-            return None, ""
         else:
             # Targets that the list did not hold yet may have begun streams that another scheduler has placed.
             until = self.listed_at.get(request.pool, now)
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -451,3 +451,17 @@
     following_scheduler.receive(ROUTER_2, origins, 5.01)
     following_scheduler.on_tick(5.1)
     assert set(grants_by_request(following_scheduler, 5.1)) == {"r1"}
+
+
+def test_stream_begun_by_a_router_that_is_divided_from_this_one_is_refused(following_scheduler):
+    """Guards against a version by the own list for a stream that was begun by an older one."""
+    following_scheduler.receive(ROUTER_2, make_ask("first"), 3.0)
+    following_scheduler.pools.members.suspect(ROUTER_2, 4.0)
+    following_scheduler.versions.observe("new", "engines", "v9", "north", 5.0)
+    for stream in range(1_000, 1_020):
+        query = make_take_up(f"r{stream}", resumes=stream, stream_age_seconds=4.0)
+        following_scheduler.receive(ROUTER_1, query, 10.0)
+    following_scheduler.confirm_targets(10.0, 10.1)
+    answers = [answer for _client, answer in following_scheduler.decide(10.1) if answer.request_id != "first"]
+    assert {type(answer) for answer in answers} == {TargetRefusal}
+    assert {answer.reason for answer in answers} == {VERSION_UNKNOWN}
