--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -27,7 +27,7 @@
 from limpetusher.fleet.process.prefill_cooldowns import COOLDOWN_ADJUST_INTERVAL_SECONDS
 from limpetusher.fleet.process.scheduler import MAX_CONFIRMATION_WAIT_SECONDS, Scheduler
 from limpetusher.fleet.process.served_tokens import HALF_LIFE_SECONDS
-from limpetusher.fleet.process.version_history import stream_rank
+from limpetusher.fleet.process.version_history import VersionHistory, stream_rank
 from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED, VERSION_UNKNOWN
 
 ROUTER_1, ROUTER_2 = "10.0.0.1", "10.0.0.2"
@@ -321,6 +321,16 @@
     return make_ask(request_id, **{"stream": 2_000, "resumes": 1_000, "stream_age_seconds": 4.0, **changes})
 
 
+def stream_that_names(target_id: str, versions: VersionHistory) -> int:
+    """Return a stream whose identifier names a target beside those in service."""
+    targets = (target_id, *versions.present)
+    return next(
+        number
+        for number in range(1_000, 2_000)
+        if max(targets, key=lambda other: stream_rank(number, other)) == target_id
+    )
+
+
 def refusal_reasons(scheduler, now: float) -> list[str]:
     return [answer.reason for _client, answer in scheduler.decide(now) if isinstance(answer, TargetRefusal)]
 
@@ -389,11 +399,7 @@
 ):
     """Guards against a version by identifier if the list lagged when this router began to schedule."""
     versions = following_scheduler.versions
-    stream = next(
-        number
-        for number in range(1_000, 2_000)
-        if max(("new", *versions.present), key=lambda target_id: stream_rank(number, target_id)) == "new"
-    )
+    stream = stream_that_names("new", versions)
     # An earlier scheduler, which has stopped as planned, has begun the stream at 3.0 at the new target.
     following_scheduler.pools.members.record_message(ROUTER_2, 3.5)
     following_scheduler.receive(ROUTER_2, make_ask("first"), 3.5)
@@ -413,11 +419,7 @@
 def test_pool_that_was_scheduled_elsewhere_meanwhile_is_scheduled_here_anew(following_scheduler):
     """Guards against a version by the targets of the first time at which this router scheduled the pool."""
     pools, versions = following_scheduler.pools, following_scheduler.versions
-    stream = next(
-        number
-        for number in range(1_000, 2_000)
-        if max(("new", *versions.present), key=lambda target_id: stream_rank(number, target_id)) == "new"
-    )
+    stream = stream_that_names("new", versions)
 
     def tick(now: float, *entries: MemberEntry) -> None:
         pools.members.merge(entries, now)
