Move the binding of streams to versions out of the scheduler

VersionBinding has both now, with the history of versions and the origins of streams; the scheduler keeps requests and targets.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -32,7 +32,7 @@
 from limpetusher.fleet.process.prompt_quarantine import MAX_CONFIRMATION_SECONDS, PromptQuarantine, part_keys
 from limpetusher.fleet.process.rate_limits import RetryBudget
 from limpetusher.fleet.process.served_tokens import ServedTokens
-from limpetusher.fleet.process.stream_versions import StreamOrigin, StreamVersions
+from limpetusher.fleet.process.stream_versions import StreamOrigin
 from limpetusher.fleet.process.strikes import (
     REPORT_DELAY_SECONDS,
     BrokenConnection,
@@ -42,14 +42,11 @@
     repeat_key,
 )
 from limpetusher.fleet.process.target_loads import TargetLoad
-from limpetusher.fleet.process.version_history import VersionHistory, version_by_identifier
+from limpetusher.fleet.process.version_binding import HeldQuery, VersionBinding
 from limpetusher.fleet.request.waiting_requests import (
     MIN_RETRY_AFTER_SECONDS,
     PROMPT_QUARANTINED,
     REQUEST_QUARANTINED,
-    TARGETS_UNCONFIRMED,
-    VERSION_LEFT,
-    VERSION_UNKNOWN,
     RefusalDecision,
     StartDecision,
     WaitingRequests,
@@ -77,18 +74,6 @@
 OVERTAKEN_SECONDS = 0.1
 """Time by which a prompt has to be granted before another one to count as overtaken by its first output.
 Covers the usual differences between the routers that send them."""
-BASIS_ROUTER = "router"
-BASIS_SCHEDULER = "scheduler"
-BASIS_IDENTIFIER = "identifier"
-BASIS_ONLY_VERSION = "only version"
-BASIS_OTHER_SERVICE = "other service"
-MAX_VIEW_LAG_SECONDS = 0.6
-"""Time by which the list of targets at another router may lag behind the store."""
-MAX_CONFIRMATION_WAIT_SECONDS = 0.4
-"""Time for which a request waits for the store to confirm the list of targets. A slow store takes 0.2 s."""
-UNCONFIRMED_RETRY_SECONDS = 0.5
-"""Time after which a caller may come back that is refused for want of a confirmation; another router may know
-the version at once."""
 MAX_CUSTOMERS_PER_UPDATE = 300
 """Maximum number of customers in one message to the other schedulers, so that it fits into a datagram."""
 
@@ -146,14 +131,6 @@
         return self.taken_over_parts if self.request is None else request_parts(self.request)
 
 
-@dataclass(frozen=True, slots=True)
-class HeldQuery:
-    """Query of a request that waits until the list of targets is confirmed."""
-
-    message: TargetQuery
-    received_at: float
-
-
 class Scheduler:
     """Handles the messages of routers and schedules their requests.
 
@@ -173,23 +150,18 @@
         self.pools = pools
         self.served = ServedTokens()
         self.quarantine = PromptQuarantine()
-        self.streams = StreamVersions()
-        self.versions = VersionHistory()
+        self.binding = VersionBinding(placement, pools)
+        self.streams = self.binding.streams
+        self.versions = self.binding.versions
         self.waiting = WaitingRequests(settings, placement, self.served, self.quarantine)
         self.alive_at: dict[str, float] = {}
         """Times of the last outputs and complete answers of targets."""
         self.jobs: dict[tuple[str, str], Job] = {}
         """Waiting and open requests, by router and request identifier."""
-        self.held: dict[tuple[str, str], HeldQuery] = {}
-        """Queries that wait until the list of targets is confirmed, by router and request identifier."""
         self.by_client: dict[str, set[str]] = {}
         self.prefilling: dict[str, dict[tuple[str, str], Job]] = {}
         """Jobs without a first output by target, in the order of their grants."""
         self.budgets: dict[Pool, RetryBudget] = {}
-        self.scheduled_since: dict[Pool, float] = {}
-        """When this router began to schedule each pool, since it was last scheduled by another one."""
-        self.listed_at: dict[Pool, float] = {}
-        """When the list of targets was first known to hold all that were in service at those times."""
         self.unreachable_reports: dict[str, dict[str, float]] = {}
         """Times of the last reports that a target is unreachable, by target and router."""
         self.cooldowns_adjusted_at = 0.0
@@ -199,18 +171,7 @@
     @property
     def is_active(self) -> bool:
         """Return whether any request is held, waiting or open, or a crash has to be confirmed."""
-        return bool(self.jobs) or bool(self.held) or self.quarantine.is_pending
-
-    @property
-    def confirmation_needed_at(self) -> float | None:
-        """Return the latest time as of which the list of targets has to be confirmed, None if there is none.
-
-        It is that of the last request that is held, or at which this router began to schedule a pool.
-        """
-        times = [since for pool, since in self.scheduled_since.items() if pool not in self.listed_at]
-        if self.held:
-            times.append(next(reversed(self.held.values())).received_at)
-        return max(times, default=None)
+        return bool(self.jobs) or bool(self.binding.held) or self.quarantine.is_pending
 
     @property
     def has_waiting(self) -> bool:
@@ -239,46 +200,20 @@
         """Accept a request, or hold it until the list of targets is confirmed that decides its version."""
         self.remove_job(client, message.request_id, now)
         query = HeldQuery(message, now)
-        if self.lacks_confirmation(query, now):
-            self.held[client, message.request_id] = query
+        if self.binding.lacks_confirmation(query, now):
+            self.binding.held[client, message.request_id] = query
         else:
             self.accept(query, client, now)
 
-    def lacks_confirmation(self, query: HeldQuery, now: float) -> bool:
-        """Return whether a request depends on what an unconfirmed list of targets does not hold.
-
-        A stream may have begun at a target that has been registered since the list was last confirmed.
-        """
-        message = query.message
-        if self.versions.known_until >= query.received_at or (
-            not message.resumes and message.version is None
-        ):
-            return False
-        version = message.version
-        if version is None:
-            origin = self.streams.find(message.resumes, now)
-            if origin is None:
-                return True
-            if origin.service != message.service or origin.version is None:
-                return False
-            version = origin.version
-        return not self.placement.has_listed_version(Pool(message.service), version)
-
     def confirm_targets(self, confirmed_at: float, now: float) -> None:
         """Record that the list holds all targets of a time, and accept the requests that waited for that."""
-        self.versions.confirm(confirmed_at)
-        for pool, since in self.scheduled_since.items():
-            if since <= confirmed_at:
-                self.listed_at.setdefault(pool, now)
+        self.binding.confirm(confirmed_at, now)
         self.accept_held(now)
 
     def accept_held(self, now: float) -> None:
         """Accept the held requests that need no confirmation any more or have waited for long enough."""
-        for (client, request_id), query in list(self.held.items()):
-            is_overdue = now >= query.received_at + MAX_CONFIRMATION_WAIT_SECONDS
-            if is_overdue or not self.lacks_confirmation(query, now):
-                del self.held[client, request_id]
-                self.accept(query, client, now)
+        for client, query in self.binding.take_due(now):
+            self.accept(query, client, now)
 
     def accept(self, query: HeldQuery, client: str, now: float) -> None:
         """Queue a request, or refuse it, for example if it is a retry beyond the budget."""
@@ -286,7 +221,7 @@
         pool = Pool(message.service, message.data_centre)
         budget = self.retry_budget(pool)
         pools = len(self.pools.for_service(message.service))
-        self.scheduled_since.setdefault(pool, now)
+        self.binding.record_scheduling(pool, now)
         if not message.is_retry:
             budget.record_request(pools, now)
         elif not budget.try_spend(pools, now):
@@ -324,7 +259,7 @@
             self.served.add_asked(request.customer, throughput_tokens(request))
         refusal = (
             self.refuse_for_parts(message, request, now)
-            or self.refuse_for_version(query, request, now)
+            or self.binding.refuse(query, request, now)
             or self.waiting.refuse_on_arrival(request, now)
         )
         job = Job(message.attempt, pool, request, is_retry=message.is_retry)
@@ -356,63 +291,6 @@
             return RefusalDecision(request, reason, MIN_RETRY_AFTER_SECONDS, 0.0)
         return None
 
-    def refuse_for_version(
-        self, query: HeldQuery, request: QueuedRequest, now: float
-    ) -> RefusalDecision | None:
-        """Bind a request to the version that began its stream, or return the refusal if that is not possible.
-
-        What another version writes must not be joined to the stream, so that a version is never guessed.
-        """
-        if self.lacks_confirmation(query, now):
-            request.version = query.message.version
-            return RefusalDecision(request, TARGETS_UNCONFIRMED, UNCONFIRMED_RETRY_SECONDS, 0.0)
-        request.version, request.version_basis = self.determine_version(query, request, now)
-        if request.version is None:
-            if not query.message.resumes or request.version_basis == BASIS_OTHER_SERVICE:
-                return None
-            return RefusalDecision(request, VERSION_UNKNOWN, MIN_RETRY_AFTER_SECONDS, 0.0)
-        if self.placement.has_listed_version(request.pool, request.version):
-            return None
-        return RefusalDecision(request, VERSION_LEFT, MIN_RETRY_AFTER_SECONDS, 0.0)
-
-    def determine_version(
-        self, query: HeldQuery, request: QueuedRequest, now: float
-    ) -> tuple[str | None, str]:
-        """Return the version that has to run a request, None if any may or if it is unknown, and the basis.
-
-        A new stream is bound to the version that its identifier names, by which the version is found again.
-        """
-        message = query.message
-        if message.version is not None:
-            return message.version, BASIS_ROUTER
-        if request.begins_stream:
-            targets = self.placement.stream_versions(message.service)
-            version = version_by_identifier(message.stream, targets)
-            return version, "" if version is None else BASIS_IDENTIFIER
-        if not message.resumes:
-            return None, ""
-        origin = self.streams.find(message.resumes, now)
-        if origin is not None:
-            if origin.service != message.service:
-                return None, BASIS_OTHER_SERVICE
-            return origin.version, BASIS_SCHEDULER
-        begun_after = query.received_at - message.stream_age_seconds
-        since = begun_after - MAX_VIEW_LAG_SECONDS
-        versions = self.versions.possible_versions(message.service, 0, since, now)
-        if len(versions) == 1:
-            return versions.pop(), BASIS_ONLY_VERSION
-        scheduled_since = self.scheduled_since[request.pool]
-        if message.resumes == UNNAMED_STREAM or begun_after > scheduled_since:
-            # This scheduler would know a stream that began since, unless a router out of step has begun it.
-            return None, ""
-        if self.pools.members.may_be_divided(scheduled_since, now):
-            until = now
-        else:
-            # Targets that the list did not hold yet may have begun streams that another scheduler has placed.
-            until = self.listed_at.get(request.pool, now)
-        versions = self.versions.possible_versions(message.service, message.resumes, since, until)
-        return versions.pop() if len(versions) == 1 else None, BASIS_IDENTIFIER
-
     @handle.register
     def on_stream_origins(self, message: StreamOrigins, client: str, now: float) -> None:
         """Record the streams that another scheduler has placed."""
@@ -557,7 +435,7 @@
     def on_tick(self, now: float) -> None:
         """Find crashed targets, and adjust the cooldowns of the engines to their running streams."""
         self.accept_held(now)
-        self.release_pools(now)
+        self.binding.release_pools(now)
         self.quarantine.confirm(now, self.has_crashed, self.running_requests)
         if now < self.cooldowns_adjusted_at + COOLDOWN_ADJUST_INTERVAL_SECONDS:
             return
@@ -572,20 +450,12 @@
         for target_id, values in speedups.items():
             cooldowns.adjust(target_id, values)
 
-    def release_pools(self, now: float) -> None:
-        """Forget since when this router has scheduled the pools that another one schedules now."""
-        own = self.pools.members.own.address
-        for pool in list(self.scheduled_since):
-            if self.pools.scheduler(pool, now) != own:
-                del self.scheduled_since[pool]
-                self.listed_at.pop(pool, None)
-
     @handle.register
     def on_ended(self, message: AttemptFinished, client: str, now: float) -> None:
         """Remove a request and update the health of its target."""
         job = self.find_job(client, message)
         if job is None:
-            self.drop_held(client, message)
+            self.binding.withdraw(client, message.request_id, message.attempt)
             return
         self.remove_job(client, message.request_id, now)
         target_id = job.target_id
@@ -713,15 +583,9 @@
         self.jobs[client, request_id] = job
         self.by_client.setdefault(client, set()).add(request_id)
 
-    def drop_held(self, client: str, message: AttemptFinished) -> None:
-        """Drop the held query of an attempt that its router has withdrawn."""
-        query = self.held.get((client, message.request_id))
-        if query is not None and query.message.attempt == message.attempt:
-            del self.held[client, message.request_id]
-
     def remove_job(self, client: str, request_id: str, now: float) -> None:
         """Remove a request, if it is known."""
-        self.held.pop((client, request_id), None)
+        self.binding.held.pop((client, request_id), None)
         job = self.jobs.pop((client, request_id), None)
         if job is None:
             return
@@ -742,8 +606,7 @@
 
     def remove_client(self, client: str, now: float) -> None:
         """Remove the requests of a router that has stopped, restarted or is about to register them again."""
-        held = {request_id for address, request_id in self.held if address == client}
-        for request_id in sorted({*self.by_client.get(client, ()), *held}):
+        for request_id in sorted({*self.by_client.get(client, ()), *self.binding.held_by(client)}):
             self.remove_job(client, request_id, now)
 
     def record_target_reached(self, target_id: str, now: float) -> None:
--- /dev/null
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/version_binding.py
@@ -0,0 +1,194 @@
+"""Software version that has to run a request, and the requests that wait until it can be determined.
+
+A caller that takes a stream up again must get the rest of it from the version that began it. What the list
+of targets does not hold decides only once the store has confirmed the list.
+"""
+
+from dataclasses import dataclass
+
+from limpetusher.fleet.messages import UNNAMED_STREAM, TargetQuery
+from limpetusher.fleet.model import Pool, QueuedRequest
+from limpetusher.fleet.process.placement import Placement
+from limpetusher.fleet.process.pools import Pools
+from limpetusher.fleet.process.stream_versions import StreamVersions
+from limpetusher.fleet.process.version_history import VersionHistory, version_by_identifier
+from limpetusher.fleet.request.waiting_requests import (
+    MIN_RETRY_AFTER_SECONDS,
+    TARGETS_UNCONFIRMED,
+    VERSION_LEFT,
+    VERSION_UNKNOWN,
+    RefusalDecision,
+)
+
+BASIS_ROUTER = "router"
+BASIS_SCHEDULER = "scheduler"
+BASIS_IDENTIFIER = "identifier"
+BASIS_ONLY_VERSION = "only version"
+BASIS_OTHER_SERVICE = "other service"
+MAX_VIEW_LAG_SECONDS = 0.6
+"""Time by which the list of targets at another router may lag behind the store."""
+MAX_CONFIRMATION_WAIT_SECONDS = 0.4
+"""Time for which a request waits for the store to confirm the list of targets. A slow store takes 0.2 s."""
+UNCONFIRMED_RETRY_SECONDS = 0.5
+"""Time after which a caller may come back that is refused for want of a confirmation; another router may know
+the version at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeldQuery:
+    """Query of a request that waits until the list of targets is confirmed."""
+
+    message: TargetQuery
+    received_at: float
+
+
+class VersionBinding:
+    """Binds requests to the software version that has to run them.
+
+    Parameters
+    ----------
+    placement
+        State of the targets.
+    pools
+        Pools of the services.
+    """
+
+    def __init__(self, placement: Placement, pools: Pools):
+        self.placement = placement
+        self.pools = pools
+        self.streams = StreamVersions()
+        self.versions = VersionHistory()
+        self.held: dict[tuple[str, str], HeldQuery] = {}
+        """Queries that wait until the list of targets is confirmed, by router and request identifier."""
+        self.scheduled_since: dict[Pool, float] = {}
+        """When this router began to schedule each pool, since it was last scheduled by another one."""
+        self.listed_at: dict[Pool, float] = {}
+        """When the list of targets was first known to hold all that were in service at those times."""
+
+    @property
+    def confirmation_needed_at(self) -> float | None:
+        """Return the latest time as of which the list of targets has to be confirmed, None if there is none.
+
+        It is that of the last request that is held, or at which this router began to schedule a pool.
+        """
+        times = [since for pool, since in self.scheduled_since.items() if pool not in self.listed_at]
+        if self.held:
+            times.append(next(reversed(self.held.values())).received_at)
+        return max(times, default=None)
+
+    def record_scheduling(self, pool: Pool, now: float) -> None:
+        """Record that this router schedules a pool."""
+        self.scheduled_since.setdefault(pool, now)
+
+    def release_pools(self, now: float) -> None:
+        """Forget since when this router has scheduled the pools that another one schedules now."""
+        own = self.pools.members.own.address
+        for pool in list(self.scheduled_since):
+            if self.pools.scheduler(pool, now) != own:
+                del self.scheduled_since[pool]
+                self.listed_at.pop(pool, None)
+
+    def lacks_confirmation(self, query: HeldQuery, now: float) -> bool:
+        """Return whether a request depends on what an unconfirmed list of targets does not hold.
+
+        A stream may have begun at a target that has been registered since the list was last confirmed.
+        """
+        message = query.message
+        if self.versions.known_until >= query.received_at or (
+            not message.resumes and message.version is None
+        ):
+            return False
+        version = message.version
+        if version is None:
+            origin = self.streams.find(message.resumes, now)
+            if origin is None:
+                return True
+            if origin.service != message.service or origin.version is None:
+                return False
+            version = origin.version
+        return not self.placement.has_listed_version(Pool(message.service), version)
+
+    def confirm(self, confirmed_at: float, now: float) -> None:
+        """Record that the list holds all targets of a time."""
+        self.versions.confirm(confirmed_at)
+        for pool, since in self.scheduled_since.items():
+            if since <= confirmed_at:
+                self.listed_at.setdefault(pool, now)
+
+    def take_due(self, now: float) -> list[tuple[str, HeldQuery]]:
+        """Remove the held queries that need no confirmation any more or have waited for long enough.
+
+        They are returned with the addresses of their routers.
+        """
+        due = []
+        for (client, request_id), query in list(self.held.items()):
+            is_overdue = now >= query.received_at + MAX_CONFIRMATION_WAIT_SECONDS
+            if is_overdue or not self.lacks_confirmation(query, now):
+                del self.held[client, request_id]
+                due.append((client, query))
+        return due
+
+    def withdraw(self, client: str, request_id: str, attempt: int) -> None:
+        """Drop the held query of an attempt that its router has withdrawn."""
+        query = self.held.get((client, request_id))
+        if query is not None and query.message.attempt == attempt:
+            del self.held[client, request_id]
+
+    def held_by(self, client: str) -> set[str]:
+        """Return the identifiers of the requests of a router that are held."""
+        return {request_id for address, request_id in self.held if address == client}
+
+    def refuse(self, query: HeldQuery, request: QueuedRequest, now: float) -> RefusalDecision | None:
+        """Bind a request to the version that began its stream, or return the refusal if that is not possible.
+
+        What another version writes must not be joined to the stream, so that a version is never guessed.
+        """
+        if self.lacks_confirmation(query, now):
+            request.version = query.message.version
+            return RefusalDecision(request, TARGETS_UNCONFIRMED, UNCONFIRMED_RETRY_SECONDS, 0.0)
+        request.version, request.version_basis = self.determine_version(query, request, now)
+        if request.version is None:
+            if not query.message.resumes or request.version_basis == BASIS_OTHER_SERVICE:
+                return None
+            return RefusalDecision(request, VERSION_UNKNOWN, MIN_RETRY_AFTER_SECONDS, 0.0)
+        if self.placement.has_listed_version(request.pool, request.version):
+            return None
+        return RefusalDecision(request, VERSION_LEFT, MIN_RETRY_AFTER_SECONDS, 0.0)
+
+    def determine_version(
+        self, query: HeldQuery, request: QueuedRequest, now: float
+    ) -> tuple[str | None, str]:
+        """Return the version that has to run a request, None if any may or if it is unknown, and the basis.
+
+        A new stream is bound to the version that its identifier names, by which the version is found again.
+        """
+        message = query.message
+        if message.version is not None:
+            return message.version, BASIS_ROUTER
+        if request.begins_stream:
+            targets = self.placement.stream_versions(message.service)
+            version = version_by_identifier(message.stream, targets)
+            return version, "" if version is None else BASIS_IDENTIFIER
+        if not message.resumes:
+            return None, ""
+        origin = self.streams.find(message.resumes, now)
+        if origin is not None:
+            if origin.service != message.service:
+                return None, BASIS_OTHER_SERVICE
+            return origin.version, BASIS_SCHEDULER
+        begun_after = query.received_at - message.stream_age_seconds
+        since = begun_after - MAX_VIEW_LAG_SECONDS
+        versions = self.versions.possible_versions(message.service, 0, since, now)
+        if len(versions) == 1:
+            return versions.pop(), BASIS_ONLY_VERSION
+        scheduled_since = self.scheduled_since[request.pool]
+        if message.resumes == UNNAMED_STREAM or begun_after > scheduled_since:
+            # This scheduler would know a stream that began since, unless a router out of step has begun it.
+            return None, ""
+        if self.pools.members.may_be_divided(scheduled_since, now):
+            until = now
+        else:
+            # Targets that the list did not hold yet may have begun streams that another scheduler has placed.
+            until = self.listed_at.get(request.pool, now)
+        versions = self.versions.possible_versions(message.service, message.resumes, since, until)
+        return versions.pop() if len(versions) == 1 else None, BASIS_IDENTIFIER
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -225,7 +225,7 @@
     def place_waiting_requests(self, now: float) -> None:
         """Run the placement, now or once the minimum interval since the last run is over."""
         scheduler = self.state.scheduler
-        confirmed_from = scheduler.confirmation_needed_at
+        confirmed_from = scheduler.binding.confirmation_needed_at
         if confirmed_from is not None:
             self.fire(ConfirmStoreCopy(confirmed_from), STORE)
         if not scheduler.has_waiting:
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -25,8 +25,9 @@
 from limpetusher.fleet.process.members import Members
 from limpetusher.fleet.process.pools import Pools
 from limpetusher.fleet.process.prefill_cooldowns import COOLDOWN_ADJUST_INTERVAL_SECONDS
-from limpetusher.fleet.process.scheduler import MAX_CONFIRMATION_WAIT_SECONDS, Scheduler
+from limpetusher.fleet.process.scheduler import Scheduler
 from limpetusher.fleet.process.served_tokens import HALF_LIFE_SECONDS
+from limpetusher.fleet.process.version_binding import MAX_CONFIRMATION_WAIT_SECONDS
 from limpetusher.fleet.process.version_history import VersionHistory, stream_rank
 from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED, VERSION_UNKNOWN
 
@@ -368,7 +369,7 @@
 def test_version_without_a_listed_target_is_confirmed_before_the_refusal(following_scheduler):
     """Guards against streams refused for good whose targets the list does not hold yet."""
     following_scheduler.receive(ROUTER_2, make_take_up(version="v9"), 5.0)
-    assert following_scheduler.held
+    assert following_scheduler.binding.held
     following_scheduler.on_tick(5.0 + MAX_CONFIRMATION_WAIT_SECONDS)
     assert refusal_reasons(following_scheduler, 5.4) == [TARGETS_UNCONFIRMED]
 
