Measure the stall of bodies from when the router has read them

Partial bodies count as stalled 1.0 s after the router has read their last bytes; the test waited 1.2 s from when its callers had sent them, which leaves 0.2 s for the router to read 14 bodies of 2 MB. Shown in a trial: with a router that is paused for 0.3 s while the bodies are sent, the upload gets the same 503, with Retry-After 0.3, each time it was run (once); without the pause it passes, as do 16 of 16 plain runs beside other work.

The time of 1.2 s now begins with the first answer to a request that was sent after the bodies. The check stays the same. In the trial it holds with pauses of 0.3 and 0.6 s.

--- a/tests/router/fleet/test_body_memory.py
+++ b/tests/router/fleet/test_body_memory.py
@@ -93,6 +93,8 @@
         accept_large_bodies(run)
         stalled = partial_uploads(run, 200, length=LARGE_BODY_BYTES, data=BODY[:sent_bytes])
         with stalled, small_requests(run) as small:
+            # The bodies stall from the time at which the router has read them.
+            wait_for(lambda: small.statuses, run.router.log)
             time.sleep(1.2)
             assert split_answer(upload(run, 1, body=BODY))[0] == 200
         assert set(small.statuses) == {200}
