Begin the streams of a new version only once its scheduler lists it

The builder waited until the routers through which the streams begin had listed the new targets, not until the scheduler had, which decides.

The builder now waits for all routers in step, and prints the log of one that does not list the targets. The checks stay the same.

--- a/tests/router/fleet/test_router_out_of_step.py
+++ b/tests/router/fleet/test_router_out_of_step.py
@@ -44,6 +44,11 @@
         else:
             self.router.process.send_signal(signal.SIGSTOP)
 
+    @property
+    def others(self) -> list[FleetRouterProcess]:
+        """Return the routers in step."""
+        return [router for router in self.fleet.routers if router is not self.router]
+
     def end(self) -> None:
         """Let the router catch up."""
         if self.fleet.gateway is not None:
@@ -66,15 +71,16 @@
         fleet.close()
 
 
-def begin_at_new_version(fleet: VersionedFleet) -> list[StreamCaller]:
+def begin_at_new_version(out_of_step: RouterOutOfStep) -> list[StreamCaller]:
     """Let a new version join, and begin streams at it through routers in step, which break off."""
-    others = fleet.routers[1:]
+    fleet = out_of_step.fleet
     for _ in range(3):
         fleet.add_target("desk", NEW)
-    for router in others:
+    # One of the routers in step schedules, and it need not be one through which the streams begin.
+    for router in out_of_step.others:
         wait_for(lambda router=router: len(listed(fleet, router)) == 5, router.log)
-    streams = fleet.begin_held("desk", STREAM_COUNT, router=others[0])
-    streams += fleet.begin_held("desk", STREAM_COUNT, router=others[1])
+    streams = fleet.begin_held("desk", STREAM_COUNT, router=fleet.routers[1])
+    streams += fleet.begin_held("desk", STREAM_COUNT, router=fleet.routers[2])
     for stream in streams:
         stream.close()
     streams = [stream for stream in streams if stream.version == NEW]
@@ -97,7 +103,7 @@
     fleet, router = out_of_step.fleet, out_of_step.router
     out_of_step.begin()
     time.sleep(1.0)
-    taken_up = [fleet.take_up(stream, router=router) for stream in begin_at_new_version(fleet)]
+    taken_up = [fleet.take_up(stream, router=router) for stream in begin_at_new_version(out_of_step)]
     taken_up = [stream.wait() for stream in taken_up]
     assert not any(stream.is_joined for stream in taken_up), describe(taken_up)
     assert all(stream.status == 503 for stream in taken_up), describe(taken_up)
@@ -110,7 +116,7 @@
     fleet, router = out_of_step.fleet, out_of_step.router
     out_of_step.begin()
     time.sleep(1.0)
-    streams = begin_at_new_version(fleet)
+    streams = begin_at_new_version(out_of_step)
     if out_of_step.is_running:
         # From its first request on, the router schedules by itself.
         fleet.begin_held("desk", 1, router=router)
