Answer the first request on a connection that a stop has just accepted

What callers saw: a connection that was accepted at the end of the accepting phase of a planned stop was closed before its caller had sent the request on it. The caller got a closed or reset connection instead of an answer or a refusal as not run.

Cause: a new connection without unread bytes counted as idle. The router of a platform host closed it in the same step that accepted it, the other router exited 0.2 s later. On a busy host some time passes between connect and send.

Change: until 1 s after its accept, a connection without any request is kept in a stop, and counts as busy, so that the process does not exit. It is closed then by its time-out. Connections that have had a request, or are older, are closed as before.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -47,11 +47,12 @@
 class CallerConnection:
     """One caller's connection: unread bytes, the request in progress and unsent bytes.
 
-    `timeout_at` is a reading of the monotonic clock. Each connection has at most one entry in the deadline
-    heap, `deadline`; an entry that fires before `timeout_at` is scheduled again.
+    `accepted_at` and `timeout_at` are readings of the monotonic clock. Each connection has at most one entry
+    in the deadline heap, `deadline`; an entry that fires before `timeout_at` is scheduled again.
     """
 
     __slots__ = (
+        "accepted_at",
         "body_bytes_since_reset",
         "body_parts",
         "body_progress_at",
@@ -81,8 +82,9 @@
         "writer_registered",
     )
 
-    def __init__(self, sock: socket.socket):
+    def __init__(self, sock: socket.socket, *, accepted_at: float = 0.0):
         self.sock = sock
+        self.accepted_at = accepted_at
         self.state = CallerConnectionState.HEAD
         self.buffer = bytearray()
         self.output: deque[bytes | memoryview] = deque()
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -52,6 +52,8 @@
 BODY_PROGRESS_BYTES = 1024
 COPIES_OF_CHUNKED_BODY = 2
 """The parts of a body of unknown length are joined at its end."""
+FIRST_REQUEST_SECONDS = 1.0
+"""Time after its accept for which a connection stays open in a stop although no request has arrived on it."""
 LINGER_SECONDS = 2.0
 READ_BYTES = 65_536
 CONTINUE_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -197,7 +199,7 @@
                 return False
             self.accepted_count += 1
             configure_socket(sock)
-            connection = CallerConnection(sock)
+            connection = CallerConnection(sock, accepted_at=self.deadlines.clock.monotonic())
             if len(self.connections) >= self.settings.max_caller_connections:
                 closable = self.find_closable()
                 if closable is not None:
@@ -476,16 +478,31 @@
 
     @handler("CloseIdleConnections")
     def on_close_idle(self) -> None:
-        """Close idle connections without unread bytes; requests in transit can be resent to other routers."""
+        """Close idle connections without unread bytes; requests in transit can be resent to other routers.
+
+        The callers of new connections have their first request still to send, and get the time for it.
+        """
         for connection in list(self.idle_connections):
-            if not (connection.buffer or connection.output or connection.has_unread_bytes):
+            if connection.buffer or connection.output or connection.has_unread_bytes:
+                continue
+            seconds_left = self.first_request_seconds_left(connection)
+            if seconds_left > 0:
+                self.timeouts.set_timeout(connection, seconds_left)
+            else:
                 self.close_connection(connection)
 
+    def first_request_seconds_left(self, connection: CallerConnection) -> float:
+        """Return for how long a connection is kept for its first request, 0 or less if it is not."""
+        if connection.has_sent_head:
+            return 0.0
+        return connection.accepted_at + FIRST_REQUEST_SECONDS - self.deadlines.clock.monotonic()
+
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is unread or in progress, or an answer is not fully written."""
+        """Return whether a request is expected, unread or in progress, or an answer is not fully written."""
         return any(connection.is_busy for connection in self.connections.values()) or any(
-            connection.has_unread_bytes for connection in self.idle_connections
+            self.first_request_seconds_left(connection) > 0 or connection.has_unread_bytes
+            for connection in self.idle_connections
         )
 
     def finish_answer(self, connection: CallerConnection) -> None:
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -462,6 +462,27 @@
         assert run.router.process.wait(8) == 0
 
 
+def test_first_request_on_a_connection_that_a_stop_has_just_accepted_is_answered(tmp_path):
+    """Guards against closing a new connection as idle while its caller's first request is in transit.
+
+    The router is paused at the end of the accepting phase, when the connection is in the listen queue.
+    """
+    with fleet_run(tmp_path, answer) as run:
+        run.router.process.terminate()
+        time.sleep(2.5)
+        run.router.process.send_signal(signal.SIGSTOP)
+        host, port = run.router.caller.split(":")
+        with socket.create_connection((host, int(port)), timeout=10) as sock:
+            time.sleep(0.8)
+            run.router.process.send_signal(signal.SIGCONT)
+            time.sleep(0.3)
+            sock.sendall(request_text("/safe/1").encode())
+            status, body = split_answer(sock.recv(65_536))
+        assert status == 503
+        assert json.loads(body)["error"]["ran"] == "no"
+        assert run.router.process.wait(8) == 0
+
+
 class RequestsDuringStop:
     """Requests that are sent at intervals from their own threads while a router stops."""
 
--- a/tests/router/process/test_router.py
+++ b/tests/router/process/test_router.py
@@ -85,6 +85,16 @@
             assert answer.endswith(b"x") or error_of(answer)["ran"] == "no"
 
 
+def test_first_request_on_a_new_connection_is_answered_during_a_stop(tmp_path):
+    """Guards against an exit between the accept of a connection and the arrival of its first request."""
+    with running_router(tmp_path, answer_by_script) as run, run.connect() as sock:
+        run.process.send_signal(signal.SIGTERM)
+        time.sleep(0.5)
+        sock.sendall(request_bytes(body=completions_body()))
+        assert error_of(read_all(sock))["ran"] == "no"
+        assert run.process.wait(10) == 0
+
+
 def test_stop_waits_until_the_answer_is_read(tmp_path):
     """Guards against an exit before a slow caller has read its whole answer."""
     size = 20_000_000
