Accept what is in the listen queue before a stop checks for its exit

What callers saw: during a planned stop of an otherwise idle router of a platform host, a request on a connection that had just been made got a reset instead of an answer.

Cause: at the end of the accepting phase the process checked whether the port was busy before it handled its own message to accept the pending connections. If nothing else was open it stopped; the connections were accepted after that, their requests never read, and they were reset at the exit of the process.

The test pauses the router process in the check itself and connects meanwhile.

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -322,6 +322,9 @@
             self.requests.admission.is_closing = True
             self.fire(StopAccepting(), CALLERS)
             self.fire(CloseIdleConnections(), CALLERS)
+            # Connections in the listen queue are accepted first; their requests are not known before.
+            self.deadlines.schedule_in(FLUSH_POLL_SECONDS, DeadlineReached("flush"), PROCESS)
+            return
         exit_at = self.stop_requested_at + self.host.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
         if self.clock.monotonic() >= exit_at - LAST_ANSWERS_SECONDS:
             self.requests.end_all()
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -487,6 +487,23 @@
         self.stop()
 
 
+PAUSE_AT_EXIT_CHECK = """
+import os, signal
+from limpetusher_router.connection.callers import CallerServer
+
+is_busy = CallerServer.is_busy
+signals = [signal.SIGSTOP]
+
+def pause_and_check(server):
+    while signals and vars(server).get("close_after_answers"):
+        os.kill(os.getpid(), signals.pop())
+    return is_busy.fget(server)
+
+CallerServer.is_busy = property(pause_and_check)
+"""
+"""Preamble of a router process that pauses itself when it first checks in a stop whether it can exit."""
+
+
 class FleetRouterProcess:
     """A real router process of a platform host."""
 
@@ -503,6 +520,7 @@
         is_first_start: bool = True,
         settings: dict[str, object] | None = None,
         maximum_descriptors: int = 1024,
+        preamble: str = "",
         **bounds: float,
     ):
         caller, ready = (f"{ip}:{address.rpartition(':')[2]}" for address in free_addresses(2))
@@ -543,6 +561,7 @@
                 [
                     sys.executable,
                     "-c",
+                    f"{preamble}\n"
                     "from limpetusher_router.fleet.command import main; raise SystemExit(main())",
                 ],
                 env={**os.environ, **variables},
@@ -584,6 +603,12 @@
     def wait_ready(self) -> None:
         wait_for(lambda: self.page()[0] == 200, self.log, START_SECONDS)
 
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the process is stopped by SIGSTOP."""
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
+        return stat.rpartition(")")[2].split()[0] == "T"
+
     def stop(self) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(20)
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -16,6 +16,7 @@
 import pytest
 
 from builders_platform import (
+    PAUSE_AT_EXIT_CHECK,
     SEAL,
     FleetRun,
     configuration_document,
@@ -483,6 +484,24 @@
         assert run.router.process.wait(8) == 0
 
 
+@pytest.mark.parametrize("preamble", [pytest.param(PAUSE_AT_EXIT_CHECK, id="exit-check")])
+def test_connection_at_the_last_accept_of_a_stop_is_refused_or_answered(tmp_path, preamble):
+    """Guards against a stop that resets a connection which is made after its last accept, or before its exit.
+
+    The router pauses itself just before it closes the listening socket, or first checks whether it can exit.
+    """
+    with fleet_run(tmp_path, answer, preamble=preamble) as run:
+        requests = RequestsDuringStop(run, deadline_ms=3_000)
+        run.router.process.terminate()
+        wait_for(lambda: run.router.is_paused)
+        for _ in range(3):
+            requests.send()
+        time.sleep(0.3)
+        run.router.process.send_signal(signal.SIGCONT)
+        assert set(requests.outcomes()) <= {(503, "no")}
+        assert run.router.process.wait(8) == 0
+
+
 class RequestsDuringStop:
     """Requests that are sent at intervals from their own threads while a router stops."""
 
