Let no connection be made between the last accept of a stop and the close

What callers saw: during a planned stop under load, a request that had just been sent on a new connection was reset without an answer.

Cause: closing a listening socket resets the connections in its queue. Those that were made between the last accept and the close, which lie further apart on a busy host, could be used by their callers and were reset.

Change: before the last accepts, a socket filter drops the first packet of new connections (SYN). Their callers repeat it after about a second and are refused, with nothing sent. Where the filter is not supported, a warning is logged and the stop goes on as before.

The test pauses the router process just before it closes the listening socket and connects meanwhile.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -1,8 +1,10 @@
 """State of one caller's connection, and the listening socket for callers."""
 
+import ctypes
 import enum
 import itertools
 import socket
+import struct
 from collections import deque
 
 from limpetusher_router.connection.framing import BodyReader, RequestHead
@@ -12,6 +14,20 @@
 
 LISTEN_BACKLOG = 1024
 BUFFERS_PER_WRITE = 16
+SO_ATTACH_FILTER = 26
+"""Linux option, without a name in the socket module."""
+DROP_NEW_CONNECTIONS = b"".join(
+    struct.pack("HBBI", *instruction)
+    for instruction in (
+        (0x30, 0, 0, 13),  # load the flags of the TCP header
+        (0x54, 0, 0, 0x12),  # keep SYN and ACK
+        (0x15, 0, 1, 0x02),  # SYN without ACK:
+        (0x06, 0, 0, 0),  # drop the packet
+        (0x06, 0, 0, 0xFFFFFFFF),  # otherwise accept all of it
+    )
+)
+"""Classic BPF program that drops the first packet of each new connection."""
+BPF_INSTRUCTION_BYTES = 8
 BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -31,6 +47,22 @@
     return listener
 
 
+def drop_new_connections(listener: socket.socket) -> None:
+    """Let no further connection enter the listen queue; those in it can still be accepted.
+
+    Callers repeat their first packet after about a second, and are refused once the socket is closed.
+
+    Raises
+    ------
+    OSError
+        If the system does not support it.
+    """
+    program = ctypes.create_string_buffer(DROP_NEW_CONNECTIONS, len(DROP_NEW_CONNECTIONS))
+    count = len(DROP_NEW_CONNECTIONS) // BPF_INSTRUCTION_BYTES
+    option = struct.pack("@HP", count, ctypes.addressof(program))
+    listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, option)
+
+
 class CallerConnectionState(enum.Enum):
     """What a caller's connection waits for."""
 
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -15,6 +15,7 @@
     CallerConnection,
     CallerConnectionState,
     create_listener,
+    drop_new_connections,
 )
 from limpetusher_router.connection.framing import BodyReader, find_head_length, parse_request_head
 from limpetusher_router.connection.held_bodies import HeldBodies
@@ -469,6 +470,11 @@
     def on_stop_accepting(self) -> None:
         """Accept all pending connections and close the listening socket."""
         if self.listener is not None:
+            # The close resets connections that are made after the last accept.
+            try:
+                drop_new_connections(self.listener)
+            except OSError as error:
+                logger.warning("connections may be reset by the close of the port: %s", error)
             self.read_rounds_while_full = READ_ROUNDS_BEFORE_REFUSAL
             while self.accept_connections():
                 self.read_rounds_while_full = READ_ROUNDS_BEFORE_REFUSAL
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -487,6 +487,19 @@
         self.stop()
 
 
+PAUSE_BEFORE_LISTENER_CLOSE = """
+import os, signal, socket
+
+close = socket.socket.close
+
+def pause_and_close(sock):
+    if sock.fileno() >= 0 and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        os.kill(os.getpid(), signal.SIGSTOP)
+    close(sock)
+
+socket.socket.close = pause_and_close
+"""
+"""Preamble of a router process that pauses itself before it closes a listening socket."""
 PAUSE_AT_EXIT_CHECK = """
 import os, signal
 from limpetusher_router.connection.callers import CallerServer
--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -17,6 +17,7 @@
 
 from builders_platform import (
     PAUSE_AT_EXIT_CHECK,
+    PAUSE_BEFORE_LISTENER_CLOSE,
     SEAL,
     FleetRun,
     configuration_document,
@@ -484,7 +485,13 @@
         assert run.router.process.wait(8) == 0
 
 
-@pytest.mark.parametrize("preamble", [pytest.param(PAUSE_AT_EXIT_CHECK, id="exit-check")])
+@pytest.mark.parametrize(
+    "preamble",
+    [
+        pytest.param(PAUSE_BEFORE_LISTENER_CLOSE, id="listener-close"),
+        pytest.param(PAUSE_AT_EXIT_CHECK, id="exit-check"),
+    ],
+)
 def test_connection_at_the_last_accept_of_a_stop_is_refused_or_answered(tmp_path, preamble):
     """Guards against a stop that resets a connection which is made after its last accept, or before its exit.
 
