--- a/tests/router/fleet/test_process.py
+++ b/tests/router/fleet/test_process.py
@@ -16,6 +16,8 @@
 import pytest
 
 from builders_platform import (
+    PAUSE_AT_EXIT_CHECK,
+    PAUSE_BEFORE_LISTENER_CLOSE,
     SEAL,
     FleetRun,
     configuration_document,
@@ -462,6 +464,51 @@
         assert run.router.process.wait(8) == 0
 
 
+def test_first_request_on_a_connection_that_a_stop_has_just_accepted_is_answered(tmp_path):
+    """Guards against closing a new connection as idle while its caller's first request is in transit.
+
+    The router is paused at the end of the accepting phase, when the connection is in the listen queue.
+    """
+    with fleet_run(tmp_path, answer) as run:
+        run.router.process.terminate()
+        time.sleep(2.5)
+        run.router.process.send_signal(signal.SIGSTOP)
+        host, port = run.router.caller.split(":")
+        with socket.create_connection((host, int(port)), timeout=10) as sock:
+            time.sleep(0.8)
+            run.router.process.send_signal(signal.SIGCONT)
+            time.sleep(0.3)
+            sock.sendall(request_text("/safe/1").encode())
+            status, body = split_answer(sock.recv(65_536))
+        assert status == 503
+        assert json.loads(body)["error"]["ran"] == "no"
+        assert run.router.process.wait(8) == 0
+
+
+@pytest.mark.parametrize(
+    "preamble",
+    [
+        pytest.param(PAUSE_BEFORE_LISTENER_CLOSE, id="listener-close"),
+        pytest.param(PAUSE_AT_EXIT_CHECK, id="exit-check"),
+    ],
+)
+def test_connection_at_the_last_accept_of_a_stop_is_refused_or_answered(tmp_path, preamble):
+    """Guards against a stop that resets a connection which is made after its last accept, or before its exit.
+
+    The router pauses itself just before it closes the listening socket, or first checks whether it can exit.
+    """
+    with fleet_run(tmp_path, answer, preamble=preamble) as run:
+        requests = RequestsDuringStop(run, deadline_ms=3_000)
+        run.router.process.terminate()
+        wait_for(lambda: run.router.is_paused)
+        for _ in range(3):
+            requests.send()
+        time.sleep(0.3)
+        run.router.process.send_signal(signal.SIGCONT)
+        assert set(requests.outcomes()) <= {(503, "no")}
+        assert run.router.process.wait(8) == 0
+
+
 class RequestsDuringStop:
     """Requests that are sent at intervals from their own threads while a router stops."""
 
