Start streams that are taken up again before new requests of their customer

What callers saw: after a reset of all connections many take-ups waited 1.5 s and were refused with "no target had room in time", while new streams of the same customer, route and version were sent on, some within 0.01 s. Cause: the requests of a customer are ordered by their latest start. A take-up may wait for 1.5 s, a new stream for less, so that each new one came first. Change: take-ups come first among the requests of their customer; shares of customers are not affected.

--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -345,9 +345,13 @@
             self.saturated[pool] = SaturatedPool(levels, prefill_rate, view.now)
 
     def by_customer(self, pool: Pool) -> dict[str, deque[QueuedRequest]]:
-        """Return the waiting requests of each customer, the most urgent first."""
+        """Return the waiting requests of each customer, the most urgent first.
+
+        Streams that callers take up again come before the others. They may wait for longer, so that new
+        requests with earlier limits would keep them from targets until they are refused.
+        """
         queues: dict[str, deque[QueuedRequest]] = {}
-        for request in self.by_pool[pool]:
+        for request in sorted(self.by_pool[pool], key=begins_answer):
             queues.setdefault(request.customer, deque()).append(request)
         return queues
 
@@ -418,6 +422,11 @@
     return request.latest_start_at
 
 
+def begins_answer(request: QueuedRequest) -> bool:
+    """Return whether no part of a request's answer has been sent yet."""
+    return not request.resumes
+
+
 def unshared_tokens(request: QueuedRequest) -> int:
     """Return the prompt tokens of a request outside of its shared parts, which no engine has cached."""
     return request.parts[-1].tokens if request.parts else request.prompt_tokens
--- a/tests/fleet/request/test_waiting_requests.py
+++ b/tests/fleet/request/test_waiting_requests.py
@@ -229,6 +229,23 @@
     assert starts == ["urgent", "patient"]
 
 
+def test_stream_that_is_taken_up_again_is_not_overtaken_by_new_ones_of_its_customer():
+    """Guards against new streams that keep one with a part of its answer waiting until it is refused."""
+    arrivals = [
+        make_request(f"n{number}", at=number * 0.05, session=f"s{number % 7}") for number in range(120)
+    ]
+    taken_up = make_request("t1", at=1.0, session="s1", resumes=7)
+    _engines, decisions = simulate([*arrivals, taken_up], seconds=6.0, engines=1)
+    started = [
+        decision.request
+        for now, decision in decisions
+        if now >= taken_up.queued_at and isinstance(decision, StartDecision)
+    ]
+    earlier = started[: started.index(taken_up)] if taken_up in started else started
+    assert [request.request_id for request in earlier if request.queued_at > taken_up.queued_at] == []
+    assert taken_up in started
+
+
 def test_request_that_cannot_start_in_time_is_refused_at_once():
     """Guards against holding a request until its maximum wait although the backlog already exceeds it."""
     placement = make_placement(1)
