--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -463,3 +463,11 @@
                 found.get(target_request.scheduler, False) or target_request.grant is None
             )
         return found
+
+    def services_of(self, scheduler: str) -> set[str]:
+        """Return the services whose requests are registered at a scheduler."""
+        return {
+            target_request.service
+            for target_request in self.target_requests.values()
+            if target_request.scheduler == scheduler
+        }
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -62,6 +62,9 @@
 """Time without a message after which a scheduler that has to answer requests of this router is pinged."""
 OPEN_REQUESTS_PING_SECONDS = 0.4
 """The same for a scheduler that has only granted requests, which it drops after the time below."""
+SUCCESSOR_PING_SECONDS = 0.05
+"""Time without an acknowledgement after which the routers are pinged to which the requests of a scheduler may
+move, unless its acknowledgements usually take longer."""
 CLIENT_SILENCE_SECONDS = 1.0
 """Time without a message after which a scheduler drops the requests of a router, which pings more often."""
 SERVED_TOKENS_INTERVAL_SECONDS = 0.25
@@ -487,12 +490,33 @@
                 continue
             ping_seconds = WAITING_REQUESTS_PING_SECONDS if is_waiting else OPEN_REQUESTS_PING_SECONDS
             link = self.link_to(address)
-            silent_seconds = link.silent_seconds(now)
-            if silent_seconds > silence_limit(link):
-                if self.state.members.suspect(address, now):
-                    log_event(Event.PEER_UNREACHABLE, peer=address, silent=round(silent_seconds, 3))
-            elif not link.outbox and now - link.heard_at > ping_seconds:
+            self.suspect_if_silent(address, now)
+            if not link.outbox and now - link.heard_at > ping_seconds:
                 self.send(address, Ping())
+            elif link.silent_seconds(now) > max(SUCCESSOR_PING_SECONDS, link.expected_delay_seconds):
+                self.check_successors(address, now)
+
+    def check_successors(self, scheduler: str, now: float) -> None:
+        """Suspect or ping the routers to which the requests of a late scheduler may move.
+
+        Those that fail with it must not be found silent one after another by the requests that move to them.
+        """
+        silent_since = now - self.link_to(scheduler).silent_seconds(now)
+        services = self.state.scheduler_client.services_of(scheduler)
+        pools = [pool for service in services for pool in self.state.pools.for_service(service)]
+        successors = {address for pool in pools for address in self.state.pools.deputies(pool, now)}
+        for address in sorted(successors - {self.own_address, scheduler}):
+            self.suspect_if_silent(address, now)
+            is_heard = self.state.members.peers[address].last_message_at >= silent_since
+            if not is_heard and not self.link_to(address).outbox:
+                self.send(address, Ping())
+
+    def suspect_if_silent(self, address: str, now: float) -> None:
+        """Suspect a router that has acknowledged nothing for too long."""
+        link = self.link_to(address)
+        silent_seconds = link.silent_seconds(now)
+        if silent_seconds > silence_limit(link) and self.state.members.suspect(address, now):
+            log_event(Event.PEER_UNREACHABLE, peer=address, silent=round(silent_seconds, 3))
 
     def check_clients(self, now: float) -> None:
         """Drop the requests of silent routers; a router that is still alive sends its requests again."""
--- a/tests/builders_versions_of_targets.py
+++ b/tests/builders_versions_of_targets.py
@@ -40,6 +40,7 @@
 DATA_CENTRES = ("north", "north", "south", "south")
 SCHEDULER_SPEED = 2.0
 """Speed of the router that is to schedule all pools, as the routers with the most cores do."""
+ROUTER_SPEED = 1.0
 
 
 def versioned_event(version: str, number: int) -> bytes:
@@ -262,6 +263,8 @@
         Whether the targets are engines, which generate text.
     routers
         Data centre of each router besides the scheduler.
+    speeds
+        Speeds of the routers besides the scheduler, by which they succeed it; equal ones if empty.
     """
 
     def __init__(
@@ -273,6 +276,7 @@
         route_seconds: float = ROUTE_SECONDS,
         are_engines: bool = False,
         routers: tuple[str, ...] = ("north", "north", "south"),
+        speeds: tuple[float, ...] = (),
     ):
         self.folder = folder
         self.store = StoreStandIn()
@@ -290,6 +294,7 @@
         self.store.compacted_revision = self.store.revision
         self.started_at = time.monotonic()
         self.data_centres = ("north", *routers)
+        self.speeds = (SCHEDULER_SPEED, *(speeds or (ROUTER_SPEED,) * len(routers)))
         self.gateway: StoreGateway | None = None
         self.lone_router: FleetRouterProcess | None = None
         self.routers: list[FleetRouterProcess] = []
@@ -335,7 +340,7 @@
             seeds=tuple(f"{ip}:1" for ip in ips if ip != ips[number]),
             data_centre=self.data_centres[number],
             is_first_start=is_first_start,
-            settings={"processor_speed": 1.0 if number else SCHEDULER_SPEED},
+            settings={"processor_speed": self.speeds[number]},
         )
 
     def start_lone_router(self) -> FleetRouterProcess:
--- a/tests/router/fleet/test_peers.py
+++ b/tests/router/fleet/test_peers.py
@@ -151,6 +151,39 @@
     assert fleet.datagrams / 24 / 4.0 <= 16.0
 
 
+def test_late_scheduler_costs_few_datagrams():
+    """Guards against pings at each tick to the routers that may succeed a scheduler."""
+    fleet = FleetInMemory(24, engines=8)
+    fleet.run(SETTLE_SECONDS)
+    (scheduler,) = schedulers_of(fleet, Pool("engines"))
+    clients = [router for address, router in fleet.routers.items() if address != scheduler]
+    for round_name, is_late in (("first", False), ("second", True)):
+        fleet.routers[scheduler].is_frozen = is_late
+        for router in clients:
+            router.request_target(f"{round_name}-{router.address}")
+        fleet.datagrams = 0
+        fleet.run(0.28)
+    assert fleet.datagrams / len(clients) <= 20.0
+
+
+def test_request_does_not_wait_for_one_lost_data_centre_after_another():
+    """Guards against a request that finds the schedulers of its pools silent one after another."""
+    fleet = FleetInMemory(12, engines=20)
+    fleet.run(SETTLE_SECONDS)
+    router = fleet.routers["10.0.0.0"]
+    home = router.state.members.own.data_centre
+    sessions = [f"s{number}" for number in range(40)]
+    session = next(
+        session
+        for session in sessions
+        if router.state.pools.rank_by_session("engines", session)[-1].data_centre == home
+    )
+    fleet.separated = {address for address, place in fleet.homes.items() if place != home}
+    router.request_target("r", session=session)
+    fleet.run(3.0)
+    assert router.granted_at["r"] - router.asked_at["r"] < 0.5
+
+
 def test_strongest_host_is_chosen_as_scheduler():
     """Guards against a scheduler on a weak host while there is a stronger one."""
     fleet = FleetInMemory(8, engines=4)
