--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -48,7 +48,6 @@
     PROMPT_CLEARED = (1325, logging.INFO, "parts of prompts no longer quarantined")
     REQUEST_QUARANTINED = (1326, logging.WARNING, "request quarantined after crashes of targets")
     REQUEST_CLEARED = (1327, logging.INFO, "request no longer quarantined")
-    TARGET_NOT_IDENTIFIED = (1328, logging.INFO, "target is not known to be the process that the store lists")
     REQUEST_REFUSED = (1401, logging.INFO, "request refused")
     REQUEST_FINISHED = (1402, logging.INFO, "request finished")
     REQUEST_RETRIED = (1403, logging.INFO, "request retried")
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -19,7 +19,6 @@
     # The platform router does not load the lease-based decision core, so these are imported for types only.
     from limpetusher.configuration.compiled import Configuration
     from limpetusher.core.inputs import Input
-    from limpetusher.fleet.model import Target
 
 CALLERS = "callers"
 TARGETS = "targets"
@@ -37,7 +36,6 @@
 HOSTS = "hosts"
 LOADS = "loads"
 ORDERS = "orders"
-CHECKS = "checks"
 PROCESS = "process"
 
 
@@ -311,23 +309,6 @@
         super().__init__(until)
 
 
-class CheckTarget(Message):
-    """Ask whether an engine is the process that the store lists: (key, target).
-
-    The key are the identifier of a request and the number of its attempt at the scheduler.
-    """
-
-    def __init__(self, key: tuple[str, int], target: Target):
-        super().__init__(key, target)
-
-
-class TargetChecked(Message):
-    """An engine was checked: (request_id, attempt, target_id, is_listed_process)."""
-
-    def __init__(self, request_id: str, attempt: int, target_id: str, *, is_listed_process: bool):
-        super().__init__(request_id, attempt, target_id, is_listed_process=is_listed_process)
-
-
 class StoreChangesMissed(Message):
     """The local copy of the platform's store was replaced after a time whose changes were not all seen."""
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/exchange.py
@@ -96,11 +96,6 @@
         """Return the throughput that the request costs its customer, in tokens."""
         return throughput_cost(self.target_request.prompt_tokens, self.target_request.output_tokens)
 
-    @property
-    def goes_on(self) -> bool:
-        """Return whether the caller has a part of the stream."""
-        return self.target_request.resumes != 0 or self.relay.event_count > 0
-
     @property
     def is_stream(self) -> bool:
         """Return whether the current answer is a stream of events."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -44,7 +44,6 @@
 from limpetusher_router.fleet.requests import FleetRequests
 from limpetusher_router.fleet.state import FleetState, Registration
 from limpetusher_router.fleet.store_reader import REGULAR_UPDATE, StoreReader
-from limpetusher_router.fleet.target_checks import TargetChecks
 from limpetusher_router.platform.settings_file import HostSettings, read_settings
 from limpetusher_router.platform.store import HistoryItem
 from limpetusher_router.process.body_memory import BodyMemory
@@ -156,8 +155,6 @@
             configuration=lambda: self.state.configuration_in_force,
         ).register(self)
         self.state.store_failure_age = self.store.failure_age
-        self.state.store_copy_age = self.store.copy_age
-        TargetChecks().register(self)
         self.requests = FleetRequests(
             self.state, clock=clock, deadlines=self.deadlines, metrics=self.metrics
         ).register(self)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -10,20 +10,17 @@
 from limpetusher.core.refusals import Ran
 from limpetusher.events import Event
 from limpetusher.fleet.messages import Outcome, TargetGrant, TargetRefusal
-from limpetusher.fleet.process.version_binding import UNCONFIRMED_RETRY_SECONDS
 from limpetusher.fleet.request.scheduler_client import TargetRequest
 from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED
 from limpetusher_router.connection.framing import RequestHead
 from limpetusher_router.events import (
     ANSWERS,
     CALLERS,
-    CHECKS,
     REQUESTS,
     TARGETS,
     AbortAnswer,
     Attempt,
     CancelAttempt,
-    CheckTarget,
     DeadlineReached,
     PauseAttempt,
     ResumeAttempt,
@@ -200,35 +197,6 @@
             self.return_grant(exchange, answer, now)
             return
         target = self.state.placement.targets[answer.target_id]
-        if target_request.version is not None and exchange.goes_on and self.state.needs_check(target):
-            self.fire(CheckTarget((exchange.request_id, target_request.attempt), target), CHECKS)
-            return
-        self.send_request(exchange, answer, now)
-
-    @handler("TargetChecked")
-    def on_target_checked(
-        self, request_id: str, attempt: int, target_id: str, *, is_listed_process: bool
-    ) -> None:
-        """Send a request whose engine is the listed process, or ask for another target."""
-        exchange = self.exchanges.get(request_id)
-        if exchange is None or exchange.attempt is not None:
-            return
-        target_request = exchange.target_request
-        grant = target_request.grant
-        if grant is None or (target_request.attempt, grant.target_id) != (attempt, target_id):
-            return
-        now = self.clock.monotonic()
-        if is_listed_process and self.can_use_grant(target_request, grant, now):
-            self.send_request(exchange, grant, now)
-        elif is_listed_process or self.state.has_other_target(target_request, target_id):
-            self.return_grant(exchange, grant, now)
-        else:
-            self.fail_request(exchange, unidentified_refusal())
-
-    def send_request(self, exchange: Exchange, answer: TargetGrant, now: float) -> None:
-        """Send a request to the target that was granted."""
-        target_request = exchange.target_request
-        target = self.state.placement.targets[answer.target_id]
         target_request.granted_version = target.version
         if not exchange.attempt_count:
             self.count_takeup(target_request, answer.version_basis)
@@ -279,7 +247,7 @@
             version=target.version,
             version_basis=answer.version_basis,
             served_part=answer.served_part,
-            scheduler=target_request.scheduler,
+            scheduler=scheduler,
             configuration=self.state.configuration.version,
         )
         self.fire(StartAttempt(attempt), TARGETS)
@@ -609,17 +577,6 @@
     )
 
 
-def unidentified_refusal() -> FleetRefusal:
-    """Return the refusal of a request at whose targets other processes may run than the store lists."""
-    return FleetRefusal(
-        UNAVAILABLE,
-        "stream_version_unavailable",
-        TARGETS_UNCONFIRMED,
-        ran=Ran.NO,
-        retry_after_seconds=UNCONFIRMED_RETRY_SECONDS,
-    )
-
-
 def no_capacity_refusal(reason: str, retry_after_seconds: float) -> FleetRefusal:
     """Return the refusal of a request that did not run for lack of a usable target."""
     return FleetRefusal(
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -38,9 +38,6 @@
 """How long a target whose entry may only have expired is still used. Such entries are removed some time
 after the store has recovered, and are back within about two seconds of the recovery. A target that has left
 must get no requests later than 2 s after its entry was removed, which leaves 0.5 s for those in transit."""
-MAX_UNCHECKED_COPY_AGE_SECONDS = 1.0
-"""Age of the copy of the store up to which a stream goes on at an engine that is not asked whether it has
-restarted. In calm times the copy is that old, as the store holds a watch call for 1 s."""
 MILLISECONDS_PER_SECOND = 1_000.0
 LOST_ENTRY_SECONDS = 2.5
 """How long an entry stays in force that a restored store has lost. Targets write their entries again within
@@ -145,8 +142,6 @@
         self.configuration_in_force = ConfigurationInForce()
         self.store_failure_age: Callable[[], float] = lambda: math.inf
         """Returns how many seconds ago a call to the store last failed."""
-        self.store_copy_age: Callable[[], float] = lambda: 0.0
-        """Returns how many seconds ago the copy of the store was last known to be up to date."""
 
     def send(self, address: str, message: Message) -> None:
         """Send a message to the router at an address."""
@@ -180,25 +175,6 @@
             and not self.placement.is_backing_off(target_id, now)
         )
 
-    def needs_check(self, target: Target) -> bool:
-        """Return whether a target may have restarted with another version unnoticed, and can be asked."""
-        service = self.placement.services.get(target.service)
-        return (
-            self.store_copy_age() > MAX_UNCHECKED_COPY_AGE_SECONDS
-            and target.started_at_milliseconds > 0
-            and service is not None
-            and service.engine is not None
-        )
-
-    def has_other_target(self, target_request: TargetRequest, target_id: str) -> bool:
-        """Return whether another target of its version has not failed a request yet."""
-        return any(
-            target.version == target_request.version
-            and target.target_id not in {target_id, *target_request.excluded}
-            and self.placement.is_listed(target)
-            for target in self.placement.by_service.get(target_request.service, {}).values()
-        )
-
     def record_rate_limit(self, target_id: str, per_second: float, *, sent_at: float, scheduler: str) -> None:
         """Record the request rate named in an answer, infinite for none, and tell the scheduler.
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -245,10 +245,6 @@
             return 0.0
         return self.deadlines.clock.monotonic() - self.last_failure_at
 
-    def copy_age(self) -> float:
-        """Return how many seconds ago the own copy was last known to have all changes of the store."""
-        return self.deadlines.clock.monotonic() - self.current_at
-
     def should_watch(self) -> bool:
         """Return whether this router has to watch the store, as a watcher or since it gets no updates."""
         if self.is_watcher(WATCHER_COUNT):
