Name the order of take-ups by what it looks at

A stream that a router resumes itself has no identifier of a caller and does not come first; the former name and docstring said that only requests without any part of an answer come later. No change of behaviour.

--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -351,7 +351,7 @@
         requests with earlier limits would keep them from targets until they are refused.
         """
         queues: dict[str, deque[QueuedRequest]] = {}
-        for request in sorted(self.by_pool[pool], key=begins_answer):
+        for request in sorted(self.by_pool[pool], key=is_no_take_up):
             queues.setdefault(request.customer, deque()).append(request)
         return queues
 
@@ -422,8 +422,8 @@
     return request.latest_start_at
 
 
-def begins_answer(request: QueuedRequest) -> bool:
-    """Return whether no part of a request's answer has been sent yet."""
+def is_no_take_up(request: QueuedRequest) -> bool:
+    """Return whether a caller takes no stream up with a request; streams resumed by routers don't count."""
     return not request.resumes
 
 
