Close the fleets of three test modules in one way

Three tests and two fixtures closed their fleet in a try block of their own; contextlib.closing does that. A test of changes of the configuration put its change in force by hand beside apply_change. The assertions are as before: 48 tests of test_router_out_of_step.py, test_silent_schedulers.py and test_configuration_changes.py pass.

--- a/tests/router/fleet/test_configuration_changes.py
+++ b/tests/router/fleet/test_configuration_changes.py
@@ -111,7 +111,7 @@
         with socket.create_connection((host, int(port)), timeout=10) as sock:
             request = request_text("/unsafe/1", method="POST", body="x" * 2_000).encode()
             sock.sendall(request[:-1_000])
-            run.put("op/config", configuration_document(5, **CHANGES[change]), Event.CONFIGURATION_IN_FORCE)
+            apply_change(run, change)
             sock.sendall(request[-1_000:])
             status, body = split_answer(read_all(sock))
         assert status in {200, 401, 404, 504}
--- a/tests/router/fleet/test_router_out_of_step.py
+++ b/tests/router/fleet/test_router_out_of_step.py
@@ -1,5 +1,6 @@
 """Tests of a router whose list of targets stands still while targets of a new software version join."""
 
+import contextlib
 import signal
 import time
 
@@ -64,11 +65,8 @@
 @pytest.fixture(params=["cut-off", "late-changes", "paused"])
 def out_of_step(request, tmp_path):
     """Return a router that is to be put out of step, of a fleet with the old version."""
-    fleet = VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD))
-    try:
+    with contextlib.closing(VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD))) as fleet:
         yield RouterOutOfStep(fleet, request.param)
-    finally:
-        fleet.close()
 
 
 def begin_at_new_version(out_of_step: RouterOutOfStep) -> list[StreamCaller]:
@@ -163,8 +161,9 @@
 
 def test_stream_that_began_by_an_old_list_is_not_joined_at_routers_in_step(tmp_path):
     """Guards against streams that a router out of step begins at targets which have left for all others."""
-    fleet = VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD), route_seconds=2.0)
-    try:
+    with contextlib.closing(
+        VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD), route_seconds=2.0)
+    ) as fleet:
         router = fleet.start_lone_router()
         fleet.gateway.is_cut = True
         for _ in range(2):
@@ -178,14 +177,13 @@
         taken_up = [fleet.take_up(stream, router=fleet.routers[1]) for stream in streams]
         taken_up = [stream.wait() for stream in taken_up]
         assert not any(stream.is_joined for stream in taken_up), describe(taken_up)
-    finally:
-        fleet.close()
 
 
 def test_stream_whose_caller_waited_for_a_paused_router_is_not_joined(tmp_path):
     """Guards against the age of a stream by a time that its caller has sent long before it is read."""
-    fleet = VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD), route_seconds=6.0)
-    try:
+    with contextlib.closing(
+        VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD), route_seconds=6.0)
+    ) as fleet:
         # No router of the fleet has a record of the streams, as after the loss of those that had.
         streams = fleet.begin_held("desk", STREAM_COUNT, router=fleet.start_lone_router(), seconds=6.0)
         for stream in streams:
@@ -202,14 +200,11 @@
         taken_up = [stream.wait() for stream in taken_up]
         assert not any(stream.is_joined for stream in taken_up), describe(taken_up)
         assert all(stream.status == 503 for stream in taken_up), describe(taken_up)
-    finally:
-        fleet.close()
 
 
 def test_stream_is_not_joined_at_a_target_that_has_restarted_with_another_version(tmp_path):
     """Guards against a list that names the version which a target had before it restarted."""
-    fleet = VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD))
-    try:
+    with contextlib.closing(VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD))) as fleet:
         router = fleet.start_lone_router()
         streams = fleet.begin_held("desk", STREAM_COUNT, router=router)
         for stream in streams:
@@ -222,5 +217,3 @@
         taken_up = [fleet.take_up(stream, router=router) for stream in streams]
         taken_up = [stream.wait() for stream in taken_up]
         assert not any(stream.is_joined for stream in taken_up), describe(taken_up)
-    finally:
-        fleet.close()
--- a/tests/router/fleet/test_silent_schedulers.py
+++ b/tests/router/fleet/test_silent_schedulers.py
@@ -1,5 +1,6 @@
 """Tests of real router processes that lose the router that schedules their requests, and its successors."""
 
+import contextlib
 import signal
 import time
 
@@ -23,11 +24,8 @@
 @pytest.fixture
 def fleet(tmp_path):
     """Return a fleet of four routers, of which the last one schedules a pool once the others are lost."""
-    fleet = VersionedFleet(tmp_path, ["desk"], speeds=SUCCESSOR_SPEEDS)
-    try:
+    with contextlib.closing(VersionedFleet(tmp_path, ["desk"], speeds=SUCCESSOR_SPEEDS)) as fleet:
         yield fleet
-    finally:
-        fleet.close()
 
 
 def seconds_to_target(fleet: VersionedFleet, streams: list[StreamCaller]) -> dict[str, float]:
