Share the search for the routers that may schedule next

announce_streams and check_successors each collected the deputies of all pools of some services without the own router. deputies_for does it for both. No change of behaviour: test_peers.py (47) and the other modules of this change pass, as do the tests of test_stream_versions.py that kill routers or have scheduler in their name (64).

--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections import Counter, deque
+from collections.abc import Iterable
 from functools import singledispatchmethod
 
 from circuits.core import BaseComponent, handler
@@ -453,12 +454,17 @@
         services = [service for service in self.state.placement.by_service if self.has_versions(service, now)]
         if not services or not scheduler.streams.unannounced:
             return
-        pools = [pool for service in services for pool in self.state.pools.for_service(service)]
-        addresses = {address for pool in pools for address in self.state.pools.deputies(pool, now)}
+        addresses = self.deputies_for(services, now)
         for message in scheduler.streams.take_unannounced(now):
-            for address in sorted(addresses - {self.own_address}):
+            for address in addresses:
                 self.send(address, message)
 
+    def deputies_for(self, services: Iterable[str], now: float) -> list[str]:
+        """Return the other routers that may schedule a pool of some services next."""
+        pools = [pool for service in services for pool in self.state.pools.for_service(service)]
+        addresses = {address for pool in pools for address in self.state.pools.deputies(pool, now)}
+        return sorted(addresses - {self.own_address})
+
     def has_versions(self, service: str, now: float) -> bool:
         """Return whether targets of a service have or lately had several software versions."""
         return len(self.state.versions.recent_versions(service, now)) > 1
@@ -503,9 +509,9 @@
         """
         silent_since = now - self.link_to(scheduler).silent_seconds(now)
         services = self.state.scheduler_client.services_of(scheduler)
-        pools = [pool for service in services for pool in self.state.pools.for_service(service)]
-        successors = {address for pool in pools for address in self.state.pools.deputies(pool, now)}
-        for address in sorted(successors - {self.own_address, scheduler}):
+        for address in self.deputies_for(services, now):
+            if address == scheduler:
+                continue
             self.suspect_if_silent(address, now)
             is_heard = self.state.members.peers[address].last_message_at >= silent_since
             if not is_heard and not self.link_to(address).outbox:
