Check a fleet's configuration before it is sent

Operators wrote configurations of the users' platform without a check: a route behind another with the same host and prefix, a service without a route, one key of two customers or a goal beyond the timeout showed only once routers used them. `limpetusher check-fleet-config` reads a file with the decoders of the routers, entry by entry, and reports errors, entries that never match, contradictory limits, and the differences from the configuration in force, as text or JSON.

--- a/packages/limpetusher-operator/src/limpetusher_operator/command.py
+++ b/packages/limpetusher-operator/src/limpetusher_operator/command.py
@@ -31,6 +31,7 @@
 from limpetusher_operator.errors import OperatorError
 from limpetusher_operator.fairness import FairnessReport, format_report
 from limpetusher_operator.files import read_document, read_file, read_lines, write_document, write_output
+from limpetusher_operator.fleet_configuration import check_file
 from limpetusher_operator.keys import NewApiKey, generate_api_key
 
 ERROR_EXIT_STATUS = 2
@@ -74,6 +75,35 @@
     )
 
 
+@app.command
+def check_fleet_config(
+    file: Path,
+    /,
+    *,
+    in_force: Path | None = None,
+    targets: Path | None = None,
+    as_json: Annotated[bool, Parameter(name="--json", negative="")] = False,
+) -> int:
+    """Check a configuration of the users' platform before it is sent.
+
+    Exit status 0 if there are no findings, 1 if there are, 2 if a file can't be read.
+
+    Parameters
+    ----------
+    file
+        The configuration.
+    in_force
+        The configuration that routers use. What differs from it is shown.
+    targets
+        Targets in service: a JSON object with the entry of each by its identifier.
+    as_json
+        Write a JSON object.
+    """
+    check = check_file(file, in_force=in_force, targets=targets)
+    print(check.format_json() if as_json else check.format_text())
+    return check.exit_status
+
+
 @app.command
 def questionnaire(
     answers: Path | None = None,
@@ -285,14 +315,14 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run the command line and return the exit status."""
     try:
-        app(arguments, exit_on_error=False, print_error=False, result_action="return_value")
+        status = app(arguments, exit_on_error=False, print_error=False, result_action="return_value")
     except (ConfigurationError, OperatorError) as error:
         return report_problems(error.problems)
     except CycloptsError as error:
         return report_problems([" ".join(str(error).split())])
     except BrokenPipeError:
         return report_problems(["standard output: closed by its reader"])
-    return 0
+    return status if isinstance(status, int) else 0
 
 
 def report_problems(problems: list[str]) -> int:
--- a/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/documents.py
@@ -28,12 +28,16 @@
 """Errors of the decoders for documents of other writers; deeply nested ones exceed the recursion limit."""
 
 
-class _Destination(msgspec.Struct, frozen=True):
+class DestinationDocument(msgspec.Struct, frozen=True):
+    """Entry of a route's split."""
+
     service: str
     weight: float
 
 
-class _Route(msgspec.Struct, frozen=True, rename="camel"):
+class RouteDocument(msgspec.Struct, frozen=True, rename="camel"):
+    """Route as the operator writes it."""
+
     name: str
     host: str
     prefix: str
@@ -43,12 +47,19 @@
     goal_ms: float = 1_000.0
     priority: int = 0
     service: str | None = None
-    split: tuple[_Destination, ...] = ()
+    split: tuple[DestinationDocument, ...] = ()
     public: bool = False
     resumable: bool = False
     gap_aim_ms: float | None = None
 
     def decode(self) -> Route:
+        """Return the route.
+
+        Raises
+        ------
+        ConfigurationError
+            If the route names no service.
+        """
         destinations = tuple(Destination(entry.service, entry.weight) for entry in self.split)
         if not destinations and self.service is not None:
             destinations = (Destination(self.service, 1.0),)
@@ -72,7 +83,9 @@
         )
 
 
-class _Engine(msgspec.Struct, frozen=True, rename="camel"):
+class EngineDocument(msgspec.Struct, frozen=True, rename="camel"):
+    """Capacity of a service's engines as the operator writes it."""
+
     slots: int
     kv_capacity: int
     stride: int = 1
@@ -80,6 +93,7 @@
     link_mbps: float = 0.0
 
     def decode(self) -> Engine:
+        """Return the capacity."""
         transfer_rate = 0.0
         if self.kv_token_bytes > 0:
             transfer_rate = max(0.0, self.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE / self.kv_token_bytes)
@@ -91,13 +105,16 @@
         )
 
 
-class _Service(msgspec.Struct, frozen=True, rename="camel"):
+class ServiceDocument(msgspec.Struct, frozen=True, rename="camel"):
+    """Service as the operator writes it."""
+
     name: str
     cold_per_s: float = 0.0
     cold_s: float = 0.0
-    engine: _Engine | None = None
+    engine: EngineDocument | None = None
 
     def decode(self) -> Service:
+        """Return the service."""
         return Service(
             name=self.name,
             cold_per_second=self.cold_per_s,
@@ -106,27 +123,44 @@
         )
 
 
-class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+class LimitsDocument(msgspec.Struct, frozen=True, rename="camel"):
+    """Limits of callers as the operator writes them."""
+
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
     header_timeout_ms: float = 3_000.0
     idle_timeout_ms: float = 15_000.0
 
+    def decode(self) -> CallerLimits:
+        """Return the limits."""
+        return CallerLimits(
+            header_bytes=self.max_header_bytes,
+            body_bytes=self.max_body_bytes,
+            header_seconds=self.header_timeout_ms / MILLISECONDS_PER_SECOND,
+            idle_seconds=self.idle_timeout_ms / MILLISECONDS_PER_SECOND,
+        )
+
+
+class CustomerDocument(msgspec.Struct, frozen=True, rename="camel"):
+    """Customer as the operator writes it."""
 
-class _Customer(msgspec.Struct, frozen=True, rename="camel"):
     name: str
     api_keys: tuple[str, ...] = ()
 
 
-class _Configuration(msgspec.Struct, frozen=True):
+class ConfigurationDocument(msgspec.Struct, frozen=True):
+    """Configuration as the operator writes it."""
+
     version: int
-    routes: tuple[_Route, ...]
-    services: tuple[_Service, ...]
-    limits: _Limits = _Limits()
-    tenants: tuple[_Customer, ...] | None = None
+    routes: tuple[RouteDocument, ...]
+    services: tuple[ServiceDocument, ...]
+    limits: LimitsDocument = LimitsDocument()
+    tenants: tuple[CustomerDocument, ...] | None = None
+
 
+class TargetDocument(msgspec.Struct, frozen=True, rename="camel"):
+    """Entry that a target writes about itself."""
 
-class _Target(msgspec.Struct, frozen=True, rename="camel"):
     service: str
     address: str
     zone: str
@@ -138,12 +172,12 @@
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_CLOCK_MILLISECONDS)] = 0
 
 
-_configuration_decoder = msgspec.json.Decoder(_Configuration)
-_target_decoder = msgspec.json.Decoder(_Target)
+_configuration_decoder = msgspec.json.Decoder(ConfigurationDocument)
+_target_decoder = msgspec.json.Decoder(TargetDocument)
 
 
-def decode_configuration(data: bytes) -> FleetConfiguration:
-    """Decode the operator's configuration.
+def decode_document(data: bytes) -> ConfigurationDocument:
+    """Decode the operator's configuration as it is written.
 
     Raises
     ------
@@ -151,20 +185,26 @@
         If the document is malformed.
     """
     try:
-        document = _configuration_decoder.decode(data)
+        return _configuration_decoder.decode(data)
     except MALFORMED as error:
         raise ConfigurationError([f"configuration: {error}"]) from error
+
+
+def decode_configuration(data: bytes) -> FleetConfiguration:
+    """Decode the operator's configuration.
+
+    Raises
+    ------
+    ConfigurationError
+        If the document is malformed.
+    """
+    document = decode_document(data)
     customers = document.tenants or ()
     return FleetConfiguration(
         version=document.version,
         routes=tuple(route.decode() for route in document.routes),
         services={service.name: service.decode() for service in document.services},
-        limits=CallerLimits(
-            header_bytes=document.limits.max_header_bytes,
-            body_bytes=document.limits.max_body_bytes,
-            header_seconds=document.limits.header_timeout_ms / MILLISECONDS_PER_SECOND,
-            idle_seconds=document.limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
-        ),
+        limits=document.limits.decode(),
         customers_by_key={key: customer.name for customer in customers for key in customer.api_keys},
         has_customers=bool(customers),
     )
