Spread sessions over uneven engines by their prefill rates

Cause: sessions are spread evenly over the engines of a pool, so an engine of 0.6 of the usual speed gets as many as one of 1.6.

Change: session_ranking.py ranks engines by weighted rendezvous hashing.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -11,11 +11,12 @@
 from limpetusher.fleet.process.prefill_rates import PrefillRates
 from limpetusher.fleet.process.prompt_caches import PromptCaches
 from limpetusher.fleet.process.rate_limits import TargetRateLimiter
+from limpetusher.fleet.process.session_ranking import RateSteps
+from limpetusher.fleet.process.session_ranking import rank as rank_for_session
 from limpetusher.fleet.process.target_health import TargetHealth
 from limpetusher.fleet.process.target_loads import TargetLoad, TargetLoads
 from limpetusher.fleet.process.transfers import TransferSource, prefill_tokens_with_transfer
 from limpetusher.fleet.settings import FleetSettings
-from limpetusher.fleet.version.routing import stable_hash
 
 MAX_CACHED_RANKINGS = 4_000
 REMOTE_COST = 0.5
@@ -69,6 +70,7 @@
         self.health: dict[str, TargetHealth] = {}
         self.loads = TargetLoads()
         self.rates = PrefillRates(settings)
+        self.rate_steps = RateSteps(settings.uneven_engines)
         self.bursts = PrefillBursts(settings)
         self.intervals = PrefillIntervals()
         self.caches = PromptCaches()
@@ -110,6 +112,7 @@
             self.drop_from_service(previous)
             self.health.pop(target_id, None)
             self.rates.forget(target_id)
+            self.rate_steps.forget(target_id)
             self.bursts.forget(target_id)
             self.intervals.forget(target_id)
             self.caches.forget(target_id)
@@ -210,8 +213,19 @@
 
         `is_scarce` tells whether more prompt tokens wait than the engines can prefill in the next burst.
         """
+        if self.rate_steps.is_due(pool, now):
+            self.update_rate_steps(pool, now)
         return PoolView(self, pool, now, is_scarce=is_scarce)
 
+    def update_rate_steps(self, pool: Pool, now: float) -> None:
+        """Adapt the ranking of sessions to the measured rates of a pool's engines."""
+        measured = {
+            target.target_id: self.rates.measured(target.target_id) for target in self.targets_of(pool)
+        }
+        rates = {target_id: rate for target_id, rate in measured.items() if rate is not None}
+        if self.rate_steps.update(pool, rates, now):
+            self.rankings.clear()
+
     def choose(self, request: QueuedRequest, now: float, view: PoolView | None = None) -> TargetChoice | None:
         """Return a target that can take the request now, None if the request has to wait."""
         view = view or self.view(request.pool, now)
@@ -239,14 +253,14 @@
         return TargetChoice(state.target, load, ahead, state.is_cold)
 
     def ranking(self, request: QueuedRequest) -> list[str]:
-        """Return all targets of the request's pool, ranked for its session by rendezvous hashing."""
+        """Return all targets of the request's pool, ranked for its session by weighted rendezvous hashing."""
         key = (request.pool, request.session)
         ranking = self.rankings.get(key)
         if ranking is None:
             if len(self.rankings) >= MAX_CACHED_RANKINGS:
                 self.rankings.clear()
             target_ids = (target.target_id for target in self.targets_of(request.pool))
-            ranking = sorted(target_ids, key=lambda target_id: stable_hash(request.session, target_id))
+            ranking = rank_for_session(request.session, target_ids, self.rate_steps.weights)
             self.rankings[key] = ranking
         return ranking
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prefill_rates.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prefill_rates.py
@@ -86,6 +86,15 @@
         known = self.from_intervals.rate(service, target_id) or self.from_bursts.rate(service, target_id)
         return known or self.settings.prior_prefill_rate
 
+    def measured(self, target_id: str) -> float | None:
+        """Return the rate of an engine from enough samples of its own, None without them.
+
+        Whole bursts do not count, as they include latencies that differ between requests.
+        """
+        if self.from_intervals.samples[target_id] < self.settings.uneven_engines.min_rate_samples:
+            return None
+        return self.from_intervals.by_target.get(target_id)
+
     def speed(self, service: str, target_id: str) -> PrefillSpeed:
         """Return the prefill rate and the output latency of an engine."""
         return PrefillSpeed(self.rate(service, target_id), self.base_latency_seconds.get(service, 0.0))
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from limpetusher.fleet.process.rate_limits import RetryBudgetSettings
+from limpetusher.fleet.process.uneven_engine_settings import UnevenEngineSettings
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -59,6 +60,8 @@
         Assumed prefill rate of an engine in tokens per second, until the first sample.
     retry_budget
         Bound on retries.
+    uneven_engines
+        Constants for engines of unequal prefill rates and for slow spells.
     """
 
     max_candidates: int = 5
@@ -80,3 +83,4 @@
     assumed_cold_seconds: float = 3.0
     prior_prefill_rate: float = 30_000.0
     retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
+    uneven_engines: UnevenEngineSettings = field(default_factory=UnevenEngineSettings)
