Detect slow spells of engines and avoid the engines meanwhile

Cause: an engine that is slower for half a second keeps getting prompts, and its rate follows the spell.

Change: engine_spells.py finds a spell from first outputs that are overdue given the engine's rate, latency and usual deviation. score_engines adds the time that the engine loses. Samples that overlap a spell are not added to the rates.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -5,6 +5,7 @@
 
 from limpetusher.fleet.model import Pool, QueuedRequest, Service, Target
 from limpetusher.fleet.process.announced_limits import AnnouncedLimits
+from limpetusher.fleet.process.engine_spells import EngineSpells
 from limpetusher.fleet.process.pool_view import PoolView, SessionEngine, TargetView
 from limpetusher.fleet.process.prefill_bursts import UNKNOWN_SPEED, PrefillBursts
 from limpetusher.fleet.process.prefill_intervals import PrefillIntervals
@@ -71,6 +72,7 @@
         self.loads = TargetLoads()
         self.rates = PrefillRates(settings)
         self.rate_steps = RateSteps(settings.uneven_engines)
+        self.spells = EngineSpells(settings.uneven_engines)
         self.bursts = PrefillBursts(settings)
         self.intervals = PrefillIntervals()
         self.caches = PromptCaches()
@@ -81,6 +83,7 @@
         previous = self.targets.get(target.target_id)
         if previous is not None and previous.started_at_milliseconds != target.started_at_milliseconds:
             self.caches.forget(target.target_id)
+            self.spells.forget(target.target_id)
             self.leaving.discard(target.target_id)
             self.backoff_until.pop(target.target_id, None)
             self.limits.forget(target.target_id)
@@ -113,6 +116,7 @@
             self.health.pop(target_id, None)
             self.rates.forget(target_id)
             self.rate_steps.forget(target_id)
+            self.spells.forget(target_id)
             self.bursts.forget(target_id)
             self.intervals.forget(target_id)
             self.caches.forget(target_id)
@@ -365,6 +369,7 @@
                 continue
             prefill_tokens = engine.prefill_tokens(request)
             seconds = (load.prefill_tokens + uncached_token_cost * prefill_tokens) / state.speed.rate
+            seconds += self.spells.expected_delay(state.target.target_id, view.now)
             scored.append((seconds + state.error_cost, rank, engine))
         return scored
 
@@ -443,9 +448,11 @@
         interval = self.intervals.update_pending_tokens(target_id, pending_tokens, now)
         if target is None:
             return
-        if finished is not None:
+        rate = self.rates.measured(target_id) if now >= target.cold_until else None
+        self.spells.update_pending_tokens(target_id, pending_tokens, now, rate)
+        if finished is not None and not self.spells.affects_sample(target_id, now - finished.seconds):
             self.rates.add_sample(target.service, target_id, finished.tokens, finished.seconds)
-        if interval is not None:
+        if interval is not None and not self.spells.affects_sample(target_id, now - interval.seconds):
             self.rates.add_interval(target.service, target_id, interval)
 
     def error_cost(self, target: Target) -> float:
@@ -493,6 +500,7 @@
     def exclude_prefill(self, target_id: str) -> None:
         """Exclude the current prefill work of a target from the measured rates."""
         self.bursts.exclude_from_samples(target_id)
+        self.spells.discard(target_id)
         self.intervals.discard(target_id)
 
     def add_load(self, target_id: str, load: TargetLoad, now: float) -> None:
