--- a/packages/limpetusher-router/src/limpetusher_router/fleet/placement_runs.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/placement_runs.py
@@ -35,6 +35,7 @@
         self.state = state
         self.clock = clock
         self.metrics = metrics
+        metrics.placement = state.placement
         self.last_run_at = 0.0
         """End of the last run."""
         self.interval_seconds = MINIMUM_INTERVAL_SECONDS
@@ -69,6 +70,7 @@
         if now < self.last_summary_at + SUMMARY_INTERVAL_SECONDS:
             return
         self.last_summary_at = now
+        self.log_engine_changes(now)
         summary, self.summary = self.summary, PlacementSummary()
         if not summary.runs:
             return
@@ -93,3 +95,24 @@
                 for pool in self.state.scheduler.waiting.by_pool
             },
         )
+
+    def log_engine_changes(self, now: float) -> None:
+        """Log which engines have got another part of the sessions, and which slow spells began or ended."""
+        placement = self.state.placement
+        for change in placement.rate_steps.take_changes():
+            log_event(
+                Event.ENGINE_WEIGHT_CHANGED,
+                target=change.target_id,
+                weight=round(change.weight, 3),
+                previous=round(change.previous_weight, 3),
+                rate=round(change.rate),
+                median_rate=round(change.median_rate),
+            )
+        for spell in placement.spells.take_changes(now):
+            log_event(
+                Event.ENGINE_SLOW if spell.is_slow else Event.ENGINE_SLOW_ENDED,
+                target=spell.target_id,
+                reason=spell.reason,
+                slowdown=round(spell.slowdown, 2),
+                seconds=round(spell.seconds, 3),
+            )
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -7,6 +7,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from limpetusher.fleet.process.placement import Placement
 from limpetusher_router.process.port_activity import PortActivity
 from limpetusher_router.process.rounds import PollerRounds
 
@@ -91,6 +92,16 @@
         self.placement_seconds_counter = counter("placement_seconds_total", "Time spent on placement runs")
         self.placement_runs = 0
         self.placement_seconds = 0.0
+        self.engine_rate = gauge(
+            "engine_prefill_rate", "Measured prefill rate by engine, in tokens per second"
+        )
+        self.engine_weight = gauge(
+            "engine_session_weight", "Part of the sessions by engine, relative to others"
+        )
+        self.slow_engines = gauge("engines_slow", "Engines in a slow spell, as this scheduler knows")
+        self.spells_counter = counter("engine_spells_total", "Slow spells of engines found by this scheduler")
+        self.placement: Placement | None = None
+        """Source of the metrics of engines, None in a process without a scheduler."""
         self.caller_connections = gauge("caller_connections", "Open connections of callers by port")
         self.caller_connections_limit = gauge("caller_connections_limit", "Limit of open connections by port")
         self.caller_events = counter(
@@ -141,6 +152,20 @@
                 self.caller_events.set({**port, "event": event}, getattr(counts, event))
             self.unread_listener.set(port, counts.unread_seconds)
 
+    def set_engine_metrics(self) -> None:
+        """Set the metrics of the engines that this scheduler has measured."""
+        if self.placement is None:
+            return
+        rates, weights = self.placement.rates.from_intervals.by_target, self.placement.rate_steps.weights
+        # Engines that are gone must not keep their last value.
+        self.engine_rate.values.clear()
+        self.engine_weight.values.clear()
+        for target_id in sorted(rates)[:MAXIMUM_LABEL_SETS]:
+            self.engine_rate.set({"target": target_id}, rates[target_id])
+            self.engine_weight.set({"target": target_id}, weights.get(target_id, 1.0))
+        self.slow_engines.set({}, len(self.placement.spells.slow))
+        self.spells_counter.set({}, self.placement.spells.begun)
+
     def set_round_metrics(self) -> None:
         """Set the metrics of the rounds of the event loop."""
         if self.rounds is None:
@@ -167,6 +192,7 @@
         self.processor_seconds.set({}, usage.ru_utime + usage.ru_stime)
         self.resident_memory.set({}, resident_bytes())
         self.set_port_metrics()
+        self.set_engine_metrics()
         self.set_round_metrics()
         text, headers = render(self.registry, ["text/plain"])
         return text, headers["Content-Type"]
--- a/tests/router/fleet/test_placement_runs.py
+++ b/tests/router/fleet/test_placement_runs.py
@@ -7,6 +7,8 @@
 
 from builders_peers import STEP_SECONDS, FleetInMemory
 from limpetusher.events import Event
+from limpetusher.fleet.model import Pool
+from limpetusher.fleet.process.prefill_intervals import PrefillInterval
 
 ENGINES = 8
 PREFILL_RATE = 90_000.0
@@ -144,3 +146,29 @@
     ]
     assert summaries[-1]["least_met"] == "behind"
     assert summaries[-1]["met_share"] == pytest.approx(0.25)
+
+
+def test_uneven_engines_are_logged_and_shown(caplog):
+    """Guards against sessions that move, and engines that are avoided, without a trace for the operator."""
+    fleet = FleetInMemory(1, engines=3)
+    (router,) = fleet.routers.values()
+    placement = router.state.placement
+    pool = Pool("engines")
+    for target_id, speed in zip(sorted(placement.targets), (1.0, 1.0, 1.6), strict=True):
+        for _ in range(placement.settings.uneven_engines.min_rate_samples):
+            tokens = round(9_000 * speed)
+            placement.rates.add_interval("engines", target_id, PrefillInterval(tokens, 9_000 / PREFILL_RATE))
+    with caplog.at_level(logging.INFO, logger="limpetusher"):
+        for _ in range(5):
+            placement.view(pool, fleet.clock.monotonic())
+            fleet.run(1.0)
+    changes = [record.fields for record in caplog.records if record.event is Event.ENGINE_WEIGHT_CHANGED]
+    fastest = max(placement.targets)
+    assert [(change["target"], change["weight"]) for change in changes] == [(fastest, 1.562)]
+    page = router.peers.placement_runs.metrics.render()[0].decode()
+    assert f'limpetusher_engine_prefill_rate{{target="{fastest}"}} 144000' in page
+    assert f'limpetusher_engine_session_weight{{target="{fastest}"}} 1.5625' in page
+    placement.remove_target(fastest)
+    page = router.peers.placement_runs.metrics.render()[0].decode()
+    assert fastest not in page
+    assert "limpetusher_engines_slow 0" in page
