Offer a refused request to the pool with the shortest backlog

Cause: a request that one pool refuses is offered to the next pool in the order of its session, which may be as full while a third one has nothing to do.

Change: schedulers tell each other the backlogs of their pools with the served tokens, and routers with each refusal and grant. After a refusal, the pool with the shortest known backlog is asked; among equal ones, and without knowledge, the order of the session decides as before. Pools closed to the customer come last.

--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -99,6 +99,8 @@
     """Software version that has to go on with the stream, None if any may run the request."""
     version_basis: str = ""
     """How the version of the target was determined, empty if any may run the request."""
+    backlog_seconds: float = 0.0
+    """Time to prefill the prompts that wait for the pool."""
 
 
 class TargetRefusal(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -121,6 +123,8 @@
     in the pool."""
     version: str | None = None
     """Software version that has to go on with the stream, None if any may or if it is unknown."""
+    pool_backlogs: tuple[tuple[str, float], ...] = ()
+    """Known backlogs of the service's pools in seconds, by data centre."""
 
 
 class PrefillFinished(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -207,9 +211,16 @@
 
 
 class ServedTokensUpdate(msgspec.Struct, frozen=True, array_like=True, tag=9):
-    """Decaying sums of the tokens served by a scheduler, by customer."""
+    """Decaying sums of the tokens served by a scheduler, by customer, and the backlogs of its pools."""
 
     served: dict[str, int]
+    backlogs: tuple[tuple[str, str, float], ...] = ()
+    """Service, data centre, and the time in seconds to prefill the waiting prompts, of each pool."""
+
+    @property
+    def has_valid_numbers(self) -> bool:
+        """Return whether the backlogs are valid."""
+        return all(math.isfinite(seconds) and seconds >= 0 for *_pool, seconds in self.backlogs)
 
 
 class QuarantineEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pools.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pools.py
@@ -7,6 +7,8 @@
 
 import math
 from collections import Counter
+from collections.abc import Callable
+from typing import Any
 
 from limpetusher.fleet.messages import MemberEntry
 from limpetusher.fleet.model import Pool
@@ -86,6 +88,17 @@
                 return pool
         return None
 
+    def choose_spare(
+        self, service: str, session: str, now: float, *, tried: frozenset[Pool], cost: Callable[[Pool], Any]
+    ) -> Pool | None:
+        """Return the untried pool with the lowest cost, the best one for a session among equal ones."""
+        reachable = (
+            pool
+            for pool in self.rank_by_session(service, session)
+            if pool not in tried and self.scheduler(pool, now) is not None
+        )
+        return min(reachable, key=cost, default=None)
+
     def scheduler(self, pool: Pool, now: float) -> str | None:
         """Return the address of the router that schedules a pool, None if its data centre is unreachable."""
         if pool not in self.schedulers:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -27,6 +27,7 @@
 )
 from limpetusher.fleet.model import Pool, PromptPart, QueuedRequest
 from limpetusher.fleet.process.placement import Placement
+from limpetusher.fleet.process.pool_backlogs import PoolBacklogs
 from limpetusher.fleet.process.pools import Pools
 from limpetusher.fleet.process.prefill_cooldowns import COOLDOWN_ADJUST_INTERVAL_SECONDS
 from limpetusher.fleet.process.prompt_quarantine import MAX_CONFIRMATION_SECONDS, PromptQuarantine, part_keys
@@ -64,6 +65,7 @@
     RateLimitNotice,
     RateLimitUpdate,
     VersionUpdate,
+    ServedTokensUpdate,
 )
 """Messages whose numbers are validated before they have an effect."""
 MIN_UNREACHABLE_REPORTS = 2
@@ -74,6 +76,8 @@
 OVERTAKEN_SECONDS = 0.1
 """Time by which a prompt has to be granted before another one to count as overtaken by its first output.
 Covers the usual differences between the routers that send them."""
+BACKLOG_INTERVAL_SECONDS = 0.1
+"""Time for which the backlog of a pool is not computed again, as that takes time for each of its engines."""
 MAX_CUSTOMERS_PER_UPDATE = 300
 """Maximum number of customers in one message to the other schedulers, so that it fits into a datagram."""
 
@@ -149,6 +153,9 @@
         self.placement = placement
         self.pools = pools
         self.served = ServedTokens()
+        self.backlogs = PoolBacklogs()
+        self.backlogs_updated_at: dict[Pool, float] = {}
+        """Times at which the backlogs of own pools were computed."""
         self.quarantine = PromptQuarantine()
         self.binding = VersionBinding(placement, pools)
         self.streams = self.binding.streams
@@ -265,7 +272,7 @@
         job = Job(message.attempt, pool, request, is_retry=message.is_retry)
         if refusal is not None:
             self.refund_retry(job)
-            self.immediate_refusals.append((client, target_refusal(refusal, message.attempt)))
+            self.immediate_refusals.append((client, self.refusal_message(refusal, message.attempt, now)))
             return
         self.add_job(client, message.request_id, job)
         self.waiting.add(request)
@@ -435,6 +442,7 @@
     def on_tick(self, now: float) -> None:
         """Find crashed targets, and adjust the cooldowns of the engines to their running streams."""
         self.accept_held(now)
+        self.backlogs.drop_old(now)
         self.binding.release_pools(now)
         self.quarantine.confirm(now, self.has_crashed, self.running_requests)
         if now < self.cooldowns_adjusted_at + COOLDOWN_ADJUST_INTERVAL_SECONDS:
@@ -551,8 +559,30 @@
 
     @handle.register
     def on_served_tokens(self, message: ServedTokensUpdate, client: str, now: float) -> None:
-        """Update the tokens that another scheduler has served."""
+        """Update the tokens that another scheduler has served, and the backlogs of its pools."""
         self.served.update_remote(client, message.served, now)
+        for service, data_centre, seconds in message.backlogs:
+            self.backlogs.record(Pool(service, data_centre), seconds, now)
+
+    def backlog_seconds(self, pool: Pool, now: float) -> float:
+        """Return the time to prefill the prompts that wait for an own pool; 0 if the service has one pool."""
+        if len(self.pools.for_service(pool.service)) < 2:
+            return 0.0
+        if now >= self.backlogs_updated_at.get(pool, -math.inf) + BACKLOG_INTERVAL_SECONDS:
+            self.backlogs_updated_at[pool] = now
+            self.backlogs.record(pool, round(self.waiting.backlog_seconds(pool, now), 3), now)
+        return self.backlogs.seconds(pool, now) or 0.0
+
+    def own_backlogs(self, now: float) -> tuple[tuple[str, str, float], ...]:
+        """Return the backlogs of the pools that this router schedules, of services with several pools."""
+        own_address = self.pools.members.own.address
+        return tuple(
+            (pool.service, pool.data_centre, self.backlog_seconds(pool, now))
+            for pool in self.budgets
+            if pool in self.pools.for_service(pool.service)
+            and len(self.pools.for_service(pool.service)) > 1
+            and self.pools.scheduler(pool, now) == own_address
+        )
 
     def served_tokens_update(self, now: float) -> ServedTokensUpdate:
         """Return the tokens served by this scheduler, as a message to the others.
@@ -562,7 +592,8 @@
         self.served.decay(now)
         by_tokens = sorted(self.served.own.items(), key=lambda entry: entry[1], reverse=True)
         return ServedTokensUpdate(
-            {customer: int(tokens) for customer, tokens in by_tokens[:MAX_CUSTOMERS_PER_UPDATE]}
+            {customer: int(tokens) for customer, tokens in by_tokens[:MAX_CUSTOMERS_PER_UPDATE]},
+            self.own_backlogs(now),
         )
 
     def retry_budget(self, pool: Pool) -> RetryBudget:
@@ -660,6 +691,7 @@
             source_id=choice.source_id,
             version=None if request.begins_stream else request.version,
             version_basis=request.version_basis,
+            backlog_seconds=self.backlog_seconds(request.pool, now),
         )
 
     def refuse(self, decision: RefusalDecision, now: float) -> TargetRefusal:
@@ -668,7 +700,18 @@
         job = self.jobs[request.client, request.request_id]
         self.remove_job(request.client, request.request_id, now)
         self.refund_retry(job)
-        return target_refusal(decision, job.attempt)
+        return self.refusal_message(decision, job.attempt, now)
+
+    def refusal_message(self, decision: RefusalDecision, attempt: int, now: float) -> TargetRefusal:
+        """Return the message that tells a router of a refusal, and which other pools have less to do."""
+        pools = self.pools.for_service(decision.request.pool.service)
+        if len(pools) < 2:
+            return target_refusal(decision, attempt)
+        own_address = self.pools.members.own.address
+        for pool in pools:
+            if pool == decision.request.pool or self.pools.scheduler(pool, now) == own_address:
+                self.backlog_seconds(pool, now)
+        return target_refusal(decision, attempt, self.backlogs.by_data_centre(pools, now))
 
     def refund_retry(self, job: Job) -> None:
         """Return the token of a retry that was refused or withdrawn, as no target gets it."""
@@ -676,7 +719,9 @@
             self.retry_budget(job.pool).refund()
 
 
-def target_refusal(decision: RefusalDecision, attempt: int) -> TargetRefusal:
+def target_refusal(
+    decision: RefusalDecision, attempt: int, pool_backlogs: tuple[tuple[str, float], ...] = ()
+) -> TargetRefusal:
     """Return the message that tells a router of a refusal."""
     request = decision.request
     return TargetRefusal(
@@ -690,4 +735,5 @@
         may_crash_targets=decision.may_crash_targets,
         lacks_version=decision.lacks_version,
         version=request.version if decision.lacks_version and not request.begins_stream else None,
+        pool_backlogs=pool_backlogs,
     )
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -1,6 +1,6 @@
 """Router side of the scheduling protocol: requests for targets at the schedulers of their pools."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -21,6 +21,7 @@
     TargetRefusal,
 )
 from limpetusher.fleet.model import Pool, PromptPart
+from limpetusher.fleet.process.pool_backlogs import PoolBacklogs
 from limpetusher.fleet.process.pools import Pools
 from limpetusher.fleet.process.prompt_quarantine import MAX_STRIKE_AGE_SECONDS, RETRACTION_SECONDS
 from limpetusher.fleet.process.strikes import REPORT_DELAY_SECONDS
@@ -155,6 +156,9 @@
         """Whether the retry budget of a pool allowed a retry at the scheduler's last answer."""
         self.closed: dict[tuple[Pool, str], ClosedPool] = {}
         """Pools that refuse requests of a customer at the moment."""
+        self.backlogs = PoolBacklogs()
+        self.second_pools: Counter[str] = Counter()
+        """Choices of a pool after a refusal, by what has decided."""
         self.breaks: deque[KeptBreak] = deque(maxlen=MAX_KEPT_BREAKS)
         """Broken attempts of the last time, as each scheduler only knows of those it has been told."""
 
@@ -189,19 +193,34 @@
                     request_id=target_request.request_id,
                     attempt=target_request.attempt,
                     closed_seconds=0.0,
+                    pool_backlogs=(),
                 )
                 self.send(self.own_address, refusal)
                 return
             pool = other
+        tried = target_request.refusing_pools
+        if tried and pool is not None:
+            by_session = self.pools.choose(target_request.service, target_request.session, now, tried=tried)
+            self.second_pools["session" if pool == by_session else "backlog"] += 1
         target_request.pool = pool or Pool(target_request.service)
         target_request.scheduler = (pool and self.pools.scheduler(pool, now)) or self.own_address
         self.register(target_request, now)
 
     def untried_pool(self, target_request: TargetRequest, now: float) -> Pool | None:
-        """Return the best pool for a request that has not refused it, None if there is none."""
-        return self.pools.choose(
-            target_request.service, target_request.session, now, tried=target_request.refusing_pools
-        )
+        """Return the best pool for a request that has not refused it, None if there is none.
+
+        After a refusal that is the pool with the shortest backlog among those that are open to the customer.
+        """
+        service, session = target_request.service, target_request.session
+        tried = target_request.refusing_pools
+        if not tried:
+            return self.pools.choose(service, session, now, tried=tried)
+
+        def cost(pool: Pool) -> tuple[bool, int]:
+            is_closed = self.closed_pool(pool, target_request, now) is not None
+            return is_closed, self.backlogs.step(pool, now)
+
+        return self.pools.choose_spare(service, session, now, tried=tried, cost=cost)
 
     def closed_pool(self, pool: Pool, target_request: TargetRequest, now: float) -> ClosedPool | None:
         """Return the state of a pool that would refuse a request, None if it has to be asked."""
@@ -273,6 +292,10 @@
             self.may_repeat[target_request.pool] = answer.may_repeat
         return target_request
 
+    def record_backlog(self, target_request: TargetRequest, now: float) -> None:
+        """Record the backlog of a pool that has granted a target."""
+        self.backlogs.record(target_request.pool, target_request.grant.backlog_seconds, now)
+
     def accept_refusal(self, answer: TargetRefusal, scheduler: str, now: float) -> TargetRequest | None:
         """Apply a refusal; return its request, None if another pool is tried or the answer is outdated."""
         target_request = self.find_waiting(answer, scheduler)
@@ -280,6 +303,8 @@
             return None
         if answer.version is not None:
             target_request.version = answer.version
+        for data_centre, seconds in answer.pool_backlogs:
+            self.backlogs.record(Pool(target_request.service, data_centre), seconds, now)
         if answer.is_retry_budget_spent:
             self.may_repeat[target_request.pool] = False
         else:
@@ -408,6 +433,7 @@
 
     def on_tick(self, now: float) -> None:
         """Move requests whose pool has another scheduler, or no reachable one."""
+        self.backlogs.drop_old(now)
         self.closed = {key: closed for key, closed in self.closed.items() if now < closed.until}
         self.pools.invalidate_schedulers(now)
         for target_request in list(self.target_requests.values()):
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/placement_runs.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/placement_runs.py
@@ -36,6 +36,7 @@
         self.clock = clock
         self.metrics = metrics
         metrics.placement = state.placement
+        metrics.scheduler_client = state.scheduler_client
         self.last_run_at = 0.0
         """End of the last run."""
         self.interval_seconds = MINIMUM_INTERVAL_SECONDS
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -183,6 +183,7 @@
             return
         exchange = self.exchange_of(target_request)
         now = self.clock.monotonic()
+        self.state.scheduler_client.record_backlog(target_request, now)
         if now >= target_request.give_up_at:
             self.time_out_request(exchange)
             return
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from limpetusher.fleet.process.placement import Placement
+from limpetusher.fleet.request.scheduler_client import SchedulerClient
 from limpetusher_router.process.port_activity import PortActivity
 from limpetusher_router.process.rounds import PollerRounds
 
@@ -100,6 +101,13 @@
         )
         self.slow_engines = gauge("engines_slow", "Engines in a slow spell, as this scheduler knows")
         self.spells_counter = counter("engine_spells_total", "Slow spells of engines found by this scheduler")
+        self.pool_backlog = gauge("pool_backlog_seconds", "Backlog by pool, as last told by its scheduler")
+        self.second_pools = counter(
+            "second_pools_total", "Choices of a pool after a refusal, by what has decided"
+        )
+        self.ignored_backlogs = counter("pool_backlogs_ignored_total", "Invalid backlogs of pools")
+        self.scheduler_client: SchedulerClient | None = None
+        """Source of the metrics of pools, None in a process without them."""
         self.placement: Placement | None = None
         """Source of the metrics of engines, None in a process without a scheduler."""
         self.caller_connections = gauge("caller_connections", "Open connections of callers by port")
@@ -166,6 +174,18 @@
         self.slow_engines.set({}, len(self.placement.spells.slow))
         self.spells_counter.set({}, self.placement.spells.begun)
 
+    def set_pool_metrics(self) -> None:
+        """Set the metrics of the pools whose backlogs this router knows."""
+        client = self.scheduler_client
+        if client is None:
+            return
+        self.pool_backlog.values.clear()
+        for pool, (seconds, _at) in list(client.backlogs.known.items())[:MAXIMUM_LABEL_SETS]:
+            self.pool_backlog.set({"pool": str(pool)}, seconds)
+        for basis, count in client.second_pools.items():
+            self.second_pools.set({"basis": basis}, count)
+        self.ignored_backlogs.set({}, client.backlogs.ignored)
+
     def set_round_metrics(self) -> None:
         """Set the metrics of the rounds of the event loop."""
         if self.rounds is None:
@@ -193,6 +213,7 @@
         self.resident_memory.set({}, resident_bytes())
         self.set_port_metrics()
         self.set_engine_metrics()
+        self.set_pool_metrics()
         self.set_round_metrics()
         text, headers = render(self.registry, ["text/plain"])
         return text, headers["Content-Type"]
--- a/tests/fleet/process/test_scheduler.py
+++ b/tests/fleet/process/test_scheduler.py
@@ -282,6 +282,52 @@
     assert scheduler.served_tokens_update(0.02).served["small"] > 0
 
 
+def make_scheduler_of_two_pools() -> Scheduler:
+    """Return the scheduler of the pool in the north; both its data centres have five engines."""
+    placement = make_placement(0)
+    for number in range(10):
+        placement.put_target(make_target(f"e{number}", data_centre=("north", "south")[number % 2]))
+    members = Members(MemberEntry(ROUTER_1, "north", 1.0, 1, 1), rng=random.Random(1))
+    members.merge((MemberEntry(ROUTER_2, "south", 1.0, 1, 1),), 0.0)
+    return Scheduler(placement.settings, placement, Pools(placement, members))
+
+
+def test_backlogs_are_told_to_the_other_schedulers_and_with_each_answer():
+    """Guards against requests that are refused by a second full pool, as no router knows of the third."""
+    scheduler = make_scheduler_of_two_pools()
+    scheduler.receive(ROUTER_2, ServedTokensUpdate({}, (("engines", "south", 0.25),)), 0.0)
+    for number in range(200):
+        message = make_ask(f"r{number}", data_centre="north", prompt_tokens=9_000, parts=(("a", 9_000),))
+        scheduler.receive(ROUTER_2, message, 0.001 * number)
+    answers = [answer for _client, answer in scheduler.decide(0.2)]
+    refusal = next(answer for answer in answers if isinstance(answer, TargetRefusal))
+    backlogs = dict(refusal.pool_backlogs)
+    assert backlogs["south"] == 0.25
+    # What can't start in time was refused before, so that a full pool has less than a goal to do.
+    assert 0.2 < backlogs["north"] < 1.0
+    grant = next(answer for answer in answers if isinstance(answer, TargetGrant))
+    assert grant.backlog_seconds == backlogs["north"]
+    update = scheduler.served_tokens_update(0.5)
+    assert [entry[:2] for entry in update.backlogs] == [("engines", "north")]
+    assert update.backlogs[0][2] > 0
+
+
+def test_backlog_that_was_told_long_ago_is_not_passed_on():
+    """Guards against a pool that seems full because its scheduler was lost when it was."""
+    scheduler = make_scheduler_of_two_pools()
+    scheduler.receive(ROUTER_2, ServedTokensUpdate({}, (("engines", "south", 9.0),)), 0.0)
+    scheduler.on_tick(2.0)
+    assert scheduler.backlogs.by_data_centre(scheduler.pools.for_service("engines"), 2.0) == ()
+
+
+@pytest.mark.parametrize("seconds", [float("nan"), float("inf"), -1.0])
+def test_update_with_an_invalid_backlog_is_refused(scheduler, seconds):
+    """Guards against a choice of pools by numbers that can't be compared."""
+    with pytest.raises(InvalidInputError):
+        scheduler.receive(ROUTER_2, ServedTokensUpdate({"big": 9}, (("engines", "south", seconds),)), 0.0)
+    assert scheduler.served.total("big") == 0.0
+
+
 def test_service_before_a_change_of_schedulers_decays(scheduler):
     """Guards against customers that get less for good since they were served most by an earlier scheduler."""
     scheduler.receive(ROUTER_1, make_ask(), 0.0)
--- a/tests/fleet/request/test_scheduler_client.py
+++ b/tests/fleet/request/test_scheduler_client.py
@@ -1,5 +1,6 @@
 """Tests of a router's requests to schedulers."""
 
+import math
 import random
 
 import msgspec
@@ -18,8 +19,14 @@
 )
 from limpetusher.fleet.model import Pool, PromptPart
 from limpetusher.fleet.process.members import Members
+from limpetusher.fleet.process.pool_backlogs import MAX_AGE_SECONDS
 from limpetusher.fleet.process.pools import Pools
-from limpetusher.fleet.request.scheduler_client import MAX_TRIED_POOLS, SchedulerClient, TargetRequest
+from limpetusher.fleet.request.scheduler_client import (
+    MAX_TRIED_POOLS,
+    ClosedPool,
+    SchedulerClient,
+    TargetRequest,
+)
 from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED
 
 OWN, OTHER = "10.0.0.1", "10.0.0.2"
@@ -28,10 +35,10 @@
 class ClientHarness:
     """Scheduling client of one router that records the messages it sends."""
 
-    def __init__(self, engines: int):
+    def __init__(self, engines: int, *, data_centres: tuple[str, ...] = ("north", "south")):
         placement = make_placement(0)
         for number in range(engines):
-            data_centre = ("north", "south")[number % 2]
+            data_centre = data_centres[number % len(data_centres)]
             placement.put_target(make_target(f"e{number}", data_centre=data_centre))
         members = Members(MemberEntry(OWN, "north", 1.0, 1, 1), rng=random.Random(1))
         members.merge((MemberEntry(OTHER, "south", 2.0, 1, 1),), 0.0)
@@ -248,6 +255,48 @@
     assert harness.scheduler_client.target_requests == {}
 
 
+def test_pool_with_the_shortest_backlog_is_tried_after_a_refusal():
+    """Guards against refusals by two full pools while a third one has nothing to do."""
+    harness = ClientHarness(21, data_centres=("north", "south", "west"))
+    client = harness.scheduler_client
+    for number in range(12):
+        target_request = harness.request_target(f"r{number}", session=f"s{number}")
+        first, *others = harness.scheduler_client.pools.rank_by_session("engines", f"s{number}")
+        assert target_request.pool == first
+        spare = others[number % 2]
+        backlogs = tuple((pool.data_centre, 0.04 if pool == spare else 0.6) for pool in (first, *others))
+        refusal = make_refusal(target_request, pool_backlogs=backlogs)
+        assert client.accept_refusal(refusal, target_request.scheduler, 0.1) is None
+        assert target_request.pool == spare
+    assert client.second_pools == {"session": 6, "backlog": 6}
+
+
+@pytest.mark.parametrize("backlogs", [(), (("south", math.nan), ("west", -1.0)), (("west", math.inf),)])
+def test_order_of_the_session_decides_without_valid_backlogs(backlogs):
+    """Guards against malformed backlogs, and against late ones that no longer hold."""
+    harness = ClientHarness(21, data_centres=("north", "south", "west"))
+    client = harness.scheduler_client
+    target_request = harness.request_target()
+    _first, second, _third = client.pools.rank_by_session("engines", "s1")
+    client.backlogs.record(second, 0.9, -MAX_AGE_SECONDS)
+    refusal = make_refusal(target_request, pool_backlogs=backlogs)
+    assert client.accept_refusal(refusal, target_request.scheduler, 0.1) is None
+    assert target_request.pool == second
+    assert client.backlogs.ignored == len(backlogs)
+
+
+def test_pool_that_is_closed_to_the_customer_is_not_tried_second():
+    """Guards against a refusal without a question to the only pool that would take the request."""
+    harness = ClientHarness(21, data_centres=("north", "south", "west"))
+    client = harness.scheduler_client
+    _first, second, third = client.pools.rank_by_session("engines", "s1")
+    target_request = harness.request_target()
+    client.closed[second, "acme"] = ClosedPool(1.0, 1.0, make_refusal(target_request))
+    client.backlogs.record(third, 0.5, 0.0)
+    assert client.accept_refusal(make_refusal(target_request), target_request.scheduler, 0.1) is None
+    assert target_request.pool == third
+
+
 def test_spent_retry_budget_is_final_and_remembered():
     harness = ClientHarness(14)
     target_request = harness.request_target()
