Find slow spells of engines that are never idle

Cause: the latency of an engine is measured from prompts that find it idle. Under overload the next prompts are sent before the last outputs arrive, so it was never known and no output was judged.

Change: without a latency, only prompts that find the engine idle are not judged; others are compared with the output before them.

Result: the new test of tests/fleet/process/test_engine_spells.py fails before and passes after.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/engine_spells.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/engine_spells.py
@@ -159,7 +159,7 @@
         threshold = self.threshold(engine, work)
         is_in_time = own_lateness <= max((self.settings.spell_slowdown - 1.0) * work, engine.spread)
         engine.free_at = due - latency + (lateness if lateness < 0 else LATENESS_DROPPED * lateness)
-        if self.is_judged(engine) and lateness > threshold and not is_in_time:
+        if self.is_judged(engine, prompt) and lateness > threshold and not is_in_time:
             self.record_late(target_id, engine, own_seconds / work, now)
         elif engine.slow_since is not None and is_in_time and self.shows_speed(prompt, own_seconds, work):
             engine.free_at = now - latency
@@ -184,9 +184,15 @@
             engine.latency = max(0.0, engine.latency + LATENCY_WEIGHT * lateness)
             engine.spread += SPREAD_WEIGHT * (abs(lateness) - engine.spread)
 
-    def is_judged(self, engine: EngineProgress) -> bool:
-        """Return whether enough is known of an engine to call its outputs late."""
-        return engine.latency is not None and engine.samples >= self.settings.min_rate_samples
+    def is_judged(self, engine: EngineProgress, prompt: SentPrompt) -> bool:
+        """Return whether enough is known of an engine to call the output of a prompt late.
+
+        The latency matters only for a prompt without others before it. It is not known at an engine that gets
+        its prompts before the last outputs have arrived.
+        """
+        if engine.latency is None and prompt.sent_at >= engine.last_output_at:
+            return False
+        return engine.samples >= self.settings.min_rate_samples
 
     def threshold(self, engine: EngineProgress, work: float) -> float:
         """Return by how much an output that takes `work` seconds of prefill has to be overdue to be late."""
@@ -199,11 +205,13 @@
 
     def check_overdue(self, target_id: str, engine: EngineProgress, now: float) -> None:
         """Record that the next output is late, although it has not arrived yet."""
-        if not engine.prompts or engine.untracked_tokens or not self.is_judged(engine):
+        if not engine.prompts or engine.untracked_tokens:
             return
         prompt = engine.prompts[0]
+        if not self.is_judged(engine, prompt):
+            return
         work = prompt.tokens / engine.rate
-        begin = max(prompt.sent_at, engine.free_at) + engine.latency
+        begin = max(prompt.sent_at, engine.free_at) + (engine.latency or 0.0)
         if now - begin - work > self.threshold(engine, work):
             self.record_late(target_id, engine, (now - begin) / work, now)
 
--- a/tests/fleet/process/test_engine_spells.py
+++ b/tests/fleet/process/test_engine_spells.py
@@ -96,6 +96,17 @@
     assert changes[0].slowdown == pytest.approx(SLOWDOWN, rel=0.5)
 
 
+def test_spell_of_an_engine_without_idle_time_is_found(monkeypatch):
+    """Guards against spells that are missed under overload, when prompts are sent before the last outputs."""
+    monkeypatch.setitem(globals(), "PROMPT_TOKENS", 9_000)
+    monkeypatch.setitem(globals(), "BURST_PROMPTS", 2)
+    model = make_model(within(5.0, 5.6))
+    model.run(4.0, 5.0)
+    assert model.placement.spells.begun == 0
+    model.run(5.0, 5.6)
+    assert model.placement.spells.slow == {"e1"}
+
+
 def test_engine_in_a_spell_that_gets_no_prompts_is_tried_again():
     """Guards against an engine that stays unused because no output can show that its spell has ended."""
     model = make_model(within(5.0, 5.6))
