--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -369,8 +369,7 @@
                 continue
             prefill_tokens = engine.prefill_tokens(request)
             seconds = (load.prefill_tokens + uncached_token_cost * prefill_tokens) / state.speed.rate
-            seconds += self.spells.expected_delay(state.target.target_id, view.now)
-            scored.append((seconds + state.error_cost, rank, engine))
+            scored.append((seconds + state.error_cost + state.spell_delay, rank, engine))
         return scored
 
     def admits_tokens(
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
@@ -26,6 +26,8 @@
     admits_prompt: bool = False
     """Whether the burst limit admits a prompt of the least served customer."""
     error_cost: float = 0.0
+    spell_delay: float = 0.0
+    """Time in seconds that the target is expected to lose by a slow spell."""
 
     @property
     def is_open(self) -> bool:
@@ -141,7 +143,9 @@
         speed = placement.rates.speed(target.service, target_id)
         is_cold = placement.is_cold(target, now)
         admits_prompt = True
+        spell_delay = 0.0
         if self.service.engine is not None:
+            spell_delay = placement.spells.expected_delay(target_id, now)
             window = self.burst_seconds * speed.rate
             admits_prompt = placement.bursts.admits(
                 target_id, 1, window, now, speed=speed, is_scarce=self.is_scarce
@@ -154,6 +158,7 @@
         state.has_room = load.requests < target.slots and placement.allows_request(target, self.service, now)
         state.admits_prompt = admits_prompt
         state.error_cost = placement.error_cost(target)
+        state.spell_delay = spell_delay
         self.open_targets += state.is_open
 
     def record_start(self, target: Target, session: str | None) -> None:
