--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -5,17 +5,19 @@
 
 from limpetusher.fleet.model import Pool, QueuedRequest, Service, Target
 from limpetusher.fleet.process.announced_limits import AnnouncedLimits
+from limpetusher.fleet.process.engine_spells import EngineSpells
 from limpetusher.fleet.process.pool_view import PoolView, SessionEngine, TargetView
 from limpetusher.fleet.process.prefill_bursts import UNKNOWN_SPEED, PrefillBursts
 from limpetusher.fleet.process.prefill_intervals import PrefillIntervals
 from limpetusher.fleet.process.prefill_rates import PrefillRates
 from limpetusher.fleet.process.prompt_caches import PromptCaches
 from limpetusher.fleet.process.rate_limits import TargetRateLimiter
+from limpetusher.fleet.process.session_ranking import RateSteps
+from limpetusher.fleet.process.session_ranking import rank as rank_for_session
 from limpetusher.fleet.process.target_health import TargetHealth
 from limpetusher.fleet.process.target_loads import TargetLoad, TargetLoads
 from limpetusher.fleet.process.transfers import TransferSource, prefill_tokens_with_transfer
 from limpetusher.fleet.settings import FleetSettings
-from limpetusher.fleet.version.routing import stable_hash
 
 MAX_CACHED_RANKINGS = 4_000
 REMOTE_COST = 0.5
@@ -69,6 +71,8 @@
         self.health: dict[str, TargetHealth] = {}
         self.loads = TargetLoads()
         self.rates = PrefillRates(settings)
+        self.rate_steps = RateSteps(settings.uneven_engines)
+        self.spells = EngineSpells(settings.uneven_engines)
         self.bursts = PrefillBursts(settings)
         self.intervals = PrefillIntervals()
         self.caches = PromptCaches()
@@ -79,6 +83,7 @@
         previous = self.targets.get(target.target_id)
         if previous is not None and previous.started_at_milliseconds != target.started_at_milliseconds:
             self.caches.forget(target.target_id)
+            self.spells.forget(target.target_id)
             self.leaving.discard(target.target_id)
             self.backoff_until.pop(target.target_id, None)
             self.limits.forget(target.target_id)
@@ -110,6 +115,8 @@
             self.drop_from_service(previous)
             self.health.pop(target_id, None)
             self.rates.forget(target_id)
+            self.rate_steps.forget(target_id)
+            self.spells.forget(target_id)
             self.bursts.forget(target_id)
             self.intervals.forget(target_id)
             self.caches.forget(target_id)
@@ -210,8 +217,19 @@
 
         `is_scarce` tells whether more prompt tokens wait than the engines can prefill in the next burst.
         """
+        if self.rate_steps.is_due(pool, now):
+            self.update_rate_steps(pool, now)
         return PoolView(self, pool, now, is_scarce=is_scarce)
 
+    def update_rate_steps(self, pool: Pool, now: float) -> None:
+        """Adapt the ranking of sessions to the measured rates of a pool's engines."""
+        measured = {
+            target.target_id: self.rates.measured(target.target_id) for target in self.targets_of(pool)
+        }
+        rates = {target_id: rate for target_id, rate in measured.items() if rate is not None}
+        if self.rate_steps.update(pool, rates, now):
+            self.rankings.clear()
+
     def choose(self, request: QueuedRequest, now: float, view: PoolView | None = None) -> TargetChoice | None:
         """Return a target that can take the request now, None if the request has to wait."""
         view = view or self.view(request.pool, now)
@@ -239,14 +257,14 @@
         return TargetChoice(state.target, load, ahead, state.is_cold)
 
     def ranking(self, request: QueuedRequest) -> list[str]:
-        """Return all targets of the request's pool, ranked for its session by rendezvous hashing."""
+        """Return all targets of the request's pool, ranked for its session by weighted rendezvous hashing."""
         key = (request.pool, request.session)
         ranking = self.rankings.get(key)
         if ranking is None:
             if len(self.rankings) >= MAX_CACHED_RANKINGS:
                 self.rankings.clear()
             target_ids = (target.target_id for target in self.targets_of(request.pool))
-            ranking = sorted(target_ids, key=lambda target_id: stable_hash(request.session, target_id))
+            ranking = rank_for_session(request.session, target_ids, self.rate_steps.weights)
             self.rankings[key] = ranking
         return ranking
 
@@ -351,7 +369,7 @@
                 continue
             prefill_tokens = engine.prefill_tokens(request)
             seconds = (load.prefill_tokens + uncached_token_cost * prefill_tokens) / state.speed.rate
-            scored.append((seconds + state.error_cost, rank, engine))
+            scored.append((seconds + state.error_cost + state.spell_delay, rank, engine))
         return scored
 
     def admits_tokens(
@@ -429,9 +447,11 @@
         interval = self.intervals.update_pending_tokens(target_id, pending_tokens, now)
         if target is None:
             return
-        if finished is not None:
+        rate = self.rates.measured(target_id) if now >= target.cold_until else None
+        self.spells.update_pending_tokens(target_id, pending_tokens, now, rate)
+        if finished is not None and not self.spells.affects_sample(target_id, now - finished.seconds):
             self.rates.add_sample(target.service, target_id, finished.tokens, finished.seconds)
-        if interval is not None:
+        if interval is not None and not self.spells.affects_sample(target_id, now - interval.seconds):
             self.rates.add_interval(target.service, target_id, interval)
 
     def error_cost(self, target: Target) -> float:
@@ -479,6 +499,7 @@
     def exclude_prefill(self, target_id: str) -> None:
         """Exclude the current prefill work of a target from the measured rates."""
         self.bursts.exclude_from_samples(target_id)
+        self.spells.discard(target_id)
         self.intervals.discard(target_id)
 
     def add_load(self, target_id: str, load: TargetLoad, now: float) -> None:
