Shed requests at the port for callers by their heads alone

Cause: a refused request cost nearly as much as a served one: registration with the poller, messages between components, routing, digest and a log line.

Change: while the host sheds, the caller port asks the decision once a head is parsed, and answers with 503, Retry-After and the caller's X-Request-Id. A new connection is read as soon as it is accepted; if its request is complete and the last one, it is answered and closed without being configured or registered. A body that is still sent is read and discarded, so that no answer is lost to a reset. Other connections stay open if their caller wants that. Answers are counted without encoding their labels each time. Hosts have no known spare capacity elsewhere yet, so that nothing is shed until loads are exchanged.

--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -60,6 +60,8 @@
     LOG_LINES_DROPPED = (1601, logging.WARNING, "log lines dropped")
     BODY_MEMORY_FULL = (1602, logging.WARNING, "request bodies refused for lack of memory")
     CALLER_PORT_BUSY = (1603, logging.WARNING, "port for callers is busy")
+    REQUESTS_SHED = (1604, logging.WARNING, "host is overloaded, new requests are shed")
+    SHEDDING_ENDED = (1605, logging.INFO, "host is no longer overloaded")
 
     def __init__(self, number: int, level: int, text: str):
         self.number = number
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/load_shedding.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/load_shedding.py
@@ -10,6 +10,8 @@
 
 PAUSE_SECONDS = 0.002
 """Wait of the event loop between two rounds that ends a busy stretch; polling ready sockets takes less."""
+PAUSE_FRACTION = 0.05
+"""The same as a fraction of the round before; polling takes longer the more sockets are ready."""
 MIN_STRETCH_ROUNDS = 3
 """Rounds of a busy stretch that can start shedding. A process that was paused has one long round."""
 MEMORY_SECONDS = 1.0
@@ -203,7 +205,7 @@
         """Record a round of the event loop that ends now, and start or stop shedding."""
         began_at = now - busy_seconds
         stretch = self.stretch
-        if began_at - stretch.ended_at > PAUSE_SECONDS:
+        if began_at - stretch.ended_at > max(PAUSE_SECONDS, PAUSE_FRACTION * self.last_round_seconds):
             stretch.began_at, stretch.rounds, stretch.longest_round = began_at, 0, 0.0
         stretch.ended_at = now
         stretch.rounds += 1
--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -100,6 +100,7 @@
         "head",
         "head_started",
         "held_bytes",
+        "is_admitted",
         "is_rest_dropped",
         "large_body",
         "output",
@@ -146,6 +147,8 @@
         self.request_id = ""
         self.head: RequestHead | None = None
         self.head_started = False
+        self.is_admitted = False
+        """Whether the next request is known not to be shed."""
         self.body_reader: BodyReader | None = None
         self.body_parts: list[bytes] = []
         self.body_received_at = 0.0
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -6,6 +6,7 @@
 import math
 import socket
 import struct
+from dataclasses import dataclass
 
 from circuits.core import BaseComponent, handler
 from circuits.core.pollers import EPoll
@@ -17,7 +18,12 @@
     create_listener,
     drop_new_connections,
 )
-from limpetusher_router.connection.framing import BodyReader, find_head_length, parse_request_head
+from limpetusher_router.connection.framing import (
+    BodyReader,
+    find_head_length,
+    parse_request_head,
+    parse_single_request,
+)
 from limpetusher_router.connection.held_bodies import HeldBodies
 from limpetusher_router.connection.keepalive import configure_socket
 from limpetusher_router.connection.settings import ConnectionSettings
@@ -33,11 +39,13 @@
     DeadlineReached,
     RequestReceived,
 )
+from limpetusher_router.platform.shedding import encode_shed_answer
 from limpetusher_router.process.body_memory import LARGE_BODY_BYTES, BodyMemory
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.metrics import Metrics
 from limpetusher_router.process.port_activity import PortActivity
 from limpetusher_router.process.rounds import PollerRounds
+from limpetusher_router.process.shedding import CallerShedding
 from limpetusher_router.request.answers import error_answer
 from limpetusher_router.request.id_generator import RequestIdGenerator
 
@@ -57,6 +65,7 @@
 """Time after its accept for which a connection stays open in a stop although no request has arrived on it."""
 LINGER_SECONDS = 2.0
 READ_BYTES = 65_536
+UNAVAILABLE = 503
 CONTINUE_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
@@ -64,6 +73,17 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class FirstBytes:
+    """What was read from a new connection before it is registered."""
+
+    data: bytes = b""
+    is_admitted: bool = False
+    """Whether they are a request that is known not to be shed."""
+    is_last: bool = False
+    """Whether the connection is finished."""
+
+
 class CallerServer(BaseComponent):
     """Reads requests from callers and writes answers to them.
 
@@ -73,6 +93,8 @@
 
     The bytes of bodies and of pipelined requests count in `body_memory`, which the ports of a process share.
     A request for whose body there is no room is refused, for a large body of known length before it is read.
+
+    With `shedding`, an overloaded host refuses requests by their heads alone (docs/design/load-shedding.md).
     """
 
     channel = CALLERS
@@ -90,8 +112,10 @@
         channel: str = CALLERS,
         requests_channel: str = REQUESTS,
         address: str | None = None,
+        shedding: CallerShedding | None = None,
     ):
         super().__init__(channel=channel)
+        self.shedding = shedding
         self.settings = settings
         self.requests_channel = requests_channel
         self.deadlines = deadlines
@@ -132,6 +156,8 @@
         if connection is None:
             return
         try:
+            if self.shedding is not None:
+                self.shedding.begin_read()
             self.read_connection(connection)
         except FramingError as error:
             self.refuse(connection, error)
@@ -163,6 +189,8 @@
         """Accept connections, and record for how long they were pending."""
         self.accepted_count, self.is_listener_empty = 0, False
         self.activity.begin_accepts()
+        if self.shedding is not None:
+            self.shedding.record_unread(self.activity.accepts_began_at - self.activity.unread_since)
         self.accept_connections()
         self.activity.end_accepts(accepted=self.accepted_count, is_empty=self.is_listener_empty)
 
@@ -199,6 +227,13 @@
                 self.deadlines.schedule_in(ACCEPT_PAUSE_SECONDS, DeadlineReached(), self.channel)
                 return False
             self.accepted_count += 1
+            first = FirstBytes()
+            if self.shedding is not None and self.shedding.is_active:
+                self.shedding.begin_read()
+                first = self.read_new(sock)
+                if first.is_last:
+                    self.read_rounds_while_full = 0
+                    continue
             configure_socket(sock)
             connection = CallerConnection(sock, accepted_at=self.deadlines.clock.monotonic())
             if len(self.connections) >= self.settings.max_caller_connections:
@@ -216,8 +251,56 @@
                 self.refuse(connection, error)
             else:
                 self.mark_idle(connection)
+                connection.is_admitted = first.is_admitted
+                if first.data:
+                    self.receive(connection, first.data)
         return True
 
+    def read_new(self, sock: socket.socket) -> FirstBytes:
+        """Read from a new connection, and shed its request if it is complete and the last one.
+
+        That takes none of the system calls that configure and register a connection.
+        """
+        sock.setblocking(False)
+        try:
+            data = sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return FirstBytes()
+        except OSError:
+            data = b""
+        if not data:
+            self.activity.counts.abandoned += 1
+            sock.close()
+            return FirstBytes(is_last=True)
+        head = parse_single_request(data, self.settings.max_header_bytes)
+        if head is None:
+            return FirstBytes(data)
+        if self.shedding.admits(head):
+            return FirstBytes(data, is_admitted=True)
+        self.shed_new(sock, encode_shed_answer(head, self.shedding.retry_after_seconds, closes=True))
+        self.shedding.end_refusal()
+        return FirstBytes(is_last=True)
+
+    def shed_new(self, sock: socket.socket, answer: bytes) -> None:
+        """Answer the request of a new connection and close it, unless the close would lose the answer."""
+        self.metrics.count_answer(UNAVAILABLE)
+        try:
+            count = sock.send(answer)
+        except OSError:
+            sock.close()
+            return
+        connection = CallerConnection(sock)
+        if count == len(answer) and not connection.has_unread_bytes:
+            sock.close()
+            return
+        configure_socket(sock)
+        connection.closing = connection.has_sent_head = True
+        connection.state = CallerConnectionState.LINGER
+        connection.add_output(answer[count:])
+        self.connections[sock] = connection
+        self.poller.addReader(self, sock)
+        self.flush_output(connection)
+
     def mark_idle(self, connection: CallerConnection) -> None:
         """Add a connection to the idle ones and start its idle time-out."""
         self.idle_connections[connection] = None
@@ -240,16 +323,23 @@
                 self.activity.counts.abandoned += 1
             self.close_connection(connection)
         elif connection.state is not CallerConnectionState.LINGER:
-            connection.buffer += data
+            self.receive(connection, data)
+        elif connection.discard_until:
+            seconds_left = connection.discard_until - self.deadlines.clock.monotonic()
+            self.timeouts.set_timeout(connection, min(LINGER_SECONDS, seconds_left))
+
+    def receive(self, connection: CallerConnection, data: bytes) -> None:
+        """Process bytes of requests; refuse what is malformed."""
+        connection.buffer += data
+        try:
             if connection.state is CallerConnectionState.ANSWER:
                 self.hold_pipelined(connection, len(data))
             else:
                 self.parse_buffer(connection)
             if len(connection.buffer) > self.settings.max_header_bytes:
                 self.pause_reading(connection)
-        elif connection.discard_until:
-            seconds_left = connection.discard_until - self.deadlines.clock.monotonic()
-            self.timeouts.set_timeout(connection, min(LINGER_SECONDS, seconds_left))
+        except FramingError as error:
+            self.refuse(connection, error)
 
     def read_large_body(self, connection: CallerConnection) -> None:
         """Read a part of a large body to its place in the memory that is held for it."""
@@ -274,26 +364,31 @@
             self.poller.removeReader(connection.sock)
 
     def parse_buffer(self, connection: CallerConnection) -> None:
-        """Parse buffered bytes up to the end of one request."""
-        if connection.state is CallerConnectionState.HEAD:
-            self.parse_head(connection)
+        """Parse buffered bytes up to the end of the first request that is not shed."""
+        shed_count = 0
+        while connection.state is CallerConnectionState.HEAD and self.parse_head(connection):
+            shed_count += 1
+        if shed_count:
+            self.flush_output(connection)
+            if connection.sock not in self.connections:
+                return
         if connection.state is CallerConnectionState.BODY:
             self.parse_body(connection)
 
-    def parse_head(self, connection: CallerConnection) -> None:
-        """Parse the head of a request once it is complete."""
+    def parse_head(self, connection: CallerConnection) -> bool:
+        """Parse the head of a request once it is complete, and return whether the request was shed."""
         buffer = connection.buffer
         while buffer.startswith(b"\r\n"):
             del buffer[:2]
         if not buffer:
-            return
+            return False
         if not connection.head_started:
             connection.head_started = True
             self.idle_connections.pop(connection, None)
             self.timeouts.set_timeout(connection, self.settings.header_timeout_seconds)
         length = find_head_length(buffer, self.settings.max_header_bytes)
         if length is None:
-            return
+            return False
         head = parse_request_head(bytes(buffer[:length]))
         connection.has_sent_head = True
         connection.request_id = self.id_generator.next_id()
@@ -304,16 +399,50 @@
             limit=self.settings.max_body_bytes,
         )
         del buffer[:length]
+        if self.shedding is not None and self.shed(connection):
+            return True
         connection.state = CallerConnectionState.BODY
         if head.content_length > LARGE_BODY_BYTES:
             if not self.hold_body(connection, head.content_length):
                 self.refuse_body(connection)
-                return
+                return False
             connection.allocate_large_body()
         self.timeouts.set_timeout(connection, self.settings.idle_timeout_seconds)
         if head.expects_continue and not connection.body_reader.complete and not buffer:
             connection.add_output(CONTINUE_ANSWER)
             self.flush_output(connection)
+        return False
+
+    def shed(self, connection: CallerConnection) -> bool:
+        """Answer a request whose head has been read if it is to be shed, and return whether it was.
+
+        The connection stays open if its caller wants that and the whole request has been read.
+        """
+        if connection.is_admitted or self.shedding.admits(connection.head):
+            return False
+        reader = connection.body_reader
+        if not reader.complete:
+            _body, rest = reader.feed(bytes(connection.buffer))
+            connection.buffer[:] = rest
+        is_stopping = self.close_after_answers and not connection.buffer
+        is_slow = connection.output_bytes > self.settings.caller_buffer_bytes
+        closes = not (reader.complete and connection.head.keep_alive) or is_stopping or is_slow
+        connection.add_output(
+            encode_shed_answer(connection.head, self.shedding.retry_after_seconds, closes=closes)
+        )
+        self.metrics.count_answer(UNAVAILABLE)
+        connection.begin_request()
+        if closes:
+            connection.closing = True
+            connection.state = CallerConnectionState.LINGER
+            connection.buffer.clear()
+            if not reader.complete:
+                now = self.deadlines.clock.monotonic()
+                connection.discard_until = now + self.settings.idle_timeout_seconds
+        else:
+            self.mark_idle(connection)
+        self.shedding.end_refusal()
+        return True
 
     def parse_body(self, connection: CallerConnection) -> None:
         """Collect the body and fire the request once it is complete."""
--- a/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/framing.py
@@ -10,6 +10,7 @@
 from limpetusher_router.errors import FramingError
 
 HEAD_END = b"\r\n\r\n"
+HEAD_START_PATTERN = re.compile(rb"[A-Z]")
 FIELD_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*")
 REQUEST_LINE_PATTERN = re.compile(rb"([A-Z]{1,20}) ([\x21-\x7e]+) HTTP/1\.([01])")
 STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?")
@@ -144,6 +145,25 @@
     )
 
 
+def parse_single_request(data: bytes, limit: int) -> RequestHead | None:
+    """Return the head of a request that is complete in `data`, None if it is not the only one or malformed.
+
+    Only a request after which its caller sends no other one counts.
+    """
+    if not HEAD_START_PATTERN.match(data):
+        return None
+    end = data.find(HEAD_END, 0, limit)
+    if end < 0:
+        return None
+    length = end + len(HEAD_END)
+    try:
+        head = parse_request_head(data[:length])
+    except FramingError:
+        return None
+    is_complete = not head.chunked and len(data) == length + head.content_length
+    return head if is_complete and not head.keep_alive else None
+
+
 class HeaderFieldCollector:
     """Collects header fields by name in lower case; repeated ones are joined by commas."""
 
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -15,6 +15,7 @@
 from limpetusher.clock import Clock, SystemClock
 from limpetusher.errors import ConfigurationError
 from limpetusher.events import Event
+from limpetusher.fleet.process.load_shedding import LoadShedder
 from limpetusher.fleet.process.rate_limits import RetryBudgetSettings
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.mirror import Change
@@ -51,6 +52,7 @@
 from limpetusher_router.process.logs import log_event
 from limpetusher_router.process.metrics import Metrics
 from limpetusher_router.process.root import ProcessRoot, StopSignal
+from limpetusher_router.process.shedding import CallerShedding
 from limpetusher_router.request.id_generator import RequestIdGenerator
 
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -144,7 +146,8 @@
             "rounds": self.rounds,
             **shared,
         }
-        self.callers = CallerServer(self.settings, **caller_ports).register(self)
+        self.shedding = self.make_shedding()
+        self.callers = CallerServer(self.settings, shedding=self.shedding, **caller_ports).register(self)
         TargetClient(self.settings, clock=clock, **shared).register(self)
         self.store = StoreReader(
             host,
@@ -189,6 +192,16 @@
                 metrics=self.metrics,
             ).register(self)
 
+    def make_shedding(self) -> CallerShedding:
+        """Return the load shedding of the port for callers, connected to the event loop and the metrics."""
+        shedder = LoadShedder(
+            self.host.load_shedding, spare=self.state.spare_capacity, now=self.clock.monotonic()
+        )
+        shedding = CallerShedding(shedder, clock=self.clock, find_customer=self.state.customer_of)
+        self.rounds.record_round = shedding.record_round
+        self.metrics.shedder = shedder
+        return shedding
+
     def is_ready(self) -> bool:
         """Return whether the router should get requests."""
         self.has_been_ready = self.has_been_ready or self.has_newest_configuration()
@@ -290,6 +303,7 @@
         if host != self.host:
             self.host = host
             self.set_seed_addresses(host)
+            self.shedding.shedder.settings = host.load_shedding
             limit_bytes = router_settings(host).max_held_body_bytes
             self.settings = replace(self.settings, max_held_body_bytes=limit_bytes)
             self.fire(SettingsChanged(self.settings), CALLERS)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -147,6 +147,14 @@
         """Send a message to the router at an address."""
         self.send_message(address, message)
 
+    def customer_of(self, api_key: str) -> str:
+        """Return the customer of an API key, an empty name if the key is not known."""
+        return self.configuration.customers_by_key.get(api_key, "") if self.configuration else ""
+
+    def spare_capacity(self, now: float) -> float:
+        """Return what the other hosts of the data centre can take, in units of this host's capacity."""
+        return 0.0
+
     def health_of(self, target_id: str) -> TargetHealth:
         """Return the health of a target as observed by this router."""
         return self.health.setdefault(target_id, TargetHealth())
--- a/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/settings_file.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from limpetusher.errors import ConfigurationError
+from limpetusher.fleet.process.load_shedding import LoadSheddingSettings
 
 SETTINGS_FILE_VARIABLE = "LIMPETUSHER_NODE_FILE"
 METRICS_PORT = 9464
@@ -51,6 +52,7 @@
     memory_megabytes: Annotated[float, msgspec.Meta(gt=0)] = 150.0
     is_first_start: bool = False
     store_history_seconds: float = 20.0
+    load_shedding: LoadSheddingSettings = LoadSheddingSettings()
 
     @property
     def datagram_port(self) -> int:
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -7,6 +7,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from limpetusher.fleet.process.load_shedding import LoadShedder
 from limpetusher_router.process.port_activity import PortActivity
 from limpetusher_router.process.rounds import PollerRounds
 
@@ -104,6 +105,13 @@
         self.longest_round = gauge("longest_round_seconds", "Longest round of the last seconds")
         self.ports: list[PortActivity] = []
         self.rounds: PollerRounds | None = None
+        self.shed_requests = counter(
+            "overload_requests_total", "New requests by what became of them while the host was overloaded"
+        )
+        self.shedding_gauge = gauge("shedding", "Whether the host sheds new requests")
+        self.load_gauge = gauge("load_percent", "Load of the event loop as other hosts learn it")
+        self.request_seconds_gauge = gauge("request_processor_seconds", "Learned time of an admitted request")
+        self.shedder: LoadShedder | None = None
         self.resident_memory = gauge("process_resident_memory_bytes", "Resident memory of the process")
 
     def increment_labelled(self, counter: Counter, **labels: str) -> None:
@@ -116,7 +124,7 @@
 
     def count_answer(self, status: int) -> None:
         """Count an answer to a caller."""
-        self.answers.inc({"code": str(status)})
+        self.increment_labelled(self.answers, code=str(status))
 
     def count_received_peer_message(self, size: int) -> None:
         """Count a message received from a peer."""
@@ -150,6 +158,17 @@
             self.round_seconds.set({"part": part}, getattr(self.rounds.totals, part))
         self.longest_round.set({}, self.rounds.longest.total)
 
+    def set_shedding_metrics(self) -> None:
+        """Set the metrics of load shedding."""
+        shedder = self.shedder
+        if shedder is None:
+            return
+        for event in ("shed", "kept"):
+            self.shed_requests.set({"event": event}, getattr(shedder.counts, event))
+        self.shedding_gauge.set({}, int(shedder.is_shedding))
+        self.load_gauge.set({}, shedder.load(self.rounds.began_at))
+        self.request_seconds_gauge.set({}, shedder.request_seconds)
+
     def render(self) -> tuple[bytes, str]:
         """Return all metrics in the text format, and the content type."""
         self.waiting_gauge.set({}, self.waiting_requests)
@@ -168,5 +187,6 @@
         self.resident_memory.set({}, resident_bytes())
         self.set_port_metrics()
         self.set_round_metrics()
+        self.set_shedding_metrics()
         text, headers = render(self.registry, ["text/plain"])
         return text, headers["Content-Type"]
--- a/packages/limpetusher-router/src/limpetusher_router/process/rounds.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/rounds.py
@@ -1,6 +1,7 @@
 """Times of the rounds of a process's event loop."""
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from limpetusher.clock import Clock
@@ -49,6 +50,8 @@
         self.stall_ended_at = -math.inf
         self.interval_ends_at = self.began_at + INTERVAL_SECONDS
         self.longest_in_interval, self.longest_before = RoundTimes(), RoundTimes()
+        self.record_round: Callable[[float, float], None] | None = None
+        """Gets the time of each round and the time of its end."""
 
     @property
     def unread_seconds(self) -> float:
@@ -93,3 +96,5 @@
             self.interval_ends_at = now + INTERVAL_SECONDS
         if total > self.longest_in_interval.total:
             self.longest_in_interval = RoundTimes(total, accepts, sockets, messages)
+        if self.record_round is not None:
+            self.record_round(total, now)
--- a/packages/limpetusher-router/src/limpetusher_router/request/answers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/answers.py
@@ -40,8 +40,12 @@
 
 def error_body(request_id: str, error: ErrorReason) -> bytes:
     """Return the JSON body of an error answer."""
-    body = ErrorBody(str(error.code), error.message, request_id, error.ran)
-    return msgspec.json.encode(ErrorDocument(body))
+    return encode_error(ErrorDocument(ErrorBody(str(error.code), error.message, request_id, error.ran)))
+
+
+def encode_error(document: ErrorDocument) -> bytes:
+    """Return the JSON form of an error document."""
+    return msgspec.json.encode(document)
 
 
 def error_answer(request_id: str, error: ErrorReason) -> SendAnswer:
--- /dev/null
+++ b/tests/router/fleet/test_load_shedding.py
@@ -0,0 +1,126 @@
+"""Tests of a real router process that sheds requests at its port for callers."""
+
+import re
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from builders_platform import FleetRun, exchange, fleet_run, request_text, split_answer
+from builders_router import read_all
+
+pytestmark = [pytest.mark.integration, pytest.mark.timeout(60)]
+SHED_KEY = "key-shed"
+SHED_EVERYTHING_OF_UNKNOWN_KEYS = """
+from limpetusher.fleet.process.load_shedding import LoadShedder
+
+def admits(shedder, customer, is_return, now):
+    shedder.is_shedding = True
+    return customer != ""
+
+LoadShedder.is_shedding = property(lambda shedder: True, lambda shedder, value: None)
+LoadShedder.admits = admits
+"""
+"""Preamble of a router process that sheds all requests whose API key is not known."""
+
+
+@pytest.fixture(scope="module")
+def run(tmp_path_factory) -> FleetRun:
+    folder: Path = tmp_path_factory.mktemp("shedding")
+    options = {"preamble": SHED_EVERYTHING_OF_UNKNOWN_KEYS}
+    with fleet_run(folder, lambda call, _number: call.answer(b"done"), **options) as run:
+        yield run
+        assert "Traceback" not in run.router.log.read_text()
+        assert "traceback" not in run.router.log.read_text()
+
+
+def connect(run: FleetRun) -> socket.socket:
+    host, port = run.router.caller.split(":")
+    return socket.create_connection((host, int(port)), timeout=10)
+
+
+def shed_request(*, keep: bool = False, **options: str) -> str:
+    text = request_text(x_credential=SHED_KEY, **options)
+    return text.replace("connection: close\r\n", "") if keep else text
+
+
+def check_shed(answer: bytes) -> None:
+    """Check that an answer states that the request has not run and may be sent again at once."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 503 ")
+    assert b"\r\nx-request-id: req-1\r\n" in head
+    assert float(re.search(rb"retry-after: ([0-9.]+)", head)[1]) <= 0.5
+    assert int(re.search(rb"content-length: ([0-9]+)", head)[1]) == len(body)
+    assert b'"code":"overloaded"' in body
+    assert b'"ran":"no"' in body
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("keep", [False, True])
+@pytest.mark.parametrize("delay", [0.0, 0.1])
+def test_shed_request_is_answered_and_sent_nowhere(run, method, keep, delay):
+    """Load: more than the host can handle. Guards against a refused request that has run."""
+    calls = len(run.calls)
+    body = "x" * 100 if method == "POST" else ""
+    with connect(run) as sock:
+        time.sleep(delay)
+        sock.sendall(shed_request(method=method, body=body, keep=keep).encode())
+        if keep:
+            sock.shutdown(socket.SHUT_WR)
+        check_shed(read_all(sock))
+    assert len(run.calls) == calls
+
+
+def test_others_are_served_meanwhile(run):
+    """Guards against an admitted request that is lost on the short path of new connections."""
+    for body in ("", "x" * 50_000):
+        status, answer = run.ask(method="POST", body=body)
+        assert (status, answer) == (200, b"done")
+
+
+def test_connection_stays_open_after_a_shed_request(run):
+    """Guards against new connections that retries would need, and against mixed-up answers."""
+    with connect(run) as sock:
+        sock.settimeout(10)
+        for _ in range(2):
+            sock.sendall(shed_request(keep=True, method="POST", body="abc").encode())
+            check_shed(sock.recv(65_536))
+        sock.sendall(request_text().encode())
+        assert split_answer(read_all(sock)) == (200, b"done")
+
+
+def test_thousands_of_pipelined_requests_are_shed_in_order(run):
+    """Load: 3,000 requests on one connection. Guards against recursion, and against unbounded answers."""
+    with connect(run) as sock:
+        sock.sendall(3_000 * shed_request(keep=True).encode() + request_text().encode())
+        answers = read_all(sock)
+    assert answers.count(b"HTTP/1.1 503 ") == 3_000
+    assert answers.endswith(b"done")
+
+
+@pytest.mark.parametrize("keep", [False, True])
+def test_answer_is_not_lost_while_the_caller_still_sends_its_body(run, keep):
+    """Load: a body of 90 KB, most of it sent after the refusal. Guards against a reset of the connection."""
+    with connect(run) as sock:
+        head, _, _ = shed_request(method="POST", body="-", keep=keep).partition("\r\n\r\n")
+        sock.sendall(head.replace("content-length: 1", "content-length: 90000").encode() + b"\r\n\r\nxx")
+        time.sleep(0.2)
+        for _ in range(10):
+            sock.sendall(b"x" * 8_900)
+            time.sleep(0.01)
+        answer = read_all(sock)
+    check_shed(answer)
+    assert b"connection: close" in answer
+
+
+def test_caller_that_asks_before_its_body_is_refused_without_it(run):
+    """Guards against an interim answer that asks for the body of a request that is shed."""
+    text = shed_request(method="POST", content_length="5", expect="100-continue")
+    check_shed(exchange(run.router.caller, text))
+
+
+def test_malformed_request_is_refused_as_malformed(run):
+    """Guards against a promise of another try for a request that no host accepts."""
+    text = shed_request(method="POST", content_length="ten")
+    assert split_answer(exchange(run.router.caller, text))[0] == 400
