Exchange the load of hosts with the membership gossip

Cause: shedding helps only where another host has spare capacity, which no host knew of the others.

Change: each gossip entry states the load of its host in percent (-1 if it does not); the spare capacity of responsive hosts of the own data centre limits what is shed. Excess that no host can take waits here while less than 0.1 s of work is admitted; beyond that it is refused with a longer Retry-After, as it would only make the host too slow for those that it can serve.

--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -11,6 +11,8 @@
 PROTOCOL_VERSION = 8
 UNNAMED_STREAM = 1
 """Identifier of a stream whose caller does not name the request that began it."""
+UNKNOWN_LOAD = -1
+"""Load of a host that does not state it."""
 MAX_TOKENS = 10**9
 """Upper bound of valid token counts."""
 
@@ -355,7 +357,10 @@
 
 
 class MemberEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Gossip entry of one router. `capacity` is in cores; the router itself increments `heartbeat`."""
+    """Gossip entry of one router. `capacity` is in cores; the router itself increments `heartbeat`.
+
+    `load` is the time in percent that its event loop is busy, -1 if it does not state that.
+    """
 
     address: str
     data_centre: str
@@ -363,6 +368,7 @@
     incarnation: int
     heartbeat: int
     is_leaving: bool = False
+    load: int = UNKNOWN_LOAD
 
     @property
     def freshness_key(self) -> tuple[int, int, bool]:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/load_shedding.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/load_shedding.py
@@ -1,13 +1,16 @@
 """Decision which new requests a host refuses because it gets more than its processor can handle."""
 
+import enum
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Annotated
 
 import msgspec
 from msgspec import Meta
 
+from limpetusher.fleet.messages import MemberEntry
+
 PAUSE_SECONDS = 0.002
 """Wait of the event loop between two rounds that ends a busy stretch; polling ready sockets takes less."""
 PAUSE_FRACTION = 0.05
@@ -44,8 +47,6 @@
 """Limit of the customers that are told apart; the least recent ones are forgotten."""
 FULL_LOAD = 100
 """Load of a host without spare capacity, in percent."""
-UNKNOWN_LOAD = -1
-"""Load of a host that does not state it."""
 SPARE_BELOW_LOAD = 80
 """Load in percent above which a host takes no requests of others, below the start of its own shedding."""
 
@@ -67,8 +68,12 @@
         Time within which new connections should be accepted and read.
     calm_seconds
         Time without excess requests after which shedding stops.
+    backlog_seconds
+        Admitted work up to which requests are still admitted that no other host can take.
     retry_after_seconds
         Time after which the caller of a shed request may retry; short, as another host can serve it at once.
+    refused_retry_after_seconds
+        The same for a request that no other host is known to have capacity for.
     """
 
     is_enabled: bool = True
@@ -77,7 +82,19 @@
     round_seconds: Annotated[float, Meta(ge=0.005, le=1.0)] = 0.05
     unread_seconds: Annotated[float, Meta(ge=0.01, le=1.0)] = 0.25
     calm_seconds: Annotated[float, Meta(ge=0.1, le=60.0)] = 1.0
+    backlog_seconds: Annotated[float, Meta(ge=0.0, le=0.5)] = 0.1
     retry_after_seconds: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.05
+    refused_retry_after_seconds: Annotated[float, Meta(ge=0.0, le=10.0)] = 0.5
+
+
+class Verdict(enum.Enum):
+    """What becomes of a new request."""
+
+    ADMITTED = enum.auto()
+    SHED = enum.auto()
+    """Refused, as another host can take it at once."""
+    REFUSED = enum.auto()
+    """Refused although no other host is known to have capacity, as it would be read too late here."""
 
 
 class DecayingSum:
@@ -114,6 +131,8 @@
 
     admitted: int = 0
     shed: int = 0
+    refused: int = 0
+    """Excess requests that were refused although no other host was known to take them."""
     kept: int = 0
     """Excess requests that were admitted because no other host could take them."""
 
@@ -241,7 +260,11 @@
             self.budgets = Budgets(now, spare=rate * BURST_SECONDS, spare_rate=rate, spare_looked_up_at=now)
 
     def admits(self, customer: str, is_return: bool, now: float) -> bool:
-        """Return whether a new request is admitted.
+        """Return whether a new request is admitted; see `decide`."""
+        return self.decide(customer, is_return, now) is Verdict.ADMITTED
+
+    def decide(self, customer: str, is_return: bool, now: float) -> Verdict:
+        """Return what becomes of a new request.
 
         Parameters
         ----------
@@ -261,12 +284,15 @@
             return self.admit(usage, now)
         self.excess_at = now
         usage.returned.add(float(is_return), now)
-        if budgets.spare < self.request_seconds:
+        if budgets.spare >= self.request_seconds:
+            budgets.spare -= self.request_seconds
+            self.counts.shed += 1
+            return Verdict.SHED
+        if budgets.work > -self.settings.backlog_seconds:
             self.counts.kept += 1
             return self.admit(usage, now)
-        budgets.spare -= self.request_seconds
-        self.counts.shed += 1
-        return False
+        self.counts.refused += 1
+        return Verdict.REFUSED
 
     def is_affordable(self, is_return: bool) -> bool:
         """Return whether the time budgets of the host and of the current round have room for a request."""
@@ -276,7 +302,7 @@
         fits = not self.round_work or self.round_work + self.request_seconds <= limit
         return fits and self.budgets.work > 0.0
 
-    def admit(self, usage: CustomerUsage, now: float) -> bool:
+    def admit(self, usage: CustomerUsage, now: float) -> Verdict:
         """Count an admitted request."""
         self.counts.admitted += 1
         self.admitted.add(1.0, now)
@@ -284,7 +310,7 @@
         self.round_work += self.request_seconds
         if self.is_shedding:
             self.budgets.work = max(-MAX_DEBT_SECONDS, self.budgets.work - self.request_seconds)
-        return True
+        return Verdict.ADMITTED
 
     def usage_of(self, customer: str, now: float) -> CustomerUsage:
         """Return the usage of a customer that asks now; customers are kept in the order of their requests."""
@@ -335,6 +361,14 @@
 
 def spare_capacity(load: int, capacity: float) -> float:
     """Return the cores that a host with a stated load in percent has left for requests of others."""
-    if not 0 <= load <= FULL_LOAD:
+    if not 0 <= load <= FULL_LOAD or not 0.0 < capacity < math.inf:
         return 0.0
     return max(0, SPARE_BELOW_LOAD - load) / FULL_LOAD * capacity
+
+
+def spare_capacity_of_others(own: MemberEntry, members: Iterable[MemberEntry]) -> float:
+    """Return what other hosts can take, as a multiple of the capacity of the own one."""
+    cores = sum(
+        spare_capacity(entry.load, entry.capacity) for entry in members if entry.address != own.address
+    )
+    return cores / own.capacity if own.capacity > 0.0 else 0.0
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
@@ -143,6 +143,10 @@
         """Replace the addresses used to discover the fleet."""
         self.seeds = tuple(seed for seed in seeds if seed != self.own.address)
 
+    def set_load(self, load: int) -> None:
+        """Set the load of this router, which its next heartbeat states."""
+        self.own = msgspec.structs.replace(self.own, load=load)
+
     def leave(self) -> None:
         """Announce in all further gossip that this router is about to stop."""
         self.own = msgspec.structs.replace(self.own, is_leaving=True)
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -275,9 +275,10 @@
         head = parse_single_request(data, self.settings.max_header_bytes)
         if head is None:
             return FirstBytes(data)
-        if self.shedding.admits(head):
+        retry_after_seconds = self.shedding.retry_after_seconds(head)
+        if retry_after_seconds is None:
             return FirstBytes(data, is_admitted=True)
-        self.shed_new(sock, encode_shed_answer(head, self.shedding.retry_after_seconds, closes=True))
+        self.shed_new(sock, encode_shed_answer(head, retry_after_seconds, closes=True))
         self.shedding.end_refusal()
         return FirstBytes(is_last=True)
 
@@ -399,7 +400,7 @@
             limit=self.settings.max_body_bytes,
         )
         del buffer[:length]
-        if self.shedding is not None and self.shed(connection):
+        if self.shedding is not None and not connection.is_admitted and self.shed(connection):
             return True
         connection.state = CallerConnectionState.BODY
         if head.content_length > LARGE_BODY_BYTES:
@@ -418,7 +419,8 @@
 
         The connection stays open if its caller wants that and the whole request has been read.
         """
-        if connection.is_admitted or self.shedding.admits(connection.head):
+        retry_after_seconds = self.shedding.retry_after_seconds(connection.head)
+        if retry_after_seconds is None:
             return False
         reader = connection.body_reader
         if not reader.complete:
@@ -427,9 +429,7 @@
         is_stopping = self.close_after_answers and not connection.buffer
         is_slow = connection.output_bytes > self.settings.caller_buffer_bytes
         closes = not (reader.complete and connection.head.keep_alive) or is_stopping or is_slow
-        connection.add_output(
-            encode_shed_answer(connection.head, self.shedding.retry_after_seconds, closes=closes)
-        )
+        connection.add_output(encode_shed_answer(connection.head, retry_after_seconds, closes=closes))
         self.metrics.count_answer(UNAVAILABLE)
         connection.begin_request()
         if closes:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -536,6 +536,7 @@
 
     def run_gossip_round(self, now: float) -> None:
         """Send membership entries to some routers, and drop the state of forgotten ones."""
+        self.state.members.set_load(self.state.own_load(now))
         entries, addresses = self.state.members.gossip(now)
         self.send_gossip(entries, addresses)
         for address in self.state.members.forget(now):
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/state.py
@@ -10,8 +10,9 @@
 from limpetusher.clock import Clock
 from limpetusher.errors import ConfigurationError
 from limpetusher.events import Event
-from limpetusher.fleet.messages import MemberEntry, Message, RateLimitNotice
+from limpetusher.fleet.messages import UNKNOWN_LOAD, MemberEntry, Message, RateLimitNotice
 from limpetusher.fleet.model import FleetConfiguration, Route, Target
+from limpetusher.fleet.process.load_shedding import spare_capacity_of_others
 from limpetusher.fleet.process.members import Members
 from limpetusher.fleet.process.placement import Placement
 from limpetusher.fleet.process.pools import Pools
@@ -128,6 +129,8 @@
         self.scheduler_client = SchedulerClient(self.pools, send=self.send, unusable=self.unusable_targets)
         self.versions = self.scheduler.versions
         self.history_seconds = host.store_history_seconds
+        self.own_load: Callable[[float], int] = lambda _now: UNKNOWN_LOAD
+        """Returns the load of this host in percent."""
         self.send_message: Callable[[str, Message], None] | None = None
         """Sends a message to the router at an address; set once the messaging component exists."""
         self.health: dict[str, TargetHealth] = {}
@@ -153,7 +156,8 @@
 
     def spare_capacity(self, now: float) -> float:
         """Return what the other hosts of the data centre can take, in units of this host's capacity."""
-        return 0.0
+        members = self.members
+        return spare_capacity_of_others(members.own, members.responsive(now, members.own.data_centre))
 
     def health_of(self, target_id: str) -> TargetHealth:
         """Return the health of a target as observed by this router."""
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -163,7 +163,7 @@
         shedder = self.shedder
         if shedder is None:
             return
-        for event in ("shed", "kept"):
+        for event in ("shed", "refused", "kept"):
             self.shed_requests.set({"event": event}, getattr(shedder.counts, event))
         self.shedding_gauge.set({}, int(shedder.is_shedding))
         self.load_gauge.set({}, shedder.load(self.rounds.began_at))
--- a/packages/limpetusher-router/src/limpetusher_router/process/shedding.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/shedding.py
@@ -2,10 +2,11 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 
 from limpetusher.clock import Clock
 from limpetusher.events import Event
-from limpetusher.fleet.process.load_shedding import LoadShedder, ShedCounts
+from limpetusher.fleet.process.load_shedding import LoadShedder, ShedCounts, Verdict
 from limpetusher.fleet.process.stated_waits import StatedWaits
 from limpetusher_router.connection.framing import RequestHead
 from limpetusher_router.platform.shedding import decode_shedding_fields
@@ -47,21 +48,22 @@
         """Return whether requests may be shed now."""
         return self.shedder.is_shedding
 
-    @property
-    def retry_after_seconds(self) -> float:
-        """Return the time after which the caller of a shed request may retry."""
-        return self.shedder.settings.retry_after_seconds
+    def retry_after_seconds(self, head: RequestHead) -> float | None:
+        """Return after which time the caller of a refused request may retry, None if it is admitted.
 
-    def admits(self, head: RequestHead) -> bool:
-        """Return whether a request is admitted. A stream that is taken up again counts as a further try."""
+        A stream that is taken up again counts as a further try.
+        """
         fields = decode_shedding_fields(head)
         customer = self.find_customer(fields.api_key)
         now = self.clock.monotonic()
         is_return = self.waits.is_return((customer, *fields.kind), fields.seconds_left, now)
-        if self.shedder.admits(customer, is_return or fields.is_continued_stream, now):
-            return True
+        verdict = self.shedder.decide(customer, is_return or fields.is_continued_stream, now)
+        if verdict is Verdict.ADMITTED:
+            return None
         self.shed_by_customer[customer] += 1
-        return False
+        settings = self.shedder.settings
+        is_shed = verdict is Verdict.SHED
+        return settings.retry_after_seconds if is_shed else settings.refused_retry_after_seconds
 
     def begin_read(self) -> None:
         """Record that a connection is read, whose requests may be shed."""
@@ -92,6 +94,7 @@
             Event.REQUESTS_SHED if shedder.is_shedding else Event.SHEDDING_ENDED,
             admitted=counts.admitted - before.admitted,
             shed=counts.shed - before.shed,
+            refused=counts.refused - before.refused,
             kept=counts.kept - before.kept,
             customers=dict(self.shed_by_customer.most_common(LOGGED_CUSTOMERS)),
             round=round(shedder.last_round_seconds, 3),
@@ -100,6 +103,6 @@
             spare=round(shedder.budgets.spare_rate, 3),
         )
         self.logged_at = now
-        self.logged_counts = ShedCounts(counts.admitted, counts.shed, counts.kept)
+        self.logged_counts = replace(counts)
         self.shed_by_customer.clear()
         self.was_logged = shedder.is_shedding
--- a/tests/fleet/process/test_members.py
+++ b/tests/fleet/process/test_members.py
@@ -225,3 +225,23 @@
                 fleet[receiver].record_message(address, now)
         divided |= {address for address, members in fleet.items() if members.may_be_divided(1.0, now)}
     assert not divided
+
+
+def test_load_of_a_router_is_known_to_others_with_its_next_heartbeat_until_it_expires():
+    """Guards against requests that are sent to a host because of a load that it stated long ago."""
+    busy, other = make_members(), Members(make_entry(PEER), rng=random.Random(2))
+    busy.set_seeds((PEER,))
+    other.merge(busy.gossip(0.0)[0], 0.0)
+    assert [entry.load for entry in other.responsive(0.0, "north") if entry.address == OWN] == [-1]
+    busy.set_load(70)
+    for number in range(1, 6):
+        other.merge(busy.gossip(number * GOSSIP_INTERVAL_SECONDS)[0], number * GOSSIP_INTERVAL_SECONDS)
+    assert [entry.load for entry in other.responsive(2.6, "north") if entry.address == OWN] == [70]
+    expired = 2.6 + LIVENESS_TIMEOUT_SECONDS
+    assert OWN not in addresses(other.responsive(expired, "north"))
+
+
+def test_entry_of_a_router_that_states_no_load_is_valid():
+    """Guards against messages between two releases that are dropped because of the load."""
+    data = msgspec.msgpack.encode([OWN, "north", 1.0, 5, 1, False])
+    assert msgspec.msgpack.decode(data, type=MemberEntry).load == -1
