Keep new connections readable beside a flood on open ones

Cause: beside 3,000 open connections that repeat refused requests at once, what refusals took beyond their recorded time counted as the price of admitted ones, so that ever less was admitted; rounds read up to 17,000 requests; and the listener was reported in every third round only.

Change: the time of reads is divided among events before it is attributed; while shedding, a round reads no new requests on open connections after 50 ms, and first accepts and reads new connections. A customer has its share from its first request on.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/load_shedding.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/load_shedding.py
@@ -21,6 +21,9 @@
 """Time constant of the sums of work and requests; covers the rounds in which one request is processed."""
 MIN_SAMPLE_REQUESTS = 5.0
 """Decayed number of admitted requests from which on the time of a request is learned."""
+READS_PER_REQUEST = 3.0
+"""Events of sockets that an admitted request causes, relative to one that is refused: its head, the target's
+connection and the target's answer."""
 INITIAL_REQUEST_SECONDS = 0.001
 """Assumed time of a request until one has been learned."""
 LONG_ROUND_FRACTION = 0.5
@@ -188,9 +191,15 @@
         self.busy = DecayingSum(now)
         """Time of all rounds."""
         self.work = DecayingSum(now)
-        """Time of all rounds less that of refusals."""
+        """Time of all rounds less that of events of sockets."""
         self.refusals = DecayingSum(now)
         """Time of refusals."""
+        self.round_refusals = 0
+        """Number of the refusals of the current round."""
+        self.refused = DecayingSum(now)
+        """Number of refusals."""
+        self.reads = DecayingSum(now)
+        """Time of events of sockets less that of refusals."""
         self.round_work = 0.0
         """Time that the requests admitted in the current round are expected to take."""
         self.admitted = DecayingSum(now)
@@ -219,9 +228,13 @@
     def record_refusal(self, seconds: float) -> None:
         """Record the time that a refusal has taken, which is not part of the cost of admitted requests."""
         self.refusal_seconds += seconds
+        self.round_refusals += 1
 
-    def record_round(self, busy_seconds: float, now: float) -> None:
-        """Record a round of the event loop that ends now, and start or stop shedding."""
+    def record_round(self, busy_seconds: float, now: float, *, read_seconds: float = 0.0) -> None:
+        """Record a round of the event loop that ends now, and start or stop shedding.
+
+        `read_seconds` of it were spent on events of sockets, refusals included.
+        """
         began_at = now - busy_seconds
         stretch = self.stretch
         if began_at - stretch.ended_at > max(PAUSE_SECONDS, PAUSE_FRACTION * self.last_round_seconds):
@@ -231,17 +244,29 @@
         stretch.longest_round = max(stretch.longest_round, busy_seconds)
         self.last_round_seconds = busy_seconds
         self.busy.add(busy_seconds, now)
-        work = self.work.add(max(0.0, busy_seconds - self.refusal_seconds), now)
-        self.refusals.add(self.refusal_seconds, now)
-        self.refusal_seconds = self.round_work = 0.0
-        admitted = self.admitted.add(0.0, now)
-        if admitted >= MIN_SAMPLE_REQUESTS:
-            self.request_seconds = work / admitted
+        self.learn(busy_seconds, read_seconds, now)
         if not self.is_shedding:
             self.start_if_overloaded(now)
         elif now - self.excess_at > self.settings.calm_seconds:
             self.is_shedding = False
 
+    def learn(self, busy_seconds: float, read_seconds: float, now: float) -> None:
+        """Update the time that an admitted request takes, from the times of a round.
+
+        What reads take beyond the recorded time of refusals is divided by the number of events; otherwise
+        the price of an admitted request would rise with the number of refused ones.
+        """
+        reads = max(0.0, read_seconds - self.refusal_seconds)
+        others = max(0.0, busy_seconds - max(read_seconds, self.refusal_seconds))
+        self.refusals.add(self.refusal_seconds, now)
+        refused = self.refused.add(self.round_refusals, now)
+        self.refusal_seconds, self.round_refusals, self.round_work = 0.0, 0, 0.0
+        admitted = self.admitted.add(0.0, now)
+        events = READS_PER_REQUEST * admitted
+        work = self.work.add(others, now) + self.reads.add(reads, now) * events / max(1.0, events + refused)
+        if admitted >= MIN_SAMPLE_REQUESTS:
+            self.request_seconds = work / admitted
+
     def start_if_overloaded(self, now: float) -> None:
         """Start shedding if the event loop has been busy for too long and requests wait because of it."""
         stretch, settings = self.stretch, self.settings
@@ -315,6 +340,8 @@
     def usage_of(self, customer: str, now: float) -> CustomerUsage:
         """Return the usage of a customer that asks now; customers are kept in the order of their requests."""
         usage = self.customers.pop(customer, None)
+        if usage is None or now - usage.asked_at > ACTIVE_SECONDS:
+            self.active_counted_at = -math.inf
         if usage is None:
             usage = CustomerUsage(DecayingSum(now), DecayingSum(now), now)
             if len(self.customers) >= MAX_CUSTOMERS:
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -134,6 +134,13 @@
         """Connections accepted since the listening socket was reported as readable."""
         self.is_listener_empty = False
         """Whether the last accept found no connection."""
+        self.is_accepting_paused = False
+        """Whether accepts wait for a moment, as one failed."""
+        self.awaited_connections: dict[CallerConnection, None] = {}
+        """Connections accepted while shedding, before their first request had arrived; as many as one event
+        accepts at most."""
+        self.accepted_in_round = -1
+        """Number of the last round in which connections were accepted before others were read."""
         self.close_after_answers = False
         """Whether each connection closes after its next answer behind which nothing was read, because the
         process stops."""
@@ -152,8 +159,9 @@
         if sock is self.listener:
             self.read_listener()
             return
+        self.accept_first()
         connection = self.connections.get(sock)
-        if connection is None:
+        if connection is None or self.is_read_postponed(connection):
             return
         try:
             if self.shedding is not None:
@@ -165,6 +173,46 @@
             logger.exception("reading from a caller failed")
             self.close_connection(connection)
 
+    def accept_first(self) -> None:
+        """Accept connections once in each round while shedding, before others are read.
+
+        The poller reports a limited number of sockets at a time, so that a listener behind thousands of
+        readable connections would be read in every third round only.
+        """
+        is_due = self.accepted_in_round != self.activity.rounds.count
+        if is_due and self.shedding is not None and self.shedding.is_active:
+            self.accepted_in_round = self.activity.rounds.count
+            if self.listener is not None and not self.is_accepting_paused:
+                self.read_listener()
+            self.read_awaited()
+
+    def await_request(self, connection: CallerConnection) -> None:
+        """Read from a new connection before others, so that it does not wait behind those of a flood."""
+        if len(self.awaited_connections) < ACCEPTS_PER_EVENT:
+            self.awaited_connections[connection] = None
+
+    def read_awaited(self) -> None:
+        """Read from connections that were accepted lately without a request."""
+        since = self.activity.rounds.began_at - FIRST_REQUEST_SECONDS
+        for connection in list(self.awaited_connections):
+            is_open = connection.sock in self.connections and not connection.head_started
+            if is_open and not connection.has_sent_head and connection.accepted_at >= since:
+                self.shedding.begin_read()
+                self.read_connection(connection)
+            else:
+                self.awaited_connections.pop(connection, None)
+
+    def is_read_postponed(self, connection: CallerConnection) -> bool:
+        """Return whether a new request is read in a later round, as this one has taken long enough.
+
+        The poller reports the connection again. Bodies and connections with an answer are read in any case.
+        """
+        return (
+            self.shedding is not None
+            and connection.state is CallerConnectionState.HEAD
+            and self.shedding.is_round_full(self.activity.rounds.began_at)
+        )
+
     @handler("_write")
     def on_writable(self, sock: socket.socket) -> None:
         """Write buffered output to a caller."""
@@ -224,6 +272,7 @@
                 self.activity.counts.failed += 1
                 logger.warning("accepting a connection failed: %s", errno.errorcode.get(error.errno, error))
                 self.poller.removeReader(self.listener)
+                self.is_accepting_paused = True
                 self.deadlines.schedule_in(ACCEPT_PAUSE_SECONDS, DeadlineReached(), self.channel)
                 return False
             self.accepted_count += 1
@@ -254,6 +303,8 @@
                 connection.is_admitted = first.is_admitted
                 if first.data:
                     self.receive(connection, first.data)
+                elif self.shedding is not None and self.shedding.is_active:
+                    self.await_request(connection)
         return True
 
     def read_new(self, sock: socket.socket) -> FirstBytes:
@@ -724,6 +775,7 @@
         if self.connections.pop(connection.sock, None) is None:
             return
         self.idle_connections.pop(connection, None)
+        self.awaited_connections.pop(connection, None)
         self.bodies.end(connection)
         self.poller.discard(connection.sock)
         connection.sock.close()
@@ -736,6 +788,7 @@
     def on_due(self, connection: CallerConnection | None) -> None:
         """Resume accepting, or handle the time-out of a connection unless it was extended meanwhile."""
         if connection is None:
+            self.is_accepting_paused = False
             if self.listener is not None:
                 self.poller.addReader(self, self.listener)
             return
--- a/packages/limpetusher-router/src/limpetusher_router/process/rounds.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/rounds.py
@@ -50,8 +50,8 @@
         self.stall_ended_at = -math.inf
         self.interval_ends_at = self.began_at + INTERVAL_SECONDS
         self.longest_in_interval, self.longest_before = RoundTimes(), RoundTimes()
-        self.record_round: Callable[[float, float], None] | None = None
-        """Gets the time of each round and the time of its end."""
+        self.record_round: Callable[[float, float, float], None] | None = None
+        """Gets the time of each round, the part of it spent on events of sockets, and the time of its end."""
 
     @property
     def unread_seconds(self) -> float:
@@ -97,4 +97,4 @@
         if total > self.longest_in_interval.total:
             self.longest_in_interval = RoundTimes(total, accepts, sockets, messages)
         if self.record_round is not None:
-            self.record_round(total, now)
+            self.record_round(total, total - messages, now)
--- a/packages/limpetusher-router/src/limpetusher_router/process/shedding.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/shedding.py
@@ -65,6 +65,11 @@
         is_shed = verdict is Verdict.SHED
         return settings.retry_after_seconds if is_shed else settings.refused_retry_after_seconds
 
+    def is_round_full(self, began_at: float) -> bool:
+        """Return whether the round that began at a time has to read no further requests."""
+        round_seconds = self.shedder.settings.round_seconds
+        return self.is_active and self.clock.monotonic() - began_at > round_seconds
+
     def begin_read(self) -> None:
         """Record that a connection is read, whose requests may be shed."""
         if self.is_active:
@@ -80,9 +85,9 @@
         """Record how long the oldest unread connection has waited."""
         self.shedder.record_unread(seconds)
 
-    def record_round(self, busy_seconds: float, now: float) -> None:
+    def record_round(self, busy_seconds: float, read_seconds: float, now: float) -> None:
         """Record a round of the event loop, and log once a second while the host is overloaded."""
-        self.shedder.record_round(busy_seconds, now)
+        self.shedder.record_round(busy_seconds, now, read_seconds=read_seconds)
         if (self.shedder.is_shedding or self.was_logged) and now >= self.logged_at + LOG_INTERVAL_SECONDS:
             self.log(now)
 
--- a/tests/builders_shedding.py
+++ b/tests/builders_shedding.py
@@ -24,6 +24,8 @@
     request_seconds: float = 0.002
     spare: float = 100.0
     settings: LoadSheddingSettings = field(default_factory=LoadSheddingSettings)
+    unrecorded_seconds: float = 0.0
+    """Part of the time of a refusal that the event loop can't attribute to it."""
     now: float = 0.0
 
     def __post_init__(self):
@@ -46,6 +48,7 @@
     def run_round(self) -> bool:
         """Run one round, and return whether it had something to do."""
         began_at = self.now
+        reads = 0.0
         self.receive(began_at)
         if not self.waiting:
             return False
@@ -61,9 +64,10 @@
                 counter = self.shed if verdict is Verdict.SHED else self.refused
                 counter[name] += 1
                 self.now += REFUSAL_SECONDS
-                self.shedder.record_refusal(REFUSAL_SECONDS)
+                self.shedder.record_refusal(REFUSAL_SECONDS - self.unrecorded_seconds)
+                reads += REFUSAL_SECONDS
         self.rounds.append(self.now - began_at)
-        self.shedder.record_round(self.now - began_at, self.now)
+        self.shedder.record_round(self.now - began_at, self.now, read_seconds=reads)
         return True
 
     def receive(self, now: float) -> None:
--- a/tests/fleet/process/test_load_shedding.py
+++ b/tests/fleet/process/test_load_shedding.py
@@ -67,6 +67,18 @@
     assert rounds[int(0.99 * len(rounds))] < 0.05
 
 
+def test_refusals_do_not_raise_the_price_of_admitted_requests():
+    """Load: 10 times the capacity, four fifths of a refusal's time unrecorded.
+
+    Guards against a host that admits ever less, as it takes the time of refusals for that of what it admits.
+    """
+    host = HostModel({"flood": 10 * CAPACITY}, spare=0.0, unrecorded_seconds=0.00004)
+    host.run(10.0)
+    host.run(4.0)
+    assert host.shedder.request_seconds < 1.5 * host.request_seconds
+    assert host.admitted["flood"] >= 0.4 * CAPACITY * 4.0
+
+
 def test_customer_below_its_share_is_never_shed_beside_a_flood():
     """Load: one customer floods with 20 times the capacity, others send a tenth of it each."""
     host = HostModel({"flood": 20 * CAPACITY, "acme": 0.1 * CAPACITY, "rosario": 0.1 * CAPACITY})
@@ -76,6 +88,13 @@
     assert not host.shed["rosario"]
 
 
+def test_customer_that_starts_to_ask_during_a_flood_has_its_share_at_once():
+    """Load: a flood of 10 times the capacity, then four requests of another customer at one time."""
+    host = HostModel({"flood": 10 * CAPACITY}, spare=0.0)
+    host.run(4.0)
+    assert [host.shedder.admits("acme", False, host.now) for _ in range(4)] == [True] * 4
+
+
 def test_equal_customers_are_shed_equally():
     """Load: four customers send the capacity each. Guards against a share that depends on the order."""
     host = HostModel(dict.fromkeys(("a", "b", "c", "d"), CAPACITY))
