Learn the price of requests from whole rounds

Cause: admitted requests counted when they were admitted, their time when the round ended. After a round of 2.6 s a request of 40 ms seemed to cost 113 ms and more, and the host admitted 3 requests per second instead of 20.

Change: both count at the end of the round, over 3 s.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/load_shedding.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/load_shedding.py
@@ -18,7 +18,9 @@
 MIN_STRETCH_ROUNDS = 3
 """Rounds of a busy stretch that can start shedding. A process that was paused has one long round."""
 MEMORY_SECONDS = 1.0
-"""Time constant of the sums of work and requests; covers the rounds in which one request is processed."""
+"""Time constant of the load and of the requests by customer."""
+LEARNING_SECONDS = 3.0
+"""The same for the time of a request. Longer, so that it is learned also where few requests are admitted."""
 MIN_SAMPLE_REQUESTS = 5.0
 """Decayed number of admitted requests from which on the time of a request is learned."""
 READS_PER_REQUEST = 3.0
@@ -101,18 +103,19 @@
 
 
 class DecayingSum:
-    """Exponentially decaying sum; a constant rate of one per second converges to `MEMORY_SECONDS`."""
+    """Exponentially decaying sum; a constant rate of one per second converges to `seconds`."""
 
-    __slots__ = ("at", "total")
+    __slots__ = ("at", "seconds", "total")
 
-    def __init__(self, now: float):
+    def __init__(self, now: float, seconds: float = MEMORY_SECONDS):
         self.total = 0.0
         self.at = now
+        self.seconds = seconds
 
     def add(self, amount: float, now: float) -> float:
         """Add an amount and return the sum."""
         if now > self.at:
-            self.total *= math.exp((self.at - now) / MEMORY_SECONDS)
+            self.total *= math.exp((self.at - now) / self.seconds)
             self.at = now
         self.total += amount
         return self.total
@@ -190,19 +193,21 @@
         self.budgets = Budgets(now)
         self.busy = DecayingSum(now)
         """Time of all rounds."""
-        self.work = DecayingSum(now)
+        self.work = DecayingSum(now, LEARNING_SECONDS)
         """Time of all rounds less that of events of sockets."""
         self.refusals = DecayingSum(now)
         """Time of refusals."""
         self.round_refusals = 0
         """Number of the refusals of the current round."""
-        self.refused = DecayingSum(now)
+        self.refused = DecayingSum(now, LEARNING_SECONDS)
         """Number of refusals."""
-        self.reads = DecayingSum(now)
+        self.reads = DecayingSum(now, LEARNING_SECONDS)
         """Time of events of sockets less that of refusals."""
         self.round_work = 0.0
         """Time that the requests admitted in the current round are expected to take."""
-        self.admitted = DecayingSum(now)
+        self.admitted = DecayingSum(now, LEARNING_SECONDS)
+        self.round_admitted = 0
+        """Requests admitted in the current round; they count at its end, together with its time."""
         self.request_seconds = INITIAL_REQUEST_SECONDS
         self.last_round_seconds = 0.0
         self.refusal_seconds = 0.0
@@ -260,8 +265,9 @@
         others = max(0.0, busy_seconds - max(read_seconds, self.refusal_seconds))
         self.refusals.add(self.refusal_seconds, now)
         refused = self.refused.add(self.round_refusals, now)
-        self.refusal_seconds, self.round_refusals, self.round_work = 0.0, 0, 0.0
-        admitted = self.admitted.add(0.0, now)
+        admitted = self.admitted.add(self.round_admitted, now)
+        self.refusal_seconds, self.round_work = 0.0, 0.0
+        self.round_refusals = self.round_admitted = 0
         events = READS_PER_REQUEST * admitted
         work = self.work.add(others, now) + self.reads.add(reads, now) * events / max(1.0, events + refused)
         if admitted >= MIN_SAMPLE_REQUESTS:
@@ -330,7 +336,7 @@
     def admit(self, usage: CustomerUsage, now: float) -> Verdict:
         """Count an admitted request."""
         self.counts.admitted += 1
-        self.admitted.add(1.0, now)
+        self.round_admitted += 1
         usage.admitted.add(1.0, now)
         self.round_work += self.request_seconds
         if self.is_shedding:
--- a/tests/fleet/process/test_load_shedding.py
+++ b/tests/fleet/process/test_load_shedding.py
@@ -79,6 +79,23 @@
     assert host.admitted["flood"] >= 0.4 * CAPACITY * 4.0
 
 
+@pytest.mark.parametrize("request_seconds", [0.002, 0.04])
+def test_price_of_requests_is_learned_from_rounds_that_last_for_seconds(request_seconds):
+    """Load: 20 times the capacity, first rounds of up to 2.6 s.
+
+    Guards against a host that admits a fraction of what it can, as the requests of a long round count less
+    than the time that they have taken.
+    """
+    host = HostModel({"flood": 20 / request_seconds}, request_seconds, spare=0.0)
+    while not host.shedder.is_shedding:
+        host.run(0.1)
+    assert host.shedder.request_seconds == pytest.approx(request_seconds, rel=0.2)
+    host.run(3.0)
+    host.run(4.0)
+    assert host.shedder.request_seconds == pytest.approx(request_seconds, rel=0.2)
+    assert host.admitted["flood"] * request_seconds >= 0.4 * 4.0
+
+
 def test_customer_below_its_share_is_never_shed_beside_a_flood():
     """Load: one customer floods with 20 times the capacity, others send a tenth of it each."""
     host = HostModel({"flood": 20 * CAPACITY, "acme": 0.1 * CAPACITY, "rosario": 0.1 * CAPACITY})
