Compare the rates of engines by sums over their intervals

Cause: in trials with the fleet in memory, engines of equal speed got the weight 0.8: an average of rates varies by several percent with the times at which outputs are reported, and the median of two measured engines of nine was taken for that of the pool.

Change: engines are compared by the ratio of decaying sums of tokens and seconds, and only if three quarters of the pool are measured. weighs_sessions turns the weights off.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -227,7 +227,7 @@
             target.target_id: self.rates.measured(target.target_id) for target in self.targets_of(pool)
         }
         rates = {target_id: rate for target_id, rate in measured.items() if rate is not None}
-        if self.rate_steps.update(pool, rates, now):
+        if self.rate_steps.update(pool, rates, now, engines=len(measured)):
             self.rankings.clear()
 
     def choose(self, request: QueuedRequest, now: float, view: PoolView | None = None) -> TargetChoice | None:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prefill_rates.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prefill_rates.py
@@ -8,6 +8,7 @@
 
 import math
 from collections import Counter
+from dataclasses import dataclass
 
 from limpetusher.fleet.process.prefill_bursts import PrefillSpeed
 from limpetusher.fleet.process.prefill_intervals import PrefillInterval
@@ -22,6 +23,8 @@
 MIN_SAMPLE_SECONDS = 0.005
 MIN_INTERVAL_SECONDS = 0.03
 """Minimum duration of an interval; a shorter one is dominated by the step time and by jitter."""
+SUM_DECAY = 0.05
+"""Part of the sums that is dropped with each interval; they cover about 20 of them."""
 MIN_FRACTION_OF_PRIOR = 0.05
 MAX_MULTIPLE_OF_PRIOR = 10.0
 
@@ -65,6 +68,24 @@
         self.samples.pop(target_id, None)
 
 
+@dataclass(slots=True)
+class IntervalSums:
+    """Decaying sums over the intervals of one engine.
+
+    Their ratio varies less than an average of rates, in which short intervals with an error count most.
+    """
+
+    tokens: float = 0.0
+    seconds: float = 0.0
+    samples: int = 0
+
+    def add(self, interval: PrefillInterval) -> None:
+        """Add an interval."""
+        self.tokens += interval.tokens - SUM_DECAY * self.tokens
+        self.seconds += interval.seconds - SUM_DECAY * self.seconds
+        self.samples += 1
+
+
 class PrefillRates:
     """Prefill rate by engine in tokens per second; without samples, that of the service."""
 
@@ -72,6 +93,8 @@
         self.settings = settings
         self.from_intervals = AverageRates(settings.prior_prefill_rate)
         self.from_bursts = AverageRates(settings.prior_prefill_rate)
+        self.sums: dict[str, IntervalSums] = {}
+        """Sums of the intervals of each engine, for the comparison of engines with each other."""
         self.base_latency_seconds: dict[str, float] = {}
         """Time to first output of a short prompt at an idle engine, by service."""
 
@@ -91,9 +114,10 @@
 
         Whole bursts do not count, as they include latencies that differ between requests.
         """
-        if self.from_intervals.samples[target_id] < self.settings.uneven_engines.min_rate_samples:
+        sums = self.sums.get(target_id)
+        if sums is None or sums.samples < self.settings.uneven_engines.min_rate_samples:
             return None
-        return self.from_intervals.by_target.get(target_id)
+        return sums.tokens / sums.seconds
 
     def speed(self, service: str, target_id: str) -> PrefillSpeed:
         """Return the prefill rate and the output latency of an engine."""
@@ -103,6 +127,7 @@
         """Add an interval as a sample."""
         if interval.tokens >= MIN_SAMPLE_TOKENS and interval.seconds >= MIN_INTERVAL_SECONDS:
             self.from_intervals.update(service, target_id, interval.tokens / interval.seconds)
+            self.sums.setdefault(target_id, IntervalSums()).add(interval)
 
     def add_sample(self, service: str, target_id: str, tokens: int, seconds: float) -> None:
         """Add the duration of a burst of prompts as a sample."""
@@ -119,5 +144,6 @@
 
     def forget(self, target_id: str) -> None:
         """Remove the state of a target."""
+        self.sums.pop(target_id, None)
         self.from_intervals.forget(target_id)
         self.from_bursts.forget(target_id)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/session_ranking.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/session_ranking.py
@@ -14,6 +14,8 @@
 from limpetusher.fleet.process.uneven_engine_settings import UnevenEngineSettings
 from limpetusher.fleet.version.routing import HASH_BYTES, stable_hash
 
+MIN_MEASURED_FRACTION = 0.75
+"""Part of a pool's engines that must be measured, as the median of a few may be far from that of all."""
 UPDATE_INTERVAL_SECONDS = 0.5
 """Time between two updates of a pool's weights; bounds the work, as rates change with each sample."""
 
@@ -82,10 +84,17 @@
         """Return whether the steps of a pool's engines have to be updated."""
         return now >= self.updated_at.get(pool, -math.inf) + UPDATE_INTERVAL_SECONDS
 
-    def update(self, pool: Pool, rates: Mapping[str, float], now: float) -> bool:
-        """Update the steps of a pool's engines from their measured rates; return whether any has changed."""
+    def update(self, pool: Pool, rates: Mapping[str, float], now: float, *, engines: int) -> bool:
+        """Update the steps of a pool's engines from their measured rates; return whether any has changed.
+
+        The median is unknown until most of the pool's engines are measured.
+        """
         self.updated_at[pool] = now
-        if len(rates) < 2:
+        if (
+            not self.settings.weighs_sessions
+            or len(rates) < 2
+            or len(rates) < MIN_MEASURED_FRACTION * engines
+        ):
             return False
         median = statistics.median(rates.values())
         changed = [
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/uneven_engine_settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/uneven_engine_settings.py
@@ -6,6 +6,7 @@
 from limpetusher.errors import InvalidInputError
 
 BOUNDS = {
+    "weighs_sessions": (False, True),
     "rate_step": (1.05, 4.0),
     "step_change_threshold": (0.5, 1.0),
     "step_hold_seconds": (0.0, 60.0),
@@ -25,6 +26,8 @@
 
     Parameters
     ----------
+    weighs_sessions
+        Whether sessions are spread by the rates of engines, or evenly.
     rate_step
         Ratio between two adjacent weights of engines in the ranking of sessions.
     step_change_threshold
@@ -52,6 +55,7 @@
         If a value is out of its range.
     """
 
+    weighs_sessions: bool = True
     rate_step: float = 1.25
     step_change_threshold: float = 0.7
     step_hold_seconds: float = 2.0
--- a/tests/fleet/process/test_session_ranking.py
+++ b/tests/fleet/process/test_session_ranking.py
@@ -1,5 +1,6 @@
 """Tests of the ranking of engines for sessions."""
 
+import random
 from collections import Counter
 
 import pytest
@@ -25,7 +26,7 @@
 def settle(steps: RateSteps, rates: dict[str, float], begin: float, seconds: float) -> list:
     """Update the steps twice a second for some time; return the changes."""
     for tick in range(int(seconds / 0.5) + 1):
-        steps.update(ENGINES, rates, begin + 0.5 * tick)
+        steps.update(ENGINES, rates, begin + 0.5 * tick, engines=len(rates))
     return steps.take_changes()
 
 
@@ -69,7 +70,7 @@
             target_id: RATE * (1.0 + 0.1 * ((index * 7 + second) % 5 - 2) / 2)
             for index, target_id in enumerate(TARGET_IDS)
         }
-        steps.update(ENGINES, rates, float(second))
+        steps.update(ENGINES, rates, float(second), engines=len(rates))
     assert steps.take_changes() == []
     assert steps.weights == {}
 
@@ -93,10 +94,38 @@
     even = dict.fromkeys(TARGET_IDS, RATE)
     boundary = RATE * settings.rate_step**0.5
     for tick in range(100):
-        steps.update(ENGINES, {**even, "e3": boundary * (1.03 if tick % 2 else 0.97)}, 0.5 * tick)
+        rates = {**even, "e3": boundary * (1.03 if tick % 2 else 0.97)}
+        steps.update(ENGINES, rates, 0.5 * tick, engines=len(rates))
     assert len(steps.take_changes()) <= 1
 
 
+def test_sessions_are_spread_evenly_if_the_setting_says_so():
+    """Guards against a setting without effect."""
+    steps = RateSteps(UnevenEngineSettings(weighs_sessions=False))
+    settle(steps, uneven_rates(), 0.0, 5.0)
+    assert steps.weights == {}
+
+
+def test_few_measured_engines_change_no_weight():
+    """Guards against weights relative to the median of two engines that are both slower than the others."""
+    steps = RateSteps(UnevenEngineSettings())
+    for tick in range(20):
+        steps.update(ENGINES, {"e0": RATE, "e3": 0.6 * RATE}, 0.5 * tick, engines=len(TARGET_IDS))
+    assert steps.weights == {}
+
+
+def test_measured_rates_of_even_engines_differ_little():
+    """Guards against weights for even engines, as reports of first outputs are late by some milliseconds."""
+    rng = random.Random(1)
+    placement = make_placement(15)
+    for _ in range(400):
+        for target_id in placement.targets:
+            interval = PrefillInterval(2_890, 2_890 / RATE + rng.uniform(0.0, 0.01) - rng.uniform(0.0, 0.01))
+            placement.rates.add_interval("engines", target_id, interval)
+        rates = [placement.rates.measured(target_id) for target_id in placement.targets]
+        assert None in rates or max(rates) < 1.16 * sorted(rates)[7]
+
+
 def test_greatest_hash_is_ranked_last():
     """Guards against the logarithm of 0 for a hash that is rounded up."""
     assert arrival_time(2 ** (8 * HASH_BYTES) - 1, 1.0) > arrival_time(2 ** (8 * HASH_BYTES - 1), 1.0)
