--- a/packages/limpetusher-core/src/limpetusher/fleet/process/engine_spells.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/engine_spells.py
@@ -22,6 +22,8 @@
 LATENCY_WEIGHT = 1 / 8
 SPREAD_WEIGHT = 1 / 4
 """Weights of a sample in the moving averages of latency and deviation, as in RFC 6298."""
+LOWER_LATENCY_WEIGHT = 1 / 2
+"""Weight of a sample below the known latency, which includes less time that was spent on something else."""
 BUNCHED_FRACTION = 0.5
 """Part of its prefill time below which an output has arrived together with the one before, and shows no
 speed."""
@@ -165,7 +167,7 @@
             engine.free_at = now - latency
             self.end(target_id, engine, now, IN_TIME)
             engine.slow_since, engine.is_lasting = None, False
-        if target_id not in self.slow:
+        if target_id not in self.slow and own_seconds >= BUNCHED_FRACTION * work:
             self.learn(engine, prompt, min(max(own_lateness, -threshold), threshold), now)
 
     def shows_speed(self, prompt: SentPrompt, own_seconds: float, work: float) -> bool:
@@ -181,7 +183,8 @@
             engine.latency = max(0.0, now - prompt.sent_at - prompt.tokens / engine.rate)
             engine.spread = max(engine.spread, engine.latency / 2)
         else:
-            engine.latency = max(0.0, engine.latency + LATENCY_WEIGHT * lateness)
+            weight = LATENCY_WEIGHT if lateness > 0 else LOWER_LATENCY_WEIGHT
+            engine.latency = max(0.0, engine.latency + weight * lateness)
             engine.spread += SPREAD_WEIGHT * (abs(lateness) - engine.spread)
 
     def is_judged(self, engine: EngineProgress, prompt: SentPrompt) -> bool:
