Read the store and other routers first in each round of the event loop

A flooded router read 16 KB of an answer of the store or of a peer in each round of its event loop. A configuration with 1,844 more routes is 358 KB, 477 KB as the store sends it, so it took about 30 rounds of 0.3 to 0.9 s.

The poller now reports the sockets of routers, the store and readiness first and completely, and of targets and callers a number that follows the time of the rounds. Answers of the store and of peers are read in parts of up to 1 MB. Lines about configurations are no longer dropped beside a flood of others.

Decoding takes 18 to 40 ms and is not the cause.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
@@ -36,6 +36,7 @@
         "has_sent",
         "head",
         "idle_since",
+        "is_control",
         "is_mismatched",
         "reading_paused",
         "reused",
@@ -51,6 +52,8 @@
         self.sock = sock
         self.address = address
         self.state = TargetConnectionState.CONNECTING
+        self.is_control = False
+        """Whether the connection is to the store or a router."""
         self.reused = False
         self.writer_registered = False
         self.reading_paused = False
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -30,6 +30,9 @@
 from limpetusher_router.process.metrics import Metrics
 
 READ_BYTES = 16_384
+CONTROL_READ_BYTES = 1 << 20
+"""Bytes of an answer of the store or a router that are read at once: a whole configuration of the largest
+allowed size in a few rounds of a busy event loop."""
 CONNECT_FRACTION_OF_SEND_WINDOW = 0.8
 """Fraction of the time until `send_before` that may be spent on connecting."""
 CONNECT_DELAY_SECONDS = 0.05
@@ -49,6 +52,13 @@
 logger = logging.getLogger(__name__)
 
 
+class ControlSource:
+    """Source of the sockets to the store and to routers, by which the poller gives them priority."""
+
+    channel = TARGETS
+    is_control = True
+
+
 class TargetClient(BaseComponent):
     """Sends requests and streams the answers as byte chunks.
 
@@ -72,6 +82,7 @@
         self.clock = clock
         self.timeouts = Timeouts(deadlines, TARGETS)
         self.poller = poller
+        self.control_source = ControlSource()
         self.metrics = metrics
         self.connections: dict[socket.socket, TargetConnection] = {}
         self.connections_by_attempt: dict[tuple[str, Hashable], TargetConnection] = {}
@@ -118,6 +129,9 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         configure_socket(sock)
         connection = TargetConnection(sock, attempt.address)
+        connection.is_control = attempt.is_control
+        if attempt.is_control:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CONTROL_READ_BYTES)
         connection.reset(attempt)
         connection.sent_on_previous_connection = sent_on_previous_connection
         result = sock.connect_ex(split_address(self.settings.mapped_address(attempt.address)))
@@ -184,13 +198,17 @@
         connection.drop_sent(count)
         self.watch_writing(connection, bool(connection.unsent))
 
+    def source_of(self, connection: TargetConnection) -> "TargetClient | ControlSource":
+        """Return the source of a connection's socket for the poller."""
+        return self.control_source if connection.is_control else self
+
     def watch_writing(self, connection: TargetConnection, writing: bool) -> None:
         """Start or stop polling the socket for writability."""
         if writing == connection.writer_registered:
             return
         connection.writer_registered = writing
         if writing:
-            self.poller.addWriter(self, connection.sock)
+            self.poller.addWriter(self.source_of(connection), connection.sock)
         else:
             self.poller.removeWriter(connection.sock)
 
@@ -214,7 +232,7 @@
                 self.handle_broken_connection(connection, errno.errorcode.get(error, str(error)))
                 return
             if not connection.reading_paused:
-                self.poller.addReader(self, sock)
+                self.poller.addReader(self.source_of(connection), sock)
             self.start_request(connection, connection.attempt)
         elif connection.state is TargetConnectionState.BUSY:
             self.send_request(connection)
@@ -226,7 +244,7 @@
         if connection is None or connection.reading_paused:
             return
         try:
-            data = sock.recv(READ_BYTES)
+            data = sock.recv(CONTROL_READ_BYTES if connection.is_control else READ_BYTES)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -394,7 +412,7 @@
         connection.idle_since = self.clock.monotonic()
         if connection.reading_paused:
             connection.reading_paused = False
-            self.poller.addReader(self, connection.sock)
+            self.poller.addReader(self.source_of(connection), connection.sock)
         seconds = IDLE_CONNECTION_SECONDS
         if keep_alive_seconds is not None:
             seconds = min(seconds, keep_alive_seconds * IDLE_FRACTION_OF_KEEP_ALIVE)
@@ -439,7 +457,7 @@
         if connection is not None and connection.reading_paused:
             connection.reading_paused = False
             if connection.state is TargetConnectionState.BUSY:
-                self.poller.addReader(self, connection.sock)
+                self.poller.addReader(self.source_of(connection), connection.sock)
                 self.timeouts.set_timeout(connection, self.read_timeout_seconds(connection.attempt))
 
     @handler("DeadlineReached")
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -74,6 +74,8 @@
     repeatable: bool = True
     answer_has_no_body: bool = False
     idle_timeout_seconds: float | None = None
+    is_control: bool = False
+    """Whether the answer comes from the store or a router. It is read before others, in larger parts."""
     maximum_reuse_idle_seconds: float | None = None
     """Longest idle time of a keep-alive connection that may be reused for the exchange. With None, a
     repeatable exchange reuses any connection, and one that is not repeatable opens a new connection."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -10,7 +10,6 @@
 
 from circuits.core import handler
 from circuits.core.events import signal as signal_event
-from circuits.core.pollers import EPoll
 
 from limpetusher.clock import Clock, SystemClock
 from limpetusher.errors import ConfigurationError
@@ -23,6 +22,7 @@
 from limpetusher_router.connection.targets import TargetClient
 from limpetusher_router.events import (
     CALLERS,
+    DATAGRAMS,
     METRICS,
     PAGES,
     PEER_EXCHANGE,
@@ -30,6 +30,7 @@
     READINESS,
     REQUESTS,
     STORE,
+    TARGETS,
     CloseAfterAnswers,
     CloseIdleConnections,
     DeadlineReached,
@@ -50,6 +51,7 @@
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.logs import log_event
 from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.process.poller import Priority, PriorityPoller
 from limpetusher_router.process.root import ProcessRoot, StopSignal
 from limpetusher_router.request.id_generator import RequestIdGenerator
 
@@ -76,6 +78,14 @@
 the users' 150 MB; the rest is for connections, answers, the fleet's state and bytes in sockets."""
 RESERVED_DESCRIPTORS = 700
 """Descriptors kept for targets, peers, the store and the interpreter."""
+POLL_PRIORITIES = {
+    DATAGRAMS: Priority.CONTROL,
+    READINESS: Priority.CONTROL,
+    PAGES: Priority.CONTROL,
+    TARGETS: Priority.ANSWERS,
+}
+"""Priorities of the sockets by channel. The store and copies of peers are read by the component for targets,
+which marks their sockets as control traffic."""
 IDLE_TIMEOUT_FACTOR = 1.2
 """Factor on the announced idle limit, so that a connection is not closed while a request is in transit."""
 
@@ -133,7 +143,7 @@
         self.settings = router_settings(host)
         self.state = FleetState(host, fleet_settings(host), clock=clock, rng=random.Random())
         self.set_seed_addresses(host)
-        self.poller = EPoll().register(self)
+        self.poller = PriorityPoller(clock, POLL_PRIORITIES).register(self)
         self.deadlines = Deadlines(clock, reads_first=True).register(self)
         shared = {"deadlines": self.deadlines, "poller": self.poller, "metrics": self.metrics}
         id_generator = RequestIdGenerator(host.host_id, int(clock.wall() * 1_000))
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -279,6 +279,7 @@
             address=address,
             request=request,
             idle_timeout_seconds=seconds,
+            is_control=True,
         )
         self.fire(StartAttempt(attempt), TARGETS)
 
--- a/packages/limpetusher-router/src/limpetusher_router/process/logs.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/logs.py
@@ -17,6 +17,10 @@
 MAXIMUM_LINES_PER_SECOND = 600
 """Takes about 3% of a core at 50 us per line."""
 MAXIMUM_ROUTINE_LINES_PER_SECOND = 400
+ESSENTIAL_EVENTS = frozenset({Event.CONFIGURATION_IN_FORCE, Event.CONFIGURATION_REFUSED})
+"""Rare events by which operators follow a change of the whole fleet."""
+RESERVED_LINES_PER_SECOND = 20
+"""Lines about these events above the limit for all lines, so that a flood does not suppress them."""
 MAXIMUM_LINE_BYTES = select.PIPE_BUF
 RESERVED_FIELDS = frozenset({"time", "level", "router", "event", "message"})
 
@@ -54,6 +58,15 @@
         return msgspec.json.encode(line, enc_hook=str).decode()
 
 
+def maximum_lines_per_second(event: Event | None) -> int:
+    """Return the number of lines in a second from which on further ones about an event are dropped."""
+    if event in ROUTINE_EVENTS:
+        return MAXIMUM_ROUTINE_LINES_PER_SECOND
+    if event in ESSENTIAL_EVENTS:
+        return MAXIMUM_LINES_PER_SECOND + RESERVED_LINES_PER_SECOND
+    return MAXIMUM_LINES_PER_SECOND
+
+
 class NonBlockingHandler(logging.Handler):
     """Writes lines to a file descriptor without blocking, and limits their number per second.
 
@@ -86,8 +99,7 @@
             self.second, self.written_this_second = second, 0
             if self.dropped_since_report:
                 self.write_dropped_count()
-        routine = getattr(record, "event", None) in ROUTINE_EVENTS
-        limit = MAXIMUM_ROUTINE_LINES_PER_SECOND if routine else MAXIMUM_LINES_PER_SECOND
+        limit = maximum_lines_per_second(getattr(record, "event", None))
         if self.written_this_second >= limit or not self.write_line(self.format(record)):
             self.dropped_since_report += 1
             self.dropped_total += 1
--- a/tests/router/process/test_logs.py
+++ b/tests/router/process/test_logs.py
@@ -57,3 +57,16 @@
     assert numbers.count(Event.REQUEST_FAILED.number) == 1
     (report,) = [line for line in events if line["event"] == Event.LOG_LINES_DROPPED.number]
     assert report["lines"] == 50
+
+
+def test_configuration_in_force_is_logged_beside_a_flood_of_failures(tmp_path):
+    """Guards against an operator who takes a flooded router for one with the old configuration."""
+    path = tmp_path / "log"
+    with path.open("wb") as file:
+        output = make_output(file.fileno(), ManualClock())
+        for _ in range(MAXIMUM_LINES_PER_SECOND + 1):
+            output.emit(make_record(Event.REQUEST_FAILED))
+        output.emit(make_record(Event.CONFIGURATION_IN_FORCE))
+    events = [json.loads(line)["event"] for line in path.read_text().splitlines()]
+    assert events.count(Event.REQUEST_FAILED.number) == MAXIMUM_LINES_PER_SECOND
+    assert events[-1] == Event.CONFIGURATION_IN_FORCE.number
