Ask another peer for a copy of the store that is late or unusable

A peer that sent its copy byte by byte held up a router for as long as it did so, and one whose copy was malformed was asked again with each of its updates. A copy that has not arrived after 1 s is now requested from another peer, with twice the time for each change; after a failure the peer is not asked for 0.5 s. Answers of more than 16 MB are cut off. Event 1116 tells of failures.

Of the eight new cases of test_store_reader.py seven failed before for the reason that they guard against; the one on endless copies failed as its constant did not exist.

--- a/packages/limpetusher-core/src/limpetusher/events.py
+++ b/packages/limpetusher-core/src/limpetusher/events.py
@@ -26,6 +26,7 @@
     STORE_READ = (1113, logging.INFO, "store entries read")
     STORE_ENTRY_WITHHELD = (1114, logging.INFO, "older entry of a restored store is not applied for now")
     STORE_HISTORY_READ = (1115, logging.INFO, "earlier changes of the store read")
+    STORE_COPY_FAILED = (1116, logging.WARNING, "copy of the store from a peer failed")
     PEER_REACHABLE = (1201, logging.INFO, "peer reachable")
     PEER_UNREACHABLE = (1202, logging.WARNING, "peer unreachable")
     PEER_MESSAGE_DROPPED = (1203, logging.WARNING, "peer message dropped")
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/store_reader.py
@@ -16,6 +16,7 @@
 from limpetusher.errors import CodecError
 from limpetusher.events import Event
 from limpetusher.fleet.messages import StoreUpdate
+from limpetusher.fleet.version.copy_requests import CopyRequests
 from limpetusher.fleet.version.mirror import (
     Change,
     StoredItem,
@@ -31,6 +32,7 @@
     STORE,
     TARGETS,
     Attempt,
+    AttemptEnded,
     AttemptResult,
     CancelAttempt,
     DeadlineReached,
@@ -95,6 +97,9 @@
 """Time to wait for a page of the store before a peer's copy is fetched as well. Without this wait, a starting
 fleet would fetch hundreds of copies from the first routers that have read the store."""
 COPY_PATH = "/copy"
+MAXIMUM_ANSWER_BYTES = 16 << 20
+"""Maximum size of an answer. The largest copy has two configurations of 1 MB and some hundred targets; the
+answer to a watch has all versions since the last one, encoded in base64."""
 OK_STATUS = 200
 REGULAR_UPDATE = "news"
 """Subject of the deadline of the next regular update."""
@@ -210,6 +215,7 @@
         self.page_requested_at = float("-inf")
         """When a page was last requested from the store."""
         self.configuration = configuration
+        self.copy_requests = CopyRequests()
         self.copy_encoder = StoreCopyEncoder(mirror, configuration)
         self.behind_revision = 0
         """Revision of a peer by which the own copy was first found to lag; reached once it has caught up."""
@@ -332,8 +338,14 @@
     @handler("AnswerPartReceived")
     def on_answer_part(self, key: tuple[StoreCall, int], data: bytes) -> None:
         """Add a part of an answer."""
-        if key in self.partial_answers:
-            self.partial_answers[key][1].extend(data)
+        if key not in self.partial_answers:
+            return
+        body = self.partial_answers[key][1]
+        body.extend(data)
+        if len(body) > MAXIMUM_ANSWER_BYTES:
+            self.fire(CancelAttempt(key, STORE), TARGETS)
+            detail = f"the answer is longer than {MAXIMUM_ANSWER_BYTES} bytes"
+            self.fire(AttemptEnded(key, AttemptResult.CUT, detail), STORE)
 
     @handler("AttemptEnded")
     def on_answer_ended(self, key: tuple[StoreCall, int], end: AttemptResult, detail: str = "") -> None:
@@ -348,11 +360,16 @@
             if not is_complete:
                 raise CodecError(detail or end.value)
             self.handle_answer(call, head.status, bytes(body), store.decode_generation(head))
+            if call is StoreCall.COPY:
+                self.copy_requests.end(self.deadlines.clock.monotonic(), has_failed=False)
         except CodecError as error:
             if call in (StoreCall.READ, StoreCall.WATCH):
                 self.handle_failure(call, error.reason)
             elif call is StoreCall.REVISION:
                 self.next_revision_call_at = self.deadlines.clock.monotonic() + RETRY_DELAY_SECONDS
+            elif call is StoreCall.COPY:
+                log_event(Event.STORE_COPY_FAILED, peer=self.copy_requests.address, reason=error.reason)
+                self.copy_requests.end(self.deadlines.clock.monotonic(), has_failed=True)
 
     def handle_answer(self, call: StoreCall, status: int, body: bytes, generation: int = 0) -> None:
         """Handle a complete answer of a generation of the store.
@@ -672,12 +689,13 @@
         return self.mirror.revision > 0 and generation_of(revision) > generation_of(self.mirror.revision)
 
     def fetch_copy(self, address: str) -> None:
-        """Request a peer's copy unless one is already requested or a page of the store is expected soon."""
+        """Request a peer's copy unless that of another is awaited or a page of the store is expected soon."""
+        now = self.deadlines.clock.monotonic()
         is_reading = (
-            StoreCall.READ in self.calls_in_progress
-            and self.deadlines.clock.monotonic() < self.page_requested_at + PAGE_TIMEOUT_SECONDS
+            StoreCall.READ in self.calls_in_progress and now < self.page_requested_at + PAGE_TIMEOUT_SECONDS
         )
-        if StoreCall.COPY not in self.calls_in_progress and not is_reading:
+        if not is_reading and self.copy_requests.may_request(address, now):
+            self.copy_requests.begin(address, now)
             peer = f"{address}:{self.settings.store_copy_port}"
             self.start_call(StoreCall.COPY, peer, store.get_request(peer, COPY_PATH), COPY_TIMEOUT_SECONDS)
 
--- a/tests/router/fleet/test_store_reader.py
+++ b/tests/router/fleet/test_store_reader.py
@@ -7,10 +7,13 @@
 from limpetusher.clock import ManualClock
 from limpetusher.errors import CodecError
 from limpetusher.fleet.messages import PROTOCOL_VERSION, StoreUpdate
+from limpetusher.fleet.version.copy_requests import COPY_SECONDS
 from limpetusher.fleet.version.mirror import StoredItem, StoreMirror, make_revision
 from limpetusher_router.connection.framing import AnswerHead
 from limpetusher_router.events import (
+    AttemptEnded,
     AttemptResult,
+    CancelAttempt,
     SendStoreUpdate,
     StartAttempt,
     StoreChanged,
@@ -18,9 +21,10 @@
     StoreCopyConfirmed,
 )
 from limpetusher_router.fleet.recent_changes import CHANGE_REPEAT_SECONDS, MAXIMUM_UPDATE_BYTES
-from limpetusher_router.fleet.store_copy import ConfigurationInForce, StoreCopy, StoreCopyEncoder
+from limpetusher_router.fleet.store_copy import ConfigurationInForce, CopiedItem, StoreCopy, StoreCopyEncoder
 from limpetusher_router.fleet.store_reader import (
     EARLY_UPDATE,
+    MAXIMUM_ANSWER_BYTES,
     MAXIMUM_LAG_SECONDS,
     MAXIMUM_TIMEOUT_RANKS,
     MINIMUM_UPDATE_INTERVAL_SECONDS,
@@ -577,3 +581,82 @@
             update = make_store_update(revision=12 + step - 5, items=())
             reader.handle_update("10.0.0.2", update, is_from_other_data_centre=False)
     assert any(until >= received_at for until in confirmed_times(reader))
+
+
+def end_copy(reader, body: bytes, *, end: AttemptResult = AttemptResult.COMPLETE, status: int = 200) -> None:
+    """Answer the request for the copy of a peer."""
+    key = (StoreCall.COPY, reader.calls_in_progress[StoreCall.COPY])
+    reader.on_answer_started(key, AnswerHead(status, {}, len(body), False, True))
+    reader.on_answer_part(key, body)
+    reader.on_answer_ended(key, end)
+
+
+FIRST, SECOND = "10.0.0.2", "10.0.0.3"
+
+
+def lag_behind(reader, clock) -> None:
+    """Let the copy lag behind those of two peers until the one of the first is fetched."""
+    reader.note_peer_revision(FIRST, 15)
+    clock.advance(MAXIMUM_LAG_SECONDS)
+    reader.note_peer_revision(FIRST, 15)
+
+
+def test_copy_is_fetched_from_another_peer_if_the_first_one_sends_it_too_slowly(reader, clock):
+    """Guards against a peer that sends single bytes, so that the time-out of its silence never ends."""
+    lag_behind(reader, clock)
+    clock.advance(COPY_SECONDS / 2)
+    reader.note_peer_revision(SECOND, 15)
+    clock.advance(COPY_SECONDS / 2)
+    reader.note_peer_revision(FIRST, 15)
+    assert requested_copies(reader) == [f"{FIRST}:7401"]
+    reader.note_peer_revision(SECOND, 15)
+    assert requested_copies(reader) == [f"{FIRST}:7401", f"{SECOND}:7401"]
+
+
+def test_slow_peers_get_more_time_with_each_change(reader, clock):
+    """Guards against a router that changes between peers for ever, as its own host is slow."""
+    lag_behind(reader, clock)
+    for seconds in (COPY_SECONDS, 2 * COPY_SECONDS, 4 * COPY_SECONDS):
+        clock.advance(seconds / 2)
+        reader.note_peer_revision(FIRST, 15)
+        reader.note_peer_revision(SECOND, 15)
+        clock.advance(seconds / 2)
+        reader.note_peer_revision(FIRST, 15)
+        reader.note_peer_revision(SECOND, 15)
+    assert len(requested_copies(reader)) == 4
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {"body": b"no copy"},
+        {"body": b""},
+        {"body": msgspec.msgpack.encode(StoreCopy([], 15)), "end": AttemptResult.CUT},
+        {"body": msgspec.msgpack.encode(StoreCopy([], 15)), "status": 503},
+        {"body": msgspec.msgpack.encode([[["servers/t1", "text", -1]], "x"])},
+    ],
+)
+def test_peer_with_an_unusable_copy_does_not_hold_up_the_others(reader, clock, answer):
+    """Guards against a copy that is malformed or cut off, from a peer whose updates come first each time."""
+    lag_behind(reader, clock)
+    end_copy(reader, **answer)
+    assert reader.mirror.revision == 11
+    reader.note_peer_revision(FIRST, 15)
+    reader.note_peer_revision(SECOND, 15)
+    assert requested_copies(reader) == [f"{FIRST}:7401", f"{SECOND}:7401"]
+    item = CopiedItem("op/config", b"new", 15)
+    end_copy(reader, msgspec.msgpack.encode(StoreCopy([item], 15)))
+    assert reader.mirror.items["op/config"].value == b"new"
+
+
+def test_endless_copy_is_cut_off(reader, clock):
+    """Guards against a peer that exhausts the memory of others by a copy without an end."""
+    lag_behind(reader, clock)
+    key = (StoreCall.COPY, reader.calls_in_progress[StoreCall.COPY])
+    reader.on_answer_started(key, AnswerHead(200, {}, None, True, True))
+    reader.on_answer_part(key, bytes(MAXIMUM_ANSWER_BYTES + 1))
+    ended = [event for event in reader.fired if isinstance(event, AttemptEnded)]
+    assert any(isinstance(event, CancelAttempt) and event.args[0] == key for event in reader.fired)
+    reader.on_answer_ended(*ended[0].args)
+    reader.note_peer_revision(SECOND, 15)
+    assert requested_copies(reader) == [f"{FIRST}:7401", f"{SECOND}:7401"]
