Don't take an answer for whole whose target has not taken the request

A target that answered an upload without a length and closed while it was still being written had its part of the answer passed on as complete. An answer that ends with its connection now counts as broken off if bytes of the request are unwritten or not acknowledged by the target's host.

FleetRun takes the type of its targets; the stand-in of the store can answer with any status.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
@@ -1,11 +1,17 @@
 """State of one connection to a target or to the platform."""
 
 import enum
+import fcntl
 import socket
+import sys
+import termios
 
 from limpetusher_router.connection.framing import AnswerHead, BodyReader
 from limpetusher_router.events import Attempt
 
+UNACKNOWLEDGED_BYTES_SIZE = 4
+"""Size of the C integer that the kernel returns for TIOCOUTQ."""
+
 
 class TargetConnectionState(enum.Enum):
     """State of a connection to a target."""
@@ -95,6 +101,14 @@
             count -= len(first)
             del self.unsent[0]
 
+    @property
+    def is_request_taken(self) -> bool:
+        """Return whether the whole request was written and the target's host has acknowledged all of it."""
+        if self.unsent or self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            return False
+        data = fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(UNACKNOWLEDGED_BYTES_SIZE))
+        return int.from_bytes(data, sys.byteorder) == 0
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection can be used for another exchange."""
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -48,6 +48,8 @@
 """Maximum size of an answer to another request that is skipped before the connection is closed."""
 BODYLESS_STATUSES = frozenset({204, 304})
 INTERIM_STATUSES = range(100, 200)
+CLOSED_BY_TARGET = "closed by the target"
+"""Detail of a connection that has ended without an error."""
 
 logger = logging.getLogger(__name__)
 
@@ -256,7 +258,7 @@
                 logger.warning("received bytes without a request from %s", connection.address)
             self.close_connection(connection)
         elif not data:
-            self.handle_broken_connection(connection, "closed by the target")
+            self.handle_broken_connection(connection, CLOSED_BY_TARGET)
         else:
             self.receive_bytes(connection, data)
 
@@ -342,7 +344,7 @@
         if connection is None:
             return
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        self.handle_broken_connection(connection, errno.errorcode.get(error, "closed by the target"))
+        self.handle_broken_connection(connection, errno.errorcode.get(error, CLOSED_BY_TARGET))
 
     def handle_broken_connection(self, connection: TargetConnection, detail: str) -> None:
         """End or resend the exchange on a broken connection."""
@@ -351,8 +353,12 @@
             self.close_connection(connection)
         elif not connection.has_sent:
             self.resend_or_end(connection, AttemptResult.UNREACHABLE, detail)
-        elif connection.ends_at_close and detail == "closed by the target" and not connection.is_mismatched:
-            self.end_exchange(connection, AttemptResult.CLOSED)
+        elif connection.ends_at_close and detail == CLOSED_BY_TARGET and not connection.is_mismatched:
+            # A target that closes before it has taken the request has broken off.
+            if connection.is_request_taken:
+                self.end_exchange(connection, AttemptResult.CLOSED)
+            else:
+                self.end_exchange(connection, AttemptResult.CUT, "closed before the request was taken")
         elif connection.has_received or attempt is None:
             self.end_exchange(connection, AttemptResult.CUT, detail)
         else:
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -141,6 +141,8 @@
         """Whether watches return no changes."""
         self.is_failing = False
         """Whether all calls are answered with status 503."""
+        self.status_of_answers: int | None = None
+        """Status that all answers have instead of their own."""
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     @property
@@ -239,7 +241,7 @@
     def reply(self, status: int, document: dict) -> None:
         body = json.dumps(document).encode()
         with contextlib.suppress(ConnectionError):
-            self.send_response(status)
+            self.send_response(self.server.status_of_answers or status)
             self.send_header("Content-Type", "application/json")
             self.send_header("Content-Length", str(len(body)))
             self.send_header("Store-Era", str(self.server.generation))
@@ -689,10 +691,17 @@
 class FleetRun:
     """A store, two targets and one router."""
 
-    def __init__(self, folder: Path, script: Callable[[TargetCall, int], None], **options: object):
+    def __init__(
+        self,
+        folder: Path,
+        script: Callable[[TargetCall, int], None],
+        *,
+        target_type: type[TargetStandIn] = TargetStandIn,
+        **options: object,
+    ):
         self.folder = folder
         self.store = StoreStandIn()
-        self.targets = {name: TargetStandIn(script) for name in ("t1", "t2")}
+        self.targets = {name: target_type(script) for name in ("t1", "t2")}
         self.store.put("op/config", configuration_document())
         for name, target in self.targets.items():
             self.store.put(f"servers/{name}", target_document(target.address))
@@ -739,7 +748,7 @@
 
 @contextlib.contextmanager
 def fleet_run(folder: Path, script: Callable[[TargetCall, int], None], **options: object):
-    """Run a store, two targets and a router; options are those of `FleetRouterProcess`."""
+    """Run a store, two targets and a router; options are those of `FleetRun` and `FleetRouterProcess`."""
     run = FleetRun(folder, script, **options)
     try:
         yield run
--- a/tests/router/connection/test_framing.py
+++ b/tests/router/connection/test_framing.py
@@ -51,6 +51,15 @@
     assert parsed.content_length == 3
 
 
+@pytest.mark.parametrize(
+    "status", ["000", "099", "600", "999", "20", "2000", "-200", "+20", "0x2", "2OO", " 200", "200,200", ""]
+)
+def test_answer_heads_with_an_invalid_status(status):
+    """Guards against statuses outside 100 to 599 and malformed ones, wherever an answer is read."""
+    with pytest.raises(FramingError):
+        parse_answer_head(f"HTTP/1.1 {status} OK\r\ncontent-length: 1\r\n\r\n".encode())
+
+
 def test_answer_heads_with_any_reason():
     """Guards against rejecting unusual reason phrases such as "I'm a teapot", and missing ones."""
     for line in ("HTTP/1.1 418 I'm a teapot", "HTTP/1.1 418", "HTTP/1.1 418 "):
