Weigh cached prompt parts against the wait for an engine

Requests waited for their best engine for 0.7 of their maximum wait, and then took an idle engine only. Where engines can transfer cached parts, a request now takes the engine with the lowest expected time to first output, including the wait for its burst. Prefill that another engine would not need is charged in addition, in proportion to how full the bursts are, and an engine that can't be started at in time only counts if no other one is left. Open engines outside of the session's five that hold the longest prefix are candidates if the best of the five has to be waited for. Without transfers in the configuration nothing changes.

--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -170,6 +170,8 @@
     """Engine that was the best one for the request but could not accept it, empty for none."""
     awaited_tokens: int = 0
     """Prompt tokens of the request to prefill at that engine."""
+    weighed_until: float = -math.inf
+    """Time until which the request waits for that engine before its candidates are weighed again."""
     considered_at: float = -math.inf
     """Time at which a target was last looked for."""
     prompt_tokens: int = 0
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -1,10 +1,12 @@
 """Placement of requests on targets."""
 
+import heapq
 import math
 from dataclasses import dataclass
 
 from limpetusher.fleet.model import Pool, QueuedRequest, Service, Target
 from limpetusher.fleet.process.announced_limits import AnnouncedLimits
+from limpetusher.fleet.process.engine_costs import EngineCosts, next_weighing
 from limpetusher.fleet.process.pool_view import PoolView, SessionEngine, TargetView
 from limpetusher.fleet.process.prefill_bursts import UNKNOWN_SPEED, PrefillBursts
 from limpetusher.fleet.process.prefill_intervals import PrefillIntervals
@@ -133,7 +135,10 @@
 
     def health_of(self, target_id: str) -> TargetHealth:
         """Return the observed health of a target."""
-        return self.health.setdefault(target_id, TargetHealth())
+        health = self.health.get(target_id)
+        if health is None:
+            health = self.health[target_id] = TargetHealth()
+        return health
 
     def evacuate(self, data_centre: str, is_evacuated: bool) -> None:
         """Exclude the targets of a data centre, or include them again."""
@@ -253,9 +258,10 @@
     def candidates(self, request: QueuedRequest, view: PoolView) -> list[TargetView]:
         """Return the highest-ranked usable engines for the session of a request."""
         candidates = []
+        is_restricted = request.is_restricted
         for target_id in self.ranking(request):
             state = view.states.get(target_id)
-            if state is not None and request.accepts(state.target):
+            if state is not None and (not is_restricted or request.accepts(state.target)):
                 candidates.append(state)
                 if len(candidates) == self.settings.max_candidates:
                     break
@@ -287,6 +293,15 @@
         request.awaited_tokens = best.prefill_tokens(request)
         if self.admits_tokens(request, view, best.state, request.awaited_tokens):
             return self.engine_choice(request, best)
+        if view.weighs_waits:
+            holders = self.further_holders(request, view, engines)
+            if holders:
+                scored = self.score_engines(request, view, [*engines, *holders])
+                _cost, _index, best = min(scored)
+                request.awaited_tokens = best.prefill_tokens(request)
+                if self.admits_tokens(request, view, best.state, request.awaited_tokens):
+                    return self.engine_choice(request, best)
+            request.weighed_until = next_weighing(request, best.state.burst_wait_seconds, view.now)
         request.awaited_id = best.state.target.target_id
         if view.now < self.earliest_idle_start(request):
             return None
@@ -299,7 +314,12 @@
         return None
 
     def earliest_idle_start(self, request: QueuedRequest) -> float:
-        """Return the time from which a request may start at an idle engine that is not the best one."""
+        """Return the time from which a request may start at an idle engine that is not the best one.
+
+        Where waits are weighed, a better engine is found by the costs, unless the request takes busy engines.
+        """
+        if self.weighs_waits(self.services.get(request.pool.service)):
+            return -math.inf if request.takes_busy_engines else math.inf
         max_wait = request.latest_start_at - request.queued_at
         return request.queued_at + request.patience * self.settings.best_engine_wait_fraction * max_wait
 
@@ -319,6 +339,8 @@
         The cached tokens are not looked up if none of the engines can accept a request.
         """
         candidates = self.candidates(request, view)
+        if view.weighs_waits and not any(state.is_open for state in candidates):
+            candidates += self.further_candidates(request, view, candidates)
         if not any(state.is_open for state in candidates):
             return [SessionEngine(state, 0, "") for state in candidates]
         source = self.transfer_source(request, view)
@@ -328,7 +350,7 @@
                 state.target.target_id, request.parts, request.prompt_tokens
             )
             source_id = ""
-            if source is not None:
+            if source is not None and prefill_tokens > source.prefill_tokens:
                 transfer_tokens = prefill_tokens_with_transfer(
                     source, state.target, prefill_tokens, state.speed.rate, view.service.engine
                 )
@@ -337,6 +359,48 @@
             engines.append(SessionEngine(state, request.prompt_tokens - prefill_tokens, source_id))
         return engines
 
+    def weighs_waits(self, service: Service | None) -> bool:
+        """Return whether the wait for an engine is weighed against what its cache saves."""
+        engine = service.engine if service is not None else None
+        return self.settings.weighs_waits and engine is not None and engine.transfer_rate > 0
+
+    def further_candidates(
+        self, request: QueuedRequest, view: PoolView, candidates: list[TargetView]
+    ) -> list[TargetView]:
+        """Return open engines besides the candidates that hold the longest prefix, the least busy first."""
+        holders = self.caches.longest_holders(request.parts)
+        known = {state.target.target_id for state in candidates}
+        further = (view.states.get(target_id) for target_id in holders if target_id not in known)
+        usable = (
+            state
+            for state in further
+            if state is not None and state.is_open and request.accepts(state.target)
+        )
+        return heapq.nsmallest(
+            self.settings.max_further_candidates,
+            usable,
+            key=lambda state: (state.load.prefill_tokens / state.speed.rate, state.target.target_id),
+        )
+
+    def further_holders(
+        self, request: QueuedRequest, view: PoolView, engines: list[SessionEngine]
+    ) -> list[SessionEngine]:
+        """Return further engines that hold the longest prefix of a prompt, besides those of its session."""
+        known = view.further_by_session.get(request.session)
+        if known is not None and not request.is_restricted:
+            return known
+        further = self.further_candidates(request, view, [engine.state for engine in engines])
+        cached_tokens = 0
+        if further:
+            holder_id = further[0].target.target_id
+            cached_tokens = request.prompt_tokens - self.caches.prefill_tokens(
+                holder_id, request.parts, request.prompt_tokens
+            )
+        holders = [SessionEngine(state, cached_tokens, "") for state in further]
+        if not request.is_restricted:
+            view.further_by_session[request.session] = holders
+        return holders
+
     def score_engines(
         self, request: QueuedRequest, view: PoolView, engines: list[SessionEngine]
     ) -> list[tuple[float, int, SessionEngine]]:
@@ -344,13 +408,17 @@
         scored = []
         memory_limit = view.memory_limit_tokens - request.memory_tokens
         uncached_token_cost = self.settings.uncached_token_cost
+        costs = EngineCosts.of(request, engines, view, self.settings) if view.weighs_waits else None
         for rank, engine in enumerate(engines):
             state = engine.state
             load = state.load
             if not state.has_room or (load.requests and load.memory_tokens > memory_limit):
                 continue
             prefill_tokens = engine.prefill_tokens(request)
-            seconds = (load.prefill_tokens + uncached_token_cost * prefill_tokens) / state.speed.rate
+            if costs is not None:
+                seconds = costs.seconds(state, prefill_tokens)
+            else:
+                seconds = (load.prefill_tokens + uncached_token_cost * prefill_tokens) / state.speed.rate
             scored.append((seconds + state.error_cost, rank, engine))
         return scored
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
@@ -26,6 +26,10 @@
     admits_prompt: bool = False
     """Whether the burst limit admits a prompt of the least served customer."""
     error_cost: float = 0.0
+    burst_tokens: int = 0
+    """Prompt tokens of the current burst, 0 if a new burst may begin; only known where waits are weighed."""
+    burst_wait_seconds: float = 0.0
+    """Expected time until the next burst; only known where waits are weighed."""
 
     @property
     def is_open(self) -> bool:
@@ -33,7 +37,7 @@
         return self.has_room and self.admits_prompt
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SessionEngine:
     """Candidate engine for the requests of a session."""
 
@@ -77,6 +81,7 @@
         self.memory_limit_tokens = (
             placement.settings.memory_fraction * engine.memory_tokens if engine is not None else 0.0
         )
+        self.weighs_waits = placement.weighs_waits(self.service)
         self.burst_seconds = placement.burst_seconds(pool.service)
         self.states: dict[str, TargetView] = {}
         self.open_targets = 0
@@ -85,11 +90,28 @@
         """Candidate engines of the sessions that were scored so far."""
         self.closed_sessions: dict[str, str] = {}
         """Preferred engine of each session without a candidate that can accept a request."""
+        self.further_by_session: dict[str, list[SessionEngine]] = {}
+        """Further engines that hold the longest prefix of the prompts of a session."""
         self.idle_engine_exists: bool | None = None
         """Value of `has_idle_engine`, None before it is needed."""
         if self.service is not None:
             for target in placement.usable(pool, now):
                 self.refresh(target)
+        self.scarcity = self.measure_scarcity() if self.weighs_waits else 0.0
+        """Shortage of engine time, from 0 to 1."""
+
+    def measure_scarcity(self) -> float:
+        """Return the average part of the bursts that engines have got, 1 if more waits than the next take.
+
+        The waiting tokens alone show no shortage, as what can't start in time is refused and does not wait.
+        """
+        if self.is_scarce or not self.states:
+            return 1.0
+        filled = sum(
+            state.burst_tokens / (self.burst_seconds * state.speed.rate) if state.admits_prompt else 1.0
+            for state in self.states.values()
+        )
+        return min(filled / len(self.states), 1.0)
 
     @property
     def has_room(self) -> bool:
@@ -105,6 +127,8 @@
             return False
         if request.takes_busy_engines:
             return self.now < request.considered_at + BUSY_ENGINE_INTERVAL_SECONDS
+        if self.weighs_waits:
+            return self.now < max(request.weighed_until, request.considered_at + BUSY_ENGINE_INTERVAL_SECONDS)
         return not self.has_idle_engine or self.now < self.placement.earliest_idle_start(request)
 
     @property
@@ -154,6 +178,8 @@
         state.has_room = load.requests < target.slots and placement.allows_request(target, self.service, now)
         state.admits_prompt = admits_prompt
         state.error_cost = placement.error_cost(target)
+        if self.weighs_waits:
+            state.burst_tokens, state.burst_wait_seconds = placement.bursts.progress(target_id, now, speed)
         self.open_targets += state.is_open
 
     def record_start(self, target: Target, session: str | None) -> None:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prefill_bursts.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prefill_bursts.py
@@ -21,6 +21,9 @@
 that the engine prefills during its output latency. A higher number shows that the engine is slower than
 estimated."""
 
+MIN_WAIT_SECONDS = 0.01
+"""Minimum expected wait for an engine that admits no prompt now."""
+
 
 @dataclass(frozen=True, slots=True)
 class PrefillSpeed:
@@ -165,6 +168,28 @@
             return True
         return self.is_probably_finished(target_id, burst, speed, now)
 
+    def progress(self, target_id: str, now: float, speed: PrefillSpeed) -> tuple[int, float]:
+        """Return the tokens sent in the current burst of an engine, and the expected time until the next one.
+
+        Both are 0 if a new burst may begin now. A burst that is overdue is expected to take as long again.
+        """
+        burst = self.bursts.get(target_id)
+        if burst is None:
+            return 0, 0.0
+        if burst.pending_tokens == 0 or self.is_probably_finished(target_id, burst, speed, now):
+            return 0, max(0.0, burst.next_burst_at - now)
+        expected_at = self.expected_next_burst(target_id, burst, speed)
+        wait = expected_at - now if now < expected_at else max(now - expected_at, MIN_WAIT_SECONDS)
+        return burst.sent_tokens, wait
+
+    def expected_next_burst(self, target_id: str, burst: Burst, speed: PrefillSpeed) -> float:
+        """Return the time at which an engine is expected to admit prompts after its current burst."""
+        prefill_seconds = burst.sent_tokens / speed.rate
+        started_at = burst.started_at
+        if burst.is_excluded_from_samples or self.cooldowns.ratio(target_id):
+            started_at += speed.latency
+        return started_at + prefill_seconds + self.pause_seconds(target_id, prefill_seconds)
+
     def is_idle(self, target_id: str, now: float) -> bool:
         """Return whether an engine has had no prefill work for `idle_seconds`."""
         burst = self.bursts.get(target_id)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_caches.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_caches.py
@@ -48,9 +48,11 @@
     def prefill_tokens(self, target_id: str, parts: tuple[PromptPart, ...], prompt_tokens: int) -> int:
         """Return the prompt tokens to prefill; a part only counts as cached if all parts before it are."""
         cache = self.by_engine.get(target_id)
+        if cache is None:
+            return max(prompt_tokens, 1)
         cached = 0
         for part in parts[:-1]:
-            if cache is None or part.part_id not in cache.parts:
+            if part.part_id not in cache.parts:
                 break
             cached += part.tokens
         return max(prompt_tokens - cached, 1)
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -42,7 +42,18 @@
     first_output_seconds
         Time to first output of a short prompt at an idle engine.
     best_engine_wait_fraction
-        Fraction of its maximum wait for which a request only waits for the engine with the lowest cost.
+        Fraction of its maximum wait for which a request only waits for the engine with the lowest cost, where
+        engines transfer no cached parts.
+    weighs_waits
+        Whether the wait for an engine is weighed against what its cache saves, where engines can transfer
+        cached parts.
+    avoidable_token_cost
+        Additional cost of prefilling a prompt token that another engine has cached, relative to the prefill
+        itself, where waits are weighed and all bursts are full; less if they are not. A request then waits
+        for an engine that holds its prefix if it can start there in time.
+    max_further_candidates
+        Maximum number of engines considered besides `max_candidates`, because they hold the longest prefix of
+        a prompt.
     min_wait_fraction
         Fraction of its goal for which a request may always wait for a target before it is refused.
     resumed_stream_wait_seconds
@@ -73,6 +84,9 @@
     cache_fraction: float = 0.35
     first_output_seconds: float = 0.1
     best_engine_wait_fraction: float = 0.7
+    weighs_waits: bool = True
+    max_further_candidates: int = 3
+    avoidable_token_cost: float = 40.0
     min_wait_fraction: float = 0.2
     resumed_stream_wait_seconds: float = 1.5
     initial_suspension_seconds: float = 0.25
