Derive the prompt caches of engines from the memory of open requests

It is now what the open requests leave. Parts of the request just sent are not evicted. Requests without prompt parts bypassed the limit of memory; they no longer do. A request that finds no memory for a tenth of its goal reserves an engine, where others may start only if both fit; a customer above its share gets no reservation.

--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -172,6 +172,8 @@
     """Prompt tokens of the request to prefill at that engine."""
     weighed_until: float = -math.inf
     """Time until which the request waits for that engine before its candidates are weighed again."""
+    memory_short_since: float | None = None
+    """Time since which no engine had memory for the request, None if that was not so."""
     considered_at: float = -math.inf
     """Time at which a target was last looked for."""
     prompt_tokens: int = 0
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -7,6 +7,7 @@
 from limpetusher.fleet.model import Pool, QueuedRequest, Service, Target
 from limpetusher.fleet.process.announced_limits import AnnouncedLimits
 from limpetusher.fleet.process.engine_costs import EngineCosts, next_weighing
+from limpetusher.fleet.process.engine_memory import MemoryReservations, cache_capacity_tokens
 from limpetusher.fleet.process.pool_view import PoolView, SessionEngine, TargetView
 from limpetusher.fleet.process.prefill_bursts import UNKNOWN_SPEED, PrefillBursts
 from limpetusher.fleet.process.prefill_intervals import PrefillIntervals
@@ -74,6 +75,7 @@
         self.bursts = PrefillBursts(settings)
         self.intervals = PrefillIntervals()
         self.caches = PromptCaches()
+        self.memory = MemoryReservations(settings)
         self.rate_limiter = TargetRateLimiter()
 
     def put_target(self, target: Target) -> None:
@@ -115,6 +117,7 @@
             self.bursts.forget(target_id)
             self.intervals.forget(target_id)
             self.caches.forget(target_id)
+            self.memory.forget(target_id)
             self.rate_limiter.forget(target_id)
             self.leaving.discard(target_id)
             self.backoff_until.pop(target_id, None)
@@ -232,6 +235,8 @@
         for state in view.states.values():
             if not state.has_room or not request.accepts(state.target):
                 continue
+            if view.memory_limit_tokens and not self.memory.fits(state, request, view.memory_limit_tokens):
+                continue
             cost = state.load.requests + state.error_cost
             cost += REMOTE_COST * (state.target.data_centre != request.caller_data_centre)
             if best is None or cost < best[0]:
@@ -288,6 +293,9 @@
             return None
         scored = self.score_engines(request, view, engines)
         if not scored:
+            with_room = [engine.state for engine in engines if engine.state.has_room]
+            if with_room:
+                self.memory.record_shortage(request, with_room, view.now)
             return None
         _cost, _index, best = min(scored)
         request.awaited_tokens = best.prefill_tokens(request)
@@ -407,6 +415,7 @@
         """Return the cost in seconds, the rank and the engine for each engine with a slot and memory."""
         scored = []
         memory_limit = view.memory_limit_tokens - request.memory_tokens
+        has_reservations = bool(self.memory.by_target)
         uncached_token_cost = self.settings.uncached_token_cost
         costs = EngineCosts.of(request, engines, view, self.settings) if view.weighs_waits else None
         for rank, engine in enumerate(engines):
@@ -414,6 +423,8 @@
             load = state.load
             if not state.has_room or (load.requests and load.memory_tokens > memory_limit):
                 continue
+            if has_reservations and not self.memory.fits(state, request, view.memory_limit_tokens):
+                continue
             prefill_tokens = engine.prefill_tokens(request)
             if costs is not None:
                 seconds = costs.seconds(state, prefill_tokens)
@@ -523,17 +534,14 @@
             self.max_request_rate(target, service, now)
         )
 
-    def cache_capacity_tokens(self, service: Service) -> float:
-        """Return the capacity of an engine's prompt cache in tokens."""
-        return self.settings.cache_fraction * service.engine.memory_tokens
-
     def record_start(self, request: QueuedRequest, choice: TargetChoice, now: float) -> None:
         """Record a request that is sent to a target."""
         target_id = choice.target.target_id
         service = self.services[request.pool.service]
         self.add_load(target_id, choice.load, now)
         if service.engine is not None:
-            self.caches.record_use(target_id, request.parts[:-1], self.cache_capacity_tokens(service))
+            capacity = cache_capacity_tokens(service.engine, self.loads.total(target_id))
+            self.caches.record_use(target_id, request.parts[:-1], capacity)
         rate = self.max_request_rate(choice.target, service, now)
         if rate < math.inf:
             self.rate_limiter.record_sent(target_id, rate, now)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_caches.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_caches.py
@@ -37,12 +37,16 @@
         """Engines that cache a part, by part."""
 
     def record_use(self, target_id: str, shared: tuple[PromptPart, ...], capacity: float) -> None:
-        """Record that an engine with a cache of `capacity` tokens prefills or reuses shared parts."""
+        """Record that an engine with a cache of `capacity` tokens prefills or reuses shared parts.
+
+        These parts are not evicted, as the request that uses them holds them.
+        """
         cache = self.by_engine.setdefault(target_id, EngineCache())
         for part in shared:
             cache.record_use(part)
             self.holders.setdefault(part.part_id, set()).add(target_id)
-        for part_id in cache.evict(capacity):
+        used_tokens = sum(part.tokens for part in shared)
+        for part_id in cache.evict(max(capacity, used_tokens)):
             self.remove_holder(target_id, part_id)
 
     def prefill_tokens(self, target_id: str, parts: tuple[PromptPart, ...], prompt_tokens: int) -> int:
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -25,6 +25,8 @@
 CLOSED_SECONDS = 0.1
 """Time for which a router refuses requests itself after one was refused because of the backlog. During a
 flood, the messages of refused requests would otherwise take most of the scheduler's processor."""
+NO_ROOM = "no target had room in time"
+NO_MEMORY = "no engine had memory for the request in time"
 BACKLOG_TOO_LONG = "the backlog is too long"
 PROMPT_QUARANTINED = "a part of the prompt has crashed engines"
 REQUEST_QUARANTINED = "the request has crashed targets"
@@ -374,7 +376,7 @@
                 if quarantine:
                     reason = REQUEST_QUARANTINED if quarantine.is_request else PROMPT_QUARANTINED
                 elif now >= request.latest_start_at:
-                    reason = "no target had room in time"
+                    reason = NO_MEMORY if request.memory_short_since is not None else NO_ROOM
                 elif (
                     prefill_rate
                     and not request.resumes
