Transfer cached parts from engines of a pool that has refused the request

The pool that is tried next knew nothing of the caches of the first one and prefilled shared parts again. A refusal now names the engine that holds the longest prefix (TargetRefusal), the router passes it on if it is a target that it knows (TargetQuery), and the next scheduler uses it if it is listed and healthy. Transfers from one source are counted one after another, and prefill is repeated if that takes too long.

--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -65,12 +65,21 @@
     """Greatest time since the stream that the request takes up again can have begun."""
     version: str | None = None
     """Software version that has to go on with the stream, None if the router knows of none."""
+    source_id: str = ""
+    """Engine of a pool that has refused the request which holds most of its prompt, empty for none."""
+    source_tokens: int = 0
+    """Prompt tokens that this engine holds."""
 
     @property
     def has_valid_numbers(self) -> bool:
         """Return whether all numbers are valid; invalid ones would corrupt the scheduler's sums."""
         times = (self.goal_seconds, self.waited_seconds, self.remaining_seconds, self.stream_age_seconds)
-        counts = (self.prompt_tokens, self.output_tokens, *(tokens for _name, tokens in self.parts))
+        counts = (
+            self.prompt_tokens,
+            self.output_tokens,
+            self.source_tokens,
+            *(tokens for _name, tokens in self.parts),
+        )
         return all(math.isfinite(time) for time in times) and all(
             0 <= count <= MAX_TOKENS for count in counts
         )
@@ -121,6 +130,15 @@
     in the pool."""
     version: str | None = None
     """Software version that has to go on with the stream, None if any may or if it is unknown."""
+    source_id: str = ""
+    """Engine of the pool that holds most of the prompt, empty for none, for a transfer to another pool."""
+    source_tokens: int = 0
+    """Prompt tokens that this engine holds."""
+
+    @property
+    def has_valid_source(self) -> bool:
+        """Return whether the refusal names a source with a valid number of tokens."""
+        return bool(self.source_id) and 0 < self.source_tokens <= MAX_TOKENS
 
 
 class PrefillFinished(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -183,6 +183,10 @@
     """Digest that all repeats of the request have in common."""
     excluded: set[str] = field(default_factory=set)
     """Targets that have failed this request."""
+    source_id: str = ""
+    """Engine of a pool that has refused the request which holds most of its prompt, empty for none."""
+    source_tokens: int = 0
+    """Prompt tokens that this engine holds."""
     version: str | None = None
     """Software version that has to go on with a stream, None if any may run the request."""
     version_basis: str = ""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -4,7 +4,7 @@
 import math
 from dataclasses import dataclass
 
-from limpetusher.fleet.model import Pool, QueuedRequest, Service, Target
+from limpetusher.fleet.model import Engine, Pool, QueuedRequest, Service, Target
 from limpetusher.fleet.process.announced_limits import AnnouncedLimits
 from limpetusher.fleet.process.engine_costs import EngineCosts, next_weighing
 from limpetusher.fleet.process.engine_memory import MemoryReservations, cache_capacity_tokens
@@ -16,7 +16,12 @@
 from limpetusher.fleet.process.rate_limits import TargetRateLimiter
 from limpetusher.fleet.process.target_health import TargetHealth
 from limpetusher.fleet.process.target_loads import TargetLoad, TargetLoads
-from limpetusher.fleet.process.transfers import TransferSource, prefill_tokens_with_transfer
+from limpetusher.fleet.process.transfers import (
+    TransferQueues,
+    TransferSource,
+    prefill_tokens_with_transfer,
+    transfer_seconds,
+)
 from limpetusher.fleet.settings import FleetSettings
 from limpetusher.fleet.version.routing import stable_hash
 
@@ -76,6 +81,7 @@
         self.intervals = PrefillIntervals()
         self.caches = PromptCaches()
         self.memory = MemoryReservations(settings)
+        self.transfers = TransferQueues()
         self.rate_limiter = TargetRateLimiter()
 
     def put_target(self, target: Target) -> None:
@@ -118,6 +124,7 @@
             self.intervals.forget(target_id)
             self.caches.forget(target_id)
             self.memory.forget(target_id)
+            self.transfers.forget(target_id)
             self.rate_limiter.forget(target_id)
             self.leaving.discard(target_id)
             self.backoff_until.pop(target_id, None)
@@ -333,7 +340,7 @@
 
     def session_engines(self, request: QueuedRequest, view: PoolView) -> list[SessionEngine]:
         """Return the candidate engines of a request; the view keeps them for its session."""
-        if request.is_restricted:
+        if request.is_restricted or request.source_id:
             return self.find_session_engines(request, view)
         engines = view.engines_by_session.get(request.session)
         if engines is None:
@@ -352,6 +359,9 @@
         if not any(state.is_open for state in candidates):
             return [SessionEngine(state, 0, "") for state in candidates]
         source = self.transfer_source(request, view)
+        queued = (
+            self.transfers.queued_seconds(source.target.target_id, view.now) if source is not None else 0.0
+        )
         engines = []
         for state in candidates:
             prefill_tokens = self.caches.prefill_tokens(
@@ -360,7 +370,7 @@
             source_id = ""
             if source is not None and prefill_tokens > source.prefill_tokens:
                 transfer_tokens = prefill_tokens_with_transfer(
-                    source, state.target, prefill_tokens, state.speed.rate, view.service.engine
+                    source, state.target, prefill_tokens, state.speed.rate, view.service.engine, queued
                 )
                 if transfer_tokens < prefill_tokens:
                     prefill_tokens, source_id = transfer_tokens, source.target.target_id
@@ -480,15 +490,82 @@
         """
         if not view.service.engine.transfer_rate:
             return None
-        sources = (
-            TransferSource(
-                target=view.states[holder].target,
-                prefill_tokens=self.caches.prefill_tokens(holder, request.parts, request.prompt_tokens),
-            )
-            for holder in self.caches.longest_holders(request.parts)
-            if holder in view.states and holder not in request.excluded and not view.states[holder].error_cost
+        best: tuple[int, float, str] | None = None
+        for holder in self.caches.longest_holders(request.parts):
+            state = view.states.get(holder)
+            if state is None or holder in request.excluded or state.error_cost:
+                continue
+            prefill_tokens = self.caches.prefill_tokens(holder, request.parts, request.prompt_tokens)
+            key = (prefill_tokens, self.transfers.queued_seconds(holder, view.now), holder)
+            if best is None or key < best:
+                best = key
+        found = TransferSource(view.states[best[2]].target, best[0]) if best is not None else None
+        if request.source_id and request.source_id not in view.states:
+            named = self.named_source(request, view.now)
+            if named is not None and (found is None or named.prefill_tokens < found.prefill_tokens):
+                return named
+        return found
+
+    def named_source(self, request: QueuedRequest, now: float) -> TransferSource | None:
+        """Return the usable engine of another pool that its scheduler has named as a source, None if none."""
+        target = self.targets.get(request.source_id)
+        if target is None or target.service != request.pool.service:
+            return None
+        shared_tokens = request.prompt_tokens - request.parts[-1].tokens
+        tokens = min(request.source_tokens, shared_tokens)
+        if tokens <= 0 or not self.is_source(target, request, now):
+            return None
+        return TransferSource(target, max(request.prompt_tokens - tokens, 1))
+
+    def is_source(self, target: Target, request: QueuedRequest, now: float) -> bool:
+        """Return whether an engine may send cached parts of a request."""
+        health = self.health_of(target.target_id)
+        return (
+            self.is_listed(target)
+            and not self.is_backing_off(target.target_id, now)
+            and not health.is_suspended(now)
+            and health.is_trusted
+            and target.target_id not in request.excluded
+        )
+
+    def source_for_other_pools(self, request: QueuedRequest, now: float) -> TransferSource | None:
+        """Return the engine of a request's pool from which another pool may transfer cached parts."""
+        service = self.services.get(request.pool.service)
+        engine = service.engine if service is not None else None
+        if engine is None or not engine.transfer_rate or not request.pool.data_centre:
+            return None
+        usable = (
+            target_id
+            for target_id in self.caches.longest_holders(request.parts)
+            if self.is_source(self.targets[target_id], request, now)
+        )
+        holder_id = min(
+            usable,
+            key=lambda target_id: (self.transfers.queued_seconds(target_id, now), target_id),
+            default=None,
         )
-        return min(sources, key=lambda source: (source.prefill_tokens, source.target.target_id), default=None)
+        if holder_id is None:
+            return None
+        prefill_tokens = self.caches.prefill_tokens(holder_id, request.parts, request.prompt_tokens)
+        if prefill_tokens >= request.prompt_tokens:
+            return None
+        return TransferSource(self.targets[holder_id], prefill_tokens)
+
+    def record_transfer(
+        self, request: QueuedRequest, choice: TargetChoice, engine: Engine, now: float
+    ) -> None:
+        """Record a transfer to the engine of a request, before the request counts as cached there."""
+        source = self.targets.get(choice.source_id)
+        if source is None:
+            return
+        parts, prompt_tokens = request.parts, request.prompt_tokens
+        tokens = self.caches.prefill_tokens(choice.target.target_id, parts, prompt_tokens)
+        if choice.source_id == request.source_id:
+            tokens -= prompt_tokens - request.source_tokens
+        else:
+            tokens -= self.caches.prefill_tokens(choice.source_id, parts, prompt_tokens)
+        seconds = transfer_seconds(source, choice.target, max(tokens, 0), engine)
+        self.transfers.record(choice.source_id, seconds, now)
 
     def burst_seconds(self, service: str) -> float:
         """Return the maximum duration of a prefill burst in seconds."""
@@ -540,6 +617,8 @@
         service = self.services[request.pool.service]
         self.add_load(target_id, choice.load, now)
         if service.engine is not None:
+            if choice.source_id:
+                self.record_transfer(request, choice, service.engine, now)
             capacity = cache_capacity_tokens(service.engine, self.loads.total(target_id))
             self.caches.record_use(target_id, request.parts[:-1], capacity)
         rate = self.max_request_rate(choice.target, service, now)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -42,6 +42,7 @@
     repeat_key,
 )
 from limpetusher.fleet.process.target_loads import TargetLoad
+from limpetusher.fleet.process.transfers import TransferSource
 from limpetusher.fleet.process.version_binding import HeldQuery, VersionBinding
 from limpetusher.fleet.request.waiting_requests import (
     MIN_RETRY_AFTER_SECONDS,
@@ -249,6 +250,8 @@
             parts=tuple(PromptPart(*part) for part in message.parts),
             digest=message.digest,
             excluded=set(message.excluded),
+            source_id=message.source_id,
+            source_tokens=message.source_tokens,
             caller_data_centre=message.caller_data_centre,
             stream=message.stream,
             resumes=message.resumes,
@@ -265,7 +268,8 @@
         job = Job(message.attempt, pool, request, is_retry=message.is_retry)
         if refusal is not None:
             self.refund_retry(job)
-            self.immediate_refusals.append((client, target_refusal(refusal, message.attempt)))
+            source = self.placement.source_for_other_pools(request, now)
+            self.immediate_refusals.append((client, target_refusal(refusal, message.attempt, source)))
             return
         self.add_job(client, message.request_id, job)
         self.waiting.add(request)
@@ -668,7 +672,8 @@
         job = self.jobs[request.client, request.request_id]
         self.remove_job(request.client, request.request_id, now)
         self.refund_retry(job)
-        return target_refusal(decision, job.attempt)
+        source = self.placement.source_for_other_pools(request, now)
+        return target_refusal(decision, job.attempt, source)
 
     def refund_retry(self, job: Job) -> None:
         """Return the token of a retry that was refused or withdrawn, as no target gets it."""
@@ -676,8 +681,10 @@
             self.retry_budget(job.pool).refund()
 
 
-def target_refusal(decision: RefusalDecision, attempt: int) -> TargetRefusal:
-    """Return the message that tells a router of a refusal."""
+def target_refusal(
+    decision: RefusalDecision, attempt: int, source: TransferSource | None = None
+) -> TargetRefusal:
+    """Return the message that tells a router of a refusal, with the engine that holds most of the prompt."""
     request = decision.request
     return TargetRefusal(
         request_id=request.request_id,
@@ -690,4 +697,6 @@
         may_crash_targets=decision.may_crash_targets,
         lacks_version=decision.lacks_version,
         version=request.version if decision.lacks_version and not request.begins_stream else None,
+        source_id=source.target.target_id if source is not None else "",
+        source_tokens=request.prompt_tokens - source.prefill_tokens if source is not None else 0,
     )
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/transfers.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/transfers.py
@@ -20,8 +20,41 @@
     prefill_tokens: int
 
 
+class TransferQueues:
+    """Transfers that engines have been asked for and that are not complete yet, by their source.
+
+    An engine sends the parts for one request after those for another.
+    """
+
+    def __init__(self):
+        self.free_at: dict[str, float] = {}
+
+    def queued_seconds(self, source_id: str, now: float) -> float:
+        """Return the time until a source has sent what it was asked for."""
+        return max(0.0, self.free_at.get(source_id, now) - now)
+
+    def record(self, source_id: str, seconds: float, now: float) -> None:
+        """Record a transfer that takes `seconds`."""
+        self.free_at[source_id] = now + self.queued_seconds(source_id, now) + seconds
+
+    def forget(self, source_id: str) -> None:
+        """Remove the state of an engine."""
+        self.free_at.pop(source_id, None)
+
+
+def transfer_seconds(source: Target, target: Target, tokens: int, engine: Engine) -> float:
+    """Return the duration of a transfer of cached prompt tokens."""
+    seconds = SETUP_SECONDS + tokens / engine.transfer_rate
+    return seconds * REMOTE_TIME_FACTOR if source.data_centre != target.data_centre else seconds
+
+
 def prefill_tokens_with_transfer(
-    source: TransferSource, target: Target, prefill_tokens: int, rate: float, engine: Engine
+    source: TransferSource,
+    target: Target,
+    prefill_tokens: int,
+    rate: float,
+    engine: Engine,
+    queued_seconds: float = 0.0,
 ) -> int:
     """Return the load of a transfer from a source, expressed in prompt tokens to prefill.
 
@@ -38,13 +71,13 @@
         Prefill rate of the target in tokens per second.
     engine
         Capacity of the service's engines.
+    queued_seconds
+        Time until the source has sent what it was asked for before.
     """
     tokens = prefill_tokens - source.prefill_tokens
     if tokens <= 0 or source.target.target_id == target.target_id:
         return prefill_tokens
-    seconds = SETUP_SECONDS + tokens / engine.transfer_rate
-    if source.target.data_centre != target.data_centre:
-        seconds *= REMOTE_TIME_FACTOR
+    seconds = queued_seconds + transfer_seconds(source.target, target, tokens, engine)
     if MIN_SPEEDUP * seconds > tokens / rate:
         return prefill_tokens
     return source.prefill_tokens + int(seconds * rate)
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/scheduler_client.py
@@ -71,6 +71,10 @@
     scheduler: str = ""
     refusing_pools: frozenset[Pool] = frozenset()
     """Pools that have refused the current attempt."""
+    source_id: str = ""
+    """Engine of a refusing pool that holds most of the prompt, empty for none."""
+    source_tokens: int = 0
+    """Prompt tokens that this engine holds."""
     grant: TargetGrant | None = None
     """The scheduler's grant, while the request is open at a target."""
     granted_version: str = ""
@@ -170,6 +174,7 @@
         target_request.grant = None
         target_request.output_at = None
         target_request.refusing_pools = frozenset()
+        target_request.source_id, target_request.source_tokens = "", 0
         self.choose_pool(target_request, now)
 
     def choose_pool(self, target_request: TargetRequest, now: float) -> None:
@@ -189,6 +194,8 @@
                     request_id=target_request.request_id,
                     attempt=target_request.attempt,
                     closed_seconds=0.0,
+                    source_id="",
+                    source_tokens=0,
                 )
                 self.send(self.own_address, refusal)
                 return
@@ -251,6 +258,8 @@
             resumes=target_request.resumes,
             stream_age_seconds=now - target_request.stream_begun_after if target_request.resumes else 0.0,
             version=target_request.version,
+            source_id=target_request.source_id,
+            source_tokens=target_request.source_tokens,
         )
         self.send(target_request.scheduler, message)
 
@@ -288,6 +297,7 @@
                     now + answer.closed_seconds, target_request.goal_seconds, answer
                 )
             target_request.refusing_pools = target_request.refusing_pools | {target_request.pool}
+            self.record_source(target_request, answer)
             other = self.untried_pool(target_request, now)
             # Each scheduler that waits in vain for the store costs the caller time.
             may_try_all = answer.lacks_version and answer.reason != TARGETS_UNCONFIRMED
@@ -302,6 +312,15 @@
         del self.target_requests[target_request.request_id]
         return target_request
 
+    def record_source(self, target_request: TargetRequest, answer: TargetRefusal) -> None:
+        """Record the engine from which the next pool may transfer cached parts, if it is a known target."""
+        if (
+            answer.has_valid_source
+            and answer.source_tokens > target_request.source_tokens
+            and answer.source_id in self.pools.placement.targets
+        ):
+            target_request.source_id, target_request.source_tokens = answer.source_id, answer.source_tokens
+
     def report_first_output(self, request_id: str, now: float) -> None:
         """Report the first output of a request."""
         target_request = self.target_requests.get(request_id)
--- a/tests/fleet/request/test_scheduler_client.py
+++ b/tests/fleet/request/test_scheduler_client.py
@@ -333,3 +333,34 @@
         if harness.scheduler_client.accept_refusal(answer, target_request.scheduler, 0.0) is not None:
             break
     assert refusals <= MAX_TRIED_POOLS
+
+
+def queries_for_a_refusal(harness, **changes) -> list[TargetQuery]:
+    """Let the first pool refuse a request; return the queries to other pools."""
+    target_request = harness.request_target()
+    harness.sent.clear()
+    answer = make_refusal(target_request, **changes)
+    harness.scheduler_client.accept_refusal(answer, target_request.scheduler, 0.1)
+    return [message for _address, message in harness.sent]
+
+
+def test_source_that_a_refusal_names_is_passed_on_to_the_next_pool():
+    """Guards against repeated prefill when a request goes to another pool."""
+    [query] = queries_for_a_refusal(ClientHarness(20), source_id="e3", source_tokens=20)
+    assert (query.source_id, query.source_tokens) == ("e3", 20)
+
+
+@pytest.mark.parametrize(("source_id", "tokens"), [("unknown", 20), ("e3", 0), ("e3", -5), ("e3", 2 * 10**9)])
+def test_invalid_source_is_not_passed_on(source_id, tokens):
+    """Guards against a malformed refusal that makes the next query invalid or too long to send."""
+    [query] = queries_for_a_refusal(ClientHarness(20), source_id=source_id, source_tokens=tokens)
+    assert (query.source_id, query.source_tokens) == ("", 0)
+
+
+def test_source_of_an_earlier_attempt_is_not_named_again():
+    """Guards against transfers from an engine that may have evicted the parts since."""
+    harness = ClientHarness(20)
+    target_request = harness.request_target()
+    target_request.source_id, target_request.source_tokens = "e3", 20
+    harness.scheduler_client.request_target(target_request, 0.5)
+    assert harness.sent[-1][1].source_id == ""
