Give parts in high demand further engines

A session that asked for more than one engine prefills moved only when its requests could not start in time at the first one. The scheduler now measures the own prompt tokens requested per session (decaying over 0.5 s). For each 0.6 of an engine's rate, one more engine of the session's order may hold its parts without a charge.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/engine_costs.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/engine_costs.py
@@ -41,6 +41,8 @@
         Length to which the customer of the request may extend a burst, relative to a full one.
     now
         Reading of the monotonic clock.
+    session_engines
+        Number of engines, in the session's order, that may hold its parts without a charge.
     """
 
     request: QueuedRequest
@@ -49,10 +51,16 @@
     burst_seconds: float
     burst_factor: float
     now: float
+    session_engines: int = 1
 
     @classmethod
     def of(
-        cls, request: QueuedRequest, engines: Iterable[SessionEngine], view: PoolView, settings: FleetSettings
+        cls,
+        request: QueuedRequest,
+        engines: Iterable[SessionEngine],
+        view: PoolView,
+        settings: FleetSettings,
+        session_engines: int = 1,
     ) -> "EngineCosts":
         """Return the weighing of a request's candidates.
 
@@ -62,14 +70,19 @@
         factor = 1.0
         if view.is_scarce:
             factor += settings.burst_extension_fraction * max(0.0, 1.0 - request.share_used)
-        least = max(request.prompt_tokens - max(engine.cached_tokens for engine in engines), 1)
-        return cls(request, least, weight, view.burst_seconds, factor, view.now)
+        least = max(request.prompt_tokens - max([engine.cached_tokens for engine in engines]), 1)
+        return cls(request, least, weight, view.burst_seconds, factor, view.now, session_engines)
 
-    def seconds(self, state: TargetView, prefill_tokens: int) -> float:
-        """Return the cost of an engine that has to prefill so many tokens of the request."""
+    def seconds(self, state: TargetView, prefill_tokens: int, rank: int) -> float:
+        """Return the cost of an engine that has to prefill so many tokens of the request.
+
+        `rank` is the position of the engine in the session's order. The parts of a session in high demand are
+        wanted at several engines, so these are not charged for them.
+        """
         rate = state.speed.rate
-        avoidable = prefill_tokens - self.least_prefill_tokens
-        own = (prefill_tokens + self.avoidable_weight * avoidable) / rate
+        own = prefill_tokens / rate
+        if self.session_engines == 1 or rank >= self.session_engines:
+            own += self.avoidable_weight * (prefill_tokens - self.least_prefill_tokens) / rate
         ahead = state.load.prefill_tokens / rate
         room = self.burst_seconds * rate * self.burst_factor - state.burst_tokens
         if state.admits_prompt and (prefill_tokens <= room or not state.burst_tokens):
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -8,6 +8,7 @@
 from limpetusher.fleet.process.announced_limits import AnnouncedLimits
 from limpetusher.fleet.process.engine_costs import EngineCosts, next_weighing
 from limpetusher.fleet.process.engine_memory import MemoryReservations, cache_capacity_tokens
+from limpetusher.fleet.process.part_demand import PartDemand
 from limpetusher.fleet.process.pool_view import PoolView, SessionEngine, TargetView
 from limpetusher.fleet.process.prefill_bursts import UNKNOWN_SPEED, PrefillBursts
 from limpetusher.fleet.process.prefill_intervals import PrefillIntervals
@@ -82,6 +83,7 @@
         self.caches = PromptCaches()
         self.memory = MemoryReservations(settings)
         self.transfers = TransferQueues()
+        self.demand = PartDemand(settings)
         self.rate_limiter = TargetRateLimiter()
 
     def put_target(self, target: Target) -> None:
@@ -425,9 +427,13 @@
         """Return the cost in seconds, the rank and the engine for each engine with a slot and memory."""
         scored = []
         memory_limit = view.memory_limit_tokens - request.memory_tokens
+        prompt_tokens = request.prompt_tokens
         has_reservations = bool(self.memory.by_target)
         uncached_token_cost = self.settings.uncached_token_cost
-        costs = EngineCosts.of(request, engines, view, self.settings) if view.weighs_waits else None
+        costs = None
+        if view.weighs_waits:
+            wanted = self.demand.engines(request.session, engines[0].state.speed.rate, view.now)
+            costs = EngineCosts.of(request, engines, view, self.settings, wanted)
         for rank, engine in enumerate(engines):
             state = engine.state
             load = state.load
@@ -435,9 +441,9 @@
                 continue
             if has_reservations and not self.memory.fits(state, request, view.memory_limit_tokens):
                 continue
-            prefill_tokens = engine.prefill_tokens(request)
+            prefill_tokens = max(prompt_tokens - engine.cached_tokens, 1)
             if costs is not None:
-                seconds = costs.seconds(state, prefill_tokens)
+                seconds = costs.seconds(state, prefill_tokens, rank)
             else:
                 seconds = (load.prefill_tokens + uncached_token_cost * prefill_tokens) / state.speed.rate
             scored.append((seconds + state.error_cost, rank, engine))
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -260,6 +260,7 @@
         if message.attempt == 1:
             self.served.decay(now)
             self.served.add_asked(request.customer, throughput_tokens(request))
+            self.placement.demand.record(request, now)
         refusal = (
             self.refuse_for_parts(message, request, now)
             or self.binding.refuse(query, request, now)
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -49,6 +49,13 @@
         Additional cost of prefilling a prompt token that another engine has cached, relative to the prefill
         itself, where waits are weighed and all bursts are full; less if they are not. A request then waits
         for an engine that holds its prefix if it can start there in time.
+    max_engine_demand_fraction
+        Fraction of the prefill rate of one engine that the requests of a session may ask for before the next
+        engine in the session's order may hold its parts without a charge. Below 1, as pauses between bursts
+        take time as well and the second engine is wanted before the first one runs short.
+    demand_seconds
+        Time constant over which the demand of a session is averaged. Much shorter than the floods of one
+        customer, which last for seconds.
     max_further_candidates
         Maximum number of engines considered besides `max_candidates`, because they hold the longest prefix of
         a prompt.
@@ -85,6 +92,8 @@
     weighs_waits: bool = True
     max_further_candidates: int = 3
     avoidable_token_cost: float = 40.0
+    max_engine_demand_fraction: float = 0.6
+    demand_seconds: float = 0.5
     min_wait_fraction: float = 0.2
     resumed_stream_wait_seconds: float = 1.5
     initial_suspension_seconds: float = 0.25
--- a/tests/builders_engines.py
+++ b/tests/builders_engines.py
@@ -112,6 +112,7 @@
         while arrivals and arrivals[-1].queued_at <= now:
             request = arrivals.pop()
             result.arrived += 1
+            placement.demand.record(request, now)
             if waiting.refuse_on_arrival(request, now) is None:
                 waiting.add(request)
         for decision in waiting.decide(now):
@@ -140,9 +141,19 @@
 
 
 def draw_requests(
-    make_request, *, seed: int, per_second: float, seconds: float, sessions: int, customers: int = 10
+    make_request,
+    *,
+    seed: int,
+    per_second: float,
+    seconds: float,
+    sessions: int,
+    customers: int = 10,
+    hot_part: float = 0.0,
 ) -> list[QueuedRequest]:
-    """Return drafts, short prompts and chats of customers whose first one sends a third of them."""
+    """Return drafts, short prompts and chats of customers whose first one sends a third of them.
+
+    A part `hot_part` of the requests are drafts of one session.
+    """
     rng = random.Random(seed)
     requests: list[QueuedRequest] = []
     at = 0.0
@@ -152,6 +163,8 @@
         )[0]
         customer = 0 if rng.random() < 0.33 else rng.randrange(customers)
         session = f"{shared}-{customer}-{int(rng.paretovariate(0.8)) % max(sessions // customers, 1)}"
+        if hot_part and rng.random() < hot_part:
+            shared, own, output, goal, session = 6_300, 2_890, 60, 0.4, "hot"
         name = f"r{len(requests)}"
         parts = (PromptPart(session, shared), PromptPart(name, own))
         requests.append(
