Show why a request went to its engine

Grants and lines 1405 tell how the engine gets the shared prompt parts (cached, transferred, prefilled), how many prompt tokens that saves, and the engine's position in the session's order; limpetusher_engine_choices_total counts them. Line 1401 names the engine that holds the longest prefix. The new settings have checked bounds. A restarted engine has no transfers left to send.

--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -108,6 +108,12 @@
     """Software version that has to go on with the stream, None if any may run the request."""
     version_basis: str = ""
     """How the version of the target was determined, empty if any may run the request."""
+    engine_basis: int = 0
+    """How the engine gets the shared prompt parts, as in `EngineBasis`."""
+    saved_tokens: int = 0
+    """Prompt tokens that take no prefill time; a transfer counts as what could be prefilled meanwhile."""
+    session_rank: int = 0
+    """Position of the engine in the session's order from 1 on, 0 for a request without prompt parts."""
 
 
 class TargetRefusal(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -134,6 +134,19 @@
         return f"{self.service}/{self.data_centre or '*'}"
 
 
+class EngineBasis(enum.IntEnum):
+    """How an engine that was chosen for a request gets the shared parts of its prompt."""
+
+    UNKNOWN = 0
+    """The request has no shared parts, or another release of the scheduler has placed it."""
+    CACHED = 1
+    """The engine has cached at least the first one."""
+    TRANSFERRED = 2
+    """Another engine sends them."""
+    PREFILLED = 3
+    """The engine prefills them."""
+
+
 LOW_PATIENCE = 0.5
 """Patience below which a request does not wait for an engine that has been idle."""
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/engine_costs.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/engine_costs.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from limpetusher.fleet.model import QueuedRequest
+from limpetusher.fleet.model import EngineBasis, QueuedRequest
 from limpetusher.fleet.process.pool_view import PoolView, SessionEngine, TargetView
 from limpetusher.fleet.settings import FleetSettings
 
@@ -93,6 +93,15 @@
         return seconds + LATE_COST if self.now + wait > self.request.latest_start_at else seconds
 
 
+def engine_basis(request: QueuedRequest, engine: SessionEngine) -> EngineBasis:
+    """Return how an engine gets the shared prompt parts of a request."""
+    if engine.source_id:
+        return EngineBasis.TRANSFERRED
+    if engine.cached_tokens > 0:
+        return EngineBasis.CACHED
+    return EngineBasis.PREFILLED if len(request.parts) > 1 else EngineBasis.UNKNOWN
+
+
 def next_weighing(request: QueuedRequest, wait_seconds: float, now: float) -> float:
     """Return the time at which a request that waits for an engine is weighed again."""
     return now + max(
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -4,9 +4,9 @@
 import math
 from dataclasses import dataclass
 
-from limpetusher.fleet.model import Engine, Pool, QueuedRequest, Service, Target
+from limpetusher.fleet.model import Engine, EngineBasis, Pool, QueuedRequest, Service, Target
 from limpetusher.fleet.process.announced_limits import AnnouncedLimits
-from limpetusher.fleet.process.engine_costs import EngineCosts, next_weighing
+from limpetusher.fleet.process.engine_costs import EngineCosts, engine_basis, next_weighing
 from limpetusher.fleet.process.engine_memory import MemoryReservations, cache_capacity_tokens
 from limpetusher.fleet.process.part_demand import PartDemand
 from limpetusher.fleet.process.pool_view import PoolView, SessionEngine, TargetView
@@ -44,6 +44,11 @@
     is_cold: bool
     source_id: str = ""
     """Engine from which cached prompt parts are transferred, empty for no transfer."""
+    basis: EngineBasis = EngineBasis.UNKNOWN
+    saved_tokens: int = 0
+    """Prompt tokens that the engine need not prefill."""
+    session_rank: int = 0
+    """Position of the engine in the session's order from 1 on, 0 for none."""
 
 
 class Placement:
@@ -91,6 +96,7 @@
         previous = self.targets.get(target.target_id)
         if previous is not None and previous.started_at_milliseconds != target.started_at_milliseconds:
             self.caches.forget(target.target_id)
+            self.transfers.forget(target.target_id)
             self.leaving.discard(target.target_id)
             self.backoff_until.pop(target.target_id, None)
             self.limits.forget(target.target_id)
@@ -473,6 +479,9 @@
             unread_ahead=state.load.prefill_tokens + prefill_tokens,
             is_cold=state.is_cold,
             source_id=engine.source_id,
+            basis=engine_basis(request, engine),
+            saved_tokens=request.prompt_tokens - prefill_tokens,
+            session_rank=self.ranking(request).index(state.target.target_id) + 1,
         )
 
     def max_wait_seconds(self, request: QueuedRequest) -> float:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -665,6 +665,9 @@
             source_id=choice.source_id,
             version=None if request.begins_stream else request.version,
             version_basis=request.version_basis,
+            engine_basis=int(choice.basis),
+            saved_tokens=choice.saved_tokens,
+            session_rank=choice.session_rank,
         )
 
     def refuse(self, decision: RefusalDecision, now: float) -> TargetRefusal:
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -2,8 +2,18 @@
 
 from dataclasses import dataclass, field
 
+from limpetusher.errors import ConfigurationError
 from limpetusher.fleet.process.rate_limits import RetryBudgetSettings
 
+BOUNDS = {
+    "max_further_candidates": (0, 16),
+    "avoidable_token_cost": (0.0, 1_000.0),
+    "max_engine_demand_fraction": (0.05, 1_000.0),
+    "demand_seconds": (0.05, 60.0),
+    "max_overtaken_goal_fraction": (0.0, 1.0),
+}
+"""Lowest and highest valid values of the settings that weigh caches against waits."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetSettings:
@@ -101,3 +111,12 @@
     assumed_cold_seconds: float = 3.0
     prior_prefill_rate: float = 30_000.0
     retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
+
+    def __post_init__(self):
+        problems = [
+            f"{name} is {value!r}, must be between {lowest} and {highest}"
+            for name, (lowest, highest) in BOUNDS.items()
+            if not lowest <= (value := getattr(self, name)) <= highest
+        ]
+        if problems:
+            raise ConfigurationError(problems)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -10,6 +10,7 @@
 from limpetusher.core.refusals import Ran
 from limpetusher.events import Event
 from limpetusher.fleet.messages import Outcome, TargetGrant, TargetRefusal
+from limpetusher.fleet.model import EngineBasis
 from limpetusher.fleet.request.scheduler_client import TargetRequest
 from limpetusher.fleet.request.waiting_requests import TARGETS_UNCONFIRMED
 from limpetusher_router.connection.framing import RequestHead
@@ -52,6 +53,8 @@
 from limpetusher_router.process.logs import log_event
 from limpetusher_router.process.metrics import Metrics
 
+ENGINE_BASES = {basis: basis.name.lower() for basis in EngineBasis if basis is not EngineBasis.UNKNOWN}
+"""Names of the ways in which engines get shared prompt parts; a grant may state unknown ones."""
 NON_IDEMPOTENT_REUSE_IDLE_SECONDS = 1.0
 """Idle time up to which a connection is reused for a request that must not run twice. Targets close idle
 connections after a second at the earliest, so that a close is unlikely to be in transit."""
@@ -172,6 +175,7 @@
             waited=round(self.clock.monotonic() - target_request.queued_at, 3),
             backlog=answer.backlog_seconds,
             served_part=answer.served_part,
+            holder=answer.source_id,
             scheduler=scheduler,
         )
 
@@ -231,6 +235,11 @@
             idle_timeout_seconds=seconds_left,
             expected_answer_header=(names.REQUEST_ID, exchange.fields.caller_request_id),
         )
+        basis = ENGINE_BASES.get(answer.engine_basis, "")
+        if basis:
+            self.metrics.increment_labelled(
+                self.metrics.engine_choices, basis=basis, first="yes" if answer.session_rank == 1 else "no"
+            )
         log_event(
             Event.REQUEST_SENT,
             request=exchange.fields.caller_request_id,
@@ -243,6 +252,9 @@
             unread_ahead=answer.unread_ahead,
             rate=answer.rate,
             source=answer.source_id,
+            engine_basis=basis,
+            saved=answer.saved_tokens,
+            rank=answer.session_rank,
             cold=answer.is_cold,
             version=target.version,
             version_basis=answer.version_basis,
--- a/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/metrics.py
@@ -81,6 +81,10 @@
         self.stream_takeups = counter(
             "stream_takeups_total", "Streams taken up again, by how the version that began them is known"
         )
+        self.engine_choices = counter(
+            "engine_choices_total",
+            "Requests sent to engines, by how the engine gets the shared prompt parts and its rank",
+        )
         self.first_output = histogram(
             "first_output_seconds", "Time from a request to its first event", WAIT_BUCKETS_SECONDS
         )
--- a/tests/fleet/process/test_engine_costs.py
+++ b/tests/fleet/process/test_engine_costs.py
@@ -3,7 +3,8 @@
 import pytest
 
 from builders_fleet import MEMORY_TOKENS, SLOTS, make_placement, make_request, make_service, make_target
-from limpetusher.fleet.model import Engine
+from limpetusher.errors import ConfigurationError
+from limpetusher.fleet.model import Engine, EngineBasis
 from limpetusher.fleet.process.engine_costs import MIN_WEIGHING_INTERVAL_SECONDS, next_weighing
 from limpetusher.fleet.process.target_loads import TargetLoad
 from limpetusher.fleet.settings import FleetSettings
@@ -164,3 +165,35 @@
     placement.put_target(make_target(ranking[7], revision=2))
     _request, choice = start(placement, "w2", 1.1, excluded={ranking[7]})
     assert choice is None or choice.target.target_id != ranking[7]
+
+
+def test_choice_tells_how_the_engine_gets_the_shared_parts():
+    """Guards against logs that do not show why a request went to its engine."""
+    placement = make_weighing_placement()
+    request, choice = start(placement, "w1")
+    assert (choice.basis, choice.saved_tokens, choice.session_rank) == (EngineBasis.PREFILLED, 0, 1)
+    placement.record_end(choice.target.target_id, choice.load, 0.0)
+    choice = start(placement, "w2", 1.0)[1]
+    assert (choice.basis, choice.saved_tokens, choice.session_rank) == (EngineBasis.CACHED, 6_300, 1)
+    send_prompt(placement, choice.target.target_id, 12_000, 1.0)
+    choice = start(placement, "w3", 1.0)[1]
+    assert choice.basis is EngineBasis.TRANSFERRED
+    assert choice.session_rank > 1
+    assert placement.ranking(request)[choice.session_rank - 1] == choice.target.target_id
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("avoidable_token_cost", -1.0),
+        ("avoidable_token_cost", float("nan")),
+        ("max_further_candidates", 17),
+        ("max_engine_demand_fraction", 0.0),
+        ("demand_seconds", 0.0),
+        ("max_overtaken_goal_fraction", 1.1),
+    ],
+)
+def test_settings_out_of_range_are_refused_with_their_name_and_range(field, value):
+    """Guards against a division by zero or endless waits because of a wrong setting."""
+    with pytest.raises(ConfigurationError, match=f"{field} is .*must be between"):
+        FleetSettings(**{field: value})
--- a/tests/router/fleet/test_requests.py
+++ b/tests/router/fleet/test_requests.py
@@ -179,3 +179,17 @@
         root.flush()
     assert fixture.recorder.statuses == [BAD_GATEWAY]
     assert fixture.requests.exchanges == {}
+
+
+@pytest.mark.parametrize(("basis", "counted"), [(1, ["cached"]), (2, ["transferred"]), (0, []), (77, [])])
+def test_sent_requests_are_counted_by_how_their_engine_gets_shared_parts(basis, counted):
+    """Guards against a metrics page that grows with malformed grants of other routers."""
+    fixture = OpenRequest()
+    grant = TargetGrant(
+        "r1", 1, "e1", 30, 30, 35, 30_000.0, False, 0.0, True, engine_basis=basis, session_rank=1
+    )
+    fixture.requests.handle_grant(grant, fixture.exchange.target_request.scheduler)
+    page = fixture.requests.metrics.render()[0].decode()
+    lines = [line for line in page.splitlines() if line.startswith("limpetusher_engine_choices_total{")]
+    assert [line for line in lines if not any(f'basis="{name}"' in line for name in counted)] == []
+    assert len(lines) == len(counted)
