--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -67,12 +67,21 @@
     """Greatest time since the stream that the request takes up again can have begun."""
     version: str | None = None
     """Software version that has to go on with the stream, None if the router knows of none."""
+    source_id: str = ""
+    """Engine of a pool that has refused the request which holds most of its prompt, empty for none."""
+    source_tokens: int = 0
+    """Prompt tokens that this engine holds."""
 
     @property
     def has_valid_numbers(self) -> bool:
         """Return whether all numbers are valid; invalid ones would corrupt the scheduler's sums."""
         times = (self.goal_seconds, self.waited_seconds, self.remaining_seconds, self.stream_age_seconds)
-        counts = (self.prompt_tokens, self.output_tokens, *(tokens for _name, tokens in self.parts))
+        counts = (
+            self.prompt_tokens,
+            self.output_tokens,
+            self.source_tokens,
+            *(tokens for _name, tokens in self.parts),
+        )
         return all(math.isfinite(time) for time in times) and all(
             0 <= count <= MAX_TOKENS for count in counts
         )
@@ -103,6 +112,12 @@
     """How the version of the target was determined, empty if any may run the request."""
     backlog_seconds: float = 0.0
     """Time to prefill the prompts that wait for the pool."""
+    engine_basis: int = 0
+    """How the engine gets the shared prompt parts, as in `EngineBasis`."""
+    saved_tokens: int = 0
+    """Prompt tokens that take no prefill time; a transfer counts as what could be prefilled meanwhile."""
+    session_rank: int = 0
+    """Position of the engine in the session's order from 1 on, 0 for a request without prompt parts."""
 
 
 class TargetRefusal(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -127,6 +142,15 @@
     """Software version that has to go on with the stream, None if any may or if it is unknown."""
     pool_backlogs: tuple[tuple[str, float], ...] = ()
     """Known backlogs of the service's pools in seconds, by data centre."""
+    source_id: str = ""
+    """Engine of the pool that holds most of the prompt, empty for none, for a transfer to another pool."""
+    source_tokens: int = 0
+    """Prompt tokens that this engine holds."""
+
+    @property
+    def has_valid_source(self) -> bool:
+        """Return whether the refusal names a source with a valid number of tokens."""
+        return bool(self.source_id) and 0 < self.source_tokens <= MAX_TOKENS
 
 
 class PrefillFinished(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/limpetusher-core/src/limpetusher/fleet/model.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/model.py
@@ -134,6 +134,19 @@
         return f"{self.service}/{self.data_centre or '*'}"
 
 
+class EngineBasis(enum.IntEnum):
+    """How an engine that was chosen for a request gets the shared parts of its prompt."""
+
+    UNKNOWN = 0
+    """The request has no shared parts, or another release of the scheduler has placed it."""
+    CACHED = 1
+    """The engine has cached at least the first one."""
+    TRANSFERRED = 2
+    """Another engine sends them."""
+    PREFILLED = 3
+    """The engine prefills them."""
+
+
 LOW_PATIENCE = 0.5
 """Patience below which a request does not wait for an engine that has been idle."""
 
@@ -170,6 +183,10 @@
     """Engine that was the best one for the request but could not accept it, empty for none."""
     awaited_tokens: int = 0
     """Prompt tokens of the request to prefill at that engine."""
+    weighed_until: float = -math.inf
+    """Time until which the request waits for that engine before its candidates are weighed again."""
+    memory_short_since: float | None = None
+    """Time since which no engine had memory for the request, None if that was not so."""
     considered_at: float = -math.inf
     """Time at which a target was last looked for."""
     prompt_tokens: int = 0
@@ -179,6 +196,10 @@
     """Digest that all repeats of the request have in common."""
     excluded: set[str] = field(default_factory=set)
     """Targets that have failed this request."""
+    source_id: str = ""
+    """Engine of a pool that has refused the request which holds most of its prompt, empty for none."""
+    source_tokens: int = 0
+    """Prompt tokens that this engine holds."""
     version: str | None = None
     """Software version that has to go on with a stream, None if any may run the request."""
     version_basis: str = ""
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -1,11 +1,15 @@
 """Placement of requests on targets."""
 
+import heapq
 import math
 from dataclasses import dataclass
 
-from limpetusher.fleet.model import Pool, QueuedRequest, Service, Target
+from limpetusher.fleet.model import Engine, EngineBasis, Pool, QueuedRequest, Service, Target
 from limpetusher.fleet.process.announced_limits import AnnouncedLimits
+from limpetusher.fleet.process.engine_costs import EngineCosts, engine_basis, next_weighing
+from limpetusher.fleet.process.engine_memory import MemoryReservations, cache_capacity_tokens
 from limpetusher.fleet.process.engine_spells import EngineSpells
+from limpetusher.fleet.process.part_demand import PartDemand
 from limpetusher.fleet.process.pool_view import PoolView, SessionEngine, TargetView
 from limpetusher.fleet.process.prefill_bursts import UNKNOWN_SPEED, PrefillBursts
 from limpetusher.fleet.process.prefill_intervals import PrefillIntervals
@@ -16,7 +20,12 @@
 from limpetusher.fleet.process.session_ranking import rank as rank_for_session
 from limpetusher.fleet.process.target_health import TargetHealth
 from limpetusher.fleet.process.target_loads import TargetLoad, TargetLoads
-from limpetusher.fleet.process.transfers import TransferSource, prefill_tokens_with_transfer
+from limpetusher.fleet.process.transfers import (
+    TransferQueues,
+    TransferSource,
+    prefill_tokens_with_transfer,
+    transfer_seconds,
+)
 from limpetusher.fleet.settings import FleetSettings
 
 MAX_CACHED_RANKINGS = 4_000
@@ -37,6 +46,11 @@
     is_cold: bool
     source_id: str = ""
     """Engine from which cached prompt parts are transferred, empty for no transfer."""
+    basis: EngineBasis = EngineBasis.UNKNOWN
+    saved_tokens: int = 0
+    """Prompt tokens that the engine need not prefill."""
+    session_rank: int = 0
+    """Position of the engine in the session's order from 1 on, 0 for none."""
 
 
 class Placement:
@@ -76,6 +90,9 @@
         self.bursts = PrefillBursts(settings)
         self.intervals = PrefillIntervals()
         self.caches = PromptCaches()
+        self.memory = MemoryReservations(settings)
+        self.transfers = TransferQueues()
+        self.demand = PartDemand(settings)
         self.rate_limiter = TargetRateLimiter()
 
     def put_target(self, target: Target) -> None:
@@ -84,6 +101,7 @@
         if previous is not None and previous.started_at_milliseconds != target.started_at_milliseconds:
             self.caches.forget(target.target_id)
             self.spells.forget(target.target_id)
+            self.transfers.forget(target.target_id)
             self.leaving.discard(target.target_id)
             self.backoff_until.pop(target.target_id, None)
             self.limits.forget(target.target_id)
@@ -120,6 +138,8 @@
             self.bursts.forget(target_id)
             self.intervals.forget(target_id)
             self.caches.forget(target_id)
+            self.memory.forget(target_id)
+            self.transfers.forget(target_id)
             self.rate_limiter.forget(target_id)
             self.leaving.discard(target_id)
             self.backoff_until.pop(target_id, None)
@@ -140,7 +160,10 @@
 
     def health_of(self, target_id: str) -> TargetHealth:
         """Return the observed health of a target."""
-        return self.health.setdefault(target_id, TargetHealth())
+        health = self.health.get(target_id)
+        if health is None:
+            health = self.health[target_id] = TargetHealth()
+        return health
 
     def evacuate(self, data_centre: str, is_evacuated: bool) -> None:
         """Exclude the targets of a data centre, or include them again."""
@@ -245,6 +268,8 @@
         for state in view.states.values():
             if not state.has_room or not request.accepts(state.target):
                 continue
+            if view.memory_limit_tokens and not self.memory.fits(state, request, view.memory_limit_tokens):
+                continue
             cost = state.load.requests + state.error_cost
             cost += REMOTE_COST * (state.target.data_centre != request.caller_data_centre)
             if best is None or cost < best[0]:
@@ -271,9 +296,10 @@
     def candidates(self, request: QueuedRequest, view: PoolView) -> list[TargetView]:
         """Return the highest-ranked usable engines for the session of a request."""
         candidates = []
+        is_restricted = request.is_restricted
         for target_id in self.ranking(request):
             state = view.states.get(target_id)
-            if state is not None and request.accepts(state.target):
+            if state is not None and (not is_restricted or request.accepts(state.target)):
                 candidates.append(state)
                 if len(candidates) == self.settings.max_candidates:
                     break
@@ -300,11 +326,23 @@
             return None
         scored = self.score_engines(request, view, engines)
         if not scored:
+            with_room = [engine.state for engine in engines if engine.state.has_room]
+            if with_room:
+                self.memory.record_shortage(request, with_room, view.now)
             return None
         _cost, _index, best = min(scored)
         request.awaited_tokens = best.prefill_tokens(request)
         if self.admits_tokens(request, view, best.state, request.awaited_tokens):
             return self.engine_choice(request, best)
+        if view.weighs_waits:
+            holders = self.further_holders(request, view, engines)
+            if holders:
+                scored = self.score_engines(request, view, [*engines, *holders])
+                _cost, _index, best = min(scored)
+                request.awaited_tokens = best.prefill_tokens(request)
+                if self.admits_tokens(request, view, best.state, request.awaited_tokens):
+                    return self.engine_choice(request, best)
+            request.weighed_until = next_weighing(request, best.state.burst_wait_seconds, view.now)
         request.awaited_id = best.state.target.target_id
         if view.now < self.earliest_idle_start(request):
             return None
@@ -317,13 +355,18 @@
         return None
 
     def earliest_idle_start(self, request: QueuedRequest) -> float:
-        """Return the time from which a request may start at an idle engine that is not the best one."""
+        """Return the time from which a request may start at an idle engine that is not the best one.
+
+        Where waits are weighed, a better engine is found by the costs, unless the request takes busy engines.
+        """
+        if self.weighs_waits(self.services.get(request.pool.service)):
+            return -math.inf if request.takes_busy_engines else math.inf
         max_wait = request.latest_start_at - request.queued_at
         return request.queued_at + request.patience * self.settings.best_engine_wait_fraction * max_wait
 
     def session_engines(self, request: QueuedRequest, view: PoolView) -> list[SessionEngine]:
         """Return the candidate engines of a request; the view keeps them for its session."""
-        if request.is_restricted:
+        if request.is_restricted or request.source_id:
             return self.find_session_engines(request, view)
         engines = view.engines_by_session.get(request.session)
         if engines is None:
@@ -337,38 +380,96 @@
         The cached tokens are not looked up if none of the engines can accept a request.
         """
         candidates = self.candidates(request, view)
+        if view.weighs_waits and not any(state.is_open for state in candidates):
+            candidates += self.further_candidates(request, view, candidates)
         if not any(state.is_open for state in candidates):
             return [SessionEngine(state, 0, "") for state in candidates]
         source = self.transfer_source(request, view)
+        queued = (
+            self.transfers.queued_seconds(source.target.target_id, view.now) if source is not None else 0.0
+        )
         engines = []
         for state in candidates:
             prefill_tokens = self.caches.prefill_tokens(
                 state.target.target_id, request.parts, request.prompt_tokens
             )
             source_id = ""
-            if source is not None:
+            if source is not None and prefill_tokens > source.prefill_tokens:
                 transfer_tokens = prefill_tokens_with_transfer(
-                    source, state.target, prefill_tokens, state.speed.rate, view.service.engine
+                    source, state.target, prefill_tokens, state.speed.rate, view.service.engine, queued
                 )
                 if transfer_tokens < prefill_tokens:
                     prefill_tokens, source_id = transfer_tokens, source.target.target_id
             engines.append(SessionEngine(state, request.prompt_tokens - prefill_tokens, source_id))
         return engines
 
+    def weighs_waits(self, service: Service | None) -> bool:
+        """Return whether the wait for an engine is weighed against what its cache saves."""
+        engine = service.engine if service is not None else None
+        return self.settings.weighs_waits and engine is not None and engine.transfer_rate > 0
+
+    def further_candidates(
+        self, request: QueuedRequest, view: PoolView, candidates: list[TargetView]
+    ) -> list[TargetView]:
+        """Return open engines besides the candidates that hold the longest prefix, the least busy first."""
+        holders = self.caches.longest_holders(request.parts)
+        known = {state.target.target_id for state in candidates}
+        further = (view.states.get(target_id) for target_id in holders if target_id not in known)
+        usable = (
+            state
+            for state in further
+            if state is not None and state.is_open and request.accepts(state.target)
+        )
+        return heapq.nsmallest(
+            self.settings.max_further_candidates,
+            usable,
+            key=lambda state: (state.load.prefill_tokens / state.speed.rate, state.target.target_id),
+        )
+
+    def further_holders(
+        self, request: QueuedRequest, view: PoolView, engines: list[SessionEngine]
+    ) -> list[SessionEngine]:
+        """Return further engines that hold the longest prefix of a prompt, besides those of its session."""
+        known = view.further_by_session.get(request.session)
+        if known is not None and not request.is_restricted:
+            return known
+        further = self.further_candidates(request, view, [engine.state for engine in engines])
+        cached_tokens = 0
+        if further:
+            holder_id = further[0].target.target_id
+            cached_tokens = request.prompt_tokens - self.caches.prefill_tokens(
+                holder_id, request.parts, request.prompt_tokens
+            )
+        holders = [SessionEngine(state, cached_tokens, "") for state in further]
+        if not request.is_restricted:
+            view.further_by_session[request.session] = holders
+        return holders
+
     def score_engines(
         self, request: QueuedRequest, view: PoolView, engines: list[SessionEngine]
     ) -> list[tuple[float, int, SessionEngine]]:
         """Return the cost in seconds, the rank and the engine for each engine with a slot and memory."""
         scored = []
         memory_limit = view.memory_limit_tokens - request.memory_tokens
+        prompt_tokens = request.prompt_tokens
+        has_reservations = bool(self.memory.by_target)
         uncached_token_cost = self.settings.uncached_token_cost
+        costs = None
+        if view.weighs_waits:
+            wanted = self.demand.engines(request.session, engines[0].state.speed.rate, view.now)
+            costs = EngineCosts.of(request, engines, view, self.settings, wanted)
         for rank, engine in enumerate(engines):
             state = engine.state
             load = state.load
             if not state.has_room or (load.requests and load.memory_tokens > memory_limit):
                 continue
-            prefill_tokens = engine.prefill_tokens(request)
-            seconds = (load.prefill_tokens + uncached_token_cost * prefill_tokens) / state.speed.rate
+            if has_reservations and not self.memory.fits(state, request, view.memory_limit_tokens):
+                continue
+            prefill_tokens = max(prompt_tokens - engine.cached_tokens, 1)
+            if costs is not None:
+                seconds = costs.seconds(state, prefill_tokens, rank)
+            else:
+                seconds = (load.prefill_tokens + uncached_token_cost * prefill_tokens) / state.speed.rate
             scored.append((seconds + state.error_cost + state.spell_delay, rank, engine))
         return scored
 
@@ -396,6 +497,9 @@
             unread_ahead=state.load.prefill_tokens + prefill_tokens,
             is_cold=state.is_cold,
             source_id=engine.source_id,
+            basis=engine_basis(request, engine),
+            saved_tokens=request.prompt_tokens - prefill_tokens,
+            session_rank=self.ranking(request).index(state.target.target_id) + 1,
         )
 
     def max_wait_seconds(self, request: QueuedRequest) -> float:
@@ -419,15 +523,82 @@
         """
         if not view.service.engine.transfer_rate:
             return None
-        sources = (
-            TransferSource(
-                target=view.states[holder].target,
-                prefill_tokens=self.caches.prefill_tokens(holder, request.parts, request.prompt_tokens),
-            )
-            for holder in self.caches.longest_holders(request.parts)
-            if holder in view.states and holder not in request.excluded and not view.states[holder].error_cost
+        best: tuple[int, float, str] | None = None
+        for holder in self.caches.longest_holders(request.parts):
+            state = view.states.get(holder)
+            if state is None or holder in request.excluded or state.error_cost:
+                continue
+            prefill_tokens = self.caches.prefill_tokens(holder, request.parts, request.prompt_tokens)
+            key = (prefill_tokens, self.transfers.queued_seconds(holder, view.now), holder)
+            if best is None or key < best:
+                best = key
+        found = TransferSource(view.states[best[2]].target, best[0]) if best is not None else None
+        if request.source_id and request.source_id not in view.states:
+            named = self.named_source(request, view.now)
+            if named is not None and (found is None or named.prefill_tokens < found.prefill_tokens):
+                return named
+        return found
+
+    def named_source(self, request: QueuedRequest, now: float) -> TransferSource | None:
+        """Return the usable engine of another pool that its scheduler has named as a source, None if none."""
+        target = self.targets.get(request.source_id)
+        if target is None or target.service != request.pool.service:
+            return None
+        shared_tokens = request.prompt_tokens - request.parts[-1].tokens
+        tokens = min(request.source_tokens, shared_tokens)
+        if tokens <= 0 or not self.is_source(target, request, now):
+            return None
+        return TransferSource(target, max(request.prompt_tokens - tokens, 1))
+
+    def is_source(self, target: Target, request: QueuedRequest, now: float) -> bool:
+        """Return whether an engine may send cached parts of a request."""
+        health = self.health_of(target.target_id)
+        return (
+            self.is_listed(target)
+            and not self.is_backing_off(target.target_id, now)
+            and not health.is_suspended(now)
+            and health.is_trusted
+            and target.target_id not in request.excluded
+        )
+
+    def source_for_other_pools(self, request: QueuedRequest, now: float) -> TransferSource | None:
+        """Return the engine of a request's pool from which another pool may transfer cached parts."""
+        service = self.services.get(request.pool.service)
+        engine = service.engine if service is not None else None
+        if engine is None or not engine.transfer_rate or not request.pool.data_centre:
+            return None
+        usable = (
+            target_id
+            for target_id in self.caches.longest_holders(request.parts)
+            if self.is_source(self.targets[target_id], request, now)
+        )
+        holder_id = min(
+            usable,
+            key=lambda target_id: (self.transfers.queued_seconds(target_id, now), target_id),
+            default=None,
         )
-        return min(sources, key=lambda source: (source.prefill_tokens, source.target.target_id), default=None)
+        if holder_id is None:
+            return None
+        prefill_tokens = self.caches.prefill_tokens(holder_id, request.parts, request.prompt_tokens)
+        if prefill_tokens >= request.prompt_tokens:
+            return None
+        return TransferSource(self.targets[holder_id], prefill_tokens)
+
+    def record_transfer(
+        self, request: QueuedRequest, choice: TargetChoice, engine: Engine, now: float
+    ) -> None:
+        """Record a transfer to the engine of a request, before the request counts as cached there."""
+        source = self.targets.get(choice.source_id)
+        if source is None:
+            return
+        parts, prompt_tokens = request.parts, request.prompt_tokens
+        tokens = self.caches.prefill_tokens(choice.target.target_id, parts, prompt_tokens)
+        if choice.source_id == request.source_id:
+            tokens -= prompt_tokens - request.source_tokens
+        else:
+            tokens -= self.caches.prefill_tokens(choice.source_id, parts, prompt_tokens)
+        seconds = transfer_seconds(source, choice.target, max(tokens, 0), engine)
+        self.transfers.record(choice.source_id, seconds, now)
 
     def burst_seconds(self, service: str) -> float:
         """Return the maximum duration of a prefill burst in seconds."""
@@ -475,17 +646,16 @@
             self.max_request_rate(target, service, now)
         )
 
-    def cache_capacity_tokens(self, service: Service) -> float:
-        """Return the capacity of an engine's prompt cache in tokens."""
-        return self.settings.cache_fraction * service.engine.memory_tokens
-
     def record_start(self, request: QueuedRequest, choice: TargetChoice, now: float) -> None:
         """Record a request that is sent to a target."""
         target_id = choice.target.target_id
         service = self.services[request.pool.service]
         self.add_load(target_id, choice.load, now)
         if service.engine is not None:
-            self.caches.record_use(target_id, request.parts[:-1], self.cache_capacity_tokens(service))
+            if choice.source_id:
+                self.record_transfer(request, choice, service.engine, now)
+            capacity = cache_capacity_tokens(service.engine, self.loads.total(target_id))
+            self.caches.record_use(target_id, request.parts[:-1], capacity)
         rate = self.max_request_rate(choice.target, service, now)
         if rate < math.inf:
             self.rate_limiter.record_sent(target_id, rate, now)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_caches.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/prompt_caches.py
@@ -37,20 +37,26 @@
         """Engines that cache a part, by part."""
 
     def record_use(self, target_id: str, shared: tuple[PromptPart, ...], capacity: float) -> None:
-        """Record that an engine with a cache of `capacity` tokens prefills or reuses shared parts."""
+        """Record that an engine with a cache of `capacity` tokens prefills or reuses shared parts.
+
+        These parts are not evicted, as the request that uses them holds them.
+        """
         cache = self.by_engine.setdefault(target_id, EngineCache())
         for part in shared:
             cache.record_use(part)
             self.holders.setdefault(part.part_id, set()).add(target_id)
-        for part_id in cache.evict(capacity):
+        used_tokens = sum(part.tokens for part in shared)
+        for part_id in cache.evict(max(capacity, used_tokens)):
             self.remove_holder(target_id, part_id)
 
     def prefill_tokens(self, target_id: str, parts: tuple[PromptPart, ...], prompt_tokens: int) -> int:
         """Return the prompt tokens to prefill; a part only counts as cached if all parts before it are."""
         cache = self.by_engine.get(target_id)
+        if cache is None:
+            return max(prompt_tokens, 1)
         cached = 0
         for part in parts[:-1]:
-            if cache is None or part.part_id not in cache.parts:
+            if part.part_id not in cache.parts:
                 break
             cached += part.tokens
         return max(prompt_tokens - cached, 1)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -43,6 +43,7 @@
     repeat_key,
 )
 from limpetusher.fleet.process.target_loads import TargetLoad
+from limpetusher.fleet.process.transfers import TransferSource
 from limpetusher.fleet.process.version_binding import HeldQuery, VersionBinding
 from limpetusher.fleet.request.waiting_requests import (
     MIN_RETRY_AFTER_SECONDS,
@@ -256,6 +257,8 @@
             parts=tuple(PromptPart(*part) for part in message.parts),
             digest=message.digest,
             excluded=set(message.excluded),
+            source_id=message.source_id,
+            source_tokens=message.source_tokens,
             caller_data_centre=message.caller_data_centre,
             stream=message.stream,
             resumes=message.resumes,
@@ -264,6 +267,7 @@
         if message.attempt == 1:
             self.served.decay(now)
             self.served.add_asked(request.customer, throughput_tokens(request))
+            self.placement.demand.record(request, now)
         refusal = (
             self.refuse_for_parts(message, request, now)
             or self.binding.refuse(query, request, now)
@@ -692,6 +696,9 @@
             version=None if request.begins_stream else request.version,
             version_basis=request.version_basis,
             backlog_seconds=self.backlog_seconds(request.pool, now),
+            engine_basis=int(choice.basis),
+            saved_tokens=choice.saved_tokens,
+            session_rank=choice.session_rank,
         )
 
     def refuse(self, decision: RefusalDecision, now: float) -> TargetRefusal:
@@ -703,7 +710,7 @@
         return self.refusal_message(decision, job.attempt, now)
 
     def refusal_message(self, decision: RefusalDecision, attempt: int, now: float) -> TargetRefusal:
-        """Return the message that tells a router of a refusal, and which other pools have less to do."""
+        """Return the message that tells a router of a refusal, and what helps it at another pool."""
         pools = self.pools.for_service(decision.request.pool.service)
         if len(pools) < 2:
             return target_refusal(decision, attempt)
@@ -711,7 +718,8 @@
         for pool in pools:
             if pool == decision.request.pool or self.pools.scheduler(pool, now) == own_address:
                 self.backlog_seconds(pool, now)
-        return target_refusal(decision, attempt, self.backlogs.by_data_centre(pools, now))
+        source = self.placement.source_for_other_pools(decision.request, now)
+        return target_refusal(decision, attempt, self.backlogs.by_data_centre(pools, now), source)
 
     def refund_retry(self, job: Job) -> None:
         """Return the token of a retry that was refused or withdrawn, as no target gets it."""
@@ -720,9 +728,24 @@
 
 
 def target_refusal(
-    decision: RefusalDecision, attempt: int, pool_backlogs: tuple[tuple[str, float], ...] = ()
+    decision: RefusalDecision,
+    attempt: int,
+    pool_backlogs: tuple[tuple[str, float], ...] = (),
+    source: TransferSource | None = None,
 ) -> TargetRefusal:
-    """Return the message that tells a router of a refusal."""
+    """Return the message that tells a router of a refusal.
+
+    Parameters
+    ----------
+    decision
+        The refusal.
+    attempt
+        Attempt that is refused.
+    pool_backlogs
+        Known backlogs of the service's pools in seconds, by data centre.
+    source
+        Engine of the pool that holds most of the prompt.
+    """
     request = decision.request
     return TargetRefusal(
         request_id=request.request_id,
@@ -736,4 +759,6 @@
         lacks_version=decision.lacks_version,
         version=request.version if decision.lacks_version and not request.begins_stream else None,
         pool_backlogs=pool_backlogs,
+        source_id=source.target.target_id if source is not None else "",
+        source_tokens=request.prompt_tokens - source.prefill_tokens if source is not None else 0,
     )
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -2,9 +2,19 @@
 
 from dataclasses import dataclass, field
 
+from limpetusher.errors import ConfigurationError
 from limpetusher.fleet.process.rate_limits import RetryBudgetSettings
 from limpetusher.fleet.process.uneven_engine_settings import UnevenEngineSettings
 
+BOUNDS = {
+    "max_further_candidates": (0, 16),
+    "avoidable_token_cost": (0.0, 1_000.0),
+    "max_engine_demand_fraction": (0.05, 1_000.0),
+    "demand_seconds": (0.05, 60.0),
+    "max_overtaken_goal_fraction": (0.0, 1.0),
+}
+"""Lowest and highest valid values of the settings that weigh caches against waits."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetSettings:
@@ -36,14 +46,30 @@
         Longer than the pause between bursts, so that the engine's own sessions come first.
     memory_fraction
         Fraction of an engine's memory that open requests may take; the remainder holds cached prompt parts.
-    cache_fraction
-        Fraction of an engine's memory assumed to hold cached prompt parts; the remainder holds running
-        requests. With 0.35, a replay of a day with heavy load has about as many cache misses as its engines
-        had.
+    max_overtaken_goal_fraction
+        Fraction of its goal for which requests that take less memory may overtake one that finds none.
     first_output_seconds
         Time to first output of a short prompt at an idle engine.
     best_engine_wait_fraction
-        Fraction of its maximum wait for which a request only waits for the engine with the lowest cost.
+        Fraction of its maximum wait for which a request only waits for the engine with the lowest cost, where
+        engines transfer no cached parts.
+    weighs_waits
+        Whether the wait for an engine is weighed against what its cache saves, where engines can transfer
+        cached parts.
+    avoidable_token_cost
+        Additional cost of prefilling a prompt token that another engine has cached, relative to the prefill
+        itself, where waits are weighed and all bursts are full; less if they are not. A request then waits
+        for an engine that holds its prefix if it can start there in time.
+    max_engine_demand_fraction
+        Fraction of the prefill rate of one engine that the requests of a session may ask for before the next
+        engine in the session's order may hold its parts without a charge. Below 1, as pauses between bursts
+        take time as well and the second engine is wanted before the first one runs short.
+    demand_seconds
+        Time constant over which the demand of a session is averaged. Much shorter than the floods of one
+        customer, which last for seconds.
+    max_further_candidates
+        Maximum number of engines considered besides `max_candidates`, because they hold the longest prefix of
+        a prompt.
     min_wait_fraction
         Fraction of its goal for which a request may always wait for a target before it is refused.
     resumed_stream_wait_seconds
@@ -73,9 +99,14 @@
     burst_extension_fraction: float = 0.5
     idle_seconds: float = 0.06
     memory_fraction: float = 0.8
-    cache_fraction: float = 0.35
+    max_overtaken_goal_fraction: float = 0.1
     first_output_seconds: float = 0.1
     best_engine_wait_fraction: float = 0.7
+    weighs_waits: bool = True
+    max_further_candidates: int = 3
+    avoidable_token_cost: float = 40.0
+    max_engine_demand_fraction: float = 0.6
+    demand_seconds: float = 0.5
     min_wait_fraction: float = 0.2
     resumed_stream_wait_seconds: float = 1.5
     initial_suspension_seconds: float = 0.25
@@ -84,3 +115,12 @@
     prior_prefill_rate: float = 30_000.0
     retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
     uneven_engines: UnevenEngineSettings = field(default_factory=UnevenEngineSettings)
+
+    def __post_init__(self):
+        problems = [
+            f"{name} is {value!r}, must be between {lowest} and {highest}"
+            for name, (lowest, highest) in BOUNDS.items()
+            if not lowest <= (value := getattr(self, name)) <= highest
+        ]
+        if problems:
+            raise ConfigurationError(problems)
--- a/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/target_connection.py
@@ -106,7 +106,11 @@
         """Return whether the whole request was written and the target's host has acknowledged all of it."""
         if self.unsent or self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             return False
-        data = fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(UNACKNOWLEDGED_BYTES_SIZE))
+        try:
+            data = fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(UNACKNOWLEDGED_BYTES_SIZE))
+        except OSError:
+            # Not every system tells what was acknowledged; what was written counts as taken there.
+            return True
         return int.from_bytes(data, sys.byteorder) == 0
 
     @property
