--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -113,7 +113,7 @@
     saved_tokens: int = 0
     """Prompt tokens that take no prefill time; a transfer counts as what could be prefilled meanwhile."""
     session_rank: int = 0
-    """Position of the engine in the session's order from 1 on, 0 for a request without prompt parts."""
+    """Position among the usable engines in the session's order from 1 on, 0 for one outside of them."""
 
 
 class TargetRefusal(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -48,7 +48,7 @@
     saved_tokens: int = 0
     """Prompt tokens that the engine need not prefill."""
     session_rank: int = 0
-    """Position of the engine in the session's order from 1 on, 0 for none."""
+    """Position among the usable engines in the session's order from 1 on, 0 for one outside of them."""
 
 
 class Placement:
@@ -371,7 +371,7 @@
             self.transfers.queued_seconds(source.target.target_id, view.now) if source is not None else 0.0
         )
         engines = []
-        for state in candidates:
+        for rank, state in enumerate(candidates, 1):
             prefill_tokens = self.caches.prefill_tokens(
                 state.target.target_id, request.parts, request.prompt_tokens
             )
@@ -382,7 +382,10 @@
                 )
                 if transfer_tokens < prefill_tokens:
                     prefill_tokens, source_id = transfer_tokens, source.target.target_id
-            engines.append(SessionEngine(state, request.prompt_tokens - prefill_tokens, source_id))
+            session_rank = rank if rank <= self.settings.max_candidates else 0
+            engines.append(
+                SessionEngine(state, request.prompt_tokens - prefill_tokens, source_id, session_rank)
+            )
         return engines
 
     def weighs_waits(self, service: Service | None) -> bool:
@@ -481,7 +484,7 @@
             source_id=engine.source_id,
             basis=engine_basis(request, engine),
             saved_tokens=request.prompt_tokens - prefill_tokens,
-            session_rank=self.ranking(request).index(state.target.target_id) + 1,
+            session_rank=engine.rank,
         )
 
     def max_wait_seconds(self, request: QueuedRequest) -> float:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pool_view.py
@@ -46,6 +46,8 @@
     """Prompt tokens of the session's shared parts that take no prefill time at the engine."""
     source_id: str
     """Engine from which cached prompt parts are transferred, empty for no transfer."""
+    rank: int = 0
+    """Position among the usable engines in the session's order from 1 on, 0 for one outside of the first."""
 
     def prefill_tokens(self, request: QueuedRequest) -> int:
         """Return the prompt tokens of a request to prefill at the engine."""
