--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -50,7 +50,7 @@
     saved_tokens: int = 0
     """Prompt tokens that the engine need not prefill."""
     session_rank: int = 0
-    """Position of the engine in the session's order from 1 on, 0 for none."""
+    """Position among the usable engines in the session's order from 1 on, 0 for one outside of them."""
 
 
 class Placement:
@@ -389,7 +389,7 @@
             self.transfers.queued_seconds(source.target.target_id, view.now) if source is not None else 0.0
         )
         engines = []
-        for state in candidates:
+        for rank, state in enumerate(candidates, 1):
             prefill_tokens = self.caches.prefill_tokens(
                 state.target.target_id, request.parts, request.prompt_tokens
             )
@@ -400,7 +400,10 @@
                 )
                 if transfer_tokens < prefill_tokens:
                     prefill_tokens, source_id = transfer_tokens, source.target.target_id
-            engines.append(SessionEngine(state, request.prompt_tokens - prefill_tokens, source_id))
+            session_rank = rank if rank <= self.settings.max_candidates else 0
+            engines.append(
+                SessionEngine(state, request.prompt_tokens - prefill_tokens, source_id, session_rank)
+            )
         return engines
 
     def weighs_waits(self, service: Service | None) -> bool:
@@ -499,7 +502,7 @@
             source_id=engine.source_id,
             basis=engine_basis(request, engine),
             saved_tokens=request.prompt_tokens - prefill_tokens,
-            session_rank=self.ranking(request).index(state.target.target_id) + 1,
+            session_rank=engine.rank,
         )
 
     def max_wait_seconds(self, request: QueuedRequest) -> float:
@@ -654,7 +657,7 @@
         if service.engine is not None:
             if choice.source_id:
                 self.record_transfer(request, choice, service.engine, now)
-            capacity = cache_capacity_tokens(service.engine, self.loads.total(target_id))
+            capacity = cache_capacity_tokens(service.engine, self.loads.total(target_id), self.settings)
             self.caches.record_use(target_id, request.parts[:-1], capacity)
         rate = self.max_request_rate(choice.target, service, now)
         if rate < math.inf:
