Count poller rounds in part that report only some connections

A router at its connection limit refuses new connections after two rounds in which it has read the others. The poller now reports a limited number of sockets in a round, so that two rounds may leave closed connections unread and new callers are refused although there is room. A limited round counts in proportion to what it reports.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from circuits.core import BaseComponent, handler
-from circuits.core.pollers import EPoll
+from circuits.core.pollers import BasePoller
 
 from limpetusher.core.refusals import RefusalCode
 from limpetusher_router.connection.caller_connection import (
@@ -43,6 +43,7 @@
 from limpetusher_router.process.body_memory import LARGE_BODY_BYTES, BodyMemory
 from limpetusher_router.process.deadlines import Deadlines
 from limpetusher_router.process.metrics import Metrics
+from limpetusher_router.process.poller import PriorityPoller
 from limpetusher_router.process.port_activity import PortActivity
 from limpetusher_router.process.rounds import PollerRounds
 from limpetusher_router.process.shedding import CallerShedding
@@ -104,7 +105,7 @@
         settings: ConnectionSettings,
         *,
         deadlines: Deadlines,
-        poller: EPoll,
+        poller: BasePoller,
         id_generator: RequestIdGenerator,
         metrics: Metrics,
         rounds: PollerRounds,
@@ -128,8 +129,9 @@
         self.connections_by_request: dict[str, CallerConnection] = {}
         self.idle_connections: dict[CallerConnection, None] = {}
         """Connections that wait for the first byte of a request, the longest idle first."""
-        self.read_rounds_while_full = 0
-        """Poller rounds in which connections were read since the connection limit was reached."""
+        self.read_rounds_while_full = 0.0
+        """Poller rounds in which connections were read since the connection limit was reached. A round that
+        reports only some of the ready connections counts in part."""
         self.accepted_count = 0
         """Connections accepted since the listening socket was reported as readable."""
         self.is_listener_empty = False
@@ -260,12 +262,13 @@
             if self.is_full and self.read_rounds_while_full < READ_ROUNDS_BEFORE_REFUSAL:
                 # Reads in this round may close connections; the poller then reports the listener again.
                 # The round counts only before the first accept: later, no connection may be pending.
-                self.read_rounds_while_full = self.read_rounds_while_full + 1 if number == 0 else 0
+                part = self.reported_part()
+                self.read_rounds_while_full = self.read_rounds_while_full + part if number == 0 else 0.0
                 return number > 0
             try:
                 sock, _address = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                self.read_rounds_while_full = 0
+                self.read_rounds_while_full = 0.0
                 self.is_listener_empty = True
                 return False
             except OSError as error:
@@ -281,7 +284,7 @@
                 self.shedding.begin_read()
                 first = self.read_new(sock)
                 if first.is_last:
-                    self.read_rounds_while_full = 0
+                    self.read_rounds_while_full = 0.0
                     continue
             configure_socket(sock)
             connection = CallerConnection(sock, accepted_at=self.deadlines.clock.monotonic())
@@ -291,7 +294,7 @@
                     self.activity.counts.closed_for_room += 1
                     self.close_connection(closable)
             if not self.is_full:
-                self.read_rounds_while_full = 0
+                self.read_rounds_while_full = 0.0
             self.connections[sock] = connection
             self.poller.addReader(self, sock)
             if len(self.connections) > self.settings.max_caller_connections:
@@ -353,6 +356,12 @@
         self.poller.addReader(self, sock)
         self.flush_output(connection)
 
+    def reported_part(self) -> float:
+        """Return which part of the connections the poller has reported in this round if they were ready."""
+        if isinstance(self.poller, PriorityPoller):
+            return self.poller.reported_part(len(self.connections))
+        return 1.0
+
     def mark_idle(self, connection: CallerConnection) -> None:
         """Add a connection to the idle ones and start its idle time-out."""
         self.idle_connections[connection] = None
--- a/packages/limpetusher-router/src/limpetusher_router/process/poller.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/poller.py
@@ -171,6 +171,16 @@
                 for descriptor, mask in found:
                     self.report(descriptor, mask)
 
+    def reported_part(self, sockets: int) -> float:
+        """Return which part of the sockets of callers was reported in this round if they were ready.
+
+        `sockets` is their number. Without a limit, all of them were.
+        """
+        reported = self.reported[Priority.CALLERS]
+        if reported < self.limits[Priority.CALLERS].value:
+            return 1.0
+        return min(1.0, reported / max(1, sockets))
+
     def report(self, descriptor: int, mask: int) -> None:
         """Fire the events of a socket that is ready."""
         sock, _priority = self.registered[descriptor]
