Add an order by kind within a customer, off by default

Requests of the kind with the shortest goal are served less often than those with longer goals while a customer's share is short.

KindShares keeps decaying sums of the tokens asked for and served by service, customer and goal. Customers with 0.95 of the service of the most served one start their least served kind first once the fractions differ by more than FleetSettings.kind_tolerance.

kind_tolerance is 1 by default, which keeps the order as it was.

The test of the order of goals passes the level and the time to by_customer, which it needs now; what it checks is unchanged.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -257,6 +257,7 @@
         if message.attempt == 1:
             self.served.decay(now)
             self.served.add_asked(request.customer, throughput_tokens(request))
+            self.waiting.kinds.add_asked(request, now)
         refusal = (
             self.refuse_for_parts(message, request, now)
             or self.binding.refuse(query, request, now)
@@ -390,6 +391,7 @@
         if job.charged_at is not None:
             self.served.decay(now)
             self.served.retract(job.request.customer, throughput_tokens(job.request), job.charged_at)
+            self.waiting.kinds.retract_served(job.request, job.charged_at, now)
             job.charged_at = None
 
     def charge(self, job: Job, now: float) -> None:
@@ -398,6 +400,7 @@
             job.charged_at = now
             self.served.decay(now)
             self.served.add(job.request.customer, throughput_tokens(job.request))
+            self.waiting.kinds.add_served(job.request, now)
 
     def end_delayed_prefills(self, target_id: str, now: float) -> None:
         """End the prefill of the prompts whose routers have no connection to a target that is alive.
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -9,6 +9,7 @@
 
 from limpetusher.fleet.model import Pool, QueuedRequest
 from limpetusher.fleet.process.fair_levels import FairLevels, WaitingTokens
+from limpetusher.fleet.process.kind_shares import KindQueue, KindShares, queues_by_customer
 from limpetusher.fleet.process.placement import Placement, TargetChoice
 from limpetusher.fleet.process.pool_view import PoolView
 from limpetusher.fleet.process.prompt_quarantine import PromptQuarantine, shared_parts
@@ -35,6 +36,8 @@
 """Time for which a start shows up to which level customers are served. Covers the pauses between bursts."""
 FAIR_SERVED_PART = 0.8
 """Service relative to the most served customer from which a customer is not served less than its share."""
+FULL_SHARE_PART = 0.95
+"""Service relative to the most served customer from which a customer has its share."""
 FULL_PATIENCE_SHARE = 1.0
 """Share of the tokens asked for that has to be served for a request to wait for its best engine as usual."""
 NO_PATIENCE_SHARE = 0.5
@@ -136,6 +139,7 @@
         self.settings = settings
         self.placement = placement
         self.served = served
+        self.kinds = KindShares(settings.kind_tolerance)
         self.by_pool: dict[Pool, list[QueuedRequest]] = {}
         """Waiting requests by pool, earliest `latest_start_at` first."""
         self.tokens_by_pool: dict[Pool, dict[str, WaitingTokens]] = {}
@@ -168,19 +172,34 @@
         saturated = self.saturated.get(request.pool)
         if saturated is None or request.resumes or now > saturated.decided_at + MAX_SATURATION_AGE_SECONDS:
             return None
-        latest_start_at = request.queued_at + self.placement.max_wait_seconds(request)
+        request.latest_start_at = request.queued_at + self.placement.max_wait_seconds(request)
+        tokens_before = self.tokens_before(request)
+        level = self.served.total(request.customer) + tokens_before
+        seconds = saturated.levels.prefill_tokens_up_to(level) / saturated.prefill_rate
+        is_in_time = saturated.decided_at + seconds <= request.latest_start_at
+        if is_in_time or self.is_overtaken(request.pool, level, now):
+            return None
+        return self.refusal(request, BACKLOG_TOO_LONG, self.backlog_seconds(request.pool, now))
+
+    def tokens_before(self, request: QueuedRequest) -> float:
+        """Return the tokens of its customer's more urgent waiting requests."""
         waiting = self.by_pool.get(request.pool, [])
-        index = bisect.bisect_right(waiting, latest_start_at, key=latest_start)
-        tokens_before = sum(
+        index = bisect.bisect_right(waiting, request.latest_start_at, key=latest_start)
+        return sum(
             throughput_tokens(other)
             for other in itertools.islice(waiting, index)
             if other.customer == request.customer
         )
-        level = self.served.total(request.customer) + tokens_before
-        seconds = saturated.levels.prefill_tokens_up_to(level) / saturated.prefill_rate
-        if saturated.decided_at + seconds <= latest_start_at or self.is_overtaken(request.pool, level, now):
-            return None
-        return self.refusal(request, BACKLOG_TOO_LONG, self.backlog_seconds(request.pool, now))
+
+    def is_share_short(self, pool: Pool, customer: str, level: float) -> bool:
+        """Return whether a customer that gets its share waits for more than the next burst serves.
+
+        A customer with less service than others is served whatever targets can take, the most urgent first.
+        """
+        waiting = self.tokens_by_pool.get(pool, {}).get(customer)
+        if waiting is None or self.served.total(customer) < FULL_SHARE_PART * self.max_served:
+            return False
+        return self.served.total(customer) + waiting.throughput_tokens > level
 
     def is_overtaken(self, pool: Pool, level: float, now: float) -> bool:
         """Return whether requests start now whose customers are above a level of served tokens.
@@ -241,30 +260,34 @@
             prefill_rate = self.prefill_rate(pool, now)
             if prefill_rate and self.served.limit_totals(levels.level(prefill_rate * MAX_CATCH_UP_SECONDS)):
                 levels = FairLevels(self.served.totals(waiting), waiting)
-            decisions += self.start_requests(pool, levels, prefill_rate, now)
+            level = levels.level(prefill_rate * self.horizon_seconds(pool))
+            decisions += self.start_requests(pool, levels, level, prefill_rate, now)
             decisions += self.refuse_requests(pool, levels, prefill_rate, now)
             if not self.by_pool[pool]:
                 del self.by_pool[pool], self.tokens_by_pool[pool]
                 self.saturated.pop(pool, None)
         return decisions
 
+    def horizon_seconds(self, pool: Pool) -> float:
+        """Return the time of the next burst and its pause."""
+        return self.placement.burst_seconds(pool.service) + self.settings.burst_pause_seconds
+
     def start_requests(
-        self, pool: Pool, levels: FairLevels, prefill_rate: float, now: float
+        self, pool: Pool, levels: FairLevels, level: float, prefill_rate: float, now: float
     ) -> list[StartDecision]:
         """Start the requests that targets can take.
 
-        The least served customer comes first, with its most urgent request that a target can take. At most
+        The least served customer comes first, with its most urgent request that a target can take, or that of
+        its least served kind while its share is short and its kinds are served unevenly. At most
         `MAX_CONSIDERED_REQUESTS` are considered, so that the duration does not grow with the queue. The next
         runs then consider the others first.
         """
         starts = []
-        horizon = self.placement.burst_seconds(pool.service) + self.settings.burst_pause_seconds
-        level = levels.level(prefill_rate * horizon)
         view = self.placement.view(pool, now, is_scarce=level < math.inf)
         if not view.has_room:
             self.record_saturation(pool, levels, prefill_rate, view)
             return starts
-        queues = self.by_customer(pool)
+        queues = self.by_customer(pool, level, now)
         considered = 0
         pass_started_at = self.unfinished_passes.pop(pool, now)
         heap = [(self.served.total(customer), customer) for customer in queues]
@@ -295,6 +318,9 @@
                     view.record_start(choice.target, request.session)
                     self.started_levels.setdefault(pool, StartedLevel()).record(total, now)
                     self.served.add(customer, throughput_tokens(request))
+                    self.kinds.add_served(request, now)
+                    if isinstance(queue, KindQueue):
+                        queue.rank_again()
                     heapq.heappush(heap, (self.served.total(customer), customer))
                     starts.append(StartDecision(request, choice))
                     break
@@ -344,16 +370,30 @@
         else:
             self.saturated[pool] = SaturatedPool(levels, prefill_rate, view.now)
 
-    def by_customer(self, pool: Pool) -> dict[str, deque[QueuedRequest]]:
+    def by_customer(
+        self, pool: Pool, level: float, now: float
+    ) -> dict[str, deque[QueuedRequest] | KindQueue]:
         """Return the waiting requests of each customer, the most urgent first.
 
-        Streams that callers take up again come before the others. They may wait for longer, so that new
-        requests with earlier limits would keep them from targets until they are refused.
+        While a customer's share is short and its kinds are served unevenly, those of the kind with the lowest
+        fraction of its demand served come first. Streams that callers take up again come before the others.
+        They may wait for longer, so that new requests with earlier limits would keep them from targets until
+        they are refused.
+
+        Parameters
+        ----------
+        pool
+            Pool of the requests.
+        level
+            Level of served tokens that the next burst reaches.
+        now
+            Current time.
         """
-        queues: dict[str, deque[QueuedRequest]] = {}
-        for request in sorted(self.by_pool[pool], key=is_no_take_up):
-            queues.setdefault(request.customer, deque()).append(request)
-        return queues
+        short = {
+            customer for customer in self.tokens_by_pool[pool] if self.is_share_short(pool, customer, level)
+        }
+        requests = sorted(self.by_pool[pool], key=is_no_take_up)
+        return queues_by_customer(requests, short, self.kinds, now)
 
     def refuse_requests(
         self, pool: Pool, levels: FairLevels, prefill_rate: float, now: float
@@ -365,7 +405,7 @@
         self.refusals_scanned_at[pool] = now
         refusals = []
         backlog = sum(tokens.prefill_tokens for tokens in self.tokens_by_pool[pool].values())
-        for customer, queue in self.by_customer(pool).items():
+        for customer, queue in self.by_customer(pool, math.inf, now).items():
             served = self.served.total(customer)
             customer_tokens_before = 0.0
             for request in queue:
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from limpetusher.errors import InvalidInputError
 from limpetusher.fleet.process.rate_limits import RetryBudgetSettings
 
 
@@ -59,6 +60,15 @@
         Assumed prefill rate of an engine in tokens per second, until the first sample.
     retry_budget
         Bound on retries.
+    kind_tolerance
+        Difference of the served fractions of a customer's kinds of requests up to which they are ordered by
+        urgency alone, from 0 to 1; 1 turns the order by kind off. Off by default, as 0.3 costs other
+        customers service (`docs/design/order-and-refusals.md`).
+
+    Raises
+    ------
+    InvalidInputError
+        If `kind_tolerance` is out of range.
     """
 
     max_candidates: int = 5
@@ -80,3 +90,8 @@
     assumed_cold_seconds: float = 3.0
     prior_prefill_rate: float = 30_000.0
     retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
+    kind_tolerance: float = 1.0
+
+    def __post_init__(self):
+        if not 0.0 <= self.kind_tolerance <= 1.0:
+            raise InvalidInputError(f"kind_tolerance is {self.kind_tolerance}, not from 0 to 1")
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/placement_runs.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/placement_runs.py
@@ -74,7 +74,9 @@
             return
         placement = self.state.placement
         lowest_rate, highest_rate = placement.rates.measured_range
-        customer, share = self.state.scheduler.waiting.least_met() or ("", 1.0)
+        waiting = self.state.scheduler.waiting
+        customer, share = waiting.least_met() or ("", 1.0)
+        kinds_customer, kinds = waiting.kinds.widest_gap(now)
         log_event(
             Event.PLACEMENT_SUMMARY,
             runs=summary.runs,
@@ -87,9 +89,8 @@
             highest_rate=round(highest_rate),
             least_met=customer,
             met_share=round(share, 3),
+            kinds_customer=kinds_customer,
+            kinds={str(goal): round(fraction, 3) for goal, fraction in sorted(kinds.items())},
             cooldown=round(placement.bursts.cooldowns.max_ratio, 3),
-            targets={
-                str(pool): dict(placement.view(pool, now).availability())
-                for pool in self.state.scheduler.waiting.by_pool
-            },
+            targets={str(pool): dict(placement.view(pool, now).availability()) for pool in waiting.by_pool},
         )
--- a/tests/fleet/request/test_waiting_requests.py
+++ b/tests/fleet/request/test_waiting_requests.py
@@ -1,5 +1,6 @@
 """Tests of the order of starts and of refusals, by simulated load on simulated engines."""
 
+import math
 import random
 from collections import Counter
 
@@ -223,7 +224,7 @@
         waiting.placement.caches.record_use(target_id, short_goal.parts[:-1], 1e6)
     waiting.add(long_goal)
     waiting.add(short_goal)
-    queue = waiting.by_customer(ENGINES)["acme"]
+    queue = waiting.by_customer(ENGINES, math.inf, 0.02)["acme"]
     assert [request.request_id for request in queue] == ["urgent", "patient"]
     starts = [decision.request.request_id for decision in waiting.decide(0.02)]
     assert starts == ["urgent", "patient"]
@@ -375,3 +376,28 @@
     waiting.placement.put_target(make_target("e2"))
     waiting.decide(0.01)
     assert waiting.refuse_on_arrival(make_request("late", at=0.02), 0.02) is None
+
+
+@pytest.mark.parametrize(("served", "first"), [(100_000.0, "long"), (50_000.0, "short")])
+def test_starved_kind_of_a_customer_with_its_share_starts_first(served, first):
+    """Guards against a kind that is hardly served while others of its customer are served in full.
+
+    A customer with less service than others goes on with its most urgent request.
+    """
+    waiting = make_waiting(make_placement(1, settings=FleetSettings(kind_tolerance=0.3)))
+    waiting.served.add("acme", served)
+    waiting.served.add("other", 100_000.0)
+    requests = [
+        make_request(f"{name}-{n}", goal_seconds=goal, unshared_tokens=20_000)
+        for name, goal in (("short", 0.6), ("long", 2.0))
+        for n in range(4)
+    ]
+    for request in requests:
+        waiting.kinds.add_asked(request, 0.0)
+        waiting.add(request)
+        if request.goal_seconds < 1.0:
+            waiting.kinds.add_served(request, 0.0)
+    waiting.add(make_request("other", customer="other"))
+    starts = [d.request for d in waiting.decide(0.0) if isinstance(d, StartDecision)]
+    own = [request.request_id for request in starts if request.customer == "acme"]
+    assert own[0] == f"{first}-0"
