--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -12,8 +12,9 @@
     "max_engine_demand_fraction": (0.05, 1_000.0),
     "demand_seconds": (0.05, 60.0),
     "max_overtaken_goal_fraction": (0.0, 1.0),
+    "kind_tolerance": (0.0, 1.0),
 }
-"""Lowest and highest valid values of the settings that weigh caches against waits."""
+"""Lowest and highest valid values of settings."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -92,6 +93,15 @@
         Bound on retries.
     uneven_engines
         Constants for engines of unequal prefill rates and for slow spells.
+    kind_tolerance
+        Difference of the served fractions of a customer's kinds of requests up to which they are ordered by
+        urgency alone, from 0 to 1; 1 turns the order by kind off. Off by default, as 0.3 costs other
+        customers service (`docs/design/order-and-refusals.md`).
+
+    Raises
+    ------
+    ConfigurationError
+        If a value is out of its range.
     """
 
     max_candidates: int = 5
@@ -119,6 +129,7 @@
     assumed_cold_seconds: float = 3.0
     prior_prefill_rate: float = 30_000.0
     retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
+    kind_tolerance: float = 1.0
     uneven_engines: UnevenEngineSettings = field(default_factory=UnevenEngineSettings)
 
     def __post_init__(self):
