Leave slow spells out of the cost of engines by default

With engines of equal speed at overload, some delays are taken for slow spells, and the lowest ratio of test_customers_get_their_fair_share_of_an_overloaded_fleet[0-0.8] falls to 0.797; thresholds of 5 and 6 deviations give the same. Spells are still detected, logged and counted; the setting avoids_spells lets them count. The test passes again, as do the tests of spells, which set it.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/engine_spells.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/engine_spells.py
@@ -259,7 +259,9 @@
 
     def expected_delay(self, target_id: str, now: float) -> float:
         """Return the time in seconds that an engine loses by its slow spell from now on, 0 without one."""
-        if not self.is_slow(target_id, now) or len(self.slow) > MAX_SLOW_FRACTION * len(self.engines):
+        if not self.settings.avoids_spells or not self.is_slow(target_id, now):
+            return 0.0
+        if len(self.slow) > MAX_SLOW_FRACTION * len(self.engines):
             return 0.0
         engine = self.engines[target_id]
         remaining = engine.late_at + self.settings.spell_remaining_seconds - now
@@ -267,7 +269,7 @@
 
     def affects_sample(self, target_id: str, since: float) -> bool:
         """Return whether an engine was in a spell at any time since `since`."""
-        engine = self.engines.get(target_id)
+        engine = self.engines.get(target_id) if self.settings.avoids_spells else None
         return engine is not None and not engine.is_lasting and engine.late_at >= since
 
     def take_changes(self, now: float) -> list[SpellChange]:
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/uneven_engine_settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/uneven_engine_settings.py
@@ -7,6 +7,7 @@
 
 BOUNDS = {
     "weighs_sessions": (False, True),
+    "avoids_spells": (False, True),
     "rate_step": (1.05, 4.0),
     "step_change_threshold": (0.5, 1.0),
     "step_hold_seconds": (0.0, 60.0),
@@ -28,6 +29,10 @@
     ----------
     weighs_sessions
         Whether sessions are spread by the rates of engines, or evenly.
+    avoids_spells
+        Whether the delay of a slow spell counts in the cost of an engine, and its samples are kept from the
+        rate of the engine. Off by default: with even engines at overload, some delays are taken for spells,
+        and a customer falls short of its share. Spells are detected and logged in any case.
     rate_step
         Ratio between two adjacent weights of engines in the ranking of sessions.
     step_change_threshold
@@ -56,6 +61,7 @@
     """
 
     weighs_sessions: bool = True
+    avoids_spells: bool = False
     rate_step: float = 1.25
     step_change_threshold: float = 0.7
     step_hold_seconds: float = 2.0
