Send no request on whose caller has left an overloaded host

The poller reports a limited number of callers in a round, so that the others waited unread; their requests were then read, admitted and sent, as the end of the connection is only seen by a second read.

While requests are shed, reads are bounded by their time, so the poller does not limit their number, and a request whose connection has ended is dropped.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/caller_connection.py
@@ -221,6 +221,16 @@
         except OSError:
             return False
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the caller has closed the connection and all that it sent has been read."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def answer_has_body(self, status: int) -> bool:
         """Return whether an answer with the status has a body."""
         is_head_request = self.head is not None and self.head.method == "HEAD"
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -331,6 +331,9 @@
             return FirstBytes(data)
         retry_after_seconds = self.shedding.retry_after_seconds(head)
         if retry_after_seconds is None:
+            if self.has_left(CallerConnection(sock)):
+                sock.close()
+                return FirstBytes(is_last=True)
             return FirstBytes(data, is_admitted=True)
         self.shed_new(sock, encode_shed_answer(head, retry_after_seconds, closes=True))
         self.shedding.end_refusal()
@@ -383,6 +386,8 @@
             if not connection.has_sent_head:
                 self.activity.counts.abandoned += 1
             self.close_connection(connection)
+        elif self.has_left(connection):
+            self.close_connection(connection)
         elif connection.state is not CallerConnectionState.LINGER:
             self.receive(connection, data)
         elif connection.discard_until:
@@ -418,6 +423,16 @@
         connection.body_reader.count_received(count)
         self.continue_body(connection, count)
 
+    def has_left(self, connection: CallerConnection) -> bool:
+        """Return whether the caller of a request that was just read has left, if the host is overloaded.
+
+        Requests may have waited unread for longer than their callers do, and must not be sent on then.
+        """
+        if self.shedding is None or not self.shedding.is_active or not connection.has_ended:
+            return False
+        self.activity.counts.abandoned += 1
+        return True
+
     def pause_reading(self, connection: CallerConnection) -> None:
         """Read no more from a connection until its answer is finished."""
         if not connection.reading_paused:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -209,6 +209,7 @@
         )
         shedding = CallerShedding(shedder, clock=self.clock, find_customer=self.state.customer_of)
         self.rounds.record_round = shedding.record_round
+        self.poller.is_shedding = lambda: shedder.is_shedding
         self.metrics.shedder = shedder
         self.state.own_load = shedder.load
         return shedding
--- a/packages/limpetusher-router/src/limpetusher_router/process/poller.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/poller.py
@@ -4,7 +4,7 @@
 import enum
 import select
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from circuits.core.events import Event
@@ -95,6 +95,8 @@
         self.limits = {Priority.ANSWERS: EventLimit(), Priority.CALLERS: EventLimit()}
         self.reported = dict.fromkeys(Priority, 0)
         """Number of sockets that were reported in the last round."""
+        self.is_shedding: Callable[[], bool] = lambda: False
+        """Returns whether requests of callers are shed, which bounds the time of their reads itself."""
         self.round_began_at = clock.monotonic()
         self.registered: dict[int, tuple[socket.socket, Priority]] = {}
         """Socket and priority of each descriptor."""
@@ -165,6 +167,9 @@
             self.reported[priority] = 0
             if epoll.fileno() in ready_descriptors:
                 is_limited = priority in self.limits and not was_stalled
+                if priority is Priority.CALLERS and self.is_shedding():
+                    # A limited number of callers in a round would let the others wait until they give up.
+                    is_limited = False
                 limit = self.limits[priority].value if is_limited else MAXIMUM_EVENTS
                 found = epoll.poll(0, limit)
                 self.reported[priority] = len(found)
--- a/tests/router/fleet/test_load_shedding.py
+++ b/tests/router/fleet/test_load_shedding.py
@@ -1,6 +1,7 @@
 """Tests of a real router process that sheds requests at its port for callers."""
 
 import re
+import signal
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -8,7 +9,7 @@
 
 import pytest
 
-from builders_platform import FleetRun, exchange, fleet_run, request_text, split_answer
+from builders_platform import FleetRun, exchange, fleet_run, request_text, split_answer, wait_for
 from builders_router import read_all
 
 pytestmark = [pytest.mark.integration, pytest.mark.timeout(60)]
@@ -121,6 +122,24 @@
     check_shed(exchange(run.router.caller, text))
 
 
+@pytest.mark.parametrize("is_connected_before", [False, True])
+def test_request_of_a_caller_that_has_left_is_sent_nowhere(run, is_connected_before):
+    """Load: requests wait unread until their callers give up. Guards against work that nobody waits for."""
+    request_id = f"left-{is_connected_before}"
+    sock = connect(run) if is_connected_before else None
+    time.sleep(0.2)
+    run.router.process.send_signal(signal.SIGSTOP)
+    try:
+        wait_for(lambda: run.router.is_paused, run.router.log)
+        sock = sock or connect(run)
+        sock.sendall(request_text(x_request_id=request_id).encode())
+        sock.close()
+    finally:
+        run.router.process.send_signal(signal.SIGCONT)
+    assert split_answer(exchange(run.router.caller, request_text()))[0] == 200
+    assert not [call for call in run.calls if call.headers["x-request-id"] == request_id]
+
+
 def test_malformed_request_is_refused_as_malformed(run):
     """Guards against a promise of another try for a request that no host accepts."""
     text = shed_request(method="POST", content_length="ten")
