Answer shed requests also where their connection has ended

The check for callers that have left came before the decision to shed, so that a caller that closes only its sending side got no refusal: test_shed_request_is_answered_and_sent_nowhere[0.1-True-POST] failed once. It is made now when an admitted request is complete. tests/router/connection, test_load_shedding.py and test_poller.py: 138 passed.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -331,9 +331,6 @@
             return FirstBytes(data)
         retry_after_seconds = self.shedding.retry_after_seconds(head)
         if retry_after_seconds is None:
-            if self.has_left(CallerConnection(sock)):
-                sock.close()
-                return FirstBytes(is_last=True)
             return FirstBytes(data, is_admitted=True)
         self.shed_new(sock, encode_shed_answer(head, retry_after_seconds, closes=True))
         self.shedding.end_refusal()
@@ -386,8 +383,6 @@
             if not connection.has_sent_head:
                 self.activity.counts.abandoned += 1
             self.close_connection(connection)
-        elif self.has_left(connection):
-            self.close_connection(connection)
         elif connection.state is not CallerConnectionState.LINGER:
             self.receive(connection, data)
         elif connection.discard_until:
@@ -424,7 +419,7 @@
         self.continue_body(connection, count)
 
     def has_left(self, connection: CallerConnection) -> bool:
-        """Return whether the caller of a request that was just read has left, if the host is overloaded.
+        """Return whether the caller of a request that was read completely has left an overloaded host.
 
         Requests may have waited unread for longer than their callers do, and must not be sent on then.
         """
@@ -535,6 +530,10 @@
         """Fire the request if the last `count` bytes complete its body, otherwise wait for more."""
         connection.body_bytes_since_reset += count
         if connection.body_reader.complete:
+            if self.has_left(connection):
+                connection.buffer.clear()
+                self.close_connection(connection)
+                return
             connection.state = CallerConnectionState.ANSWER
             connection.closing = not connection.head.keep_alive
             self.timeouts.set_timeout(connection, math.inf)
