Share the checks for usable targets and reachable pools

The check whether an engine may be a source of a transfer repeated the one for usable targets, the choice of a pool after a refusal repeated the loop over reachable pools, and the start at an idle engine looked up again whether waits are weighed, which the view of the pool knows. No change of behaviour.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/placement.py
@@ -207,15 +207,17 @@
             return targets
         return [target for target in targets if target.data_centre == pool.data_centre]
 
-    def usable(self, pool: Pool, now: float) -> list[Target]:
-        """Return the targets of a pool that may get requests now."""
-        return [
-            target
-            for target in self.targets_of(pool)
-            if self.is_listed(target)
+    def is_usable(self, target: Target, now: float) -> bool:
+        """Return whether a target may get requests now."""
+        return (
+            self.is_listed(target)
             and not self.is_backing_off(target.target_id, now)
             and not self.health_of(target.target_id).is_suspended(now)
-        ]
+        )
+
+    def usable(self, pool: Pool, now: float) -> list[Target]:
+        """Return the targets of a pool that may get requests now."""
+        return [target for target in self.targets_of(pool) if self.is_usable(target, now)]
 
     def prefill_rate(self, pool: Pool, now: float, *, prompt_tokens: float) -> float:
         """Return the prefill rate of a pool's usable engines in tokens per second, including pauses.
@@ -344,7 +346,12 @@
                     return self.engine_choice(request, best)
             request.weighed_until = next_weighing(request, best.state.burst_wait_seconds, view.now)
         request.awaited_id = best.state.target.target_id
-        if view.now < self.earliest_idle_start(request):
+        if view.weighs_waits:
+            # A better engine is found by the costs, unless the request takes busy engines.
+            may_start_elsewhere = request.takes_busy_engines
+        else:
+            may_start_elsewhere = view.now >= self.earliest_idle_start(request)
+        if not may_start_elsewhere:
             return None
         for _cost, _index, engine in sorted(scored):
             may_take = request.takes_busy_engines or self.bursts.is_idle(
@@ -355,12 +362,7 @@
         return None
 
     def earliest_idle_start(self, request: QueuedRequest) -> float:
-        """Return the time from which a request may start at an idle engine that is not the best one.
-
-        Where waits are weighed, a better engine is found by the costs, unless the request takes busy engines.
-        """
-        if self.weighs_waits(self.services.get(request.pool.service)):
-            return -math.inf if request.takes_busy_engines else math.inf
+        """Return the time from which a request may start at an idle engine that is not the best one."""
         max_wait = request.latest_start_at - request.queued_at
         return request.queued_at + request.patience * self.settings.best_engine_wait_fraction * max_wait
 
@@ -464,6 +466,7 @@
         for rank, engine in enumerate(engines):
             state = engine.state
             load = state.load
+            # Without calls, as this is the innermost loop of a placement run; `fits` checks the same.
             if not state.has_room or (load.requests and load.memory_tokens > memory_limit):
                 continue
             if has_reservations and not self.memory.fits(state, request, view.memory_limit_tokens):
@@ -555,12 +558,9 @@
 
     def is_source(self, target: Target, request: QueuedRequest, now: float) -> bool:
         """Return whether an engine may send cached parts of a request."""
-        health = self.health_of(target.target_id)
         return (
-            self.is_listed(target)
-            and not self.is_backing_off(target.target_id, now)
-            and not health.is_suspended(now)
-            and health.is_trusted
+            self.is_usable(target, now)
+            and self.health_of(target.target_id).is_trusted
             and target.target_id not in request.excluded
         )
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/pools.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/pools.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from limpetusher.fleet.messages import MemberEntry
@@ -83,21 +83,19 @@
 
     def choose(self, service: str, session: str, now: float, *, tried: frozenset[Pool]) -> Pool | None:
         """Return the best untried pool for a session whose scheduler is reachable, or None."""
-        for pool in self.rank_by_session(service, session):
-            if pool not in tried and self.scheduler(pool, now) is not None:
-                return pool
-        return None
+        return next(self.reachable(service, session, now, tried=tried), None)
 
     def choose_spare(
         self, service: str, session: str, now: float, *, tried: frozenset[Pool], cost: Callable[[Pool], Any]
     ) -> Pool | None:
         """Return the untried pool with the lowest cost, the best one for a session among equal ones."""
-        reachable = (
-            pool
-            for pool in self.rank_by_session(service, session)
-            if pool not in tried and self.scheduler(pool, now) is not None
-        )
-        return min(reachable, key=cost, default=None)
+        return min(self.reachable(service, session, now, tried=tried), key=cost, default=None)
+
+    def reachable(self, service: str, session: str, now: float, *, tried: frozenset[Pool]) -> Iterator[Pool]:
+        """Yield the untried pools whose schedulers are reachable, the best one for a session first."""
+        for pool in self.rank_by_session(service, session):
+            if pool not in tried and self.scheduler(pool, now) is not None:
+                yield pool
 
     def scheduler(self, pool: Pool, now: float) -> str | None:
         """Return the address of the router that schedules a pool, None if its data centre is unreachable."""
