--- a/packages/limpetusher-core/src/limpetusher/fleet/process/kind_shares.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/kind_shares.py
@@ -57,6 +57,8 @@
 
     def __init__(self, tolerance: float):
         self.tolerance = tolerance
+        self.orders_requests = tolerance < 1.0
+        """Whether kinds have an order at all; fractions differ by 1 at most."""
         self.sums: dict[Kind, KindSums] = {}
         self.purged_at = 0.0
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/request/waiting_requests.py
@@ -391,9 +391,10 @@
         now
             Current time.
         """
-        short = {
-            customer for customer in self.tokens_by_pool[pool] if self.is_share_short(pool, customer, level)
-        }
+        short = set()
+        if self.kinds.orders_requests:
+            customers = self.tokens_by_pool[pool]
+            short = {customer for customer in customers if self.is_share_short(pool, customer, level)}
         requests = sorted(self.by_pool[pool], key=is_no_take_up)
         return queues_by_customer(requests, short, self.kinds, now)
 
