--- a/packages/limpetusher-core/src/limpetusher/fleet/process/load_shedding.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/load_shedding.py
@@ -10,6 +10,7 @@
 from msgspec import Meta
 
 from limpetusher.fleet.messages import MemberEntry
+from limpetusher.fleet.process.decaying_sum import DecayingSum
 
 PAUSE_SECONDS = 0.002
 """Wait of the event loop between two rounds that ends a busy stretch; polling ready sockets takes less."""
@@ -102,25 +103,6 @@
     """Refused although no other host is known to have capacity, as it would be read too late here."""
 
 
-class DecayingSum:
-    """Exponentially decaying sum; a constant rate of one per second converges to `seconds`."""
-
-    __slots__ = ("at", "seconds", "total")
-
-    def __init__(self, now: float, seconds: float = MEMORY_SECONDS):
-        self.total = 0.0
-        self.at = now
-        self.seconds = seconds
-
-    def add(self, amount: float, now: float) -> float:
-        """Add an amount and return the sum."""
-        if now > self.at:
-            self.total *= math.exp((self.at - now) / self.seconds)
-            self.at = now
-        self.total += amount
-        return self.total
-
-
 @dataclass(slots=True)
 class CustomerUsage:
     """Requests of one customer at this host."""
@@ -191,21 +173,21 @@
         self.counts = ShedCounts()
         self.stretch = BusyStretch(now, now)
         self.budgets = Budgets(now)
-        self.busy = DecayingSum(now)
+        self.busy = DecayingSum(MEMORY_SECONDS, now)
         """Time of all rounds."""
-        self.work = DecayingSum(now, LEARNING_SECONDS)
+        self.work = DecayingSum(LEARNING_SECONDS, now)
         """Time of all rounds less that of events of sockets."""
-        self.refusals = DecayingSum(now)
+        self.refusals = DecayingSum(MEMORY_SECONDS, now)
         """Time of refusals."""
         self.round_refusals = 0
         """Number of the refusals of the current round."""
-        self.refused = DecayingSum(now, LEARNING_SECONDS)
+        self.refused = DecayingSum(LEARNING_SECONDS, now)
         """Number of refusals."""
-        self.reads = DecayingSum(now, LEARNING_SECONDS)
+        self.reads = DecayingSum(LEARNING_SECONDS, now)
         """Time of events of sockets less that of refusals."""
         self.round_work = 0.0
         """Time that the requests admitted in the current round are expected to take."""
-        self.admitted = DecayingSum(now, LEARNING_SECONDS)
+        self.admitted = DecayingSum(LEARNING_SECONDS, now)
         self.round_admitted = 0
         """Requests admitted in the current round; they count at its end, together with its time."""
         self.request_seconds = INITIAL_REQUEST_SECONDS
@@ -349,7 +331,7 @@
         if usage is None or now - usage.asked_at > ACTIVE_SECONDS:
             self.active_counted_at = -math.inf
         if usage is None:
-            usage = CustomerUsage(DecayingSum(now), DecayingSum(now), now)
+            usage = CustomerUsage(DecayingSum(MEMORY_SECONDS, now), DecayingSum(MEMORY_SECONDS, now), now)
             if len(self.customers) >= MAX_CUSTOMERS:
                 del self.customers[next(iter(self.customers))]
         usage.asked_at = now
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/part_demand.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/part_demand.py
@@ -1,8 +1,7 @@
 """Demand for shared prompt parts, from which follows how many engines should hold them."""
 
-import math
-
 from limpetusher.fleet.model import QueuedRequest
+from limpetusher.fleet.process.decaying_sum import DecayingSum
 from limpetusher.fleet.settings import FleetSettings
 
 MAX_SESSIONS = 4_000
@@ -20,22 +19,24 @@
 
     def __init__(self, settings: FleetSettings):
         self.settings = settings
-        self.by_session: dict[str, tuple[float, float]] = {}
-        """Decaying sum of tokens, and the time to which it applies, by session."""
+        self.by_session: dict[str, DecayingSum] = {}
+        """Tokens requested for each session."""
 
     def record(self, request: QueuedRequest, now: float) -> None:
         """Record the arrival of a request."""
         if request.session is None:
             return
-        tokens = self.sum(request.session, now) + request.parts[-1].tokens
-        if request.session not in self.by_session and len(self.by_session) >= MAX_SESSIONS:
-            self.drop_lowest(now)
-        self.by_session[request.session] = (tokens, now)
+        tokens = self.by_session.get(request.session)
+        if tokens is None:
+            if len(self.by_session) >= MAX_SESSIONS:
+                self.drop_lowest(now)
+            tokens = self.by_session[request.session] = DecayingSum(self.settings.demand_seconds, now)
+        tokens.add(request.parts[-1].tokens, now)
 
     def sum(self, session: str, now: float) -> float:
         """Return the decaying sum of a session's tokens."""
-        tokens, at = self.by_session.get(session, (0.0, now))
-        return tokens * math.exp(-max(0.0, now - at) / self.settings.demand_seconds)
+        tokens = self.by_session.get(session)
+        return tokens.value(now) if tokens is not None else 0.0
 
     def drop_lowest(self, now: float) -> None:
         """Drop the half of the sessions with the lowest demand."""
@@ -57,6 +58,6 @@
         """
         tokens_of_one = self.settings.max_engine_demand_fraction * engine_rate * self.settings.demand_seconds
         known = self.by_session.get(session)
-        if known is None or known[0] < tokens_of_one:
+        if known is None or known.total < tokens_of_one:
             return 1
-        return min(1 + int(self.sum(session, now) / tokens_of_one), self.settings.max_candidates)
+        return min(1 + int(known.value(now) / tokens_of_one), self.settings.max_candidates)
