--- a/packages/limpetusher-core/src/limpetusher/fleet/process/uneven_engine_settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/uneven_engine_settings.py
@@ -1,9 +1,9 @@
 """Constants for engines of unequal prefill rates and for slow spells."""
 
-import math
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 
 from limpetusher.errors import InvalidInputError
+from limpetusher.fleet.setting_bounds import find_out_of_bounds
 
 BOUNDS = {
     "weighs_sessions": (False, True),
@@ -73,8 +73,6 @@
     max_spell_seconds: float = 2.0
 
     def __post_init__(self):
-        for field in fields(self):
-            value = getattr(self, field.name)
-            low, high = BOUNDS[field.name]
-            if not (math.isfinite(value) and low <= value <= high):
-                raise InvalidInputError(f"{field.name} is {value}, has to be between {low} and {high}")
+        problems = find_out_of_bounds(self, BOUNDS)
+        if problems:
+            raise InvalidInputError("; ".join(problems))
--- a/packages/limpetusher-core/src/limpetusher/fleet/settings.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/settings.py
@@ -5,6 +5,7 @@
 from limpetusher.errors import ConfigurationError
 from limpetusher.fleet.process.rate_limits import RetryBudgetSettings
 from limpetusher.fleet.process.uneven_engine_settings import UnevenEngineSettings
+from limpetusher.fleet.setting_bounds import find_out_of_bounds
 
 BOUNDS = {
     "max_further_candidates": (0, 16),
@@ -133,10 +134,6 @@
     uneven_engines: UnevenEngineSettings = field(default_factory=UnevenEngineSettings)
 
     def __post_init__(self):
-        problems = [
-            f"{name} is {value!r}, must be between {lowest} and {highest}"
-            for name, (lowest, highest) in BOUNDS.items()
-            if not lowest <= (value := getattr(self, name)) <= highest
-        ]
+        problems = find_out_of_bounds(self, BOUNDS)
         if problems:
             raise ConfigurationError(problems)
