End shed and answered requests of a connection in one place

The path of shed requests repeated how a connection goes on after an answer: with the next request, or towards its close with the rest of a body discarded. tests/router/connection and test_load_shedding.py pass.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -501,16 +501,8 @@
         closes = not (reader.complete and connection.head.keep_alive) or is_stopping or is_slow
         connection.add_output(encode_shed_answer(connection.head, retry_after_seconds, closes=closes))
         self.metrics.count_answer(UNAVAILABLE)
-        connection.begin_request()
-        if closes:
-            connection.closing = True
-            connection.state = CallerConnectionState.LINGER
-            connection.buffer.clear()
-            if not reader.complete:
-                now = self.deadlines.clock.monotonic()
-                connection.discard_until = now + self.settings.idle_timeout_seconds
-        else:
-            self.mark_idle(connection)
+        connection.closing = closes
+        self.end_request(connection)
         self.shedding.end_refusal()
         return True
 
@@ -718,18 +710,8 @@
         """Continue with the caller's next request, or start to close, once the whole answer is buffered."""
         self.connections_by_request.pop(connection.request_id, None)
         self.bodies.end(connection)
-        has_unread_body = connection.body_reader is not None and not connection.body_reader.complete
-        connection.begin_request()
         connection.sender_paused = False
-        if connection.closing:
-            connection.state = CallerConnectionState.LINGER
-            connection.buffer.clear()
-            if has_unread_body:
-                now = self.deadlines.clock.monotonic()
-                connection.discard_until = now + self.settings.idle_timeout_seconds
-        else:
-            connection.state = CallerConnectionState.HEAD
-            self.mark_idle(connection)
+        self.end_request(connection)
         self.flush_output(connection)
         if connection.sock not in self.connections:
             return
@@ -746,6 +728,20 @@
             except FramingError as error:
                 self.refuse(connection, error)
 
+    def end_request(self, connection: CallerConnection) -> None:
+        """Wait for the caller's next request, or for its close if the connection is to be closed."""
+        has_unread_body = connection.body_reader is not None and not connection.body_reader.complete
+        connection.begin_request()
+        if connection.closing:
+            connection.state = CallerConnectionState.LINGER
+            connection.buffer.clear()
+            if has_unread_body:
+                now = self.deadlines.clock.monotonic()
+                connection.discard_until = now + self.settings.idle_timeout_seconds
+        else:
+            connection.state = CallerConnectionState.HEAD
+            self.mark_idle(connection)
+
     def flush_output(self, connection: CallerConnection) -> None:
         """Write buffered output, poll for writability if some is left, and pause or resume the sender."""
         try:
