Simplify the reading of files for the configuration check

Four places prefixed the problems of a file with its path, three functions imported the decoders of the routers lazily, and sections were named by literals beside their constants. tests/operator_tool, tests/router/platform and tests/configuration pass (with the router's connections: 322).

--- a/packages/limpetusher-core/src/limpetusher/fleet/version/configuration_check.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/version/configuration_check.py
@@ -95,12 +95,12 @@
     ]
 
 
-def error(section: str, entry: str, name: str, message: str) -> Finding:
+def error_finding(section: str, entry: str, name: str, message: str) -> Finding:
     """Return an error."""
     return Finding(Severity.ERROR, section, entry, name, message)
 
 
-def warning(section: str, entry: str, name: str, message: str) -> Finding:
+def warning_finding(section: str, entry: str, name: str, message: str) -> Finding:
     """Return a warning."""
     return Finding(Severity.WARNING, section, entry, name, message)
 
@@ -109,7 +109,7 @@
     """Check that routers would apply a version."""
     if version is not None and in_force is not None and version <= in_force:
         message = f"{version}; routers ignore versions up to {in_force}, which is in force"
-        yield error(CONFIGURATION, "", "version", message)
+        yield error_finding(CONFIGURATION, "", "version", message)
 
 
 def check_matching(routes: Iterable[Route]) -> Iterator[Finding]:
@@ -121,17 +121,17 @@
     for route in routes:
         if not route.host or ":" in route.host:
             message = f"{route.host!r}; never matches, as hosts are compared without their port"
-            yield error(ROUTES, route.name, "host", message)
+            yield error_finding(ROUTES, route.name, "host", message)
         if not route.prefix.startswith("/"):
             message = f"{route.prefix!r}; never matches, as paths begin with a slash"
-            yield error(ROUTES, route.name, "prefix", message)
+            yield error_finding(ROUTES, route.name, "prefix", message)
         elif not route.prefix.endswith("/"):
             message = f"{route.prefix!r}; also matches longer names, as it does not end with a slash"
-            yield warning(ROUTES, route.name, "prefix", message)
+            yield warning_finding(ROUTES, route.name, "prefix", message)
         first = first_by_match.setdefault((route.host.lower(), route.prefix), route)
         if first is not route:
             message = f"never matches, as route {first.name} before it has the same host and prefix"
-            yield error(ROUTES, route.name, "prefix", message)
+            yield error_finding(ROUTES, route.name, "prefix", message)
     yield from find_repeated(ROUTES, [route.name for route in routes], Severity.WARNING)
 
 
@@ -158,19 +158,19 @@
             total += max(0.0, weight)
             named.add(service)
             if service not in known:
-                yield error(ROUTES, route.name, "destinations", f"service {service} does not exist")
+                yield error_finding(ROUTES, route.name, "destinations", f"service {service} does not exist")
             elif served is not None and service not in served:
-                yield error(ROUTES, route.name, "destinations", f"no target serves {service}")
+                yield error_finding(ROUTES, route.name, "destinations", f"no target serves {service}")
             if weight < 0:
                 message = f"weight {weight:g} of {service}; allowed: 0 and more"
-                yield error(ROUTES, route.name, "destinations", message)
+                yield error_finding(ROUTES, route.name, "destinations", message)
             elif weight == 0 and len(route.destinations) > 1:
                 message = f"{service} gets no requests, as its weight is 0"
-                yield warning(ROUTES, route.name, "destinations", message)
+                yield warning_finding(ROUTES, route.name, "destinations", message)
         if len(route.destinations) > 1 and not total:
-            yield error(ROUTES, route.name, "destinations", "at least one weight has to be above 0")
+            yield error_finding(ROUTES, route.name, "destinations", "at least one weight has to be above 0")
     for service in sorted(known - named):
-        yield warning(SERVICES, service, "name", "no route names this service")
+        yield warning_finding(SERVICES, service, "name", "no route names this service")
 
 
 def check_routes(routes: Iterable[Route]) -> Iterator[Finding]:
@@ -179,20 +179,20 @@
         for name in ("timeout_seconds", "goal_seconds", "token_gap_goal_seconds"):
             seconds = getattr(route, name)
             if seconds is not None and seconds <= 0:
-                yield error(ROUTES, route.name, name, f"{seconds:g} s; allowed: above 0")
+                yield error_finding(ROUTES, route.name, name, f"{seconds:g} s; allowed: above 0")
         if 0 < route.timeout_seconds < route.goal_seconds:
             message = (
                 f"{route.goal_seconds:g} s; requests end before that, at the timeout of "
                 f"{route.timeout_seconds:g} s"
             )
-            yield warning(ROUTES, route.name, "goal_seconds", message)
+            yield warning_finding(ROUTES, route.name, "goal_seconds", message)
         if route.attempts < 1:
-            yield error(ROUTES, route.name, "attempts", f"{route.attempts}; allowed: 1 and more")
+            yield error_finding(ROUTES, route.name, "attempts", f"{route.attempts}; allowed: 1 and more")
         elif route.attempts > 1 and not route.is_idempotent:
             message = f"{route.attempts}; only attempts that have not run are repeated on this route"
-            yield warning(ROUTES, route.name, "attempts", message)
+            yield warning_finding(ROUTES, route.name, "attempts", message)
         if route.priority < 0:
-            yield error(ROUTES, route.name, "priority", f"{route.priority}; allowed: 0 and more")
+            yield error_finding(ROUTES, route.name, "priority", f"{route.priority}; allowed: 0 and more")
         yield from check_stream_fields(route)
 
 
@@ -201,13 +201,15 @@
     gap = route.token_gap_goal_seconds
     if route.kind is not RequestKind.STREAMING:
         if route.is_resumable:
-            yield warning(ROUTES, route.name, "is_resumable", "has no effect, as answers are not streamed")
+            yield warning_finding(
+                ROUTES, route.name, "is_resumable", "has no effect, as answers are not streamed"
+            )
         if gap is not None:
             message = "has no effect, as answers are not streamed"
-            yield warning(ROUTES, route.name, "token_gap_goal_seconds", message)
+            yield warning_finding(ROUTES, route.name, "token_gap_goal_seconds", message)
     elif gap is not None and gap > route.timeout_seconds > 0:
         message = f"{gap:g} s; longer than the timeout of {route.timeout_seconds:g} s"
-        yield warning(ROUTES, route.name, "token_gap_goal_seconds", message)
+        yield warning_finding(ROUTES, route.name, "token_gap_goal_seconds", message)
 
 
 def check_services(entries: ConfigurationEntries, targets: tuple[Target, ...] | None) -> Iterator[Finding]:
@@ -220,10 +222,10 @@
         for name in ("cold_seconds", "cold_per_second"):
             value = getattr(service, name)
             if value < 0:
-                yield error(SERVICES, service.name, name, f"{value:g}; allowed: 0 and more")
+                yield error_finding(SERVICES, service.name, name, f"{value:g}; allowed: 0 and more")
         if service.cold_seconds > 0 and service.cold_per_second == 0:
             message = f"0 is no limit, although targets are cold for {service.cold_seconds:g} s"
-            yield warning(SERVICES, service.name, "cold_per_second", message)
+            yield warning_finding(SERVICES, service.name, "cold_per_second", message)
         slots = slots_by_service.get(service.name, 0)
         if service.engine is not None:
             slots = max(slots, service.engine.slots)
@@ -231,20 +233,20 @@
         connections = entries.connection_limits.get(service.name, slots)
         if connections < slots:
             message = f"{connections}; fewer than the {slots} slots of a target"
-            yield warning(SERVICES, service.name, "max_connections", message)
+            yield warning_finding(SERVICES, service.name, "max_connections", message)
 
 
 def check_engine(service: Service) -> Iterator[Finding]:
     """Check the capacity of a service's engines."""
     engine = service.engine
     if engine.slots < 1:
-        yield error(SERVICES, service.name, "engine.slots", f"{engine.slots}; allowed: 1 and more")
+        yield error_finding(SERVICES, service.name, "engine.slots", f"{engine.slots}; allowed: 1 and more")
     if engine.memory_tokens < 1:
         message = f"{engine.memory_tokens}; allowed: 1 and more"
-        yield error(SERVICES, service.name, "engine.memory_tokens", message)
+        yield error_finding(SERVICES, service.name, "engine.memory_tokens", message)
     elif engine.memory_tokens < engine.slots:
         message = f"{engine.memory_tokens}; less than one token for each of {engine.slots} slots"
-        yield warning(SERVICES, service.name, "engine.memory_tokens", message)
+        yield warning_finding(SERVICES, service.name, "engine.memory_tokens", message)
 
 
 def check_customers(entries: ConfigurationEntries) -> Iterator[Finding]:
@@ -253,18 +255,20 @@
     owners: dict[str, str] = {}
     for customer in entries.customers:
         if not customer.api_keys:
-            yield warning(CUSTOMERS, customer.name, "api_keys", "no request can come from it without a key")
+            yield warning_finding(
+                CUSTOMERS, customer.name, "api_keys", "no request can come from it without a key"
+            )
         for number, key in enumerate(customer.api_keys):
             if not key:
                 message = f"key {number} is empty; requests without a key would count as this customer's"
-                yield error(CUSTOMERS, customer.name, "api_keys", message)
+                yield error_finding(CUSTOMERS, customer.name, "api_keys", message)
             owner = owners.setdefault(key, customer.name)
             if owner != customer.name:
                 message = f"key {number} is also a key of {owner}; requests count as the last one's"
-                yield error(CUSTOMERS, customer.name, "api_keys", message)
+                yield error_finding(CUSTOMERS, customer.name, "api_keys", message)
     if not entries.customers and any(not route.is_public for route in entries.routes):
         message = "none; all routes accept requests without a key"
-        yield warning(CUSTOMERS, "", "", message)
+        yield warning_finding(CUSTOMERS, "", "", message)
 
 
 def check_limits(limits: CallerLimits | None) -> Iterator[Finding]:
@@ -274,4 +278,4 @@
     for name in ("header_bytes", "body_bytes", "header_seconds", "idle_seconds"):
         value = getattr(limits, name)
         if value <= 0:
-            yield error(LIMITS, "", name, f"{value:g}; allowed: above 0")
+            yield error_finding(LIMITS, "", name, f"{value:g}; allowed: above 0")
--- a/packages/limpetusher-operator/src/limpetusher_operator/command.py
+++ b/packages/limpetusher-operator/src/limpetusher_operator/command.py
@@ -30,8 +30,14 @@
 from limpetusher_operator.drains import with_data_centre_state
 from limpetusher_operator.errors import OperatorError
 from limpetusher_operator.fairness import FairnessReport, format_report
-from limpetusher_operator.files import read_document, read_file, read_lines, write_document, write_output
-from limpetusher_operator.fleet_configuration import check_file
+from limpetusher_operator.files import (
+    problems_prefixed_by,
+    read_document,
+    read_file,
+    read_lines,
+    write_document,
+    write_output,
+)
 from limpetusher_operator.keys import NewApiKey, generate_api_key
 
 ERROR_EXIT_STATUS = 2
@@ -64,9 +70,10 @@
         problems += error.problems
     if host_list is not None:
         try:
-            load_host_list(read_file(host_list))
+            with problems_prefixed_by(host_list):
+                load_host_list(read_file(host_list))
         except ConfigurationError as error:
-            problems += [f"{host_list}: {problem}" for problem in error.problems]
+            problems += error.problems
     if problems:
         raise ConfigurationError(problems)
     print(
@@ -99,6 +106,9 @@
     as_json
         Write a JSON object.
     """
+    # The decoders of the routers import circuits, which the other commands of this tool do not need.
+    from limpetusher_operator.fleet_configuration import check_file
+
     check = check_file(file, in_force=in_force, targets=targets)
     print(check.format_json() if as_json else check.format_text())
     return check.exit_status
@@ -285,10 +295,8 @@
 
 def read_answers(path: Path) -> TeamAnswers:
     """Read and validate a file with answers."""
-    try:
+    with problems_prefixed_by(path):
         return load_answers(read_file(path))
-    except ConfigurationError as error:
-        raise ConfigurationError([f"{path}: {problem}" for problem in error.problems]) from None
 
 
 def customer_ids_with_keys(document: ConfigurationModel | None) -> set[str]:
--- a/packages/limpetusher-operator/src/limpetusher_operator/files.py
+++ b/packages/limpetusher-operator/src/limpetusher_operator/files.py
@@ -1,5 +1,6 @@
 """Reading and writing documents."""
 
+import contextlib
 import os
 import sys
 import tempfile
@@ -51,8 +52,15 @@
         With every problem found, each prefixed with the path of the file.
     """
     document = read_file(path)
-    try:
+    with problems_prefixed_by(path):
         return parse_document(document)
+
+
+@contextlib.contextmanager
+def problems_prefixed_by(path: Path) -> Iterator[None]:
+    """Prefix the problems of a `ConfigurationError` with the path of the file that they are about."""
+    try:
+        yield
     except ConfigurationError as error:
         raise ConfigurationError([f"{path}: {problem}" for problem in error.problems]) from None
 
--- a/packages/limpetusher-operator/src/limpetusher_operator/fleet_configuration.py
+++ b/packages/limpetusher-operator/src/limpetusher_operator/fleet_configuration.py
@@ -8,7 +8,14 @@
 from limpetusher.errors import ConfigurationError
 from limpetusher.fleet.model import Target
 from limpetusher.fleet.version.configuration_check import Finding, Severity, check_entries
-from limpetusher_operator.files import read_file
+from limpetusher_operator.files import problems_prefixed_by, read_file
+from limpetusher_router.platform.configuration_files import (
+    SECRET_LISTS,
+    place_of,
+    read_entries,
+    read_json,
+    read_targets,
+)
 
 FINDINGS_EXIT_STATUS = 1
 
@@ -53,11 +60,7 @@
 
 def describe(place: str, finding: Finding) -> str:
     """Return a finding as a line of text."""
-    return (
-        f"{finding.severity.value}: {place}: {finding.message}"
-        if place
-        else (f"{finding.severity.value}: {finding.message}")
-    )
+    return ": ".join(part for part in (finding.severity.value, place, finding.message) if part)
 
 
 def check_file(path: Path, *, in_force: Path | None = None, targets: Path | None = None) -> CheckReport:
@@ -79,9 +82,6 @@
     ConfigurationError
         If a file is not a JSON object.
     """
-    # The decoders of the routers import circuits, which the other commands of this tool do not need.
-    from limpetusher_router.platform.configuration_files import SECRET_LISTS, place_of, read_entries
-
     data = read_file(path)
     document = read_object(path, data)
     entries, findings = read_entries(document, data)
@@ -107,12 +107,8 @@
     ConfigurationError
         If the file holds something else.
     """
-    from limpetusher_router.platform.configuration_files import read_json
-
-    try:
+    with problems_prefixed_by(path):
         document = read_json(data)
-    except ConfigurationError as error:
-        raise ConfigurationError([f"{path}: {problem}" for problem in error.problems]) from None
     if not isinstance(document, dict):
         raise ConfigurationError([f"{path}: expected a JSON object"])
     return document
@@ -126,9 +122,5 @@
     ConfigurationError
         If the file does not hold a JSON object.
     """
-    from limpetusher_router.platform.configuration_files import read_targets
-
-    try:
+    with problems_prefixed_by(path):
         return read_targets(read_file(path))
-    except ConfigurationError as error:
-        raise ConfigurationError([f"{path}: {problem}" for problem in error.problems]) from None
--- a/packages/limpetusher-router/src/limpetusher_router/platform/configuration_files.py
+++ b/packages/limpetusher-router/src/limpetusher_router/platform/configuration_files.py
@@ -3,18 +3,22 @@
 The decoders of the routers are used, so that a file is read as they would read it.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
 from limpetusher.errors import ConfigurationError
-from limpetusher.fleet.model import Target
-from limpetusher.fleet.version import configuration_check
+from limpetusher.fleet.model import CallerLimits, Route, Target
 from limpetusher.fleet.version.configuration_check import (
+    CUSTOMERS,
+    LIMITS,
+    ROUTES,
+    SERVICES,
     ConfigurationEntries,
     CustomerEntry,
     Finding,
-    Severity,
+    error_finding,
+    warning_finding,
 )
 from limpetusher_router.platform.documents import (
     MALFORMED,
@@ -29,7 +33,7 @@
 CUSTOMERS_FIELD = "tenants"
 SECRET_LISTS = frozenset({"apiKeys"})
 """Fields that are lists of secrets."""
-SECTION_FIELDS = {configuration_check.CUSTOMERS: CUSTOMERS_FIELD}
+SECTION_FIELDS = {CUSTOMERS: CUSTOMERS_FIELD}
 """Names of sections in a file, where they differ from the model."""
 FIELD_NAMES = {
     "timeout_seconds": "timeoutMs",
@@ -78,33 +82,33 @@
     version = document.get("version")
     if not isinstance(version, int) or isinstance(version, bool):
         version = None
-        findings.append(configuration_check.error("", "", "version", "missing or not a whole number"))
-    routes = [route.decode for route in read_section(document, "routes", RouteDocument, findings)]
-    services = read_section(document, "services", ServiceDocument, findings)
+        findings.append(error_finding("", "", "version", "missing or not a whole number"))
+    routes = read_section(document, ROUTES, RouteDocument, findings)
+    services = read_section(document, SERVICES, ServiceDocument, findings)
     customers = read_section(document, CUSTOMERS_FIELD, CustomerDocument, findings, is_required=False)
     entries = ConfigurationEntries(
         version=version,
-        routes=tuple(decode_all(routes, findings)),
+        routes=tuple(decode_routes(routes, findings)),
         services=tuple(service.decode() for service in services),
         customers=tuple(CustomerEntry(customer.name, customer.api_keys) for customer in customers),
-        limits=read_limits(document.get("limits", {}), findings),
-        connection_limits=read_connection_limits(document.get("services")),
+        limits=read_limits(document.get(LIMITS, {}), findings),
+        connection_limits=read_connection_limits(document.get(SERVICES)),
     )
     if not findings:
         try:
             decode_document(data)
         except ConfigurationError as error:
-            findings += [configuration_check.error("", "", "", problem) for problem in error.problems]
+            findings += [error_finding("", "", "", problem) for problem in error.problems]
     return entries, findings
 
 
-def decode_all(decoders: Iterable, findings: list[Finding]) -> Iterable:
-    """Yield the results of decoders; one that fails adds its problems to the findings instead."""
-    for decode in decoders:
+def decode_routes(documents: Iterable[RouteDocument], findings: list[Finding]) -> Iterator[Route]:
+    """Yield the routes of a configuration; one that can't be decoded adds its problems to the findings."""
+    for document in documents:
         try:
-            yield decode()
+            yield document.decode()
         except ConfigurationError as error:
-            findings += [configuration_check.error("routes", "", "", problem) for problem in error.problems]
+            findings += [error_finding(ROUTES, "", "", problem) for problem in error.problems]
 
 
 def read_section(
@@ -115,7 +119,7 @@
     if values is None and not is_required:
         return []
     if not isinstance(values, list):
-        findings.append(configuration_check.error(section, "", "", "missing or not a list"))
+        findings.append(error_finding(section, "", "", "missing or not a list"))
         return []
     entries = []
     for number, value in enumerate(values):
@@ -123,18 +127,16 @@
             entries.append(msgspec.convert(value, entry_type))
         except msgspec.ValidationError as error:
             name = value.get("name") if isinstance(value, dict) else None
-            findings.append(
-                configuration_check.error(section, str(name or f"number {number}"), "", str(error))
-            )
+            findings.append(error_finding(section, str(name or f"number {number}"), "", str(error)))
     return entries
 
 
-def read_limits(value: object, findings: list[Finding]):
+def read_limits(value: object, findings: list[Finding]) -> CallerLimits | None:
     """Return the limits of callers, None if they are malformed."""
     try:
         return msgspec.convert(value, LimitsDocument).decode()
     except msgspec.ValidationError as error:
-        findings.append(configuration_check.error(configuration_check.LIMITS, "", "", str(error)))
+        findings.append(error_finding(LIMITS, "", "", str(error)))
         return None
 
 
@@ -165,9 +167,7 @@
         try:
             targets.append(decode_target(target_id, msgspec.json.encode(value), revision=0, now=0.0))
         except ConfigurationError as error:
-            findings += [
-                Finding(Severity.WARNING, "targets", target_id, "", problem) for problem in error.problems
-            ]
+            findings += [warning_finding("targets", target_id, "", problem) for problem in error.problems]
     return targets, findings
 
 
