--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -79,6 +79,7 @@
         self.history: list[tuple[float, dict]] = []
         self.revision = 1
         self.compacted = 0
+        self.era = 0
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def put(self, key: str, value: object) -> None:
@@ -106,6 +107,23 @@
             self.remember({"key": key, "rev": self.revision, "deleted": True})
         self.record.write(f"store: {key} removed at revision {self.revision}")
 
+    def compact(self) -> None:
+        """Drop the whole history."""
+        with self.condition:
+            self.history.clear()
+            self.compacted = self.revision
+            self.condition.notify_all()
+        self.record.write(f"store: history up to revision {self.revision} dropped")
+
+    def restore(self) -> None:
+        """Come back from a copy that has all items, as after a drill in which nothing was lost."""
+        with self.condition:
+            self.era += 1
+            self.history.clear()
+            self.compacted = self.revision
+            self.condition.notify_all()
+        self.record.write(f"store: restored from a copy at revision {self.revision}, Store-Era {self.era}")
+
     def remember(self, event: dict) -> None:
         """Add an event to the history and drop what is too old."""
         now = time.monotonic()
@@ -156,10 +174,11 @@
             ]
 
         with store.condition:
+            era = store.era
             if after < store.compacted:
                 status, body = 410, {"currentRev": store.revision}
             else:
-                store.condition.wait_for(events, timeout=seconds)
+                store.condition.wait_for(lambda: events() or store.era != era, timeout=seconds)
                 status, body = 200, {"events": events(), "currentRev": store.revision}
         self.reply(status, body)
 
@@ -170,7 +189,7 @@
             self.send_response(status)
             self.send_header("Content-Type", "application/json")
             self.send_header("Content-Length", str(len(body)))
-            self.send_header("Store-Era", "0")
+            self.send_header("Store-Era", str(self.server.era))
             self.end_headers()
             self.wfile.write(body)
 
