--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -11,10 +11,12 @@
 import random
 import re
 import shlex
+import shutil
 import signal
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -28,6 +30,8 @@
 HEARTBEAT_MS = 1_200
 HISTORY_S = 20
 PAGE_ITEMS = 50
+COULD_NOT_RUN = 2
+"""Exit status of a case that could not run."""
 RESET = struct.pack("ii", 1, 0)
 HOST = "line.example"
 BOUNDS = {
@@ -469,6 +473,8 @@
     """A store, servers and routers on loopback addresses, which all end with it."""
 
     def __init__(self, record: Record, zones: Iterable[str], **bounds: object):
+        # A case that takes too long is ended by a signal, and ends its processes then as well.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
         self.record = record
         self.bounds = {**BOUNDS, **bounds}
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -519,6 +525,7 @@
         for server in self.servers.values():
             server.close()
         self.store.shutdown()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Answer:
