Review case 9: streams joined from two software versions that began at a machine cut off

A machine that is cut off during a release begins streams at servers that have left for all others; taken up at these, they go on at the newer version (ORDER).

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Requests to cold servers after a loss of power, while the machines that the seeds name are still down."""
+"""Streams that begin at a machine which is cut off during a release, and are taken up at another one."""
 
 import os
 import sys
@@ -10,13 +10,10 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from standins_2 import (
-    BOUNDS,
     ENGINE,
-    Call,
+    Channel,
     Deployment,
     Record,
-    Router,
-    Server,
     StreamRun,
     ask,
     configuration,
@@ -26,124 +23,132 @@
 
 FOLDER = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ZONES = ("lalit", "lalit", "bhakt", "bhakt", "kirti", "thimi")
-COLD_PER_S = 22.0
-COLD_S = 3.0
-LIMIT = COLD_PER_S * BOUNDS["coldOver"] + BOUNDS["coldSlack"]
-RESTART_S = 0.6
-DARK_S = 4.5
-SEED_LAG_S = 3.0
-"""Time after which the settings name machines that run; `seedLagS` of the sheet."""
-SERVERS_BACK_S = 1.6
-CALLERS_PER_ROUTER = 20
-CALL_INTERVAL_S = 0.3
-TRAFFIC_S = 9.0
-
-
-class CountingRun:
-    """Runs short streams, and counts the requests that arrive."""
-
-    def __init__(self):
-        self.arrivals: list[tuple[float, str]] = []
-        self.stream = StreamRun(3, 0.02)
-
-    def __call__(self, server: Server, call: Call) -> None:
-        """Run one request."""
-        self.arrivals.append((time.monotonic(), server.server_id))
-        self.stream(server, call)
-
-
-def call_often(router: Router, until: float, number: int, record: Record) -> None:
-    """Send requests to one router until a time."""
-    while time.monotonic() < until:
+STREAMS = 24
+EVENTS = 30
+INTERVAL_S = 0.3
+BUDGET_S = 15.0
+CUT_S = 5.5
+RETRY_S = 0.3
+RESET_SHARE = 0.78
+MAX_ATTEMPTS = 8
+ALLOWED = 2
+"""The rule is broken by more than two such streams."""
+
+
+class Caller(threading.Thread):
+    """A caller that takes its stream up again after each broken channel, within its time budget."""
+
+    def __init__(self, number: int, channels: list[Channel], record: Record):
+        super().__init__(daemon=True)
+        self.number = number
+        self.channels = channels
+        self.record = record
+        self.events: list[tuple[int, str]] = []
+        self.statuses: list[int] = []
+
+    def run(self) -> None:
+        """Ask until the stream is complete or the time is over."""
+        record = self.record
         began_at = time.monotonic()
-        part = uuid.uuid4().int >> 96
-        answer = ask(
-            router.front,
-            f"/ask/{number}",
-            X_Request_Id=uuid.uuid4().hex[:16],
-            X_Model="m",
-            X_Token_Usage="40,9",
-            X_Prompt_Prefix=f"{part:x}:40",
-            X_Deadline_Ms="3000",
-            X_Credential=f"key-{number % 4 + 1}",
-        )
-        record.write(f"caller {number} at {router.name}: status {answer.status}")
-        time.sleep(max(0.0, began_at + CALL_INTERVAL_S - time.monotonic()))
+        first_id = ""
+        attempt = 0
+        while attempt < MAX_ATTEMPTS and (left := began_at + BUDGET_S - time.monotonic()) > 0.5:
+            attempt += 1
+            request_id = uuid.uuid4().hex[:16]
+            part = self.number * 16
+            headers = {
+                "X_Request_Id": request_id,
+                "X_Model": "m",
+                "X_Token_Usage": "400,120",
+                "X_Prompt_Prefix": f"{part:x}:200,{part + 1:x}:200",
+                "X_Deadline_Ms": str(int(left * 1_000)),
+                "X_Credential": f"key-{self.number % 4 + 1}",
+            }
+            if self.events:
+                headers |= {"Last_Event_Id": str(self.events[-1][0]), "Resumes": first_id}
+            # The first attempt reaches the last machine, later ones the others in turn.
+            others = self.channels[:-1]
+            channel = self.channels[-1] if attempt == 1 else others[(self.number + attempt) % len(others)]
+            answer = ask(channel.address, f"/chat/{self.number}", **headers)
+            if answer.status == 200 and answer.events and not first_id:
+                first_id = request_id
+            self.events += answer.events if answer.status == 200 else []
+            self.statuses.append(answer.status)
+            parts = answer.events if answer.status == 200 else answer.body[:120]
+            span = f"events {parts[0]} to {parts[-1]}" if answer.status == 200 and parts else parts
+            record.write(
+                f"caller {self.number} attempt {attempt}: status {answer.status}, "
+                f"complete {answer.is_complete}, {span}"
+            )
+            if answer.status == 200 and answer.is_complete:
+                return
+            time.sleep(RETRY_S)
 
 
 def main() -> int:
     """Play the case and return the exit status."""
     record = Record(FOLDER / "record.txt")
-    deployment = Deployment(record, ZONES)
-    run = CountingRun()
-    entry = {"service": "lm-pool", "slots": 128}
-    routes = [stream_route("r-ask", "/ask/", "lm-pool", timeoutMs=3_000, goalMs=1_000)]
-    services = [service_document("lm-pool", engine=ENGINE, coldS=COLD_S, coldPerS=COLD_PER_S)]
+    deployment = Deployment(record, ["heredia-a", "alajuela-b", "cartago-c", "alajuela-b"])
+    stream = StreamRun(EVENTS, INTERVAL_S)
+    engine = {"service": "limpet-llm", "slots": 128}
     try:
+        routes = [stream_route("r-chat", "/chat/", "limpet-llm")]
+        services = [service_document("limpet-llm", engine=ENGINE)]
         deployment.store.put("op/config", configuration(7, routes, services))
-        first = [
-            deployment.add_server(f"i-first-{zone}", run, zone=zone, **entry) for zone in ("lalit", "kirti")
-        ]
-        deployment.start_all(bootstrap=True)
+        routers = deployment.routers
+        for number, router in enumerate(routers[:3]):
+            deployment.add_server(f"i-old-{number}", stream, zone=router.zone, **engine)
+        gateway = Channel(deployment.new_address(), deployment.store.address)
+        alone = routers[-1]
+        alone.store_address = gateway.address
+        deployment.start_all(bootstrap=True, alone=[alone] if TROUBLE else [])
         if not deployment.wait_ready():
             record.write("the routers were not ready in time")
             return 2
         time.sleep(1.5)
-        lost_at = time.monotonic()
-        early, late = deployment.routers[3:], deployment.routers[:3]
-        until = lost_at + TRAFFIC_S
+        channels = [Channel(deployment.new_address(), router.front) for router in routers]
+        gateway.is_cut = TROUBLE
+        cut_at = time.monotonic()
+        record.write(f"{alone.name} is cut off from the store: {TROUBLE}")
+        for number, router in enumerate(routers[:3]):
+            deployment.add_server(f"i-new-{number}", stream, zone=router.zone, version="v2", **engine)
+        time.sleep(0.5)
+        for number in range(3):
+            deployment.store.delete(f"servers/i-old-{number}")
+        time.sleep(2.0)
+        callers = [Caller(number, channels, record) for number in range(STREAMS)]
+        for caller in callers:
+            caller.start()
+        time.sleep(1.0)
         if TROUBLE:
-            for router in deployment.routers:
-                router.kill()
-        for server in first:
-            server.close()
-        threads = [
-            threading.Thread(target=call_often, args=(router, until, number, record), daemon=True)
-            for router in early
-            for number in range(CALLERS_PER_ROUTER)
-        ]
-        for thread in threads:
-            thread.start()
-        steps = [(SERVERS_BACK_S, "servers"), (RESTART_S, "early"), (SEED_LAG_S, "seeds"), (DARK_S, "late")]
-        seeds = [router.control for router in late]
-        cold: list[tuple[str, float]] = []
-        for at, step in sorted(steps):
-            time.sleep(max(0.0, lost_at + at - time.monotonic()))
-            if step == "servers":
-                for server in first:
-                    deployment.store.delete(f"servers/{server.server_id}")
-                for zone in ("lalit", "kirti"):
-                    changes = {"coldLeftMs": int(COLD_S * 1_000), "zone": zone, **entry}
-                    cold.append((f"i-cold-{zone}", time.monotonic() + COLD_S))
-                    deployment.add_server(f"i-cold-{zone}", run, **changes)
-            elif step == "seeds":
-                seeds = [router.control for router in early]
-                for router in early:
-                    router.write_settings(seeds, bootstrap=False)
-            elif TROUBLE:
-                for router in early if step == "early" else late:
-                    router.write_settings(seeds, bootstrap=False)
-                    router.start()
-        for thread in threads:
-            thread.join(TRAFFIC_S + 5.0)
-        return judge(run, cold, record)
+            count = channels[-1].reset(RESET_SHARE)
+            record.write(f"{count} channels to {alone.name} are reset")
+        time.sleep(max(0.0, cut_at + CUT_S - time.monotonic()))
+        gateway.is_cut = False
+        alone.write_settings([router.control for router in routers[:3]], bootstrap=True)
+        for caller in callers:
+            caller.join(BUDGET_S + 2.0)
+        return judge(callers, record)
     finally:
         deployment.close()
 
 
-def judge(run: CountingRun, cold: list[tuple[str, float]], record: Record) -> int:
-    """Return 1 if a cold server got more requests in one second than the rule allows."""
-    worst = 0
-    for server_id, until in cold:
-        times = sorted(at for at, name in run.arrivals if name == server_id and at < until)
-        busiest = max((sum(at <= other < at + 1.0 for other in times) for at in times), default=0)
-        record.write(f"{server_id}: {len(times)} requests while cold, at most {busiest} in one second")
-        worst = max(worst, busiest)
-    record.write(f"at most {worst} requests in one second; the rule allows {LIMIT:g}")
-    if not worst:
+def judge(callers: list[Caller], record: Record) -> int:
+    """Return 1 if more streams than allowed hold events of two versions."""
+    mixed = 0
+    for caller in callers:
+        writers = sorted({data.rsplit(" ", 1)[0] for _number, data in caller.events})
+        numbers = [number for number, _data in caller.events]
+        if len(writers) > 1:
+            mixed += 1
+        record.write(
+            f"caller {caller.number}: {len(numbers)} events from {writers}, statuses {caller.statuses}"
+        )
+    if not all(caller.events for caller in callers):
+        record.write("not all streams have begun")
         return 2
-    return 1 if worst > LIMIT else 0
+    record.write(f"streams with events from two software versions of one service: {mixed} of {len(callers)}")
+    return 1 if mixed > ALLOWED else 0
 
 
 if __name__ == "__main__":
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -355,6 +355,8 @@
         self.address = address
         self.destination = destination
         self.pairs: list[tuple[socket.socket, socket.socket]] = []
+        self.is_cut = False
+        """Whether nothing is passed on, without a reset."""
         self.listener = socket.create_server(split(address), backlog=256)
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -380,6 +382,8 @@
         """Copy bytes until one side closes."""
         with contextlib.suppress(OSError):
             while data := source.recv(65_536):
+                while self.is_cut:
+                    time.sleep(0.02)
                 sink.sendall(data)
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
@@ -412,6 +416,7 @@
         self.settings = deployment.folder / f"{self.name}.json"
         self.log = deployment.folder / f"{self.name}.log"
         self.process: subprocess.Popen | None = None
+        self.store_address = deployment.store.address
 
     def write_settings(self, seeds: Iterable[str], *, bootstrap: bool) -> None:
         """Fill in the template of the settings, as the platform does at a start."""
@@ -423,7 +428,7 @@
             "listen": {"front": self.front, "ready": self.ready, "control": self.control},
             "portRange": [7400, 7415],
             "seeds": list(seeds),
-            "provider": {"address": deployment.store.address, "historyS": HISTORY_S},
+            "provider": {"address": self.store_address, "historyS": HISTORY_S},
             "heartbeatMs": HEARTBEAT_MS,
             "limits": {"maxFds": 4_100, "memoryMb": 300, "cpuShare": 0.537, "cores": 2},
             "bootstrap": bootstrap,
@@ -500,10 +505,12 @@
         server.write_entry()
         return server
 
-    def start_all(self, *, bootstrap: bool, seeds: Iterable[str] | None = None) -> None:
-        """Start all routers."""
+    def start_all(self, *, bootstrap: bool, alone: Iterable[Router] = ()) -> None:
+        """Start all routers; those that are alone reach none of their seeds."""
         for router in self.routers:
-            known = [other.control for other in self.routers[:3]] if seeds is None else seeds
+            known = [other.control for other in self.routers[:3]]
+            if router in alone:
+                known = [self.new_address(8785) for _seed in known]
             router.write_settings(known, bootstrap=bootstrap)
             router.start()
 
