--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,9 +2,7 @@
 
 import os
 import sys
-import threading
 import time
-import uuid
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -13,9 +11,10 @@
     ENGINE,
     Deployment,
     Record,
+    StreamCaller,
     StreamRun,
-    ask,
     configuration,
+    judge_order,
     service_document,
     stream_route,
 )
@@ -30,56 +29,6 @@
 """Time for which a caller waits for its stream, which is longer than the route's `timeoutMs`."""
 RELEASE_GAP_S = 0.5
 RETRY_S = 0.5
-MAX_ATTEMPTS = 8
-ALLOWED = 2
-"""The rule is broken by more than two such streams."""
-
-
-class Caller(threading.Thread):
-    """A caller that takes its stream up again after each broken channel, within its time budget."""
-
-    def __init__(self, number: int, deployment: Deployment):
-        super().__init__(daemon=True)
-        self.number = number
-        self.deployment = deployment
-        self.events: list[tuple[int, str]] = []
-        self.statuses: list[int] = []
-
-    def run(self) -> None:
-        """Ask until the stream is complete or the time is over."""
-        record = self.deployment.record
-        began_at = time.monotonic()
-        first_id = ""
-        attempt = 0
-        while attempt < MAX_ATTEMPTS and (left := began_at + BUDGET_S - time.monotonic()) > 0.5:
-            attempt += 1
-            request_id = uuid.uuid4().hex[:16]
-            part = self.number * 16
-            headers = {
-                "X_Request_Id": request_id,
-                "X_Model": "m",
-                "X_Token_Usage": "400,120",
-                "X_Prompt_Prefix": f"{part:x}:200,{part + 1:x}:200",
-                "X_Deadline_Ms": str(int(left * 1_000)),
-                "X_Credential": f"key-{self.number % 4 + 1}",
-            }
-            if self.events:
-                headers |= {"Last_Event_Id": str(self.events[-1][0]), "Resumes": first_id}
-            router = self.deployment.routers[(self.number + attempt) % len(self.deployment.routers)]
-            answer = ask(router.front, f"/chat/{self.number}", **headers)
-            if answer.status == 200 and answer.events and not first_id:
-                first_id = request_id
-            self.events += answer.events if answer.status == 200 else []
-            self.statuses.append(answer.status)
-            parts = answer.events if answer.status == 200 else answer.body[:120]
-            span = f"events {parts[0]} to {parts[-1]}" if answer.status == 200 and parts else parts
-            record.write(
-                f"caller {self.number} attempt {attempt} at {router.name}: status {answer.status}, "
-                f"complete {answer.is_complete}, {span}"
-            )
-            if answer.status == 200 and answer.is_complete:
-                return
-            time.sleep(RETRY_S)
 
 
 def main() -> int:
@@ -101,7 +50,17 @@
             record.write("the routers were not ready in time")
             return 2
         time.sleep(1.5)
-        callers = [Caller(number, deployment) for number in range(STREAMS)]
+        routers = deployment.routers
+        callers = [
+            StreamCaller(
+                number,
+                lambda caller, attempt: routers[(caller + attempt) % len(routers)].front,
+                record,
+                retry_s=RETRY_S,
+                budget_s=BUDGET_S,
+            )
+            for number in range(STREAMS)
+        ]
         for caller in callers:
             caller.start()
         time.sleep(1.0)
@@ -118,28 +77,10 @@
             deployment.start_all(bootstrap=False)
         for caller in callers:
             caller.join(BUDGET_S + 2.0)
-        return judge(callers, record)
+        return judge_order(callers, record)
     finally:
         deployment.close()
 
 
-def judge(callers: list[Caller], record: Record) -> int:
-    """Return 1 if more streams than allowed hold events of two versions."""
-    mixed = 0
-    for caller in callers:
-        writers = sorted({data.rsplit(" ", 1)[0] for _number, data in caller.events})
-        numbers = [number for number, _data in caller.events]
-        if len(writers) > 1:
-            mixed += 1
-        record.write(
-            f"caller {caller.number}: {len(numbers)} events from {writers}, statuses {caller.statuses}"
-        )
-    if not all(caller.events for caller in callers):
-        record.write("not all streams have begun")
-        return 2
-    record.write(f"streams with events from two software versions: {mixed} of {len(callers)}")
-    return 1 if mixed > ALLOWED else 0
-
-
 if __name__ == "__main__":
     sys.exit(main())
