Review: a script that fails itself exits with 2

A router that did not start was passed over while the case waited for readiness. What the cases do and judge is as it was.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -16,6 +16,7 @@
     StreamCaller,
     StreamRun,
     configuration,
+    run_case,
     service_document,
     stream_route,
 )
@@ -38,9 +39,8 @@
 """The rule speaks of 12 or more streams that are taken up."""
 
 
-def main() -> int:
+def play(record: Record) -> int:
     """Play the case and return the exit status."""
-    record = Record(FOLDER / "record.txt")
     deployment = Deployment(record, ["heredia-a", "alajuela-b", "cartago-c"])
     stream = StreamRun(EVENTS, INTERVAL_S)
     try:
@@ -109,4 +109,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(play, FOLDER)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,6 +15,7 @@
     StreamRun,
     configuration,
     judge_order,
+    run_case,
     service_document,
     stream_route,
 )
@@ -31,9 +32,8 @@
 RETRY_S = 0.5
 
 
-def main() -> int:
+def play(record: Record) -> int:
     """Play the case and return the exit status."""
-    record = Record(FOLDER / "record.txt")
     deployment = Deployment(record, ["heredia-a", "alajuela-b", "cartago-c"])
     stream = StreamRun(EVENTS, INTERVAL_S)
     engine = {"service": "limpet-llm", "slots": 128}
@@ -83,4 +83,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(play, FOLDER)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -16,6 +16,7 @@
     StreamRun,
     configuration,
     judge_order,
+    run_case,
     service_document,
     stream_route,
 )
@@ -34,9 +35,8 @@
 RESET_GAP_S = 0.5
 
 
-def main() -> int:
+def play(record: Record) -> int:
     """Play the case and return the exit status."""
-    record = Record(FOLDER / "record.txt")
     deployment = Deployment(record, ["heredia-a", "alajuela-b", "cartago-c"])
     stream = StreamRun(EVENTS, INTERVAL_S)
     services = [service_document(name, engine=ENGINE) for name in ("llm-one", "llm-two")]
@@ -91,4 +91,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(play, FOLDER)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -15,6 +15,7 @@
     StreamRun,
     configuration,
     judge_order,
+    run_case,
     service_document,
     stream_route,
 )
@@ -32,9 +33,8 @@
 RETRY_S = 0.5
 
 
-def main() -> int:
+def play(record: Record) -> int:
     """Play the case and return the exit status."""
-    record = Record(FOLDER / "record.txt")
     deployment = Deployment(record, ["heredia-a", "alajuela-b", "cartago-c"])
     stream = StreamRun(EVENTS, INTERVAL_S)
     engine = {"service": "limpet-llm", "slots": 128}
@@ -85,4 +85,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(play, FOLDER)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -16,6 +16,7 @@
     StreamRun,
     configuration,
     judge_order,
+    run_case,
     service_document,
     stream_route,
 )
@@ -32,9 +33,8 @@
 """Share of the channels of the machine that are reset."""
 
 
-def main() -> int:
+def play(record: Record) -> int:
     """Play the case and return the exit status."""
-    record = Record(FOLDER / "record.txt")
     deployment = Deployment(record, ["heredia-a", "alajuela-b", "cartago-c", "alajuela-b"])
     stream = StreamRun(EVENTS, INTERVAL_S)
     engine = {"service": "limpet-llm", "slots": 128}
@@ -90,4 +90,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(play, FOLDER)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -26,6 +26,7 @@
 from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
+from typing import NoReturn
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -519,11 +520,13 @@
             router.start()
 
     def wait_ready(self, seconds: float = 30.0) -> bool:
-        """Wait until all routers that run are ready, and return whether they are."""
+        """Wait until all routers are ready, and return whether they are."""
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
-            if all(router.is_ready for router in self.routers if router.process.poll() is None):
+            if all(router.is_ready for router in self.routers):
                 return True
+            if any(router.process.poll() is not None for router in self.routers):
+                return False
             time.sleep(0.05)
         return False
 
@@ -619,6 +622,17 @@
         return answer.status == 200 and answer.is_complete
 
 
+def run_case(play: Callable[[Record], int], folder: Path) -> NoReturn:
+    """Play a case, and exit with its status; a case that fails itself could not run."""
+    record = Record(folder / "record.txt")
+    try:
+        status = play(record)
+    except Exception as error:
+        record.write(f"the case could not run: {error!r}")
+        status = COULD_NOT_RUN
+    sys.exit(status)
+
+
 def judge_order(callers: list[StreamCaller], record: Record) -> int:
     """Return 1 if more than two streams hold events from two software versions of one service."""
     mixed = 0
