--- a/review/6/case.py
+++ b/review/6/case.py
@@ -28,7 +28,7 @@
 TIMEOUT_MS = 8_000
 BUDGET_S = 15.0
 """Time for which a caller waits for its stream, which is longer than the route's `timeoutMs`."""
-RELEASE_GAP_S = 0.5
+RELEASE_GAP_S = 1.0
 RETRY_S = 0.5
 
 
@@ -67,8 +67,9 @@
         for number, server in enumerate(old):
             zone = server.entry["zone"]
             deployment.add_server(f"i-new-{number}", stream, zone=zone, version="v2", **engine)
-            time.sleep(RELEASE_GAP_S)
+            time.sleep(RELEASE_GAP_S / 2)
             server.write_entry(state="draining")
+            time.sleep(RELEASE_GAP_S / 2)
         time.sleep(1.5)
         if TROUBLE:
             for router in deployment.routers:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -24,11 +24,12 @@
 FOLDER = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 STREAMS = 48
-EVENTS = 40
+EVENTS = 44
 INTERVAL_S = 0.3
 BUDGET_S = 15.0
 CONFIG_S = 2.5
 """Time from a configuration to the next step, longer than `configMs`."""
+RELEASE_GAP_S = 1.0
 RETRY_S = 0.4
 RESET_SHARE = 0.78
 """Share of the channels of one router that are reset at a time."""
@@ -77,6 +78,7 @@
                 # The release goes on: two of the three servers of the older version leave.
                 for number in (0, 1):
                     deployment.servers[f"i-one-v1-{number}"].write_entry(state="draining")
+                    time.sleep(RELEASE_GAP_S)
             time.sleep(CONFIG_S)
             for channel in channels:
                 if TROUBLE:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -29,7 +29,8 @@
 BUDGET_S = 15.0
 SIDE_BY_SIDE_S = 24.0
 """Time for which both versions serve before the first stream, longer than the history of the store."""
-STEP_S = 1.5
+RELEASE_GAP_S = 1.0
+STEP_S = 1.0
 RETRY_S = 0.5
 
 
@@ -68,6 +69,7 @@
         time.sleep(STEP_S)
         for number in range(len(deployment.routers)):
             deployment.servers[f"i-v1-{number}"].write_entry(state="draining")
+            time.sleep(RELEASE_GAP_S)
         time.sleep(STEP_S)
         if TROUBLE and COMPACT:
             deployment.store.compact()
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -28,6 +28,7 @@
 INTERVAL_S = 0.3
 BUDGET_S = 15.0
 CUT_S = 5.5
+RELEASE_GAP_S = 1.0
 RETRY_S = 0.3
 RESET_SHARE = 0.78
 """Share of the channels of the machine that are reset."""
@@ -65,17 +66,17 @@
         record.write(f"{alone.name} is cut off from the store: {TROUBLE}")
         for number, router in enumerate(routers[:3]):
             deployment.add_server(f"i-new-{number}", stream, zone=router.zone, version="v2", **engine)
-        time.sleep(0.5)
-        for number in range(3):
+            time.sleep(RELEASE_GAP_S / 2)
             deployment.store.delete(f"servers/i-old-{number}")
-        time.sleep(2.0)
+            time.sleep(RELEASE_GAP_S / 2)
+        time.sleep(0.7)
         callers = [
             StreamCaller(number, address_of, record, retry_s=RETRY_S, budget_s=BUDGET_S)
             for number in range(STREAMS)
         ]
         for caller in callers:
             caller.start()
-        time.sleep(1.0)
+        time.sleep(0.8)
         if TROUBLE:
             count = channels[-1].reset(RESET_SHARE)
             record.write(f"{count} channels to {alone.name} are reset")
