--- a/tests/router/fleet/test_stream_versions.py
+++ b/tests/router/fleet/test_stream_versions.py
@@ -12,6 +12,7 @@
     ROUTE_SECONDS,
     StreamCaller,
     VersionedFleet,
+    drain_old,
     is_unlisted,
     remove_old,
     restart_as_new,
@@ -32,6 +33,8 @@
 """Time after which the loss of a scheduler must not cost the versions of the streams that have begun."""
 HISTORY_SECONDS = 3.5
 """Age of the targets at which routers that start know what has changed since streams began."""
+LONG_WAIT_SECONDS = 12.0
+"""Time for which callers wait that wait for longer than the time-out of their route."""
 LATE_SECONDS = 4.0
 """Time for which the watches of a store bring no changes. It discards them before the routers start anew."""
 SLOW_READ_SECONDS = 0.2
@@ -424,6 +427,18 @@
     assert_not_joined(taken_up + take_up(fleet, streams))
 
 
+def test_stream_whose_caller_waits_longer_than_its_route_is_not_joined_after_a_kill_of_all(start_fleet):
+    """Guards against bounding the age of a stream by its route, which callers may exceed (review/6)."""
+    fleet = start_fleet(versions=(OLD, OLD), route_seconds=4.0)
+    wait_until_old(fleet)
+    router = fleet.routers[1]
+    streams = fleet.begin_held("desk", STREAM_COUNT, router=router, seconds=LONG_WAIT_SECONDS)
+    for _ in range(2):
+        fleet.add_target("desk", NEW)
+    drain_old(fleet, "desk")
+    assert_not_joined(take_up_after_restart(fleet, streams))
+
+
 def test_stream_that_begins_while_changes_of_the_store_are_late_is_not_joined(start_fleet):
     """Guards against streams that begin by a list of targets which lags by more than others assume."""
     fleet = start_fleet()
