--- a/tests/router/fleet/test_stream_versions.py
+++ b/tests/router/fleet/test_stream_versions.py
@@ -439,6 +439,17 @@
     assert_not_joined(take_up_after_restart(fleet, streams))
 
 
+def test_stream_of_targets_that_drain_is_not_joined_after_an_early_loss_of_the_history(start_fleet):
+    """Guards against a history of the store that was cut short and is taken for whole (review/8)."""
+    fleet = start_fleet()
+    wait_until_old(fleet)
+    streams = fleet.begin_held("desk", 4 * STREAM_COUNT, router=fleet.routers[1])
+    drain_old(fleet, "desk")
+    fleet.store.compacted_revision = fleet.store.revision
+    fleet.kill(*fleet.routers)
+    assert_not_joined(take_up_after_restart(fleet, streams, callers=MIN_CALLERS))
+
+
 def test_stream_that_begins_while_changes_of_the_store_are_late_is_not_joined(start_fleet):
     """Guards against streams that begin by a list of targets which lags by more than others assume."""
     fleet = start_fleet()
