Test streams of a host that was cut off once callers have stated their waits

Cause: a router that does not know a stream took the list by which it began to lag by 0.6 s at most. fixed it.

The test of that fix did not depend on it any more: since, streams may be 60 s old until 20 callers have stated their waits, and are refused for that. It now runs with 20 such callers as well.

--- a/tests/router/fleet/test_router_out_of_step.py
+++ b/tests/router/fleet/test_router_out_of_step.py
@@ -9,6 +9,7 @@
 from builders_platform import FleetRouterProcess, wait_for
 from builders_versions_of_targets import NEW, OLD, StreamCaller, VersionedFleet
 from limpetusher.events import Event
+from limpetusher.fleet.process.caller_waits import MIN_CALLERS
 
 pytestmark = pytest.mark.integration
 
@@ -167,8 +168,12 @@
     assert all(stream.has_gone_on for stream in taken_up), describe(taken_up)
 
 
-def test_stream_that_began_by_an_old_list_is_not_joined_at_routers_in_step(tmp_path):
-    """Guards against streams that a router out of step begins at targets which have left for all others."""
+@pytest.mark.parametrize("callers", [0, MIN_CALLERS])
+def test_stream_that_began_by_an_old_list_is_not_joined_at_routers_in_step(tmp_path, callers):
+    """Guards against streams that a router out of step begins at targets which have left (review/9).
+
+    Callers of new streams let the others know how old a stream can be, and so that none in step began it.
+    """
     with contextlib.closing(
         VersionedFleet(tmp_path, ["desk"], versions=(OLD, OLD), route_seconds=2.0)
     ) as fleet:
@@ -179,6 +184,8 @@
         for target in fleet.old_targets("desk"):
             fleet.remove_target(target)
         time.sleep(3.0)
+        for caller in [fleet.begin("desk", router=fleet.routers[1], seconds=2.0) for _ in range(callers)]:
+            caller.wait()
         streams = fleet.begin_held("desk", STREAM_COUNT, router=router, seconds=2.0)
         for stream in streams:
             stream.close()
