--- a/tests/builders_versions_of_targets.py
+++ b/tests/builders_versions_of_targets.py
@@ -235,12 +235,18 @@
     @property
     def has_gone_on(self) -> bool:
         """Return whether the answer is complete, and goes on at the version that began the stream."""
+        return self.is_complete and self.events == [
+            (number, self.version) for number in range(1, LAST_EVENT + 1)
+        ]
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the answer says that it is complete."""
+        if self.status != 200:
+            return False
         body = split_answer(self.data)[1]
         # A stream whose caller has all events already is taken up with an empty answer.
-        is_complete = unchunk(body)[1] or ("content-length: 0" in self.head and not body)
-        if self.status != 200 or not is_complete:
-            return False
-        return self.events == [(number, self.version) for number in range(1, LAST_EVENT + 1)]
+        return unchunk(body)[1] or ("content-length: 0" in self.head and not body)
 
     @property
     def is_joined(self) -> bool:
@@ -308,8 +314,10 @@
         self.numbers = itertools.count(1)
         self.targets: dict[str, list[VersionedTarget]] = {}
         services = list(services)
-        fields = {"coldS": cold_seconds, **({"engine": ENGINE} if are_engines else {})}
-        self.store.put("op/config", self.configuration(services, route_seconds, fields))
+        self.route_seconds = route_seconds
+        self.service_fields = {"coldS": cold_seconds, **({"engine": ENGINE} if are_engines else {})}
+        self.configuration_versions = itertools.count(3)
+        self.configure({service: service for service in services})
         for service in services:
             for version, data_centre in zip(versions, itertools.cycle(DATA_CENTRES), strict=False):
                 self.add_target(service, version, data_centre)
@@ -324,25 +332,41 @@
         self.routers: list[FleetRouterProcess] = []
         self.start_routers(is_first_start=True)
 
-    def configuration(self, services: list[str], route_seconds: float, fields: dict) -> dict:
-        """Return the configuration with a route for each service."""
+    def configure(self, destinations: dict[str, str]) -> int:
+        """Write a configuration with the service that each route leads to, and return its version."""
         (service_document,) = configuration_document()["services"]
         routes = [
             route_document(
-                name=f"r-{service}",
-                prefix=f"/{service}/",
+                name=f"r-{route}",
+                prefix=f"/{route}/",
                 kind="streaming",
-                timeoutMs=round(1000 * route_seconds),
+                timeoutMs=round(1000 * self.route_seconds),
                 attempts=3,
                 sticky=True,
                 resumable=True,
                 gapAimMs=5_000,
                 service=service,
             )
-            for service in services
+            for route, service in destinations.items()
         ]
-        documents = [{**service_document, **fields, "name": service} for service in services]
-        return configuration_document(routes=routes, services=documents)
+        documents = [
+            {**service_document, **self.service_fields, "name": service}
+            for service in sorted({*destinations, *destinations.values()})
+        ]
+        version = next(self.configuration_versions)
+        self.store.put("op/config", configuration_document(version, routes=routes, services=documents))
+        return version
+
+    def reconfigure(self, destinations: dict[str, str]) -> None:
+        """Write another configuration and wait until all routers that run apply it."""
+        version = self.configure(destinations)
+
+        def is_applied(router: FleetRouterProcess) -> bool:
+            entries = self.log_entries(router, Event.CONFIGURATION_IN_FORCE)
+            return any(entry["version"] == version for entry in entries)
+
+        for router in self.live_routers:
+            wait_for(lambda router=router: is_applied(router), router.log)
 
     def start_routers(self, *, is_first_start: bool) -> None:
         """Start all routers and wait until each of them knows all others."""
--- a/tests/router/fleet/test_stream_versions.py
+++ b/tests/router/fleet/test_stream_versions.py
@@ -7,6 +7,7 @@
 
 from builders_versions_of_targets import (
     CHANGES,
+    LAST_EVENT,
     NEW,
     OLD,
     ROUTE_SECONDS,
@@ -439,6 +440,27 @@
     assert_not_joined(take_up_after_restart(fleet, streams))
 
 
+def test_stream_is_not_joined_after_its_route_has_moved_away_and_back(start_fleet):
+    """Guards against a record whose version is replaced by events of another service (review/7)."""
+    fleet = start_fleet("desk", "annex")
+    streams = [fleet.begin("desk", "2,4", router=fleet.routers[1]) for _ in range(2 * STREAM_COUNT)]
+    for service, count, router in (("annex", 4, fleet.routers[2]), ("desk", LAST_EVENT, fleet.routers[3])):
+        for stream in streams:
+            wait_for_events(stream, count - 2, fleet)
+        fleet.reconfigure({"desk": service, "annex": "annex"})
+        # From now on, the identifiers of some streams name another version than that which began them.
+        added = [fleet.add_target("desk", NEW).target_id for _ in range(2)]
+        fleet.wait_seen(lambda entries, added=added: entries.keys() >= set(added))
+        for stream in streams:
+            stream.close()
+        streams = [fleet.take_up(stream, router=router) for stream in by_version(streams)]
+    for stream in streams:
+        stream.wait()
+    at_desk = [(stream.events[:2] + stream.events[4:]) for stream in streams]
+    assert not [events for events in at_desk if len({version for _number, version in events}) > 1]
+    assert sum(stream.is_complete for stream in streams) >= STREAM_COUNT, describe(streams)
+
+
 def test_stream_of_targets_that_drain_is_not_joined_after_an_early_loss_of_the_history(start_fleet):
     """Guards against a history of the store that was cut short and is taken for whole (review/8)."""
     fleet = start_fleet()
