--- a/tests/builders_versions_of_targets.py
+++ b/tests/builders_versions_of_targets.py
@@ -294,6 +294,8 @@
         Speeds of the routers besides the scheduler, by which they succeed it; equal ones if empty.
     cold_seconds
         Time after its start for which a target of a service is cold.
+    target_heartbeat_seconds
+        Time between two heartbeats of targets, by the routers' settings.
     """
 
     def __init__(
@@ -307,8 +309,10 @@
         routers: tuple[str, ...] = ("north", "north", "south"),
         speeds: tuple[float, ...] = (),
         cold_seconds: float = 0.0,
+        target_heartbeat_seconds: float = 1.2,
     ):
         self.folder = folder
+        self.target_heartbeat_seconds = target_heartbeat_seconds
         self.store = StoreStandIn()
         self.ports = free_port_pair()
         self.numbers = itertools.count(1)
@@ -399,6 +403,7 @@
             settings={
                 "processor_speed": self.speeds[number],
                 "store_history_seconds": history_seconds,
+                "target_heartbeat_milliseconds": 1000 * self.target_heartbeat_seconds,
             },
             preamble=CLOCK_STEP.format(seconds=self.clock_steps[number]),
             **bounds,
--- a/tests/router/fleet/test_stream_versions.py
+++ b/tests/router/fleet/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Tests of real router processes with streams of targets that have two software versions."""
 
 import itertools
+import math
 import time
 
 import pytest
@@ -472,6 +473,16 @@
     assert_not_joined(take_up_after_restart(fleet, streams, callers=MIN_CALLERS))
 
 
+def test_streams_go_on_after_a_restart_of_all_routers_long_after_a_restore_of_the_store(start_fleet):
+    """Guards against routers that read no history of a store once it was restored (review/10)."""
+    fleet = start_fleet(versions=(OLD, OLD), target_heartbeat_seconds=0.1)
+    fleet.store.restore(fleet.store.copy())
+    wait_until_old(fleet, restored_at=time.monotonic())
+    streams = fleet.begin_held("desk", STREAM_COUNT, router=fleet.routers[1])
+    taken_up = take_up_after_restart(fleet, streams, callers=MIN_CALLERS)
+    assert_most_gone_on(taken_up[-STREAM_COUNT:], STREAM_COUNT)
+
+
 def test_stream_that_begins_while_changes_of_the_store_are_late_is_not_joined(start_fleet):
     """Guards against streams that begin by a list of targets which lags by more than others assume."""
     fleet = start_fleet()
@@ -527,9 +538,10 @@
     assert_not_joined(take_up(fleet, streams))
 
 
-def wait_until_old(fleet: VersionedFleet) -> None:
+def wait_until_old(fleet: VersionedFleet, *, restored_at: float = -math.inf) -> None:
     """Wait until routers that start can know what has changed since a stream has begun."""
-    time.sleep(max(0.0, fleet.started_at + HISTORY_SECONDS - time.monotonic()))
+    since = max(fleet.started_at, restored_at)
+    time.sleep(max(0.0, since + HISTORY_SECONDS - time.monotonic()))
 
 
 def take_up_after_restart(
