Don't suspend a target because this process can open no socket

What callers saw: at a host that one customer floods, most requests with long prompts were refused.

Cause: an exception while a connection is opened counted as an unreachable target.

Change: such an attempt ends as not started. It says nothing of the target, which is neither suspended nor excluded, and the scheduler hears of a withdrawal.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -134,7 +134,13 @@
         self, attempt: Attempt, *, sent_on_previous_connection: bool = False, is_confirmation: bool = False
     ) -> None:
         """Start to open a connection without blocking."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            end = AttemptResult.CUT if sent_on_previous_connection else AttemptResult.NOT_STARTED
+            detail = errno.errorcode.get(error.errno, str(error))
+            self.fire(AttemptEnded(attempt.key, end, detail), attempt.channel)
+            return
         configure_socket(sock)
         connection = TargetConnection(sock, attempt.address)
         connection.is_control = attempt.is_control
--- a/packages/limpetusher-router/src/limpetusher_router/events.py
+++ b/packages/limpetusher-router/src/limpetusher_router/events.py
@@ -48,6 +48,8 @@
     """The answer had no content length and ended when the connection was closed."""
     EXPIRED = "expired"
     """No byte was sent because `Attempt.send_before` had passed."""
+    NOT_STARTED = "not started"
+    """No byte was sent because this process could not open a socket; it says nothing of the target."""
     UNREACHABLE = "unreachable"
     """No byte was sent because no connection could be opened."""
     CUT = "cut"
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/outcomes.py
@@ -41,6 +41,8 @@
         Whether the target could not be reached or sent no answer at all.
     is_cut
         Whether the target has broken the connection before the end of the answer.
+    is_local
+        Whether this process could not start the attempt, which says nothing of the target.
     """
 
     reason: str
@@ -48,6 +50,7 @@
     request_arrived: bool = True
     is_unreachable: bool = False
     is_cut: bool = False
+    is_local: bool = False
 
 
 def classify_failure(
@@ -59,6 +62,8 @@
     the target has sent again.
     """
     head = attempt.head
+    if end is AttemptResult.NOT_STARTED:
+        return AttemptFailure(f"not sent: {detail}", may_have_run=False, request_arrived=False, is_local=True)
     if end in (AttemptResult.UNREACHABLE, AttemptResult.EXPIRED):
         return AttemptFailure(
             f"not sent: {detail}", may_have_run=False, request_arrived=False, is_unreachable=True
@@ -144,6 +149,8 @@
         is_stream = attempt.head is not None and attempt.head.content_type == EVENT_STREAM
         has_begun = attempt.has_output or (attempt.head is not None and not is_stream)
         return Outcome.BROKEN_OFF if has_begun else Outcome.CUT
+    if failure.is_local:
+        return Outcome.WITHDRAWN
     if failure.is_unreachable:
         return Outcome.UNREACHABLE
     is_rejected = attempt.head is not None and states_not_run(attempt.head)
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/requests.py
@@ -423,7 +423,8 @@
             exchange.target_request, exchange.replacement = exchange.replacement, None
         elif may_retry:
             target_request = exchange.target_request
-            target_request.excluded.add(attempt.target.target_id)
+            if not failure.is_local:
+                target_request.excluded.add(attempt.target.target_id)
             target_request.queued_at = now
             target_request.is_retry = failure.request_arrived
             self.state.scheduler_client.request_target(target_request, now)
--- a/packages/limpetusher-router/src/limpetusher_router/request/forwarding.py
+++ b/packages/limpetusher-router/src/limpetusher_router/request/forwarding.py
@@ -54,6 +54,8 @@
 
 NOT_READY_RETRY_SECONDS = 1.0
 NO_MEMORY_RETRY_SECONDS = 1.0
+NOT_SENT_RESULTS = (AttemptResult.EXPIRED, AttemptResult.NOT_STARTED, AttemptResult.UNREACHABLE)
+"""Ends of an attempt of which no byte was sent."""
 
 logger = logging.getLogger(__name__)
 
@@ -312,9 +314,9 @@
         if context is None:
             return
         relay = context.attempt.relay
-        if relay is not None and end is AttemptResult.UNREACHABLE:
+        if relay is not None and end in (AttemptResult.UNREACHABLE, AttemptResult.NOT_STARTED):
             self.end_cut_attempt(context)
-        elif end in (AttemptResult.EXPIRED, AttemptResult.UNREACHABLE) and not context.attempt.sent:
+        elif end in NOT_SENT_RESULTS and not context.attempt.sent:
             # Excludes attempts that sent a byte on a reused connection that broke; they may have run.
             logger.debug("attempt %s not sent: %s", key, detail)
             self.end_attempt(context, Outcome.NOT_SENT)
