Leave descriptors for connections to targets

Cause: callers may keep as many connections open as there are descriptors, less 700. 3,400 connections of callers, of which 2,900 were idle, left too few for 500 requests at their targets, idle connections to targets and other ports.

Change: the limit of callers' connections is what connections to targets leave, at most the former one. Idle connections of callers, the longest idle first, are closed before a connection to a target is opened as well as before an accept.

Evidence: test_requests_reach_their_targets_beside_callers_that_keep_connections_open failed before (not all of 70 requests reached a target). The limit changes only once more than 450 connections to targets are open.

--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -26,6 +26,7 @@
 from limpetusher_router.connection.held_bodies import HeldBodies
 from limpetusher_router.connection.keepalive import configure_socket
 from limpetusher_router.connection.settings import ConnectionSettings
+from limpetusher_router.connection.targets import TargetClient
 from limpetusher_router.connection.timeouts import Timeouts
 from limpetusher_router.errors import FramingError
 from limpetusher_router.events import (
@@ -65,6 +66,11 @@
 """Time after its accept for which a connection stays open in a stop although no request has arrived on it."""
 LINGER_SECONDS = 2.0
 READ_BYTES = 65_536
+OTHER_DESCRIPTORS = 250
+"""Descriptors that are neither of callers nor of connections to targets: other ports, copies of the store,
+the interpreter, and those that are opened before idle callers' connections have been closed for them."""
+MIN_CALLER_CONNECTIONS = 64
+"""Connections of callers that are allowed however many targets are connected."""
 UNAVAILABLE = 503
 CONTINUE_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -135,6 +141,8 @@
         """Whether the last accept found no connection."""
         self.is_accepting_paused = False
         """Whether accepts wait for a moment, as one failed."""
+        self.targets: TargetClient | None = None
+        """Client whose connections take descriptors of the process as well."""
         self.awaited_connections: dict[CallerConnection, None] = {}
         """Connections accepted while shedding, before their first request had arrived; as many as one event
         accepts at most."""
@@ -241,10 +249,28 @@
         self.accept_connections()
         self.activity.end_accepts(accepted=self.accepted_count, is_empty=self.is_listener_empty)
 
+    @property
+    def connection_limit(self) -> int:
+        """Return the maximum number of open connections, which leaves descriptors for all others."""
+        settings = self.settings
+        if settings.max_descriptors is None or self.targets is None:
+            return settings.max_caller_connections
+        left = settings.max_descriptors - OTHER_DESCRIPTORS - len(self.targets.connections)
+        return max(MIN_CALLER_CONNECTIONS, min(settings.max_caller_connections, left))
+
     @property
     def is_full(self) -> bool:
         """Return whether the connection limit is reached and no idle connection can be closed."""
-        return len(self.connections) >= self.settings.max_caller_connections and self.find_closable() is None
+        return len(self.connections) >= self.connection_limit and self.find_closable() is None
+
+    def close_for_room(self) -> None:
+        """Close idle connections, the longest idle first, until another connection has room."""
+        while len(self.connections) >= self.connection_limit:
+            closable = self.find_closable()
+            if closable is None:
+                return
+            self.activity.counts.closed_for_room += 1
+            self.close_connection(closable)
 
     def find_closable(self) -> CallerConnection | None:
         """Return the longest idle connection that has no unread bytes, None when none is found."""
@@ -285,16 +311,12 @@
                     continue
             configure_socket(sock)
             connection = CallerConnection(sock, accepted_at=self.deadlines.clock.monotonic())
-            if len(self.connections) >= self.settings.max_caller_connections:
-                closable = self.find_closable()
-                if closable is not None:
-                    self.activity.counts.closed_for_room += 1
-                    self.close_connection(closable)
+            self.close_for_room()
             if not self.is_full:
                 self.read_rounds_while_full = 0.0
             self.connections[sock] = connection
             self.poller.addReader(self, sock)
-            if len(self.connections) > self.settings.max_caller_connections:
+            if len(self.connections) > self.connection_limit:
                 self.activity.counts.refused += 1
                 error = FramingError(503, RefusalCode.NO_CAPACITY, "too many connections", 1.0)
                 self.refuse(connection, error)
--- a/packages/limpetusher-router/src/limpetusher_router/connection/settings.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/settings.py
@@ -50,6 +50,9 @@
         Bytes of an answer that are buffered for a slow caller before reading from the target stops.
     max_caller_connections
         Maximum number of open caller connections; idle ones are closed to accept further callers.
+    max_descriptors
+        Limit of the open file descriptors of the process, of which callers get those that are left by the
+        connections to targets. None if it is not known.
     connect_timeout_seconds
         Time for connecting to a target or to the platform.
     target_idle_timeout_seconds
@@ -70,6 +73,7 @@
     idle_timeout_seconds: float = 60.0
     caller_buffer_bytes: int = 262_144
     max_caller_connections: int = 4_000
+    max_descriptors: int | None = None
     connect_timeout_seconds: float = 1.0
     target_idle_timeout_seconds: float = 600.0
     log_level: LogLevel = LogLevel.INFO
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -4,7 +4,7 @@
 import logging
 import math
 import socket
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from http import HTTPStatus
 
 from circuits.core import BaseComponent, handler
@@ -93,6 +93,8 @@
         self.connections: dict[socket.socket, TargetConnection] = {}
         self.connections_by_attempt: dict[tuple[str, Hashable], TargetConnection] = {}
         self.idle_connections: dict[str, list[TargetConnection]] = {}
+        self.make_room: Callable[[], None] = lambda: None
+        """Called before a connection is opened, to close others that may take its descriptor."""
 
     @handler("StartAttempt")
     def on_start_attempt(self, attempt: Attempt) -> None:
@@ -134,6 +136,7 @@
         self, attempt: Attempt, *, sent_on_previous_connection: bool = False, is_confirmation: bool = False
     ) -> None:
         """Start to open a connection without blocking."""
+        self.make_room()
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/process.py
@@ -106,6 +106,7 @@
         caller_address=host.caller_address,
         connect_timeout_seconds=CONNECT_TIMEOUT_SECONDS,
         max_caller_connections=max(64, host.maximum_descriptors - RESERVED_DESCRIPTORS),
+        max_descriptors=host.maximum_descriptors,
         max_held_body_bytes=int(host.memory_megabytes * BODY_MEMORY_FRACTION * 1e6),
     )
 
@@ -158,7 +159,8 @@
         }
         self.shedding = self.make_shedding()
         self.callers = CallerServer(self.settings, shedding=self.shedding, **caller_ports).register(self)
-        TargetClient(self.settings, clock=clock, **shared).register(self)
+        self.callers.targets = TargetClient(self.settings, clock=clock, **shared).register(self)
+        self.callers.targets.make_room = self.callers.close_for_room
         self.store = StoreReader(
             host,
             mirror=self.state.mirror,
--- a/tests/router/fleet/test_descriptors.py
+++ b/tests/router/fleet/test_descriptors.py
@@ -69,6 +69,15 @@
         yield run, held, callers
 
 
+def test_requests_reach_their_targets_beside_callers_that_keep_connections_open(tmp_path):
+    """Guards against idle callers that take the descriptors which connections to targets need."""
+    with run_of_held_requests(tmp_path, descriptors=240, idle=160, requests=70) as (run, held, callers):
+        wait_for(lambda: len(run.calls) == len(callers), run.router.log)
+        assert run.router.page()[0] == 200
+        held.released.set()
+        assert {split_answer(read_all(caller))[0] for caller in callers} == {200}
+
+
 def test_lack_of_descriptors_is_no_failure_of_a_target(tmp_path):
     """Guards against targets that are suspended, as this process could open no socket for a request."""
     with run_of_held_requests(tmp_path, descriptors=130, idle=0, requests=60) as (run, held, callers):
