Give streams that have to go on after a restart a longer history of the store

Traced: its routers read 3 s of history, and refuse a stream that began before that, as the design states. With a pause between kill and start in a scratch copy, it passes with 1 s and fails with 2 s or more, the same as a slow start of the routers. The platform retains 20 s.

What they check is the same.

--- a/tests/builders_versions_of_targets.py
+++ b/tests/builders_versions_of_targets.py
@@ -296,6 +296,8 @@
         Time after its start for which a target of a service is cold.
     target_heartbeat_seconds
         Time between two heartbeats of targets, by the routers' settings.
+    history_seconds
+        Time for which the store retains changes, by the routers' settings.
     """
 
     def __init__(
@@ -310,8 +312,10 @@
         speeds: tuple[float, ...] = (),
         cold_seconds: float = 0.0,
         target_heartbeat_seconds: float = 1.2,
+        history_seconds: float = STORE_HISTORY_SECONDS,
     ):
         self.folder = folder
+        self.history_seconds = history_seconds
         self.target_heartbeat_seconds = target_heartbeat_seconds
         self.store = StoreStandIn()
         self.ports = free_port_pair()
@@ -387,7 +391,7 @@
         *,
         is_first_start: bool = False,
         store_address: str = "",
-        history_seconds: float = STORE_HISTORY_SECONDS,
+        history_seconds: float | None = None,
         **bounds: float,
     ) -> FleetRouterProcess:
         """Start one router; the one with the number 0 schedules all pools."""
@@ -402,7 +406,7 @@
             is_first_start=is_first_start,
             settings={
                 "processor_speed": self.speeds[number],
-                "store_history_seconds": history_seconds,
+                "store_history_seconds": history_seconds or self.history_seconds,
                 "target_heartbeat_milliseconds": 1000 * self.target_heartbeat_seconds,
             },
             preamble=CLOCK_STEP.format(seconds=self.clock_steps[number]),
--- a/tests/router/fleet/test_stream_versions.py
+++ b/tests/router/fleet/test_stream_versions.py
@@ -33,8 +33,10 @@
 """Time in which a stream that can't go on is refused, or ended."""
 REPLICATION_SECONDS = 0.5
 """Time after which the loss of a scheduler must not cost the versions of the streams that have begun."""
-HISTORY_SECONDS = 3.5
-"""Age of the targets at which routers that start know what has changed since streams began."""
+HISTORY_MARGIN_SECONDS = 0.5
+"""How much older than the store's history the targets are when routers that start know what has changed."""
+LONG_HISTORY_SECONDS = 12.0
+"""History of the store where streams have to go on, longer than routers take to start beside much load."""
 LONG_WAIT_SECONDS = 12.0
 """Time for which callers wait that wait for longer than the time-out of their route."""
 LATE_SECONDS = 4.0
@@ -325,7 +327,7 @@
 
 def test_streams_go_on_after_a_restart_of_all_routers(start_fleet):
     """Guards against losing the version of streams with the routers while both versions serve all along."""
-    fleet = start_fleet()
+    fleet = start_fleet(history_seconds=LONG_HISTORY_SECONDS)
     wait_until_old(fleet)
     streams = fleet.begin_held("desk", 20, router=fleet.routers[1])
     fleet.restart_routers()
@@ -475,7 +477,9 @@
 
 def test_streams_go_on_after_a_restart_of_all_routers_long_after_a_restore_of_the_store(start_fleet):
     """Guards against routers that read no history of a store once it was restored (review/10)."""
-    fleet = start_fleet(versions=(OLD, OLD), target_heartbeat_seconds=0.1)
+    fleet = start_fleet(
+        versions=(OLD, OLD), target_heartbeat_seconds=0.1, history_seconds=LONG_HISTORY_SECONDS
+    )
     fleet.store.restore(fleet.store.copy())
     wait_until_old(fleet, restored_at=time.monotonic())
     streams = fleet.begin_held("desk", STREAM_COUNT, router=fleet.routers[1])
@@ -541,7 +545,8 @@
 def wait_until_old(fleet: VersionedFleet, *, restored_at: float = -math.inf) -> None:
     """Wait until routers that start can know what has changed since a stream has begun."""
     since = max(fleet.started_at, restored_at)
-    time.sleep(max(0.0, since + HISTORY_SECONDS - time.monotonic()))
+    known_at = since + fleet.history_seconds + HISTORY_MARGIN_SECONDS
+    time.sleep(max(0.0, known_at - time.monotonic()))
 
 
 def take_up_after_restart(
