Tell routers that start which others are out of contact

What callers saw: nothing yet; the model of software versions joins streams. A host is cut off during a release and goes on to begin streams by its old list.

Cause: that a router is out of contact was only known to routers that had heard it before. One that starts counted as in contact with all.

A silence that is noticed later is told to routers found since it began, by and to those that may schedule a pool. The version of the messages between routers rises to 11.

--- a/packages/limpetusher-core/src/limpetusher/fleet/messages.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-PROTOCOL_VERSION = 10
+PROTOCOL_VERSION = 11
 UNNAMED_STREAM = 1
 """Identifier of a stream whose caller does not name the request that began it."""
 UNKNOWN_LOAD = -1
@@ -339,6 +339,38 @@
     streams: tuple[int, ...]
 
 
+class MemberEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Gossip entry of one router. `capacity` is in cores; the router itself increments `heartbeat`.
+
+    `load` is the time in percent that its event loop is busy, -1 if it does not state that.
+    """
+
+    address: str
+    data_centre: str
+    capacity: float
+    incarnation: int
+    heartbeat: int
+    is_leaving: bool = False
+    load: int = UNKNOWN_LOAD
+
+    @property
+    def freshness_key(self) -> tuple[int, int, bool]:
+        """Return a sort key by which a newer entry of the same router is greater."""
+        return self.incarnation, self.heartbeat, self.is_leaving
+
+
+class MemberSilences(msgspec.Struct, frozen=True, array_like=True, tag=18):
+    """Routers that are or were out of contact with the sender, told to a router that starts."""
+
+    silences: tuple[tuple[MemberEntry, float, float], ...]
+    """Last known entry of each, and how many seconds ago its silence began and ended; 0 if it goes on."""
+
+    @property
+    def has_valid_numbers(self) -> bool:
+        """Return whether all numbers are valid."""
+        return all(math.isfinite(since) and 0 <= until <= since for _entry, since, until in self.silences)
+
+
 class VersionUpdate(msgspec.Struct, frozen=True, array_like=True, tag=17):
     """Software versions that were lately in service, told to a router that starts."""
 
@@ -371,6 +403,7 @@
     | RateLimitUpdate
     | StreamOrigins
     | VersionUpdate
+    | MemberSilences
 )
 
 
@@ -392,26 +425,6 @@
     acknowledged: int
 
 
-class MemberEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Gossip entry of one router. `capacity` is in cores; the router itself increments `heartbeat`.
-
-    `load` is the time in percent that its event loop is busy, -1 if it does not state that.
-    """
-
-    address: str
-    data_centre: str
-    capacity: float
-    incarnation: int
-    heartbeat: int
-    is_leaving: bool = False
-    load: int = UNKNOWN_LOAD
-
-    @property
-    def freshness_key(self) -> tuple[int, int, bool]:
-        """Return a sort key by which a newer entry of the same router is greater."""
-        return self.incarnation, self.heartbeat, self.is_leaving
-
-
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=22):
     """Entries of the sender and of some routers that it knows, and the state of its copy of the store."""
 
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from limpetusher.fleet.messages import MemberEntry
+from limpetusher.fleet.messages import MemberEntry, MemberSilences
 from limpetusher.fleet.version.routing import stable_hash
 
 GOSSIP_INTERVAL_SECONDS = 0.4
@@ -25,6 +25,8 @@
 still keep the other data centres informed."""
 MAX_GOSSIP_ENTRIES = 40
 """Maximum number of entries in one message, about 1,500 bytes."""
+MAX_TOLD_SILENCES = 20
+"""Maximum number of silences in one message, so that it fits into a datagram."""
 MAX_JOIN_ENTRIES = 500
 """Maximum number of entries sent to a router that joins, about 18,000 bytes."""
 PRIORITY_ROUNDS = 4
@@ -97,6 +99,11 @@
         since = self.silent_since if is_continued else math.inf
         self.silent_since = min(since, self.last_alive_at)
 
+    def record_told_silence(self, since: float, until: float) -> None:
+        """Record a silence that another router has noticed."""
+        self.silent_since = min(self.silent_since, since)
+        self.silent_until = max(self.silent_until, until)
+
     def is_suspected(self, now: float) -> bool:
         """Return whether the router has left messages unanswered and has not been heard since."""
         return now < self.suspected_until or self.last_message_at < self.suspected_at
@@ -170,6 +177,8 @@
         self.peers: dict[str, Peer] = {}
         self.lost: dict[str, Peer] = {}
         """Removed routers that were not about to stop, until they are taken to have stopped."""
+        self.announced_silences: set[str] = set()
+        """Routers out of contact of which those that were found since have been told."""
         self.seeds: tuple[str, ...] = ()
         self.round = 0
         self.priority_rounds: dict[str, int] = {}
@@ -227,10 +236,62 @@
         lost = self.lost.pop(entry.address, None)
         if lost is None or lost.entry.incarnation != entry.incarnation:
             return Peer(entry, now, found_at=now)
-        lost.record_alive(now)
+        lost.note_silence()
+        lost.silent_until = lost.last_alive_at = now
         lost.entry = entry
         return lost
 
+    def silences(self, now: float) -> list[MemberSilences]:
+        """Return messages with the routers that are out of contact, or were so lately."""
+        found = []
+        for peer in (*self.peers.values(), *self.lost.values()):
+            is_lost = peer.entry.address in self.lost or self.is_silent(peer, now)
+            if is_lost or peer.is_suspected(now):
+                found.append((peer.entry, now - peer.last_alive_at, 0.0))
+            elif self.was_out_of_reach(peer, now - LOST_SECONDS, now):
+                until = max(peer.suspected_at, peer.silent_until)
+                found.append((peer.entry, now - min(peer.silent_since, until), now - until))
+        return [
+            MemberSilences(tuple(found[first : first + MAX_TOLD_SILENCES]))
+            for first in range(0, len(found), MAX_TOLD_SILENCES)
+        ]
+
+    def unannounced_silences(self, now: float) -> list[tuple[MemberSilences, list[str]]]:
+        """Return messages with new silences, each with the routers that were found since the silence began.
+
+        Others have noticed it themselves, or were told when they were found.
+        """
+        out_of_contact = {
+            address: peer
+            for address, peer in self.peers.items()
+            if peer.is_suspected(now) or self.is_silent(peer, now)
+        }
+        new = out_of_contact.keys() - self.announced_silences
+        self.announced_silences = set(out_of_contact)
+        found = []
+        for address in sorted(new):
+            peer = out_of_contact[address]
+            receivers = [
+                other.entry.address
+                for other in self.peers.values()
+                if other is not peer and other.found_at >= peer.last_alive_at - MIN_SUSPICION_SECONDS
+            ]
+            message = MemberSilences(((peer.entry, now - peer.last_alive_at, 0.0),))
+            found.append((message, receivers))
+        return found
+
+    def record_silences(self, message: MemberSilences, now: float) -> None:
+        """Record the routers that are or were out of contact with another one."""
+        for entry, since_seconds, until_seconds in message.silences:
+            since, until = now - since_seconds, now - until_seconds
+            if entry.address == self.own.address or entry.is_leaving:
+                continue
+            known = self.peers.get(entry.address) or self.lost.get(entry.address)
+            if known is None:
+                known = self.lost[entry.address] = Peer(entry, since)
+            if known.entry.incarnation == entry.incarnation:
+                known.record_told_silence(since, until)
+
     def supersede_incarnation(self, incarnation: int) -> None:
         """Raise the own incarnation above that of an earlier process, whose clock may have been ahead."""
         if incarnation > self.own.incarnation:
@@ -318,7 +379,7 @@
                 times.append(peer.silent_since)
             if self.is_silent(peer, now):
                 times.append(peer.last_alive_at)
-        return min(times + [peer.last_alive_at for peer in self.lost.values()])
+        return min(times + [min(peer.last_alive_at, peer.silent_since) for peer in self.lost.values()])
 
     def in_contact_until(self, now: float) -> float:
         """Return until when this router has surely heard of changes through others.
@@ -455,7 +516,9 @@
             if now - peer.last_alive_at > FORGET_TIMEOUT_SECONDS
         ]
         self.lost = {
-            address: peer for address, peer in self.lost.items() if now - peer.last_alive_at <= LOST_SECONDS
+            address: peer
+            for address, peer in self.lost.items()
+            if now - max(peer.last_alive_at, peer.silent_until) <= LOST_SECONDS
         }
         for address in gone:
             peer = self.peers.pop(address)
--- a/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/scheduler.py
@@ -10,6 +10,7 @@
     AttemptFinished,
     AttemptOpened,
     BrokenAttempt,
+    MemberSilences,
     Outcome,
     PrefillFinished,
     QuarantineUpdate,
@@ -66,6 +67,7 @@
     RateLimitNotice,
     RateLimitUpdate,
     VersionUpdate,
+    MemberSilences,
     ServedTokensUpdate,
 )
 """Messages whose numbers are validated before they have an effect."""
@@ -315,6 +317,11 @@
         """Record the software versions that another router knows to have been in service."""
         self.versions.apply(message, now)
 
+    @handle.register
+    def on_silences(self, message: MemberSilences, client: str, now: float) -> None:
+        """Record the routers that have been out of contact with another one."""
+        self.pools.members.record_silences(message, now)
+
     @handle.register
     def on_quarantine(self, message: QuarantineUpdate, client: str, now: float) -> None:
         """Apply the quarantines of another router."""
--- a/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/fleet/peers.py
@@ -465,11 +465,27 @@
             for address in addresses:
                 self.send(address, message)
 
+    def announce_silences(self, now: float) -> None:
+        """Tell routers that may schedule a pool which others are out of contact since they started.
+
+        Only routers that may schedule one themselves do so, as all of them notice a silence.
+        """
+        silences = self.state.members.unannounced_silences(now)
+        if not silences:
+            return
+        deputies = self.possible_schedulers_of(self.state.placement.by_service, now)
+        for message, receivers in silences if self.own_address in deputies else ():
+            for address in deputies.intersection(receivers):
+                self.send(address, message)
+
     def deputies_for(self, services: Iterable[str], now: float) -> list[str]:
         """Return the other routers that may schedule a pool of some services next."""
+        return sorted(self.possible_schedulers_of(services, now) - {self.own_address})
+
+    def possible_schedulers_of(self, services: Iterable[str], now: float) -> set[str]:
+        """Return the routers that schedule a pool of some services or may do so next."""
         pools = [pool for service in services for pool in self.state.pools.for_service(service)]
-        addresses = {address for pool in pools for address in self.state.pools.deputies(pool, now)}
-        return sorted(addresses - {self.own_address})
+        return {address for pool in pools for address in self.state.pools.deputies(pool, now)}
 
     def has_versions(self, service: str, now: float) -> bool:
         """Return whether targets of a service have or lately had several software versions."""
@@ -491,6 +507,8 @@
             self.send(address, update)
         if self.state.versions.is_informed(now) and self.store.is_current():
             self.send(address, self.state.versions.update(self.state.placement.by_service, now))
+        for message in self.state.members.silences(now):
+            self.send(address, message)
         if any(self.has_versions(service, now) for service in self.state.placement.by_service):
             for message in self.state.scheduler.streams.known(now):
                 self.send(address, message)
@@ -546,6 +564,7 @@
         self.state.record_own_clock()
         entries, addresses = self.state.members.gossip(now)
         self.send_gossip(entries, addresses)
+        self.announce_silences(now)
         for address in self.state.members.forget(now):
             self.links.pop(address, None)
             self.state.versions.clocks.forget(address)
--- a/tests/builders_version_model.py
+++ b/tests/builders_version_model.py
@@ -18,6 +18,7 @@
     AttemptFinished,
     AttemptOpened,
     MemberEntry,
+    Message,
     Outcome,
     PrefillFinished,
     TargetGrant,
@@ -113,6 +114,8 @@
         """Tell another router what it may not know."""
         if self.versions.is_informed(now) and now <= self.current_at + UNSEEN_SECONDS:
             other.scheduler.receive(self.address, self.versions.update(self.placement.by_service, now), now)
+        for message in self.members.silences(now):
+            other.scheduler.receive(self.address, message, now)
         if self.has_versions(now):
             for message in self.scheduler.streams.known(now):
                 other.scheduler.receive(self.address, message, now)
@@ -346,14 +349,20 @@
         if self.is_busy:
             self.begin_others(router)
         self.place(router)
+        pools = [pool for service in SERVICES for pool in router.pools.for_service(service)]
+        deputies = {address for pool in pools for address in router.pools.deputies(pool, self.now)}
+        for message, receivers in router.members.unannounced_silences(self.now):
+            if router.address in deputies:
+                self.tell(router, deputies.intersection(receivers), message)
         if router.has_versions(self.now):
-            pools = [pool for service in SERVICES for pool in router.pools.for_service(service)]
-            deputies = {address for pool in pools for address in router.pools.deputies(pool, self.now)}
             for message in scheduler.streams.take_unannounced(self.now):
-                for other in self.routers.values():
-                    is_told = other is not router and other.address in deputies
-                    if is_told and self.reaches(router, other):
-                        other.scheduler.receive(router.address, message, self.now)
+                self.tell(router, deputies, message)
+
+    def tell(self, router: Router, addresses: set[str], message: Message) -> None:
+        """Let a router send a message to others, as far as it reaches them."""
+        for other in self.routers.values():
+            if other is not router and other.address in addresses and self.reaches(router, other):
+                other.scheduler.receive(router.address, message, self.now)
 
     def begin_others(self, router: Router) -> None:
         """Let other callers state their time to the scheduler, as in a moment of a known deployment."""
