Keep a long silence of a router over its restart

What callers saw: nothing yet; the model of software versions joins streams. A host is cut off during a release, begins streams by its old list, is reached again and restarts at once.

Cause: a new process of a router counted as one that was never out of contact, and its own new process knew of no earlier one.

Change: a silence of more than 10 s before a restart stays recorded, and the new process is told of it as of any other. After a shorter one the router counts as killed before, so that restarts cost no streams.

The other tests of the model pass, with their ratios of streams that go on.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
@@ -52,6 +52,9 @@
 and suspected."""
 CATCH_UP_SECONDS = 5.0
 """Time after a silence in which a router may not have read the changes of the store that it has missed."""
+CUT_SECONDS = 10.0
+"""Silence from which on a router that has restarted may have served before, cut off from the others. One that
+was killed is usually back sooner."""
 ALONE_SECONDS = 2.0
 """Time after a router was found within which it finds others itself, some gossip rounds."""
 CUT_OFF_SECONDS = 2.0
@@ -99,6 +102,18 @@
         since = self.silent_since if is_continued else math.inf
         self.silent_since = min(since, self.last_alive_at)
 
+    def record_restart(self, now: float) -> None:
+        """Record that another process of the router was found, which knows of the fleet what it has read.
+
+        Streams that the process before began during a long silence may still be taken up.
+        """
+        was_cut = now - self.last_alive_at > CUT_SECONDS
+        if was_cut:
+            self.note_silence()
+        self.suspected_at = self.suspected_until = -math.inf
+        self.silent_until = now if was_cut else -math.inf
+        self.found_at = now
+
     def record_told_silence(self, since: float, until: float) -> None:
         """Record a silence that another router has noticed."""
         self.silent_since = min(self.silent_since, since)
@@ -217,11 +232,10 @@
             elif entry.freshness_key > peer.entry.freshness_key:
                 if not self.is_live(entry.address, now):
                     new_addresses.append(entry.address)
-                peer.record_alive(now)
                 if entry.incarnation > peer.entry.incarnation:
-                    peer.suspected_at = peer.suspected_until = peer.silent_until = -math.inf
-                    peer.found_at = now
+                    peer.record_restart(now)
                     self.changes += 1
+                peer.record_alive(now)
                 if entry.is_leaving != peer.entry.is_leaving:
                     self.changes += 1
                 peer.entry = entry
@@ -234,10 +248,14 @@
     def find_again(self, entry: MemberEntry, now: float) -> Peer:
         """Return a router that is not known, or that was removed and has not restarted since."""
         lost = self.lost.pop(entry.address, None)
-        if lost is None or lost.entry.incarnation != entry.incarnation:
+        if lost is None:
             return Peer(entry, now, found_at=now)
-        lost.note_silence()
-        lost.silent_until = lost.last_alive_at = now
+        if lost.entry.incarnation == entry.incarnation:
+            lost.note_silence()
+            lost.silent_until = now
+        else:
+            lost.record_restart(now)
+        lost.last_alive_at = now
         lost.entry = entry
         return lost
 
@@ -284,10 +302,11 @@
         """Record the routers that are or were out of contact with another one."""
         for entry, since_seconds, until_seconds in message.silences:
             since, until = now - since_seconds, now - until_seconds
-            if entry.address == self.own.address or entry.is_leaving:
+            if entry.is_leaving:
                 continue
             known = self.peers.get(entry.address) or self.lost.get(entry.address)
             if known is None:
+                # Also an earlier process of this router, which may have begun streams that are taken up here.
                 known = self.lost[entry.address] = Peer(entry, since)
             if known.entry.incarnation == entry.incarnation:
                 known.record_told_silence(since, until)
