Don't limit the answers of a round while requests are shed

The customer got less than others that the schedulers had granted as much.

Cause: after rounds of more than 25 ms, the poller reports no more than 16 sockets of targets in a round. While requests are shed, it reports all sockets of callers, so that rounds stay long. Some 400 events of targets a second were left for 100 answers with about ten events each, and connections that were established long ago ran into their time-out of 0.3 s. Admitted requests waited behind refused ones, which inverts the priority of answers.

Change: while requests are shed, neither is limited. Admissions bound the time of answers, and reads of callers end with the round.

Evidence: test_answers_are_not_limited_while_requests_are_shed failed before.

--- a/packages/limpetusher-router/src/limpetusher_router/process/poller.py
+++ b/packages/limpetusher-router/src/limpetusher_router/process/poller.py
@@ -166,10 +166,9 @@
         for priority, epoll in self.epolls.items():
             self.reported[priority] = 0
             if epoll.fileno() in ready_descriptors:
-                is_limited = priority in self.limits and not was_stalled
-                if priority is Priority.CALLERS and self.is_shedding():
-                    # A limited number of callers in a round would let the others wait until they give up.
-                    is_limited = False
+                # While requests are shed, admissions bound the time of answers, and reads of callers end with
+                # the round. A limit would let callers wait until they give up, and answers behind refusals.
+                is_limited = priority in self.limits and not was_stalled and not self.is_shedding()
                 limit = self.limits[priority].value if is_limited else MAXIMUM_EVENTS
                 found = epoll.poll(0, limit)
                 self.reported[priority] = len(found)
--- a/tests/router/process/test_poller.py
+++ b/tests/router/process/test_poller.py
@@ -96,6 +96,14 @@
     assert len(run.round()) == CALLERS
 
 
+def test_answers_are_not_limited_while_requests_are_shed(run):
+    """Guards against requests with a target that wait for their answers behind the refusals of a flood."""
+    answers = {run.readable(Source("targets")) for _ in range(2 * INITIAL_EVENTS)}
+    run.poller.is_shedding = lambda: True
+    for _ in range(5):
+        assert answers <= {*run.round(2 * ROUND_SECONDS)}
+
+
 def test_round_after_a_stall_is_not_limited(run):
     """Guards against time-outs of connections whose bytes have arrived during a stall of the process."""
     assert len(run.round(2 * STALL_SECONDS)) == CALLERS
