--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -236,6 +236,7 @@
 
     def check_activity(self) -> None:
         """Log what the port did since the last check, if it was busy."""
+        self.activity.limit = self.connection_limit
         self.activity.check(
             self.listener, idle=len(self.idle_connections), answering=len(self.connections_by_request)
         )
