Close callers' connections for targets only above their limit

A connection to a target closed an idle one of a caller whenever callers had reached their limit, also if that limit left enough descriptors. It does so now only while there are more than the limit allows.

The end of a stream that can't be confirmed for want of a descriptor counts as complete, as one that is not confirmed in time: only a refusal shows that the target's process has ended.

--- a/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
@@ -246,7 +246,7 @@
         return new_addresses
 
     def find_again(self, entry: MemberEntry, now: float) -> Peer:
-        """Return a router that is not known, or that was removed and has not restarted since."""
+        """Return a router that is not known, or the one that was removed, with the silence since then."""
         lost = self.lost.pop(entry.address, None)
         if lost is None:
             return Peer(entry, now, found_at=now)
--- a/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/callers.py
@@ -264,9 +264,12 @@
         """Return whether the connection limit is reached and no idle connection can be closed."""
         return len(self.connections) >= self.connection_limit and self.find_closable() is None
 
-    def close_for_room(self) -> None:
-        """Close idle connections, the longest idle first, until another connection has room."""
-        while len(self.connections) >= self.connection_limit:
+    def close_for_room(self, new_connections: int = 0) -> None:
+        """Close idle connections, the longest idle first, while there are more than may be open.
+
+        `new_connections` of callers are about to be added.
+        """
+        while len(self.connections) + new_connections > self.connection_limit:
             closable = self.find_closable()
             if closable is None:
                 return
@@ -312,7 +315,7 @@
                     continue
             configure_socket(sock)
             connection = CallerConnection(sock, accepted_at=self.deadlines.clock.monotonic())
-            self.close_for_room()
+            self.close_for_room(new_connections=1)
             if not self.is_full:
                 self.read_rounds_while_full = 0.0
             self.connections[sock] = connection
--- a/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
+++ b/packages/limpetusher-router/src/limpetusher_router/connection/targets.py
@@ -141,6 +141,9 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:
             end = AttemptResult.CUT if sent_on_previous_connection else AttemptResult.NOT_STARTED
+            if is_confirmation:
+                # Only a refusal shows that the target's process has ended.
+                end = AttemptResult.CLOSED
             detail = errno.errorcode.get(error.errno, str(error))
             self.fire(AttemptEnded(attempt.key, end, detail), attempt.channel)
             return
