--- a/tests/builders_soak.py
+++ b/tests/builders_soak.py
@@ -292,7 +292,7 @@
         data_centres = tuple(DATA_CENTRES[number % size.data_centres] for number in range(1, size.routers))
         super().__init__(folder, (), routers=data_centres)
 
-    def configuration(self, services: list[str], route_seconds: float, fields: dict) -> dict:
+    def configuration(self, destinations: dict[str, str]) -> dict:
         """Return the configuration of the begin, and start the first targets."""
         self.store.page_size = STORE_PAGE_SIZE
         self.store.read_seconds = STORE_READ_SECONDS
--- a/tests/builders_versions_of_targets.py
+++ b/tests/builders_versions_of_targets.py
@@ -325,7 +325,7 @@
         self.route_seconds = route_seconds
         self.service_fields = {"coldS": cold_seconds, **({"engine": ENGINE} if are_engines else {})}
         self.configuration_versions = itertools.count(3)
-        self.configure({service: service for service in services})
+        self.store.put("op/config", self.configuration({service: service for service in services}))
         for service in services:
             for version, data_centre in zip(versions, itertools.cycle(DATA_CENTRES), strict=False):
                 self.add_target(service, version, data_centre)
@@ -340,8 +340,8 @@
         self.routers: list[FleetRouterProcess] = []
         self.start_routers(is_first_start=True)
 
-    def configure(self, destinations: dict[str, str]) -> int:
-        """Write a configuration with the service that each route leads to, and return its version."""
+    def configuration(self, destinations: dict[str, str]) -> dict:
+        """Return the next configuration, with the service that each route leads to."""
         (service_document,) = configuration_document()["services"]
         routes = [
             route_document(
@@ -362,16 +362,16 @@
             for service in sorted({*destinations, *destinations.values()})
         ]
         version = next(self.configuration_versions)
-        self.store.put("op/config", configuration_document(version, routes=routes, services=documents))
-        return version
+        return configuration_document(version, routes=routes, services=documents)
 
     def reconfigure(self, destinations: dict[str, str]) -> None:
         """Write another configuration and wait until all routers that run apply it."""
-        version = self.configure(destinations)
+        document = self.configuration(destinations)
+        self.store.put("op/config", document)
 
         def is_applied(router: FleetRouterProcess) -> bool:
             entries = self.log_entries(router, Event.CONFIGURATION_IN_FORCE)
-            return any(entry["version"] == version for entry in entries)
+            return any(entry["version"] == document["version"] for entry in entries)
 
         for router in self.live_routers:
             wait_for(lambda router=router: is_applied(router), router.log)
