--- a/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
+++ b/packages/limpetusher-core/src/limpetusher/fleet/process/members.py
@@ -191,7 +191,8 @@
         self.is_first_start = is_first_start
         self.peers: dict[str, Peer] = {}
         self.lost: dict[str, Peer] = {}
-        """Removed routers that were not about to stop, until they are taken to have stopped."""
+        """Removed routers that were not about to stop, until they are taken to have stopped, and routers of
+        whose silence others have told."""
         self.announced_silences: set[str] = set()
         """Routers out of contact of which those that were found since have been told."""
         self.seeds: tuple[str, ...] = ()
